--- /dev/null
+++ b/src/main/java/lineward/app/Config.java
@@ -0,0 +1,91 @@
+package lineward.app;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.math.BigInteger;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import peatwick.Front;
+import peatwick.adapter.SettingsReader;
+import peatwick.adapter.WireException;
+
+/**
+ * What a front end is told at its start.
+ *
+ * @param journal address of the journal service
+ * @param known the journal's events so far
+ * @param raw the settings as they came, for what the module does not need
+ */
+record Config(String name, InetSocketAddress listen, long seed, int sockets, String journal, JsonNode known,
+        Front.Settings settings, JsonNode raw) {
+    private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
+    private static final int HIGHEST_PORT = 65535;
+    private static final int HEX = 16;
+
+    /** @throws ConfigException with one plain line if the file can't be used */
+    static Config read(String path) {
+        if (path == null || path.isBlank()) {
+            throw new ConfigException("RELAY_CONFIG names no file");
+        }
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(Files.readString(Path.of(path)));
+        } catch (JsonProcessingException e) {
+            throw new ConfigException(path + " is not JSON");
+        } catch (IOException e) {
+            throw new ConfigException(path + " can't be read");
+        }
+        if (!root.path("settings").isObject()) {
+            throw new ConfigException(path + " holds no settings");
+        }
+        try {
+            return new Config(root.path("name").asText("lineward"),
+                    address("listen", root.path("listen").asText("")), seed(root.path("seed").asText("0")),
+                    root.path("limits").path("sockets").asInt(1024), journal(root),
+                    root.path("known"), SettingsReader.read(root.path("settings").toString()),
+                    root.path("settings"));
+        } catch (WireException e) {
+            throw new ConfigException("settings: " + e.getMessage());
+        }
+    }
+
+    private static String journal(JsonNode root) {
+        String text = root.path("journal").asText("");
+        address("journal", text);
+        return text;
+    }
+
+    private static long seed(String text) {
+        try {
+            return new BigInteger(text, HEX).longValue();
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed is no hexadecimal number");
+        }
+    }
+
+    static InetSocketAddress address(String what, String text) {
+        Matcher parts = ADDRESS.matcher(text);
+        if (!parts.matches() || Integer.parseInt(parts.group(2)) > HIGHEST_PORT) {
+            throw new ConfigException(what + " is no address with a port");
+        }
+        return new InetSocketAddress(parts.group(1), Integer.parseInt(parts.group(2)));
+    }
+
+    /** @return the names in a list of the settings, whose members are texts or objects with a name */
+    List<String> names(String list) {
+        List<String> names = new ArrayList<>();
+        raw.path(list).forEach(n -> names.add(n.isTextual() ? n.asText() : n.path("name").asText()));
+        return names;
+    }
+
+    JsonNode limit(String name) {
+        return raw.path("limits").path(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/core/Command.java
@@ -0,0 +1,33 @@
+package lineward.core;
+
+/**
+ * What a planner asks of the forwarders.
+ *
+ * @param <X> the front's own record of a request
+ */
+public sealed interface Command<X> {
+    /** The front's record of the request concerned. */
+    X exchange();
+
+    /**
+     * Start an attempt and report its end to {@link Planner#ended}.
+     *
+     * @param patienceMs how long the attempt may take
+     * @param grantMb memory to grant; 0 leaves it to the engine
+     */
+    record Start<X>(X exchange, long request, int attempt, String engine, long patienceMs, double grantMb,
+            int priority) implements Command<X> { }
+
+    /** Give an attempt up; the planner itself books its end. */
+    record Stop<X>(X exchange, long request, int attempt, String engine) implements Command<X> { }
+
+    /** Give a running attempt a new priority. */
+    record Reprioritise<X>(X exchange, long request, int attempt, String engine, int priority)
+            implements Command<X> { }
+
+    /** Final answer: refused, harmless to try again after the time given (0: no advice). */
+    record Refuse<X>(X exchange, long retryAfterMs) implements Command<X> { }
+
+    /** Final answer: failed. */
+    record Fail<X>(X exchange) implements Command<X> { }
+}
--- /dev/null
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -0,0 +1,113 @@
+package lineward.engine;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import lineward.core.EngineEntry;
+import peatwick.Front;
+
+/** The engines that the list names and the connections to them. */
+public final class EngineFleet {
+    /** Own connections are closed at this part of the engines' idle time: theirs would race with a send. */
+    private static final double IDLE_PART = 0.7;
+
+    private static final class Member {
+        final EnginePool pool;
+        double startedAtMs;
+        boolean gone;
+
+        Member(EnginePool pool) {
+            this.pool = pool;
+        }
+    }
+
+    /**
+     * @param streams runs that one connection carries
+     * @param linksPerEngine most connections to one engine
+     */
+    public record Limits(int connectTimeoutMs, double idleMs, int streams, int linksPerEngine) { }
+
+    private final Map<String, Member> members = new HashMap<>();
+    private final Bootstrap bootstrap;
+    private final Limits limits;
+
+    /** @param loop runs all connections */
+    public EngineFleet(EventLoopGroup loop, Limits limits) {
+        this.limits = limits;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
+    }
+
+    /** Takes in the list of engines, or changes to it. */
+    public void list(boolean whole, List<EngineEntry> entries) {
+        if (whole) {
+            members.values().forEach(m -> m.gone = true);
+        }
+        for (EngineEntry e : entries) {
+            InetSocketAddress address = parse(e.address());
+            Member m = members.get(e.id());
+            if (m == null || !m.pool.address().equals(address)) {
+                if (m != null) {
+                    m.pool.closeAll();
+                }
+                m = new Member(new EnginePool(bootstrap, address, limits.streams(),
+                        limits.linksPerEngine()));
+                members.put(e.id(), m);
+            }
+            m.gone = e.condition() == Front.Condition.GONE;
+            if (e.startedAtMs() != m.startedAtMs) {
+                m.startedAtMs = e.startedAtMs();
+                m.pool.startedAt(e.startedAtMs());
+            }
+        }
+        closeIdle();
+    }
+
+    /** Starts a run; its end is told by its listener, perhaps before this returns. */
+    public void start(String engine, Run run) {
+        Member m = members.get(engine);
+        if (m == null) {
+            run.end(Front.Outcome.CONNECT_FAILED);
+        } else {
+            m.pool.start(run);
+        }
+    }
+
+    /** Gives a run up; its listener hears nothing more. */
+    public void stop(String engine, Run run) {
+        Member m = members.get(engine);
+        if (m != null) {
+            m.pool.stop(run);
+        }
+    }
+
+    /** Tells the engine the run's new priority. */
+    public void hurry(String engine, Run run, int priority) {
+        run.priority = priority;
+        Member m = members.get(engine);
+        if (m != null) {
+            m.pool.hurry(run);
+        }
+    }
+
+    /** Closes connections long unused, and all unused ones of engines that are gone. */
+    public void closeIdle() {
+        long now = System.nanoTime();
+        long before = now - TimeUnit.MICROSECONDS.toNanos(Math.round(limits.idleMs() * IDLE_PART * 1000));
+        members.values().forEach(m -> m.pool.closeIdle(m.gone ? now : before));
+        members.values().removeIf(m -> m.gone && m.pool.isEmpty());
+    }
+
+    private static InetSocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/engine/Run.java
@@ -0,0 +1,128 @@
+package lineward.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import peatwick.Front;
+
+/** One attempt at an engine: what is sent, the pages that have come, and who is told of its end. */
+public final class Run {
+    /** Hears how a run ended. */
+    @FunctionalInterface
+    public interface Listener {
+        /** @param result all rows where the outcome is OK, else null; the listener's to release */
+        void ended(Front.Outcome outcome, ByteBuf result);
+    }
+
+    /** Most bytes of one result; the protocol allows 48,000. */
+    private static final int LARGEST_RESULT = 64 * 1024;
+    /** Most pages of one result. */
+    private static final int MOST_PAGES = 1024;
+
+    final String id;
+    final String sort;
+    final ByteBuf statement;
+    final long grantMb;
+    private final long until;
+    private final Listener listener;
+    int priority;
+    boolean written;
+    private boolean over;
+    private ByteBuf[] pages;
+    private int missing;
+    private int bytes;
+
+    /**
+     * @param id the request's id, passed on unchanged
+     * @param sort the class's name
+     * @param statement the bytes to run; borrowed until the end
+     */
+    public Run(String id, String sort, ByteBuf statement, long patienceMs, double grantMb, int priority,
+            Listener listener) {
+        this.id = id;
+        this.sort = sort;
+        this.statement = statement;
+        this.until = System.nanoTime() + patienceMs * 1_000_000;
+        this.grantMb = (long) Math.ceil(grantMb);
+        this.priority = priority;
+        this.listener = listener;
+    }
+
+    long patienceMs() {
+        return Math.max(1, (until - System.nanoTime()) / 1_000_000);
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    /** @return whether the first page is here */
+    boolean paging() {
+        return pages != null;
+    }
+
+    /** Takes page 0 in. */
+    void open(int total, ByteBuf page) {
+        if (pages != null || total < 1 || total > MOST_PAGES) {
+            page.release();
+            throw new MalformedReplyException("result of " + total + " pages, or begun twice");
+        }
+        pages = new ByteBuf[total];
+        missing = total;
+        put(0, page);
+    }
+
+    /** Takes a page in; the last one missing ends the run. */
+    void put(int index, ByteBuf page) {
+        if (pages == null || index < 0 || index >= pages.length || pages[index] != null
+                || bytes + page.readableBytes() > LARGEST_RESULT) {
+            page.release();
+            throw new MalformedReplyException("page " + index + " was not asked for or is too large");
+        }
+        pages[index] = page;
+        bytes += page.readableBytes();
+        missing--;
+    }
+
+    boolean whole() {
+        return missing == 0;
+    }
+
+    int total() {
+        return pages.length;
+    }
+
+    /** Ends the run; what comes after the first end is passed over. */
+    void end(Front.Outcome outcome) {
+        if (over) {
+            return;
+        }
+        over = true;
+        ByteBuf result = null;
+        if (outcome == Front.Outcome.OK) {
+            CompositeByteBuf all = Unpooled.compositeBuffer(pages.length);
+            all.addComponents(true, pages);
+            pages = null;
+            result = all;
+        }
+        dropPages();
+        listener.ended(outcome, result);
+    }
+
+    /** Gives the run up without a word to anyone. */
+    void drop() {
+        over = true;
+        dropPages();
+    }
+
+    private void dropPages() {
+        if (pages != null) {
+            for (ByteBuf page : pages) {
+                if (page != null) {
+                    page.release();
+                }
+            }
+            pages = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/journal/JournalPoll.java
@@ -0,0 +1,137 @@
+package lineward.journal;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Follows the journal: one long poll after the other on one connection, anew after each failure. */
+public final class JournalPoll {
+    private static final Logger LOG = LoggerFactory.getLogger(JournalPoll.class);
+    private static final ObjectMapper JSON = new ObjectMapper();
+    /** Longest wait of a poll. What the journal holds counts as told at once: a dead wire must show soon. */
+    private static final int MAX_WAIT_MS = 1000;
+    /** Silence past the longest wait by which a connection counts as dead. */
+    private static final int SILENCE_MS = MAX_WAIT_MS + 700;
+    private static final int CONNECT_MS = 500;
+    private static final int RETRY_MS = 100;
+    private static final int LARGEST_ANSWER = 4 << 20;
+
+    private final EventLoopGroup loop;
+    private final InetSocketAddress address;
+    private final EngineList list;
+    private final String host;
+    private boolean stopped;
+    private Channel channel;
+
+    /** @param address of the journal service */
+    public JournalPoll(EventLoopGroup loop, String address, EngineList list) {
+        this.loop = loop;
+        int colon = address.lastIndexOf(':');
+        this.address = new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)));
+        this.host = address;
+        this.list = list;
+    }
+
+    /** Connects and polls until {@link #stop}. */
+    public void start() {
+        if (stopped) {
+            return;
+        }
+        channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
+                                new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
+                                new Poller());
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        LOG.warn("journal: {}", done.cause().toString());
+                        again();
+                    }
+                }).channel();
+    }
+
+    /** Ends the polling. */
+    public void stop() {
+        stopped = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private void again() {
+        if (!stopped) {
+            loop.next().schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private final class Poller extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/journal?tail=" + list.position() + "&max_wait=" + MAX_WAIT_MS);
+            request.headers().set(HttpHeaderNames.HOST, host);
+            ctx.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) throws IOException {
+            if (!answer.status().equals(HttpResponseStatus.OK)) {
+                LOG.warn("journal answers {}", answer.status());
+                ctx.close();
+                return;
+            }
+            try (InputStream in = new ByteBufInputStream(answer.content())) {
+                list.take(JSON.readTree(in));
+            }
+            if (HttpUtil.isKeepAlive(answer)) {
+                ask(ctx);
+            } else {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.warn("journal: {}", cause.toString());
+            ctx.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            again();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/thrift/Call.java
@@ -0,0 +1,32 @@
+package lineward.thrift;
+
+import io.netty.buffer.ByteBuf;
+import lineward.engine.Run;
+
+/** One request of a client: where its answer goes, and the statement as it came. */
+public final class Call {
+    final ClientHandler client;
+    final int seqid;
+    final CallFields fields;
+    final ByteBuf statement;
+    long request;
+    Run run;
+    int runOf = -1;
+
+    Call(ClientHandler client, int seqid, CallFields fields, ByteBuf statement) {
+        this.client = client;
+        this.seqid = seqid;
+        this.fields = fields;
+        this.statement = statement;
+    }
+
+    /** @return the class's place in the settings */
+    public int type() {
+        return fields.demand().type();
+    }
+
+    /** @return the id that the client gave the request */
+    public String id() {
+        return fields.id();
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -0,0 +1,121 @@
+package lineward.thrift;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The forwarder of one client's connection: takes out the fields that decisions need, passes on the rest. */
+final class ClientHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientHandler.class);
+    /** Open requests that a connection carries. */
+    private static final int MOST_OPEN = 32;
+
+    private final ThriftFront front;
+    private final Map<Integer, Call> open = new HashMap<>();
+    private Channel channel;
+
+    ClientHandler(ThriftFront front) {
+        this.front = front;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        front.connected(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+        ThriftReader.Head head = ThriftReader.head(frame);
+        if (head.kind() == ThriftReader.ONEWAY && head.method().equals("abort")) {
+            Integer seqid = ThriftReader.number(frame);
+            Call call = seqid == null ? null : open.remove(seqid);
+            if (call != null) {
+                front.abort(call);
+            }
+        } else if (head.kind() != ThriftReader.CALL) {
+            throw new DecoderException("message of kind " + head.kind() + " for " + head.method());
+        } else if (head.method().equals("invoke")) {
+            invoke(head.seqid(), ThriftReader.invocation(frame));
+        } else if (head.method().equals("ping")) {
+            send(ThriftWriter.pong(ctx.alloc(), head.seqid(), !front.isDraining()));
+        } else {
+            send(ThriftWriter.exception(ctx.alloc(), head.method(), head.seqid(),
+                    ThriftWriter.UNKNOWN_METHOD, "no such method"));
+        }
+    }
+
+    private void invoke(int seqid, ThriftReader.Invocation asked) {
+        // Two open requests of one number could not be told apart: the connection is not what it should be.
+        if (open.containsKey(seqid)) {
+            throw new DecoderException("sequence number " + seqid + " is open already");
+        }
+        CallFields fields;
+        try {
+            if (asked.body() == null) {
+                throw new IllegalArgumentException("no statement");
+            }
+            fields = front.read(asked.fields(), asked.body().toString(StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException e) {
+            send(ThriftWriter.exception(channel.alloc(), "invoke", seqid, ThriftWriter.PROTOCOL_ERROR,
+                    e.getMessage()));
+            return;
+        }
+        Call call = new Call(this, seqid, fields, asked.body());
+        if (open.size() >= MOST_OPEN || !front.take(call)) {
+            send(ThriftWriter.overloaded(channel.alloc(), seqid, front.busyPushbackMs()));
+            return;
+        }
+        open.put(seqid, call);
+    }
+
+    /** Every answer to a request passes here once; the request is over for this connection with it. */
+    void answer(Call call, ByteBuf frame) {
+        if (open.remove(call.seqid, call)) {
+            send(frame);
+        } else {
+            frame.release();
+        }
+    }
+
+    private void send(ByteBuf frame) {
+        front.write(channel, frame);
+    }
+
+    boolean isIdle() {
+        return open.isEmpty();
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    /** A client that does not read its answers is not read from, so that it can't fill the memory. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOG.info("client connection closed: {}", cause.toString());
+        ctx.close();
+    }
+
+    /** Who has hung up waits for nothing. */
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        front.disconnected(this);
+        new ArrayList<>(open.values()).forEach(front::abort);
+        open.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -0,0 +1,220 @@
+package lineward.thrift;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.net.SocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import lineward.core.Budget;
+import lineward.core.Command;
+import lineward.core.Planner;
+import lineward.core.SlotTable;
+import lineward.core.TableGroups;
+import lineward.engine.EngineFleet;
+import lineward.engine.Run;
+import peatwick.Front;
+
+/** The platform's front: clients speak Thrift, engines the line protocol, one planner decides. */
+public final class ThriftFront {
+    /** Largest frame of a client: a statement and its fields. */
+    private static final int LARGEST_FRAME = 64 * 1024;
+    /** Bytes of statements held at once; requests beyond are refused. */
+    private static final long STATEMENTS = 12L << 20;
+    /** Bytes of answers that clients have not read yet; past it the slowest client's connection is closed. */
+    private static final long ANSWERS = 16L << 20;
+    /** Pending bytes at which a client counts as slow. */
+    private static final int SLOW = 256 * 1024;
+    /** Advice to a client that found this front end full. */
+    private static final long BUSY_PUSHBACK_MS = 500;
+
+    /**
+     * @param classes names of the classes, in the order of the settings
+     * @param tenants names of the tenants, in the order of the settings
+     * @param mostClients connections of clients held at once; further ones wait in the backlog
+     */
+    public record Names(List<String> classes, List<String> tenants, int mostClients) { }
+
+    private final Names names;
+    private final Planner<Call> planner;
+    private final EngineFleet fleet;
+    private final DoubleSupplier clock;
+    private final Runnable news;
+    private final Budget statements = new Budget(STATEMENTS);
+    private final Budget answers = new Budget(ANSWERS);
+    private final Set<ClientHandler> clients = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean draining;
+
+    /** @param news is called when the planner has something to decide on */
+    public ThriftFront(Names names, Planner<Call> planner, EngineFleet fleet, DoubleSupplier clock,
+            Runnable news) {
+        this.names = names;
+        this.planner = planner;
+        this.fleet = fleet;
+        this.clock = clock;
+        this.news = news;
+    }
+
+    /** Starts to listen. */
+    public ChannelFuture listen(EventLoopGroup loop, SocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(SLOW / 4, SLOW))
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(
+                                new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
+                                new ClientHandler(ThriftFront.this));
+                    }
+                }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** From now on the front asks for no new clients, but serves all that come. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Closes the listener and the connections on which nothing is open. */
+    public void closeIdle() {
+        listener.close();
+        List.copyOf(clients).stream().filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
+    }
+
+    /** @return whether nobody is owed an answer and every answer has been written */
+    public boolean isQuiet() {
+        return planner.open() == 0 && clients.isEmpty();
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    long busyPushbackMs() {
+        return BUSY_PUSHBACK_MS;
+    }
+
+    CallFields read(Map<String, String> fields, String statement) {
+        return CallFields.of(fields, names.classes(), names.tenants(), TableGroups.of(statement));
+    }
+
+    void connected(ClientHandler client) {
+        clients.add(client);
+        if (clients.size() >= names.mostClients()) {
+            listener.config().setAutoRead(false);
+        }
+    }
+
+    void disconnected(ClientHandler client) {
+        clients.remove(client);
+        if (clients.size() < names.mostClients()) {
+            listener.config().setAutoRead(true);
+        }
+    }
+
+    /** @return false where there is no room for the request, which must then be refused */
+    boolean take(Call call) {
+        int size = call.statement.readableBytes();
+        if (!statements.reserve(size)) {
+            return false;
+        }
+        call.request = planner.take(clock.getAsDouble(), call.fields.demand(), call);
+        if (call.request == SlotTable.FULL) {
+            statements.release(size);
+            return false;
+        }
+        call.statement.retain();
+        news.run();
+        return true;
+    }
+
+    void abort(Call call) {
+        planner.abort(call.request);
+        release(call);
+        news.run();
+    }
+
+    /** Writes to a client; when unread answers fill their bound, the client with most of them is let go. */
+    void write(Channel channel, ByteBuf frame) {
+        int size = frame.readableBytes();
+        if (!answers.reserve(size)) {
+            clients.stream().map(ClientHandler::channel)
+                    .max((a, b) -> Long.compare(pending(a), pending(b))).ifPresent(Channel::close);
+            if (!channel.isActive() || !answers.reserve(size)) {
+                frame.release();
+                channel.close();
+                return;
+            }
+        }
+        channel.writeAndFlush(frame).addListener(done -> answers.release(size));
+    }
+
+    private static long pending(Channel channel) {
+        return channel.isActive() ? SLOW - channel.bytesBeforeUnwritable() + channel.bytesBeforeWritable() : 0;
+    }
+
+    /** Lets the planner decide on what came in and carries its commands out. */
+    public void tick() {
+        for (Command<Call> command : planner.tick(clock.getAsDouble())) {
+            perform(command);
+        }
+    }
+
+    private void perform(Command<Call> command) {
+        Call call = command.exchange();
+        if (command instanceof Command.Start<Call> c) {
+            Run run = new Run(call.id(), call.fields.op(), call.statement, c.patienceMs(), c.grantMb(),
+                    c.priority(), (outcome, result) -> ended(call, c.attempt(), outcome, result));
+            call.run = run;
+            call.runOf = c.attempt();
+            fleet.start(c.engine(), run);
+        } else if (command instanceof Command.Stop<Call> c) {
+            if (call.run != null && call.runOf == c.attempt()) {
+                fleet.stop(c.engine(), call.run);
+            }
+        } else if (command instanceof Command.Reprioritise<Call> c) {
+            if (call.run != null && call.runOf == c.attempt()) {
+                fleet.hurry(c.engine(), call.run, c.priority());
+            }
+        } else if (command instanceof Command.Refuse<Call> c) {
+            call.client.answer(call, ThriftWriter.overloaded(call.client.channel().alloc(), call.seqid,
+                    c.retryAfterMs()));
+            release(call);
+        } else if (command instanceof Command.Fail<Call>) {
+            call.client.answer(call, ThriftWriter.internal(call.client.channel().alloc(), call.seqid));
+            release(call);
+        }
+    }
+
+    private void ended(Call call, int attempt, Front.Outcome outcome, ByteBuf result) {
+        if (planner.ended(call.request, attempt, outcome)) {
+            call.client.answer(call, ThriftWriter.served(call.client.channel().alloc(), "invoke",
+                    call.seqid, result));
+            release(call);
+        } else if (result != null) {
+            result.release();
+        }
+        news.run();
+    }
+
+    /** Its last statement has gone out, or will never go. */
+    private void release(Call call) {
+        statements.release(call.statement.readableBytes());
+        call.statement.release();
+    }
+}
--- a/src/main/java/peatwick/adapter/SettingsReader.java
+++ b/src/main/java/peatwick/adapter/SettingsReader.java
@@ -8,12 +8,16 @@
 import peatwick.Front;
 
 /** Turns the settings text of the wire into the module's settings; keys unknown to it are passed over. */
-final class SettingsReader {
+public final class SettingsReader {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private SettingsReader() { }
 
-    static Front.Settings read(String text) {
+    /**
+     * @param text the settings as JSON
+     * @return the module's settings
+     */
+    public static Front.Settings read(String text) {
         JsonNode root;
         try {
             root = JSON.readTree(text);
