--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -26,7 +26,7 @@
     private static final int TICK_MS = 5;
     private static final int WHEEL_SLOTS = 64;
     private static final int MOST_REQUESTS = 8192;
-    /** Clients may take a third of the descriptors; a little more is left to those that open before closing. */
+    /** Clients may take a third of the descriptors; the rest is for those that open before closing. */
     private static final double CLIENT_PART = 0.4;
     private static final int LINKS_PER_ENGINE = 8;
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
--- a/src/main/java/lineward/core/Deadlines.java
+++ b/src/main/java/lineward/core/Deadlines.java
@@ -4,7 +4,7 @@
 import java.util.TreeSet;
 import java.util.function.DoubleConsumer;
 
-/** All that is due at some time, in one ordered structure. What is due at one time runs in the order it came. */
+/** All that is due at some time, in one ordered structure; equal times run in the order they came. */
 public final class Deadlines {
     /** A deadline that can be taken back. */
     public static final class Entry {
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -16,7 +16,7 @@
 public final class Planner<X> {
     /** Ahead of the client's deadline by this, so that the answer still finds it waiting. */
     private static final double ANSWER_AHEAD = 10;
-    /** From the word to give up to the end of the attempt: the word must reach its engine before a rerun can. */
+    /** From the word to give up to the attempt's end: the word must be at its engine before a rerun is. */
     private static final double STOP_TAKES = 6;
     /** Seed of the hash that numbers engines, and its multiplier (FNV-1a). */
     private static final long FNV_SEED = 0xcbf29ce484222325L;
--- a/src/main/java/lineward/core/SlotTable.java
+++ b/src/main/java/lineward/core/SlotTable.java
@@ -7,8 +7,8 @@
 import java.util.function.Consumer;
 
 /**
- * A bounded table of numbered slots. An id holds the slot's number and its generation, so that an id kept past
- * its release finds nothing, even when the slot is in use again.
+ * A bounded table of numbered slots. An id holds the slot's number and its generation, so that an id kept
+ * past its release finds nothing, even when the slot is in use again.
  *
  * @param <T> what the slots hold
  */
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -165,7 +165,8 @@
     }
 
     private static long pending(Channel channel) {
-        return channel.isActive() ? SLOW - channel.bytesBeforeUnwritable() + channel.bytesBeforeWritable() : 0;
+        return channel.isActive() ? SLOW - channel.bytesBeforeUnwritable()
+                + channel.bytesBeforeWritable() : 0;
     }
 
     /** Lets the planner decide on what came in and carries its commands out. */
