--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -7,24 +7,33 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import lineward.core.FrontClock;
 import lineward.core.Planner;
 import lineward.engine.EngineFleet;
+import lineward.front.FrontDoor;
 import lineward.journal.EngineList;
 import lineward.journal.JournalPoll;
+import lineward.mysql.MysqlConfig;
+import lineward.mysql.MysqlFront;
+import lineward.mysql.Query;
 import lineward.thrift.Call;
 import lineward.thrift.ThriftFront;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import peatwick.Control;
 
-/** Wires one front end: one event loop, the wheel's tick, the fronts with their planners. */
+/** Wires one front end: one event loop, the wheel's tick, the fronts with a planner each. */
 final class FrontEnd {
     private static final Logger LOG = LoggerFactory.getLogger(FrontEnd.class);
     private static final int TICK_MS = 5;
     private static final int WHEEL_SLOTS = 64;
+    /** A word to give up crosses the floors well within this. */
+    private static final double STOP_TAKES_MS = 6;
     private static final int MOST_REQUESTS = 8192;
     /** Clients may take a third of the descriptors; the rest is for those that open before closing. */
     private static final double CLIENT_PART = 0.4;
@@ -32,90 +41,131 @@
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
     private static final int STILL_COMING_MS = 1200;
     private static final int IDLE_SWEEP_MS = 1000;
+    /** How often the MySQL file is looked at: a drain must be known well within a second. */
+    private static final int FILE_SWEEP_MS = 200;
 
-    private final EventLoopGroup group;
-    private final EventLoop loop;
-    private final ThriftFront front;
-    private final JournalPoll journal;
-    private final EngineFleet fleet;
-    private final Config config;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
+            NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final HashedWheelTimer wheel = new HashedWheelTimer(new DefaultThreadFactory("wheel", true),
+            TICK_MS, TimeUnit.MILLISECONDS, WHEEL_SLOTS, false, -1, loop);
+    private final FrontClock clock = new FrontClock();
+    private final List<FrontDoor> doors = new ArrayList<>();
+    private final List<Runnable> starts = new ArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
-    private boolean tickPending;
 
-    FrontEnd(Config config) {
-        this.config = config;
-        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
-                NioIoHandler.newFactory());
-        loop = group.next();
-        FrontClock clock = new FrontClock();
+    /** Adds the platform's front. */
+    void addPlatform(Config config) {
         Planner<Call> planner = new Planner<>(new Control(config.settings(), config.seed()), MOST_REQUESTS,
-                new LogTracer<>());
-        fleet = new EngineFleet(group, new EngineFleet.Limits(config.limit("connect-timeout").asInt(250),
-                config.limit("conn-idle").asDouble(30_000), config.limit("streams-per-conn").asInt(100),
-                LINKS_PER_ENGINE));
-        front = new ThriftFront(new ThriftFront.Names(config.names("classes"), config.names("tenants"),
-                (int) (config.sockets() * CLIENT_PART)), planner, fleet, clock, this::news);
+                STOP_TAKES_MS, new LogTracer<>());
+        EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
+                config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
+                config.limit("streams-per-conn").asInt(100), LINKS_PER_ENGINE));
+        News news = new News();
+        ThriftFront front = new ThriftFront(new ThriftFront.Names(config.names("classes"),
+                config.names("tenants"), (int) (config.sockets() * CLIENT_PART), config.listen()), planner,
+                fleet, clock, news);
+        news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
             fleet.list(whole, entries);
             planner.list(whole, entries);
-            news();
+            news.run();
         });
-        try {
-            loop.submit(() -> list.take(config.known())).sync();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (IllegalArgumentException e) {
-            throw new ConfigException("known: " + e.getMessage());
+        onLoop(() -> {
+            try {
+                list.take(config.known());
+            } catch (IllegalArgumentException e) {
+                throw new ConfigException("known: " + e.getMessage());
+            }
+        });
+        doors.add(front);
+        starts.add(new JournalPoll(group, config.journal(), list)::start);
+    }
+
+    /** Adds the MySQL front, unless its file names no address to listen on. */
+    void addMysql(MysqlFile file) {
+        MysqlConfig config = file.read();
+        if (config.listen() == null) {
+            return;
         }
-        journal = new JournalPoll(group, config.journal(), list);
+        Planner<Query> planner = new Planner<>(new Control(MysqlSettings.of(config), System.nanoTime()),
+                MOST_REQUESTS, MysqlFront.STOP_TAKES_MS, new LogTracer<>());
+        News news = new News();
+        MysqlFront front = new MysqlFront(group, config, planner, clock, news);
+        news.door = front;
+        onLoop(() -> front.engines(config.engines()));
+        doors.add(front);
+        starts.add(() -> every(FILE_SWEEP_MS, () -> reload(file, front::engines)));
     }
 
-    /** Runs until SIGTERM and the last answer after it. */
+    private static void reload(MysqlFile file, Consumer<List<MysqlConfig.Engine>> engines) {
+        if (file.hasChanged()) {
+            try {
+                engines.accept(file.read().engines());
+            } catch (ConfigException e) {
+                LOG.warn("the engines stay as they were: {}", e.getMessage());
+            }
+        }
+    }
+
+    /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
-        HashedWheelTimer wheel = new HashedWheelTimer(new DefaultThreadFactory("wheel", true), TICK_MS,
-                TimeUnit.MILLISECONDS, WHEEL_SLOTS, false, -1, loop);
-        every(wheel, TICK_MS, front::tick);
-        every(wheel, IDLE_SWEEP_MS, fleet::closeIdle);
-        journal.start();
-        Channel listener;
-        try {
-            listener = front.listen(group, config.listen()).syncUninterruptibly().channel();
-        } catch (Exception e) {
-            throw new ConfigException("can't listen on " + config.listen() + ": " + e.getMessage());
+        every(TICK_MS, () -> doors.forEach(FrontDoor::tick));
+        every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
+        starts.forEach(Runnable::run);
+        for (FrontDoor door : doors) {
+            try {
+                Channel listener = door.listen(group).syncUninterruptibly().channel();
+                LOG.info("listening on {}", listener.localAddress());
+            } catch (Exception e) {
+                throw new ConfigException("can't listen: " + e.getMessage());
+            }
         }
-        LOG.info("{} listens on {}", config.name(), listener.localAddress());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(wheel), "drain"));
+        if (doors.isEmpty()) {
+            throw new ConfigException("nothing to serve: the MySQL file names no address to listen on");
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
-    /** What came in within this turn of the loop is decided on together, at its end. */
-    private void news() {
-        if (!tickPending) {
-            tickPending = true;
-            loop.execute(() -> {
-                tickPending = false;
-                front.tick();
-            });
+    /** What came in within one turn of the loop is decided on together, at its end. */
+    private final class News implements Runnable {
+        private FrontDoor door;
+        private boolean pending;
+
+        @Override
+        public void run() {
+            if (!pending) {
+                pending = true;
+                loop.execute(() -> {
+                    pending = false;
+                    door.tick();
+                });
+            }
         }
     }
 
-    private static void every(HashedWheelTimer wheel, int ms, Runnable task) {
+    private void onLoop(Runnable task) {
+        loop.submit(task).syncUninterruptibly();
+    }
+
+    private void every(int ms, Runnable task) {
         wheel.newTimeout(timeout -> {
             try {
                 task.run();
             } catch (RuntimeException e) {
                 LOG.error("tick failed", e);
             }
-            every(wheel, ms, task);
+            every(ms, task);
         }, ms, TimeUnit.MILLISECONDS);
     }
 
     /** Serves on while requests still come, answers all that is open, then ends the process with status 0. */
-    private void drain(HashedWheelTimer wheel) {
+    private void drain() {
         LOG.info("SIGTERM: serving on until all is answered");
-        loop.execute(front::drain);
-        loop.schedule(() -> every(wheel, TICK_MS, () -> {
-            front.closeIdle();
-            if (front.isQuiet()) {
+        loop.execute(() -> doors.forEach(FrontDoor::drain));
+        loop.schedule(() -> every(TICK_MS, () -> {
+            doors.forEach(FrontDoor::closeIdleClients);
+            if (doors.stream().allMatch(FrontDoor::isQuiet)) {
                 drained.countDown();
             }
         }), STILL_COMING_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -1,27 +1,45 @@
 package lineward.app;
 
-import java.util.Arrays;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 
-/** The command line: {@code serve} runs a front end, {@code adapter} speaks the simulator's wire. */
+/**
+ * The command line: {@code serve [MYSQL-FILE]} runs a front end for the platform, and the MySQL front with it
+ * where its file says so; {@code mysql FILE} runs the MySQL front alone; {@code adapter} speaks the
+ * simulator's wire.
+ */
 public final class Main {
+    private static final Path MYSQL_FILE = Path.of("deploy", "mysql.toml");
     private static final int BAD_USE = 2;
 
     private Main() { }
 
-    /** @param args one word */
+    /** @param args a command and its file */
     public static void main(String[] args) {
-        if (Arrays.equals(args, new String[] {"adapter"})) {
+        List<String> words = List.of(args);
+        String command = words.isEmpty() ? "" : words.get(0);
+        if (command.equals("adapter") && words.size() == 1) {
             peatwick.adapter.Main.main(args);
-        } else if (Arrays.equals(args, new String[] {"serve"})) {
-            serve();
+        } else if (command.equals("serve") && words.size() <= 2 || command.equals("mysql")
+                && words.size() == 2) {
+            run(command.equals("serve"), words.size() == 2 ? Path.of(words.get(1)) : MYSQL_FILE,
+                    words.size() == 2);
         } else {
-            stop("usage: java -jar lineward.jar serve | adapter");
+            stop("usage: java -jar lineward.jar serve [MYSQL-FILE] | mysql MYSQL-FILE | adapter");
         }
     }
 
-    private static void serve() {
+    private static void run(boolean platform, Path mysql, boolean required) {
         try {
-            new FrontEnd(Config.read(System.getenv("RELAY_CONFIG"))).run();
+            FrontEnd frontEnd = new FrontEnd();
+            if (platform) {
+                frontEnd.addPlatform(Config.read(System.getenv("RELAY_CONFIG")));
+            }
+            if (required || Files.exists(mysql)) {
+                frontEnd.addMysql(new MysqlFile(mysql));
+            }
+            frontEnd.run();
         } catch (ConfigException e) {
             stop("lineward: " + e.getMessage());
         }
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -16,8 +16,6 @@
 public final class Planner<X> {
     /** Ahead of the client's deadline by this, so that the answer still finds it waiting. */
     private static final double ANSWER_AHEAD = 10;
-    /** From the word to give up to the attempt's end: the word must be at its engine before a rerun is. */
-    private static final double STOP_TAKES = 6;
     /** Seed of the hash that numbers engines, and its multiplier (FNV-1a). */
     private static final long FNV_SEED = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
@@ -29,6 +27,7 @@
         long id;
         boolean over;
         int out;
+        Attempt streaming;
         double grantMb;
         int priority = 1;
 
@@ -50,6 +49,7 @@
     }
 
     private final Front module;
+    private final double stopTakesMs;
     private final Tracer<X> tracer;
     private final SlotTable<Request> requests;
     private final Deadlines deadlines = new Deadlines();
@@ -62,10 +62,12 @@
     /**
      * @param module decides for this pool alone
      * @param capacity the most requests held at once; what comes beyond is refused
+     * @param stopTakesMs longest from the word to give up to the attempt's end: a rerun must not overtake it
      * @param tracer is told what becomes of requests and attempts
      */
-    public Planner(Front module, int capacity, Tracer<X> tracer) {
+    public Planner(Front module, int capacity, double stopTakesMs, Tracer<X> tracer) {
         this.module = module;
+        this.stopTakesMs = stopTakesMs;
         this.requests = new SlotTable<>(capacity);
         this.tracer = tracer;
     }
@@ -110,12 +112,30 @@
         boolean served = outcome == Front.Outcome.OK && !r.over;
         if (served) {
             close(r, Tracer.Ending.SERVED);
+        } else if (r.streaming == a && !r.over) {
+            close(r, Tracer.Ending.FAILED);
         }
         events.add(new Front.Verdict(request, attempt, outcome, r.over, 0, 0, new double[0]));
         tidy(r);
         return served;
     }
 
+    /**
+     * The answer has begun to reach the client: the attempt is the client's now, no deadline counts for it.
+     *
+     * @return false if the request is over or the attempt has ended or is being given up
+     */
+    public boolean opened(long request, int attempt) {
+        Request r = requests.get(request);
+        if (r == null || r.over || !r.attempts.get(attempt).isOut || r.attempts.get(attempt).stopped) {
+            return false;
+        }
+        r.streaming = r.attempts.get(attempt);
+        deadlines.cancel(r.streaming.end);
+        events.add(new Front.Opened(request, attempt));
+        return true;
+    }
+
     /** The list of engines: whole, or only what has changed. */
     public void list(boolean whole, List<EngineEntry> entries) {
         events.add(new Front.ListChange(whole, entries.stream().map(e -> new Front.Listed(number(e.id()),
@@ -211,7 +231,7 @@
             a.stopped = true;
             commands.add(new Command.Stop<>(r.exchange, r.id, c.attempt(), a.engine));
             deadlines.cancel(a.end);
-            a.end = deadlines.add(now + STOP_TAKES,
+            a.end = deadlines.add(now + stopTakesMs,
                     at -> ended(r.id, c.attempt(), Front.Outcome.CANCELLED));
         }
     }
--- a/src/main/java/lineward/core/TableGroups.java
+++ b/src/main/java/lineward/core/TableGroups.java
@@ -1,37 +1,46 @@
 package lineward.core;
 
 import java.util.Locale;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.Set;
 
 /** Finds the group of tables that a statement reads or writes: the number in its schema's name. */
 public final class TableGroups {
-    /** One token: what does not count (comments, strings), a quoted or plain word, or any other character. */
-    private static final Pattern TOKEN = Pattern.compile("(?s)--[^\\n]*|#[^\\n]*|/\\*.*?(?:\\*/|\\z)"
-            + "|'(?:[^'\\\\]|''|\\\\.)*+(?:'|\\z)|([\"`])(?<quoted>(?:(?!\\1).)*+)(?:\\1|\\z)"
-            + "|(?<word>[A-Za-z_$][\\w$]*+)|(?<other>\\S)");
-    private static final Pattern NUMBERED = Pattern.compile(".*_([0-9]{1,6})");
+    private static final Set<String> BEFORE_TABLES = Set.of("from", "join", "into", "update", "table", ",");
+    private static final int MOST_DIGITS = 6;
 
     private TableGroups() { }
 
-    /** @return the number behind the underscore of the first schema named but {@code staging}; 0 if none */
+    /**
+     * @return the number behind the underscore of the first schema named where tables stand, else of the
+     *     first name with such a number before a dot; 0 if there is none
+     */
     public static int of(CharSequence statement) {
-        Matcher token = TOKEN.matcher(statement);
+        SqlTokens tokens = new SqlTokens(statement);
+        int fallback = 0;
         String name = null;
-        while (token.find()) {
-            String quoted = token.group("quoted");
-            String word = quoted != null ? quoted : token.group("word");
-            if (word != null) {
-                name = word;
-            } else if (token.group("other") != null) {
-                Matcher numbered = name == null || !token.group("other").equals(".") ? null
-                        : NUMBERED.matcher(name.toLowerCase(Locale.ROOT));
-                if (numbered != null && numbered.matches()) {
-                    return Integer.parseInt(numbered.group(1));
+        boolean tablesNext = false;
+        boolean isTable = false;
+        while (tokens.next()) {
+            boolean named = tokens.kind() == SqlTokens.Kind.WORD || tokens.kind() == SqlTokens.Kind.NAME;
+            if (tokens.is(".") && name != null) {
+                int group = number(name);
+                if (group > 0 && isTable) {
+                    return group;
                 }
-                name = null;
+                fallback = fallback > 0 ? fallback : group;
             }
+            isTable = named && tablesNext;
+            name = named ? tokens.text() : null;
+            tablesNext = tokens.kind() != SqlTokens.Kind.NAME
+                    && BEFORE_TABLES.contains(tokens.text().toLowerCase(Locale.ROOT));
         }
-        return 0;
+        return fallback;
+    }
+
+    private static int number(String schema) {
+        String digits = schema.substring(schema.lastIndexOf('_') + 1);
+        boolean numbered = digits.length() < schema.length() && !digits.isEmpty()
+                && digits.length() <= MOST_DIGITS && digits.chars().allMatch(c -> c >= '0' && c <= '9');
+        return numbered ? Integer.parseInt(digits) : 0;
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/mysql/Auth.java
@@ -0,0 +1,87 @@
+package lineward.mysql;
+
+import io.netty.util.CharsetUtil;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.PublicKey;
+import java.security.SecureRandom;
+import java.security.spec.X509EncodedKeySpec;
+import java.util.Base64;
+import javax.crypto.Cipher;
+
+/** Proofs of a password by a nonce, as the two usual plugins make them. */
+final class Auth {
+    static final String NATIVE = "mysql_native_password";
+    static final String SHA2 = "caching_sha2_password";
+    static final int NONCE = 20;
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private Auth() { }
+
+    /** @return a nonce without zero bytes, which would end it early on the wire */
+    static byte[] nonce() {
+        byte[] nonce = new byte[NONCE];
+        for (int i = 0; i < nonce.length; i++) {
+            nonce[i] = (byte) (1 + RANDOM.nextInt(126));
+        }
+        return nonce;
+    }
+
+    static boolean known(String plugin) {
+        return plugin.equals(NATIVE) || plugin.equals(SHA2);
+    }
+
+    /** @return what proves the password under that plugin; an empty password is proven by nothing */
+    static byte[] proof(String plugin, String password, byte[] nonce) {
+        if (password.isEmpty()) {
+            return new byte[0];
+        }
+        byte[] text = password.getBytes(CharsetUtil.UTF_8);
+        if (plugin.equals(NATIVE)) {
+            byte[] once = digest("SHA-1", text);
+            return xor(once, digest("SHA-1", nonce, digest("SHA-1", once)));
+        }
+        byte[] once = digest("SHA-256", text);
+        return xor(once, digest("SHA-256", digest("SHA-256", once), nonce));
+    }
+
+    static boolean proves(String plugin, String password, byte[] nonce, byte[] given) {
+        return MessageDigest.isEqual(proof(plugin, password, nonce), given);
+    }
+
+    /** @return the password for a server that has to see it whole, under the key that the server sent */
+    static byte[] sealed(String password, byte[] nonce, String pem) throws GeneralSecurityException {
+        String base64 = pem.replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
+        PublicKey key = KeyFactory.getInstance("RSA").generatePublic(
+                new X509EncodedKeySpec(Base64.getDecoder().decode(base64)));
+        byte[] text = (password + '\0').getBytes(CharsetUtil.UTF_8);
+        for (int i = 0; i < text.length; i++) {
+            text[i] ^= nonce[i % nonce.length];
+        }
+        Cipher cipher = Cipher.getInstance("RSA/ECB/OAEPWithSHA-1AndMGF1Padding");
+        cipher.init(Cipher.ENCRYPT_MODE, key);
+        return cipher.doFinal(text);
+    }
+
+    private static byte[] digest(String algorithm, byte[]... parts) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance(algorithm);
+            for (byte[] part : parts) {
+                digest.update(part);
+            }
+            return digest.digest();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static byte[] xor(byte[] a, byte[] b) {
+        byte[] out = new byte[a.length];
+        for (int i = 0; i < out.length; i++) {
+            out[i] = (byte) (a[i] ^ b[i]);
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -0,0 +1,387 @@
+package lineward.mysql;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The forwarder of one client: its login, its statements, its schema, and one command at a time. */
+final class ClientSession extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientSession.class);
+    /** Commands that may wait behind the one that runs; past them nothing more is read. */
+    private static final int MOST_WAITING = 8;
+    private static final int MOST_LONG_DATA = 1 << 20;
+    private static final int ID = 4;
+
+    private final MysqlFront front;
+    private final int number;
+    private final byte[] nonce = Auth.nonce();
+    private final Deque<ByteBuf> waiting = new ArrayDeque<>();
+    private final Map<Long, ClientStatement> statements = new HashMap<>();
+    private Channel channel;
+    private Handshake.Login login;
+    private boolean loggedIn;
+    private boolean ending;
+    private Query running;
+    private String schema = "";
+    private int sequence;
+    private long lastStatement;
+
+    ClientSession(MysqlFront front, int number) {
+        super(false);
+        this.front = front;
+        this.number = number;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    boolean isIdle() {
+        return running == null && waiting.isEmpty();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        if (front.connected(this)) {
+            channel.writeAndFlush(Handshake.greeting(ctx.alloc(), MysqlFront.VERSION, number, nonce));
+        } else {
+            sequence = -1;
+            endWith(Failure.full());
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+        waiting.add(frame);
+        next();
+    }
+
+    private void next() {
+        while (running == null && !ending && !waiting.isEmpty()) {
+            ByteBuf frame = waiting.poll();
+            try {
+                sequence = Packets.sequence(frame);
+                ByteBuf in = Packets.payload(frame);
+                if (!loggedIn) {
+                    logIn(in);
+                } else {
+                    command(in);
+                }
+            } finally {
+                frame.release();
+            }
+        }
+        flow();
+    }
+
+    private void flow() {
+        channel.config().setAutoRead(waiting.size() < MOST_WAITING);
+    }
+
+    private void logIn(ByteBuf in) {
+        byte[] proof;
+        String plugin;
+        if (login == null) {
+            login = Handshake.readLogin(in);
+            plugin = login.plugin();
+            proof = login.proof();
+            if (!Auth.known(plugin)) {
+                channel.writeAndFlush(Handshake.switchTo(channel.alloc(), sequence + 1, Auth.NATIVE, nonce));
+                return;
+            }
+        } else {
+            plugin = Auth.NATIVE;
+            proof = new byte[in.readableBytes()];
+            in.readBytes(proof);
+        }
+        String password = front.password(login.user());
+        if (password == null || !Auth.proves(plugin, password, nonce, proof)) {
+            endWith(Failure.denied(login.user()));
+            return;
+        }
+        loggedIn = true;
+        if (plugin.equals(Auth.SHA2) && !password.isEmpty()) {
+            // The proof was enough: the client must hear so before the OK.
+            channel.write(Handshake.bytes(channel.alloc(), sequence + 1, new byte[] {1, 3}));
+            sequence++;
+        }
+        if (login.schema().isEmpty()) {
+            sendOk();
+        } else {
+            use(latin1(login.schema()));
+        }
+    }
+
+    private static String latin1(String text) {
+        return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
+
+    private void command(ByteBuf in) {
+        if (!in.isReadable()) {
+            throw new DecoderException("empty command");
+        }
+        int command = in.readUnsignedByte();
+        switch (command) {
+            case Commands.QUIT -> channel.close();
+            case Commands.PING -> sendOk();
+            case Commands.INIT_DB -> use(in.toString(StandardCharsets.ISO_8859_1));
+            case Commands.QUERY -> query(in);
+            case Commands.STATISTICS -> {
+                ByteBuf out = Packets.begin(channel.alloc(), sequence + 1);
+                out.writeCharSequence(front.statistics(), StandardCharsets.UTF_8);
+                channel.writeAndFlush(Packets.done(out));
+            }
+            case Commands.PREPARE -> prepare(in);
+            case Commands.EXECUTE -> execute(in);
+            case Commands.LONG_DATA -> longData(in);
+            case Commands.CLOSE -> {
+                ClientStatement closed = in.readableBytes() < ID ? null
+                        : statements.remove(in.readUnsignedIntLE());
+                if (closed != null) {
+                    front.forget(closed.text.length());
+                }
+            }
+            case Commands.RESET -> {
+                ClientStatement statement = statement(in);
+                if (statement != null) {
+                    statement.reset();
+                    sendOk();
+                }
+            }
+            case Commands.RESET_CONNECTION -> {
+                forgetStatements();
+                schema = "";
+                sendOk();
+            }
+            case Commands.FETCH -> sendError(Failure.unsupported("a cursor"));
+            default -> sendError(Failure.unknownCommand());
+        }
+    }
+
+    private void query(ByteBuf in) {
+        String text = in.toString(StandardCharsets.UTF_8);
+        StatementKind kind = StatementKind.of(text);
+        if (kind instanceof StatementKind.Refused refused) {
+            sendError(refused.failure());
+        } else if (kind instanceof StatementKind.Nothing) {
+            sendOk();
+        } else if (kind instanceof StatementKind.Use u) {
+            use(latin1(u.schema()));
+        } else {
+            run(new Work.Query(schema, in.toString(StandardCharsets.ISO_8859_1)), text,
+                    kind instanceof StatementKind.Write);
+        }
+    }
+
+    private void use(String name) {
+        run(new Work.UseSchema(name), "USE", false);
+    }
+
+    private void prepare(ByteBuf in) {
+        String text = in.toString(StandardCharsets.UTF_8);
+        StatementKind kind = StatementKind.of(text);
+        if (kind instanceof StatementKind.Refused refused) {
+            sendError(refused.failure());
+        } else if (kind instanceof StatementKind.Use) {
+            sendError(new Failure(1295, "HY000", "USE can't be prepared"));
+        } else if (statements.size() >= front.maxStatements() || !front.keep(in.readableBytes())) {
+            sendError(Failure.tooMany("prepared statements"));
+        } else {
+            // To prepare changes nothing, whatever the statement does when it is executed.
+            run(new Work.Prepare(schema, in.toString(StandardCharsets.ISO_8859_1)), text, false);
+        }
+    }
+
+    private ClientStatement statement(ByteBuf in) {
+        long id = in.readableBytes() < ID ? -1 : in.readUnsignedIntLE();
+        ClientStatement statement = statements.get(id);
+        if (statement == null) {
+            sendError(Failure.unknownStatement(id));
+        }
+        return statement;
+    }
+
+    private void execute(ByteBuf in) {
+        ClientStatement statement = statement(in);
+        if (statement == null) {
+            return;
+        }
+        Work.Execute work;
+        try {
+            work = statement.execute(in);
+        } catch (IllegalArgumentException e) {
+            sendError(Failure.wrongArguments(e.getMessage()));
+            return;
+        }
+        String text = new String(statement.text.getBytes(StandardCharsets.ISO_8859_1),
+                StandardCharsets.UTF_8);
+        run(work, text, StatementKind.of(text) instanceof StatementKind.Write);
+    }
+
+    /** Nothing answers this command; too much of it makes the execution fail, as its data is not whole. */
+    private void longData(ByteBuf in) {
+        if (in.readableBytes() < ID + 2) {
+            return;
+        }
+        ClientStatement statement = statements.get(in.readUnsignedIntLE());
+        if (statement != null) {
+            int param = in.readUnsignedShortLE();
+            if (statement.longBytes() + in.readableBytes() > MOST_LONG_DATA) {
+                endWith(Failure.tooLarge(MOST_LONG_DATA));
+                return;
+            }
+            byte[] bytes = new byte[in.readableBytes()];
+            in.readBytes(bytes);
+            statement.add(new Work.LongData(param, bytes));
+        }
+    }
+
+    private void run(Work work, String text, boolean writes) {
+        Query query = new Query(this, work, text, front.typeOf(text, writes));
+        running = query;
+        if (!front.take(query)) {
+            refuse(query, MysqlFront.BUSY_RETRY_MS);
+        }
+    }
+
+    /** The whole reply of an engine, as the bytes that came but for the ids that are the front's own. */
+    void served(Query query, ByteBuf reply) {
+        if (running != query || !channel.isActive()) {
+            reply.release();
+            return;
+        }
+        boolean good = Packets.first(reply) != Packets.ERR;
+        if (query.work instanceof Work.Prepare w) {
+            if (good) {
+                int params = reply.getUnsignedShortLE(reply.readerIndex() + Packets.HEAD + 7);
+                statements.put(++lastStatement, new ClientStatement(w.schema(), w.text(), params));
+                reply.setIntLE(reply.readerIndex() + Packets.HEAD + 1, (int) lastStatement);
+            } else {
+                front.forget(w.text().length());
+            }
+        } else if (query.work instanceof Work.UseSchema w) {
+            schema = good ? w.schema() : schema;
+            reply.setByte(reply.readerIndex() + Packets.HEAD - 1, sequence + 1);
+        }
+        channel.writeAndFlush(reply);
+        over();
+    }
+
+    /** Packets of a reply that is too long to be held. */
+    void pass(ByteBuf packets) {
+        if (running == null) {
+            packets.release();
+            return;
+        }
+        // The next packet's number, should the rest of the reply have to be an error.
+        for (int at = 0; at < packets.readableBytes();) {
+            sequence = packets.getUnsignedByte(packets.readerIndex() + at + Packets.HEAD - 1);
+            at += Packets.HEAD + packets.getUnsignedMediumLE(packets.readerIndex() + at);
+        }
+        channel.writeAndFlush(packets);
+        if (!channel.isWritable()) {
+            running.run.link.flow(false);
+        }
+    }
+
+    /** The end of a reply that was passed on as it came. */
+    void passed(Query query, boolean whole) {
+        if (running == query) {
+            if (!whole) {
+                sendError(Failure.brokenOff());
+            }
+            over();
+        }
+    }
+
+    void refuse(Query query, long retryAfterMs) {
+        notServed(query, Failure.refused(retryAfterMs));
+    }
+
+    void fail(Query query) {
+        notServed(query, Failure.failed());
+    }
+
+    private void notServed(Query query, Failure failure) {
+        if (running == query) {
+            if (query.work instanceof Work.Prepare w) {
+                front.forget(w.text().length());
+            }
+            sendError(failure);
+            over();
+        }
+    }
+
+    private void over() {
+        running = null;
+        channel.eventLoop().execute(this::next);
+    }
+
+    private void sendOk() {
+        channel.writeAndFlush(Packets.ok(channel.alloc(), sequence + 1));
+    }
+
+    private void sendError(Failure failure) {
+        channel.writeAndFlush(Packets.error(channel.alloc(), sequence + 1, failure));
+    }
+
+    private void endWith(Failure failure) {
+        ending = true;
+        channel.writeAndFlush(Packets.error(channel.alloc(), sequence + 1, failure))
+                .addListener(done -> channel.close());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (running != null && running.open && !running.run.isOver()) {
+            running.run.link.flow(channel.isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOG.info("client {} closed: {}", number, cause.toString());
+        if (cause instanceof TooLongFrameException || cause.getCause() instanceof TooLongFrameException) {
+            sequence = 0;
+            endWith(Failure.tooLarge(front.maxPacket()));
+        } else if (login == null && cause instanceof DecoderException) {
+            sequence = 1;
+            endWith(Failure.badHandshake());
+        } else {
+            ctx.close();
+        }
+    }
+
+    /** Who has hung up waits for nothing. */
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        front.disconnected(this);
+        waiting.forEach(ByteBuf::release);
+        waiting.clear();
+        if (running != null) {
+            Query left = running;
+            running = null;
+            if (left.work instanceof Work.Prepare w) {
+                front.forget(w.text().length());
+            }
+            front.abort(left);
+        }
+        forgetStatements();
+    }
+
+    private void forgetStatements() {
+        statements.values().forEach(s -> front.forget(s.text.length()));
+        statements.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/mysql/EngineLinks.java
@@ -0,0 +1,153 @@
+package lineward.mysql;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import peatwick.Front;
+
+/** The connections to one MySQL engine. */
+final class EngineLinks {
+    /** Largest packet of an engine: a row. */
+    private static final int LARGEST_PACKET = 4 << 20;
+
+    private final Bootstrap bootstrap;
+    private final MysqlConfig.Engine engine;
+    private final MysqlConfig.Bounds bounds;
+    private final List<EngineLink> links = new ArrayList<>();
+    private final Deque<EngineLink> idle = new ArrayDeque<>();
+    private boolean closing;
+
+    EngineLinks(Bootstrap bootstrap, MysqlConfig.Engine engine, MysqlConfig.Bounds bounds) {
+        this.bootstrap = bootstrap;
+        this.engine = engine;
+        this.bounds = bounds;
+    }
+
+    String name() {
+        return engine.name();
+    }
+
+    String user() {
+        return engine.user();
+    }
+
+    String password() {
+        return engine.password();
+    }
+
+    MysqlConfig.Engine engine() {
+        return engine;
+    }
+
+    void start(MysqlRun run) {
+        EngineLink free = idle.stream().filter(l -> l.suits(run.work)).findFirst().orElse(null);
+        if (free != null) {
+            idle.remove(free);
+            free.start(run);
+            return;
+        }
+        if (links.size() >= bounds.linksPerEngine() && !idle.isEmpty()) {
+            EngineLink unfit = idle.pollLast();
+            links.remove(unfit);
+            unfit.close();
+        }
+        if (links.size() >= bounds.linksPerEngine()) {
+            run.end(Front.Outcome.FULL);
+        } else {
+            connect().start(run);
+        }
+    }
+
+    /** Kills what runs on another connection, through one of its own. */
+    void kill(long thread) {
+        MysqlRun kill = new MysqlRun(new Work.Query("", "KILL QUERY " + thread), new MysqlRun.Listener() {
+            @Override
+            public boolean opened(MysqlRun run) {
+                return false;
+            }
+
+            @Override
+            public void more(ByteBuf packets) {
+                packets.release();
+            }
+
+            @Override
+            public void ended(Front.Outcome outcome, ByteBuf reply) {
+                if (reply != null) {
+                    reply.release();
+                }
+            }
+        });
+        EngineLink free = idle.pollFirst();
+        (free != null ? free : connect()).start(kill);
+    }
+
+    private EngineLink connect() {
+        EngineLink link = new EngineLink(this);
+        links.add(link);
+        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new PacketDecoder(LARGEST_PACKET), link);
+            }
+        }).connect(engine.address());
+        link.connecting(opening.channel());
+        // An engine that accepts but never greets holds nobody longer than one that does not accept.
+        ScheduledFuture<?> overdue = opening.channel().eventLoop().schedule(() -> {
+            if (!link.isReady()) {
+                link.close();
+            }
+        }, bounds.connectTimeoutMs(), TimeUnit.MILLISECONDS);
+        opening.addListener(done -> {
+            if (!done.isSuccess()) {
+                overdue.cancel(false);
+                link.gone();
+            }
+        });
+        return link;
+    }
+
+    void free(EngineLink link) {
+        if (closing) {
+            link.close();
+        } else {
+            idle.addFirst(link);
+        }
+    }
+
+    void closed(EngineLink link) {
+        links.remove(link);
+        idle.remove(link);
+    }
+
+    /** Nothing new comes here any more: connections close as they fall free. */
+    void drain() {
+        closing = true;
+        closeIdle(System.nanoTime() + 1);
+    }
+
+    void reopen() {
+        closing = false;
+    }
+
+    boolean isEmpty() {
+        return links.isEmpty();
+    }
+
+    void closeIdle(long usedBeforeNanos) {
+        for (EngineLink link : List.copyOf(idle)) {
+            if (link.idleSince(usedBeforeNanos)) {
+                idle.remove(link);
+                link.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/mysql/Failure.java
@@ -0,0 +1,60 @@
+package lineward.mysql;
+
+/** An error packet's content: number, SQLSTATE and a message for people. */
+record Failure(int code, String state, String message) {
+    /** The final answer of what the module refused: nothing was changed, trying again is harmless. */
+    static Failure refused(long retryAfterMs) {
+        return new Failure(1637, "HY000", "refused: nothing was changed, trying again is harmless"
+                + (retryAfterMs > 0 ? "; come back in " + retryAfterMs + " ms" : ""));
+    }
+
+    /** The final answer of what may have run and is not known to have ended. */
+    static Failure failed() {
+        return new Failure(1317, "70100", "failed: no whole answer came from the engine, it may have run");
+    }
+
+    /** In the place of a row: what came before is not the whole result. */
+    static Failure brokenOff() {
+        return new Failure(1317, "70100", "failed: the engine broke off amid the rows");
+    }
+
+    static Failure unsupported(String what) {
+        return new Failure(1235, "0A000", what + " can't be kept: each statement may run on another engine");
+    }
+
+    static Failure noTransaction(String what) {
+        return new Failure(1179, "25000", what + " is not possible here: every statement commits by itself");
+    }
+
+    static Failure unknownCommand() {
+        return new Failure(1047, "08S01", "unknown command");
+    }
+
+    static Failure unknownStatement(long id) {
+        return new Failure(1243, "HY000", "unknown prepared statement " + id);
+    }
+
+    static Failure wrongArguments(String why) {
+        return new Failure(1210, "HY000", "wrong arguments: " + why);
+    }
+
+    static Failure tooLarge(int most) {
+        return new Failure(1153, "08S01", "packet larger than the " + most + " bytes allowed");
+    }
+
+    static Failure tooMany(String what) {
+        return new Failure(1461, "42000", "too many " + what);
+    }
+
+    static Failure denied(String user) {
+        return new Failure(1045, "28000", "access denied for user '" + user + "'");
+    }
+
+    static Failure full() {
+        return new Failure(1040, "08004", "too many connections");
+    }
+
+    static Failure badHandshake() {
+        return new Failure(1043, "08S01", "bad handshake");
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -0,0 +1,257 @@
+package lineward.mysql;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import lineward.core.Budget;
+import lineward.core.Command;
+import lineward.core.Demand;
+import lineward.core.EngineEntry;
+import lineward.core.Forwarder;
+import lineward.core.Planner;
+import lineward.core.SlotTable;
+import lineward.front.FrontDoor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import peatwick.Front;
+
+/** The MySQL front: clients and engines speak the MySQL protocol, a planner of its own decides. */
+public final class MysqlFront implements Forwarder<Query>, FrontDoor {
+    /** Longest a word to give up takes: an engine gets to confirm the kill, then its connection is closed. */
+    public static final double STOP_TAKES_MS = 500;
+    private static final Logger LOG = LoggerFactory.getLogger(MysqlFront.class);
+    /** What clients are told that the server is. */
+    static final String VERSION = "8.0.36-lineward";
+    /** Advice to a client that found this front full. */
+    static final long BUSY_RETRY_MS = 500;
+    /** Bytes of prepared texts kept for all clients. */
+    private static final long TEXTS = 8L << 20;
+
+    private final MysqlConfig config;
+    private final Planner<Query> planner;
+    private final DoubleSupplier clock;
+    private final Runnable news;
+    private final Bootstrap bootstrap;
+    private final Map<String, EngineLinks> engines = new HashMap<>();
+    private final Set<ClientSession> clients = new LinkedHashSet<>();
+    private final Budget texts = new Budget(TEXTS);
+    private Channel listener;
+    private int lastClient;
+
+    /** @param news is called when the planner has something to decide on */
+    public MysqlFront(EventLoopGroup loop, MysqlConfig config, Planner<Query> planner, DoubleSupplier clock,
+            Runnable news) {
+        this.config = config;
+        this.planner = planner;
+        this.clock = clock;
+        this.news = news;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, config.bounds().connectTimeoutMs());
+    }
+
+    @Override
+    public ChannelFuture listen(EventLoopGroup loop) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new PacketDecoder(maxPacket()),
+                                new ClientSession(MysqlFront.this, ++lastClient));
+                    }
+                }).bind(config.listen());
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** Takes in the engines as the configuration now has them; who is not named any more is gone. */
+    public void engines(List<MysqlConfig.Engine> named) {
+        List<EngineEntry> entries = new ArrayList<>();
+        for (MysqlConfig.Engine e : named) {
+            EngineLinks links = engines.get(e.name());
+            if (links == null || !links.engine().address().equals(e.address())) {
+                if (links != null) {
+                    links.drain();
+                }
+                links = new EngineLinks(bootstrap, e, config.bounds());
+                engines.put(e.name(), links);
+            }
+            if (e.condition() == Front.Condition.READY) {
+                links.reopen();
+            } else {
+                links.drain();
+            }
+            entries.add(new EngineEntry(e.name(), e.address().toString(), 0, 1, 0, e.condition(), 0, 0));
+        }
+        engines.values().stream().filter(l -> named.stream().noneMatch(e -> e.name().equals(l.name())))
+                .forEach(EngineLinks::drain);
+        LOG.info("engines: {}", entries.stream().map(e -> e.id() + ' ' + e.condition()).toList());
+        planner.list(true, entries);
+        news.run();
+    }
+
+    @Override
+    public void closeIdleEngines() {
+        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(config.bounds().idleMs());
+        engines.values().forEach(l -> l.closeIdle(before));
+    }
+
+    /** The protocol has no word by which clients could be asked to stay away. */
+    @Override
+    public void drain() { }
+
+    @Override
+    public void closeIdleClients() {
+        listener.close();
+        List.copyOf(clients).stream().filter(ClientSession::isIdle).forEach(c -> c.channel().close());
+    }
+
+    @Override
+    public boolean isQuiet() {
+        return planner.open() == 0 && clients.isEmpty();
+    }
+
+    @Override
+    public void tick() {
+        planner.tick(clock.getAsDouble()).forEach(this::perform);
+    }
+
+    /** @return false if there are too many clients already */
+    boolean connected(ClientSession client) {
+        clients.add(client);
+        return clients.size() <= config.bounds().maxClients();
+    }
+
+    void disconnected(ClientSession client) {
+        clients.remove(client);
+    }
+
+    String password(String user) {
+        return config.users().get(user);
+    }
+
+    int maxStatements() {
+        return config.bounds().maxStatements();
+    }
+
+    int maxPacket() {
+        return config.bounds().maxPacket();
+    }
+
+    boolean keep(int bytes) {
+        return texts.reserve(bytes);
+    }
+
+    void forget(int bytes) {
+        texts.release(bytes);
+    }
+
+    String statistics() {
+        return "Clients: " + clients.size() + "  Open: " + planner.open() + "  Engines: " + engines.size();
+    }
+
+    /** Every class stands twice in the planner's settings: for what only reads, and for what may write. */
+    int typeOf(String text, boolean writes) {
+        return 2 * config.classOf(text) + (writes ? 1 : 0);
+    }
+
+    /** @return false where there is no room for the request, which must then be refused */
+    boolean take(Query query) {
+        double deadline = config.classes().get(query.type / 2).deadlineMs();
+        query.request = planner.take(clock.getAsDouble(),
+                new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
+        news.run();
+        return query.request != SlotTable.FULL;
+    }
+
+    void abort(Query query) {
+        planner.abort(query.request);
+        news.run();
+    }
+
+    @Override
+    public void start(Command.Start<Query> c) {
+        Query query = c.exchange();
+        query.runOf = c.attempt();
+        query.run = new MysqlRun(query.work, new Reports(query, c.attempt()));
+        engines.get(c.engine()).start(query.run);
+    }
+
+    @Override
+    public void stop(Command.Stop<Query> c) {
+        Query query = c.exchange();
+        if (query.runOf == c.attempt() && !query.run.isOver() && query.run.link != null) {
+            query.run.link.stop();
+        }
+    }
+
+    /** The protocol has no priorities. */
+    @Override
+    public void reprioritise(Command.Reprioritise<Query> c) { }
+
+    @Override
+    public void refuse(Command.Refuse<Query> c) {
+        c.exchange().client.refuse(c.exchange(), c.retryAfterMs());
+    }
+
+    @Override
+    public void fail(Command.Fail<Query> c) {
+        c.exchange().client.fail(c.exchange());
+    }
+
+    /** Joins one attempt's run to the planner and the client. */
+    private final class Reports implements MysqlRun.Listener {
+        private final Query query;
+        private final int attempt;
+
+        Reports(Query query, int attempt) {
+            this.query = query;
+            this.attempt = attempt;
+        }
+
+        @Override
+        public boolean opened(MysqlRun run) {
+            query.open = planner.opened(query.request, attempt);
+            return query.open;
+        }
+
+        @Override
+        public void more(ByteBuf packets) {
+            if (query.open) {
+                query.client.pass(packets);
+            } else {
+                packets.release();
+            }
+        }
+
+        @Override
+        public void ended(Front.Outcome outcome, ByteBuf reply) {
+            boolean served = planner.ended(query.request, attempt, outcome);
+            if (query.open) {
+                query.client.passed(query, served);
+            } else if (served) {
+                query.client.served(query, reply);
+            } else if (reply != null) {
+                reply.release();
+            }
+            news.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/mysql/Packets.java
@@ -0,0 +1,100 @@
+package lineward.mysql;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+
+/** The packets that the front writes itself, and how to look into those that pass. All are whole frames. */
+final class Packets {
+    static final int HEAD = 4;
+    static final int OK = 0x00;
+    static final int EOF = 0xfe;
+    static final int ERR = 0xff;
+    static final int AUTOCOMMIT = 0x0002;
+    /** An EOF packet is shorter than this; a row that begins with the same byte is longer. */
+    private static final int EOF_LESS_THAN = 9;
+    private static final int LENGTH_2 = 0xfc;
+    private static final int LENGTH_3 = 0xfd;
+    private static final int LENGTH_8 = 0xfe;
+
+    private Packets() { }
+
+    /** @return a frame whose length is set by {@link #done} */
+    static ByteBuf begin(ByteBufAllocator alloc, int sequence) {
+        return alloc.buffer().writeMediumLE(0).writeByte(sequence);
+    }
+
+    static ByteBuf done(ByteBuf frame) {
+        return frame.setMediumLE(0, frame.readableBytes() - HEAD);
+    }
+
+    static ByteBuf ok(ByteBufAllocator alloc, int sequence) {
+        return done(begin(alloc, sequence).writeByte(OK).writeByte(0).writeByte(0).writeShortLE(AUTOCOMMIT)
+                .writeShortLE(0));
+    }
+
+    static ByteBuf error(ByteBufAllocator alloc, int sequence, Failure failure) {
+        ByteBuf out = begin(alloc, sequence).writeByte(ERR).writeShortLE(failure.code());
+        out.writeCharSequence("#" + failure.state() + failure.message(), StandardCharsets.UTF_8);
+        return done(out);
+    }
+
+    /** @return a frame of one command with its bytes, to be released by the caller */
+    static ByteBuf command(ByteBufAllocator alloc, int command, ByteBuf rest) {
+        return done(begin(alloc, 0).writeByte(command).writeBytes(rest, rest.readerIndex(),
+                rest.readableBytes()));
+    }
+
+    static ByteBuf command(ByteBufAllocator alloc, int command, String text) {
+        ByteBuf out = begin(alloc, 0).writeByte(command);
+        out.writeCharSequence(text, StandardCharsets.UTF_8);
+        return done(out);
+    }
+
+    static int sequence(ByteBuf frame) {
+        return frame.getUnsignedByte(frame.readerIndex() + HEAD - 1);
+    }
+
+    /** @return the payload's first byte, which tells what a packet is; -1 if it is empty */
+    static int first(ByteBuf frame) {
+        return size(frame) == 0 ? -1 : frame.getUnsignedByte(frame.readerIndex() + HEAD);
+    }
+
+    static int size(ByteBuf frame) {
+        return frame.readableBytes() - HEAD;
+    }
+
+    static ByteBuf payload(ByteBuf frame) {
+        return frame.slice(frame.readerIndex() + HEAD, size(frame));
+    }
+
+    static boolean isEof(ByteBuf frame) {
+        return first(frame) == EOF && size(frame) < EOF_LESS_THAN;
+    }
+
+    /** @return the error's number, or 0 where the packet is too short to hold one */
+    static int errorCode(ByteBuf frame) {
+        return size(frame) < 3 ? 0 : frame.getUnsignedShortLE(frame.readerIndex() + HEAD + 1);
+    }
+
+    /** Reads an integer of the protocol's own variable length. */
+    static long lengthEncoded(ByteBuf in) {
+        int first = in.readUnsignedByte();
+        return switch (first) {
+            case LENGTH_2 -> in.readUnsignedShortLE();
+            case LENGTH_3 -> in.readUnsignedMediumLE();
+            case LENGTH_8 -> in.readLongLE();
+            default -> first;
+        };
+    }
+
+    static String zeroEnded(ByteBuf in) {
+        int length = in.bytesBefore((byte) 0);
+        if (length < 0) {
+            length = in.readableBytes();
+        }
+        String text = in.readCharSequence(length, StandardCharsets.UTF_8).toString();
+        in.skipBytes(Math.min(1, in.readableBytes()));
+        return text;
+    }
+}
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -10,7 +10,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import java.net.SocketAddress;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,15 +18,17 @@
 import java.util.function.DoubleSupplier;
 import lineward.core.Budget;
 import lineward.core.Command;
+import lineward.core.Forwarder;
 import lineward.core.Planner;
 import lineward.core.SlotTable;
 import lineward.core.TableGroups;
 import lineward.engine.EngineFleet;
 import lineward.engine.Run;
+import lineward.front.FrontDoor;
 import peatwick.Front;
 
 /** The platform's front: clients speak Thrift, engines the line protocol, one planner decides. */
-public final class ThriftFront {
+public final class ThriftFront implements Forwarder<Call>, FrontDoor {
     /** Largest frame of a client: a statement and its fields. */
     private static final int LARGEST_FRAME = 64 * 1024;
     /** Bytes of statements held at once; requests beyond are refused. */
@@ -43,7 +45,8 @@
      * @param tenants names of the tenants, in the order of the settings
      * @param mostClients connections of clients held at once; further ones wait in the backlog
      */
-    public record Names(List<String> classes, List<String> tenants, int mostClients) { }
+    public record Names(List<String> classes, List<String> tenants, int mostClients,
+            InetSocketAddress listen) { }
 
     private final Names names;
     private final Planner<Call> planner;
@@ -66,8 +69,8 @@
         this.news = news;
     }
 
-    /** Starts to listen. */
-    public ChannelFuture listen(EventLoopGroup loop, SocketAddress address) {
+    @Override
+    public ChannelFuture listen(EventLoopGroup loop) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -80,23 +83,28 @@
                                 new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
                                 new ClientHandler(ThriftFront.this));
                     }
-                }).bind(address);
+                }).bind(names.listen());
         listener = bound.channel();
         return bound;
     }
 
-    /** From now on the front asks for no new clients, but serves all that come. */
+    @Override
     public void drain() {
         draining = true;
     }
 
-    /** Closes the listener and the connections on which nothing is open. */
-    public void closeIdle() {
+    @Override
+    public void closeIdleEngines() {
+        fleet.closeIdle();
+    }
+
+    @Override
+    public void closeIdleClients() {
         listener.close();
         List.copyOf(clients).stream().filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
     }
 
-    /** @return whether nobody is owed an answer and every answer has been written */
+    @Override
     public boolean isQuiet() {
         return planner.open() == 0 && clients.isEmpty();
     }
@@ -169,39 +177,49 @@
                 + channel.bytesBeforeWritable() : 0;
     }
 
-    /** Lets the planner decide on what came in and carries its commands out. */
+    @Override
     public void tick() {
-        for (Command<Call> command : planner.tick(clock.getAsDouble())) {
-            perform(command);
+        planner.tick(clock.getAsDouble()).forEach(this::perform);
+    }
+
+    @Override
+    public void start(Command.Start<Call> c) {
+        Call call = c.exchange();
+        call.run = new Run(call.id(), call.fields.op(), call.statement, c.patienceMs(), c.grantMb(),
+                c.priority(), (outcome, result) -> ended(call, c.attempt(), outcome, result));
+        call.runOf = c.attempt();
+        fleet.start(c.engine(), call.run);
+    }
+
+    @Override
+    public void stop(Command.Stop<Call> c) {
+        if (c.exchange().runOf == c.attempt()) {
+            fleet.stop(c.engine(), c.exchange().run);
         }
     }
 
-    private void perform(Command<Call> command) {
-        Call call = command.exchange();
-        if (command instanceof Command.Start<Call> c) {
-            Run run = new Run(call.id(), call.fields.op(), call.statement, c.patienceMs(), c.grantMb(),
-                    c.priority(), (outcome, result) -> ended(call, c.attempt(), outcome, result));
-            call.run = run;
-            call.runOf = c.attempt();
-            fleet.start(c.engine(), run);
-        } else if (command instanceof Command.Stop<Call> c) {
-            if (call.run != null && call.runOf == c.attempt()) {
-                fleet.stop(c.engine(), call.run);
-            }
-        } else if (command instanceof Command.Reprioritise<Call> c) {
-            if (call.run != null && call.runOf == c.attempt()) {
-                fleet.hurry(c.engine(), call.run, c.priority());
-            }
-        } else if (command instanceof Command.Refuse<Call> c) {
-            call.client.answer(call, ThriftWriter.overloaded(call.client.channel().alloc(), call.seqid,
-                    c.retryAfterMs()));
-            release(call);
-        } else if (command instanceof Command.Fail<Call>) {
-            call.client.answer(call, ThriftWriter.internal(call.client.channel().alloc(), call.seqid));
-            release(call);
+    @Override
+    public void reprioritise(Command.Reprioritise<Call> c) {
+        if (c.exchange().runOf == c.attempt()) {
+            fleet.hurry(c.engine(), c.exchange().run, c.priority());
         }
     }
 
+    @Override
+    public void refuse(Command.Refuse<Call> c) {
+        Call call = c.exchange();
+        call.client.answer(call, ThriftWriter.overloaded(call.client.channel().alloc(), call.seqid,
+                c.retryAfterMs()));
+        release(call);
+    }
+
+    @Override
+    public void fail(Command.Fail<Call> c) {
+        Call call = c.exchange();
+        call.client.answer(call, ThriftWriter.internal(call.client.channel().alloc(), call.seqid));
+        release(call);
+    }
+
     private void ended(Call call, int attempt, Front.Outcome outcome, ByteBuf result) {
         if (planner.ended(call.request, attempt, outcome)) {
             call.client.answer(call, ThriftWriter.served(call.client.channel().alloc(), "invoke",
--- /dev/null
+++ b/src/test/java/lineward/mysql/StandInClient.java
@@ -0,0 +1,133 @@
+package lineward.mysql;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** A small MySQL client. */
+final class StandInClient implements AutoCloseable {
+    /** What a command brought: rows, or an error's number, state and text; code 0 is success. */
+    record Result(int code, String state, String message, List<byte[]> rows) { }
+
+    /** What the front said of a statement. */
+    record Statement(long id, int params, Result result) { }
+
+    final Wire wire;
+    Result login;
+
+    StandInClient(int port, String plugin, String password, String schema) throws IOException {
+        wire = new Wire(new Socket("127.0.0.1", port));
+        byte[] greeting = wire.read();
+        int nonceAt = 1 + new String(greeting, StandardCharsets.ISO_8859_1).indexOf('\0', 1) + 4;
+        byte[] nonce = Arrays.copyOf(Arrays.copyOfRange(greeting, nonceAt, nonceAt + 8), 20);
+        System.arraycopy(greeting, nonceAt + 8 + 19, nonce, 8, 12);
+        long capabilities = 0x88200L | (schema == null ? 0 : 8);
+        byte[] proof = proof(plugin, password, nonce);
+        wire.write(capabilities, 1L << 24, 45, new byte[23], "office", 0, proof.length, proof,
+                schema == null ? "" : schema + '\0', plugin, 0);
+        byte[] answer = wire.read();
+        if ((answer[0] & 0xff) == 0xfe) {
+            wire.write(proof("mysql_native_password", password, nonce));
+            answer = wire.read();
+        }
+        login = result(answer[0] == 1 ? wire.read() : answer);
+    }
+
+    StandInClient(int port) throws IOException {
+        this(port, "caching_sha2_password", "secret", null);
+    }
+
+    private static byte[] proof(String plugin, String password, byte[] nonce) {
+        try {
+            boolean sha2 = plugin.startsWith("caching");
+            MessageDigest digest = MessageDigest.getInstance(sha2 ? "SHA-256" : "SHA-1");
+            byte[] once = digest.digest(password.getBytes(StandardCharsets.UTF_8));
+            byte[] twice = digest.digest(once);
+            byte[] mask = digest.digest(sha2 ? Wire.bytes(twice, nonce) : Wire.bytes(nonce, twice));
+            for (int i = 0; i < mask.length; i++) {
+                mask[i] ^= once[i];
+            }
+            return mask;
+        } catch (GeneralSecurityException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    void send(Object... command) throws IOException {
+        wire.sequence = 0;
+        wire.write(command);
+    }
+
+    Result command(Object... command) throws IOException {
+        send(command);
+        return result(wire.read());
+    }
+
+    Result query(String text) throws IOException {
+        return command(3, text);
+    }
+
+    Statement prepare(String text) throws IOException {
+        send(0x16, text);
+        byte[] head = wire.read();
+        if (head[0] != 0) {
+            return new Statement(0, 0, result(head));
+        }
+        int params = head[7];
+        for (int i = 0; i < (params > 0 ? params + 1 : 0) + head[5] + 1; i++) {
+            wire.read();
+        }
+        return new Statement(head[1] & 0xff, params, new Result(0, "", "", List.of()));
+    }
+
+    /** Executes with one text for each parameter; the types go along only where told. */
+    Result execute(Statement statement, boolean types, String... values) throws IOException {
+        List<Object> parts = new ArrayList<>(List.of(0x17, statement.id(), 0, 1L));
+        if (values.length > 0) {
+            parts.add(0);
+            parts.add(types ? 1 : 0);
+            for (int i = 0; types && i < values.length; i++) {
+                parts.addAll(List.of(253, 0));
+            }
+            for (String value : values) {
+                parts.add(Wire.text(value));
+            }
+        }
+        return command(parts.toArray());
+    }
+
+    private Result result(byte[] first) throws IOException {
+        if ((first[0] & 0xff) == 0xff) {
+            String text = new String(first, 4, first.length - 4, StandardCharsets.UTF_8);
+            return new Result(first[1] & 0xff | (first[2] & 0xff) << 8, text.substring(0, 5),
+                    text.substring(5), List.of());
+        }
+        List<byte[]> rows = new ArrayList<>();
+        if (first[0] == 0) {
+            return new Result(0, "", "", rows);
+        }
+        for (int i = 0; i < first[0] + 1; i++) {
+            wire.read();
+        }
+        while (true) {
+            byte[] row = wire.read();
+            if ((row[0] & 0xff) == 0xff) {
+                return result(row);
+            }
+            if ((row[0] & 0xff) == 0xfe && row.length < 9) {
+                return new Result(0, "", "", rows);
+            }
+            rows.add(row);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        wire.socket.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/mysql/StandInEngine.java
@@ -0,0 +1,200 @@
+package lineward.mysql;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A small MySQL engine that does as it is told: {@code rows=N} gets rows, or it dies. */
+final class StandInEngine implements AutoCloseable {
+    /** Where the engine dies, or what else it does instead of answering. */
+    enum Trouble { NONE, DIE_AFTER_PREPARE, DIE_IN_EXECUTE, DIE_AMID_ROWS, SILENT, FULL, GARBAGE }
+
+    private static final Pattern ROWS = Pattern.compile("rows=(\\d+)");
+    private static final byte[] NONCE = "abcdefghijklmnopqrst".getBytes(StandardCharsets.US_ASCII);
+    private static final AtomicInteger RUNNING = new AtomicInteger();
+    static final AtomicInteger MOST_RUNNING = new AtomicInteger();
+
+    final List<String> ran = new CopyOnWriteArrayList<>();
+    final List<String> said = new CopyOnWriteArrayList<>();
+    private final ServerSocket server;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final Map<Long, CountDownLatch> kills = new ConcurrentHashMap<>();
+    private final AtomicInteger threads = new AtomicInteger();
+    volatile Trouble trouble = Trouble.NONE;
+
+    StandInEngine() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread acceptor = new Thread(this::accept, "engine");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
+    /** Ends at once, as a process does that is killed. */
+    void die() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        die();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                Thread session = new Thread(() -> session(socket), "session");
+                session.setDaemon(true);
+                session.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void session(Socket socket) {
+        long id = threads.incrementAndGet();
+        kills.put(id, new CountDownLatch(1));
+        try (socket) {
+            Wire wire = new Wire(socket);
+            if (trouble == Trouble.FULL) {
+                wire.write(Wire.error(1040, "08004", "too many"));
+                return;
+            }
+            wire.write(10, "8.0.36", 0, id, Arrays.copyOf(NONCE, 8), 0, 0x0f, 0xa2, 45, 2, 0, 0x08, 0, 21,
+                    new byte[10], Arrays.copyOfRange(NONCE, 8, 20), 0, "mysql_native_password", 0);
+            wire.read();
+            wire.write(Wire.ok());
+            Map<Long, String> prepared = new HashMap<>();
+            while (true) {
+                wire.sequence = 0;
+                byte[] command = wire.read();
+                wire.sequence = 1;
+                command(wire, command, prepared, id);
+            }
+        } catch (IOException | InterruptedException e) {
+            // The front hung up, or this engine was killed.
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    private void command(Wire wire, byte[] command, Map<Long, String> prepared, long id)
+            throws IOException, InterruptedException {
+        String text = new String(command, 1, command.length - 1, StandardCharsets.UTF_8);
+        switch (command[0]) {
+            case 0x02 -> {
+                said.add("use " + text);
+                wire.write(text.equals("nowhere") ? Wire.error(1049, "42000", "unknown") : Wire.ok());
+            }
+            case 0x03 -> run(wire, text, id);
+            case 0x16 -> {
+                said.add("prepare " + text);
+                long number = prepared.size() + 100L;
+                prepared.put(number, text);
+                int params = (int) text.chars().filter(c -> c == '?').count();
+                wire.write(0, number, 1, 0, params, 0, 0, 0, 0);
+                for (int i = 0; i < params; i++) {
+                    wire.write(column("?"));
+                }
+                if (params > 0) {
+                    wire.write(Wire.eof());
+                }
+                wire.write(column("c"));
+                wire.write(Wire.eof());
+                if (trouble == Trouble.DIE_AFTER_PREPARE) {
+                    die();
+                }
+            }
+            case 0x17 -> {
+                String statement = prepared.get(number(command));
+                said.add("execute " + Arrays.toString(Arrays.copyOfRange(command, 5, command.length)));
+                run(wire, statement, id);
+            }
+            case 0x18 -> said.add("long " + number(command) + " " + text.substring(6));
+            case 0x19 -> said.add("close");
+            default -> wire.write(Wire.error(1047, "08S01", "unknown command"));
+        }
+    }
+
+    private static long number(byte[] command) {
+        return command[1] & 0xff | (command[2] & 0xff) << 8;
+    }
+
+    private void run(Wire wire, String text, long id) throws IOException, InterruptedException {
+        if (text.startsWith("KILL QUERY ")) {
+            said.add(text);
+            kills.get(Long.parseLong(text.substring(11))).countDown();
+            wire.write(Wire.ok());
+            return;
+        }
+        ran.add(text);
+        MOST_RUNNING.accumulateAndGet(RUNNING.incrementAndGet(), Math::max);
+        try {
+            if (trouble == Trouble.DIE_IN_EXECUTE) {
+                die();
+            } else if (trouble == Trouble.GARBAGE) {
+                wire.write(new byte[0]);
+            } else if (trouble == Trouble.SILENT) {
+                kills.get(id).await();
+                wire.write(Wire.error(1317, "70100", "interrupted"));
+            } else if (text.contains("syntax")) {
+                wire.write(Wire.error(1064, "42000", "syntax"));
+            } else {
+                rows(wire, text);
+            }
+        } finally {
+            RUNNING.decrementAndGet();
+        }
+    }
+
+    private void rows(Wire wire, String text) throws IOException {
+        Matcher asked = ROWS.matcher(text);
+        if (!asked.find()) {
+            wire.write(Wire.ok());
+            return;
+        }
+        int rows = Integer.parseInt(asked.group(1));
+        wire.write(1);
+        wire.write(column("c"));
+        wire.write(Wire.eof());
+        for (int i = 0; i < rows; i++) {
+            if (trouble == Trouble.DIE_AMID_ROWS && i == rows / 2) {
+                die();
+            }
+            wire.write(Wire.text("row " + i + " of " + text));
+        }
+        wire.write(Wire.eof());
+    }
+
+    private static byte[] column(String name) {
+        return Wire.bytes(Wire.text("def"), 0, 0, 0, Wire.text(name), 0, 12, 45, 0, 100L, 253, 0, 0, 0, 0, 0);
+    }
+}
