--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
@@ -31,6 +32,7 @@
     private Handshake.Login login;
     private boolean loggedIn;
     private boolean ending;
+    private int unread;
     private Query running;
     private String schema = "";
     private int sequence;
@@ -47,14 +49,14 @@
     }
 
     boolean isIdle() {
-        return running == null && waiting.isEmpty();
+        return running == null && waiting.isEmpty() && unread == 0;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         if (front.connected(this)) {
-            channel.writeAndFlush(Handshake.greeting(ctx.alloc(), MysqlFront.VERSION, number, nonce));
+            send(Handshake.greeting(ctx.alloc(), MysqlFront.VERSION, number, nonce));
         } else {
             sequence = -1;
             endWith(Failure.full());
@@ -97,7 +99,7 @@
             plugin = login.plugin();
             proof = login.proof();
             if (!Auth.known(plugin)) {
-                channel.writeAndFlush(Handshake.switchTo(channel.alloc(), sequence + 1, Auth.NATIVE, nonce));
+                send(Handshake.switchTo(channel.alloc(), sequence + 1, Auth.NATIVE, nonce));
                 return;
             }
         } else {
@@ -113,7 +115,7 @@
         loggedIn = true;
         if (plugin.equals(Auth.SHA2) && !password.isEmpty()) {
             // The proof was enough: the client must hear so before the OK.
-            channel.write(Handshake.bytes(channel.alloc(), sequence + 1, new byte[] {1, 3}));
+            send(Handshake.bytes(channel.alloc(), sequence + 1, new byte[] {1, 3}));
             sequence++;
         }
         if (login.schema().isEmpty()) {
@@ -140,7 +142,7 @@
             case Commands.STATISTICS -> {
                 ByteBuf out = Packets.begin(channel.alloc(), sequence + 1);
                 out.writeCharSequence(front.statistics(), StandardCharsets.UTF_8);
-                channel.writeAndFlush(Packets.done(out));
+                send(Packets.done(out));
             }
             case Commands.PREPARE -> prepare(in);
             case Commands.EXECUTE -> execute(in);
@@ -274,7 +276,7 @@
             schema = good ? w.schema() : schema;
             reply.setByte(reply.readerIndex() + Packets.HEAD - 1, sequence + 1);
         }
-        channel.writeAndFlush(reply);
+        send(reply);
         over();
     }
 
@@ -289,7 +291,7 @@
             sequence = packets.getUnsignedByte(packets.readerIndex() + at + Packets.HEAD - 1);
             at += Packets.HEAD + packets.getUnsignedMediumLE(packets.readerIndex() + at);
         }
-        channel.writeAndFlush(packets);
+        send(packets);
         if (!channel.isWritable()) {
             running.run.link.flow(false);
         }
@@ -329,16 +331,22 @@
     }
 
     private void sendOk() {
-        channel.writeAndFlush(Packets.ok(channel.alloc(), sequence + 1));
+        send(Packets.ok(channel.alloc(), sequence + 1));
     }
 
     private void sendError(Failure failure) {
-        channel.writeAndFlush(Packets.error(channel.alloc(), sequence + 1, failure));
+        send(Packets.error(channel.alloc(), sequence + 1, failure));
+    }
+
+    /** A connection that is to end waits until its client has been sent all of its answers. */
+    private ChannelFuture send(ByteBuf frames) {
+        unread++;
+        return channel.writeAndFlush(frames).addListener(done -> unread--);
     }
 
     private void endWith(Failure failure) {
         ending = true;
-        channel.writeAndFlush(Packets.error(channel.alloc(), sequence + 1, failure))
+        send(Packets.error(channel.alloc(), sequence + 1, failure))
                 .addListener(done -> channel.close());
     }
 
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -101,7 +101,8 @@
     @Override
     public void closeIdleClients() {
         listener.close();
-        List.copyOf(clients).stream().filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
+        List.copyOf(clients).stream()
+                .filter(c -> c.isIdle() && pending(c.channel()) == 0).forEach(c -> c.channel().close());
     }
 
     @Override
