--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -9,11 +9,14 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import lineward.core.FrontClock;
 import lineward.core.Planner;
+import lineward.core.Tracer;
 import lineward.engine.EngineFleet;
 import lineward.front.FrontDoor;
 import lineward.journal.EngineList;
@@ -21,7 +24,9 @@
 import lineward.mysql.MysqlConfig;
 import lineward.mysql.MysqlFront;
 import lineward.mysql.Query;
+import lineward.telemetry.Telemetry;
 import lineward.thrift.Call;
+import lineward.thrift.Rehearsal;
 import lineward.thrift.ThriftFront;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,18 +58,39 @@
     private final List<FrontDoor> doors = new ArrayList<>();
     private final List<Runnable> starts = new ArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final Telemetry telemetry;
+
+    FrontEnd() {
+        Map<String, String> environment = System.getenv();
+        try {
+            telemetry = Telemetry.isOn(environment) ? Telemetry.start(environment,
+                    environment.getOrDefault("RELAY_NAME", "lineward")) : null;
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException(e.getMessage());
+        }
+    }
+
+    private <X> Tracer<X> tracer(Function<X, String> classOf) {
+        Tracer<X> log = new LogTracer<>();
+        return telemetry == null ? log : telemetry.tracer(classOf, Object::toString, log);
+    }
 
     /** Adds the platform's front. */
     void addPlatform(Config config) {
         Planner<Call> planner = new Planner<>(new Control(config.settings(), config.seed()), MOST_REQUESTS,
-                STOP_TAKES_MS, new LogTracer<>());
+                STOP_TAKES_MS, tracer(Call::op));
         EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
                 config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
                 config.limit("streams-per-conn").asInt(100), LINKS_PER_ENGINE));
         News news = new News();
-        ThriftFront front = new ThriftFront(new ThriftFront.Names(config.names("classes"),
-                config.names("tenants"), (int) (config.sockets() * CLIENT_PART), config.listen()), planner,
-                fleet, clock, news);
+        ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
+                (int) (config.sockets() * CLIENT_PART), config.listen());
+        onLoop(() -> {
+            lineward.engine.Rehearsal.play();
+            Rehearsal.play(names, new Planner<>(new Control(config.settings(), 0), MOST_REQUESTS,
+                    STOP_TAKES_MS, new LogTracer<>()), fleet, clock);
+        });
+        ThriftFront front = new ThriftFront(names, planner, fleet, clock, news);
         news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
             fleet.list(whole, entries);
@@ -89,7 +115,8 @@
             return;
         }
         Planner<Query> planner = new Planner<>(new Control(MysqlSettings.of(config), System.nanoTime()),
-                MOST_REQUESTS, MysqlFront.STOP_TAKES_MS, new LogTracer<>());
+                MOST_REQUESTS, MysqlFront.STOP_TAKES_MS,
+                tracer(query -> config.classes().get(query.place()).name()));
         News news = new News();
         MysqlFront front = new MysqlFront(group, config, planner, clock, news);
         news.door = front;
@@ -174,6 +201,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (telemetry != null) {
+            telemetry.close();
+        }
         Runtime.getRuntime().halt(0);
     }
 }
--- a/src/main/java/lineward/app/LogTracer.java
+++ b/src/main/java/lineward/app/LogTracer.java
@@ -9,6 +9,11 @@
 final class LogTracer<X> implements Tracer<X> {
     private static final Logger LOG = LoggerFactory.getLogger("planner");
 
+    @Override
+    public void requestTaken(X exchange) {
+        LOG.debug("{} taken", exchange);
+    }
+
     @Override
     public void attemptStarted(X exchange, int attempt, String engine) {
         LOG.debug("{} attempt {} to {}", exchange, attempt, engine);
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -78,6 +78,7 @@
         r.id = requests.add(r);
         if (r.id != SlotTable.FULL) {
             open++;
+            tracer.requestTaken(exchange);
             events.add(new Front.Arrival(r.id, d.type(), 0, d.timeLeftMs(), d.cost(), d.memoryMb(),
                     d.group(), d.repeat(), d.customer()));
         }
--- a/src/main/java/lineward/core/Tracer.java
+++ b/src/main/java/lineward/core/Tracer.java
@@ -11,6 +11,9 @@
     /** How a request ended. */
     enum Ending { SERVED, REFUSED, FAILED, ABORTED }
 
+    /** A request was taken. */
+    void requestTaken(X exchange);
+
     /** An attempt goes out to an engine. */
     void attemptStarted(X exchange, int attempt, String engine);
 
--- /dev/null
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -0,0 +1,37 @@
+package lineward.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+
+/** Plays runs through a connection that leads nowhere, so that none of its code runs cold when it counts. */
+public final class Rehearsal {
+    private static final int ROUNDS = 150;
+
+    private Rehearsal() { }
+
+    /** Plays some runs of two pages each. */
+    public static void play() {
+        Link link = new Link(() -> { });
+        EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder(), link);
+        link.connecting(channel);
+        ByteBuf statement = Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII);
+        for (int i = 0; i < ROUNDS; i++) {
+            String id = String.format("%016x", i);
+            link.start(new Run(id, "rehearsal", statement, 1000, 1, 1, (outcome, result) -> {
+                if (result != null) {
+                    result.release();
+                }
+            }));
+            for (String reply : new String[] {" HIT total=2 2\r\na\n\r\n", " PART index=1 2\r\nb\n\r\n"}) {
+                channel.writeInbound(Unpooled.copiedBuffer(id + reply, StandardCharsets.US_ASCII));
+            }
+            for (ByteBuf said = channel.readOutbound(); said != null; said = channel.readOutbound()) {
+                said.release();
+            }
+        }
+        channel.close();
+        statement.release();
+    }
+}
--- a/src/main/java/lineward/journal/JournalPoll.java
+++ b/src/main/java/lineward/journal/JournalPoll.java
@@ -94,6 +94,8 @@
     }
 
     private final class Poller extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private long askedAt;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             ask(ctx);
@@ -103,6 +105,7 @@
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/journal?tail=" + list.position() + "&max_wait=" + MAX_WAIT_MS);
             request.headers().set(HttpHeaderNames.HOST, host);
+            askedAt = System.nanoTime();
             ctx.writeAndFlush(request);
         }
 
@@ -113,13 +116,19 @@
                 ctx.close();
                 return;
             }
+            long before = list.position();
             try (InputStream in = new ByteBufInputStream(answer.content())) {
                 list.take(JSON.readTree(in));
             }
-            if (HttpUtil.isKeepAlive(answer)) {
-                ask(ctx);
-            } else {
+            // Danger: a service that answers at once with nothing new would have us ask without a pause.
+            boolean hasty = list.position() == before
+                    && System.nanoTime() - askedAt < TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MS / 2);
+            if (!HttpUtil.isKeepAlive(answer)) {
                 ctx.close();
+            } else if (hasty) {
+                ctx.executor().schedule(() -> ask(ctx), RETRY_MS, TimeUnit.MILLISECONDS);
+            } else {
+                ask(ctx);
             }
         }
 
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -44,6 +44,10 @@
         this.number = number;
     }
 
+    int number() {
+        return number;
+    }
+
     Channel channel() {
         return channel;
     }
@@ -250,7 +254,7 @@
     }
 
     private void run(Work work, String text, boolean writes) {
-        Query query = new Query(this, work, text, front.typeOf(text, writes));
+        Query query = new Query(this, work, front.typeOf(text, writes));
         running = query;
         if (!front.take(query)) {
             refuse(query, MysqlFront.BUSY_RETRY_MS);
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -174,7 +174,7 @@
 
     /** @return false where there is no room for the request, which must then be refused */
     boolean take(Query query) {
-        double deadline = config.classes().get(query.type / 2).deadlineMs();
+        double deadline = config.classes().get(query.place()).deadlineMs();
         query.request = planner.take(clock.getAsDouble(),
                 new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
         news.run();
--- a/src/main/java/lineward/thrift/Call.java
+++ b/src/main/java/lineward/thrift/Call.java
@@ -13,6 +13,11 @@
     Run run;
     int runOf = -1;
 
+    @Override
+    public String toString() {
+        return id();
+    }
+
     Call(ClientHandler client, int seqid, CallFields fields, ByteBuf statement) {
         this.client = client;
         this.seqid = seqid;
@@ -20,9 +25,9 @@
         this.statement = statement;
     }
 
-    /** @return the class's place in the settings */
-    public int type() {
-        return fields.demand().type();
+    /** @return the class's name */
+    public String op() {
+        return fields.op();
     }
 
     /** @return the id that the client gave the request */
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -21,6 +21,7 @@
     private final ThriftFront front;
     private final Map<Integer, Call> open = new HashMap<>();
     private Channel channel;
+    private long unread;
 
     ClientHandler(ThriftFront front) {
         this.front = front;
@@ -87,11 +88,21 @@
     }
 
     private void send(ByteBuf frame) {
-        front.write(channel, frame);
+        front.write(this, frame);
     }
 
+    /** @return whether nothing is open and all that was answered has been sent */
     boolean isIdle() {
-        return open.isEmpty();
+        return open.isEmpty() && unread == 0;
+    }
+
+    void addUnread(long bytes) {
+        unread += bytes;
+    }
+
+    /** @return bytes of answers that have not gone out yet */
+    long unread() {
+        return unread;
     }
 
     Channel channel() {
--- /dev/null
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -0,0 +1,46 @@
+package lineward.thrift;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import lineward.core.EngineEntry;
+import lineward.core.Planner;
+import lineward.engine.EngineFleet;
+import peatwick.Front;
+
+/**
+ * Plays requests through a front of its own, with no socket and no engine, before the program listens. A cold
+ * virtual machine took some 80 ms for its first request: enough to answer a short one too late.
+ */
+public final class Rehearsal {
+    private static final int ROUNDS = 150;
+    private static final int TTL_MS = 30_000;
+
+    private Rehearsal() { }
+
+    /**
+     * @param planner of the rehearsal alone
+     * @param fleet with no engine in it: attempts end at once
+     */
+    public static void play(ThriftFront.Names names, Planner<Call> planner, EngineFleet fleet,
+            DoubleSupplier clock) {
+        planner.list(true, List.of(new EngineEntry("rehearsal", "", 0, 1, 0, Front.Condition.READY, 0, 0)));
+        ThriftFront front = new ThriftFront(names, planner, fleet, clock, () -> { });
+        EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
+        for (int i = 1; i <= ROUNDS; i++) {
+            channel.writeInbound(ThriftWriter.invocation(channel.alloc(), i, Map.of("op",
+                    names.classes().get(i % names.classes().size()), "call", String.format("%016x", i),
+                    "ttl", Integer.toString(TTL_MS), "org", names.tenants().isEmpty() ? ""
+                    : names.tenants().get(0)), "select a from rehearsal_1.t where b = 'c'"));
+            front.tick();
+            front.tick();
+            for (ByteBuf answer = channel.readOutbound(); answer != null; answer = channel.readOutbound()) {
+                answer.release();
+            }
+        }
+        channel.close();
+        front.tick();
+    }
+}
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -11,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -79,15 +81,19 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(
-                                new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
-                                new ClientHandler(ThriftFront.this));
+                        channel.pipeline().addLast(handlers());
                     }
                 }).bind(names.listen());
         listener = bound.channel();
         return bound;
     }
 
+    /** What reads one client's connection. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
+            new ClientHandler(this)};
+    }
+
     @Override
     public void drain() {
         draining = true;
@@ -102,7 +108,7 @@
     public void closeIdleClients() {
         listener.close();
         List.copyOf(clients).stream()
-                .filter(c -> c.isIdle() && pending(c.channel()) == 0).forEach(c -> c.channel().close());
+                .filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
     }
 
     @Override
@@ -131,7 +137,7 @@
 
     void disconnected(ClientHandler client) {
         clients.remove(client);
-        if (clients.size() < names.mostClients()) {
+        if (clients.size() == names.mostClients() - 1) {
             listener.config().setAutoRead(true);
         }
     }
@@ -159,23 +165,23 @@
     }
 
     /** Writes to a client; when unread answers fill their bound, the client with most of them is let go. */
-    void write(Channel channel, ByteBuf frame) {
+    void write(ClientHandler client, ByteBuf frame) {
         int size = frame.readableBytes();
+        Channel channel = client.channel();
         if (!answers.reserve(size)) {
-            clients.stream().map(ClientHandler::channel)
-                    .max((a, b) -> Long.compare(pending(a), pending(b))).ifPresent(Channel::close);
+            clients.stream().max(Comparator.comparingLong(ClientHandler::unread))
+                    .ifPresent(c -> c.channel().close());
             if (!channel.isActive() || !answers.reserve(size)) {
                 frame.release();
                 channel.close();
                 return;
             }
         }
-        channel.writeAndFlush(frame).addListener(done -> answers.release(size));
-    }
-
-    private static long pending(Channel channel) {
-        return channel.isActive() ? SLOW - channel.bytesBeforeUnwritable()
-                + channel.bytesBeforeWritable() : 0;
+        client.addUnread(size);
+        channel.writeAndFlush(frame).addListener(done -> {
+            answers.release(size);
+            client.addUnread(-size);
+        });
     }
 
     @Override
--- a/src/main/java/lineward/thrift/ThriftWriter.java
+++ b/src/main/java/lineward/thrift/ThriftWriter.java
@@ -35,6 +35,15 @@
         return framed(frame);
     }
 
+    /** A request as clients write it. */
+    static ByteBuf invocation(ByteBufAllocator alloc, int seqid, Map<String, String> fields, String body) {
+        ByteBuf out = begin(alloc, ThriftReader.CALL, "invoke", seqid);
+        map(out, 1, fields);
+        field(out, ThriftReader.STRING, 2);
+        text(out, body);
+        return framed(out.writeByte(ThriftReader.STOP));
+    }
+
     static ByteBuf pong(ByteBufAllocator alloc, int seqid, boolean good) {
         ByteBuf out = begin(alloc, REPLY, "ping", seqid);
         field(out, ThriftReader.STRUCT, 0);
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -64,7 +64,7 @@
 
     /** Sends SIGTERM. */
     public void terminate() {
-        process.destroy();
+        process.toHandle().destroy(); // Process.destroy would close the log as well
     }
 
     /** @return its exit status, once it has ended */
--- /dev/null
+++ b/src/test/java/lineward/StartTest.java
@@ -0,0 +1,42 @@
+package lineward;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A configuration that can't be used ends the start with one plain line and status 2. */
+public class StartTest {
+    private static final String GOOD = "\"listen\":\"127.0.0.1:0\",\"journal\":\"127.0.0.1:1\","
+            + "\"known\":{\"pos\":0,\"entries\":[]}";
+
+    @DataProvider
+    public Object[][] bad() {
+        return new Object[][] {{"serve", "{", "not JSON"}, {"serve", "{}", "no settings"},
+            {"serve", "{\"settings\":{}}", "listen is no address"},
+            {"serve", "{" + GOOD + ",\"settings\":{}}", "classes"},
+            {"mysql", "listen = 5 5", "not TOML"}, {"mysql", "", "nothing to serve"},
+            {"mysql", "listen = \"127.0.0.1:0\"", "needs a user"},
+            {"mysql", "[[engine]]\nname = \"a\"\naddress = \"here\"", "no address"},
+            {"dance", "", "usage"}};
+    }
+
+    @Test(dataProvider = "bad")
+    public void badConfigurationEndsTheStart(String command, String content, String says)
+            throws IOException, InterruptedException {
+        Path file = Files.createTempFile("bad", ".conf");
+        Files.writeString(file, content);
+        String[] words = command.equals("mysql") ? new String[] {command, file.toString()}
+                : new String[] {command};
+        try (Program program = new Program(Map.of("RELAY_CONFIG", file.toString()), words)) {
+            assertEquals(program.status(), 2);
+            Program.await("its line", () -> program.log().contains(says));
+            assertEquals(program.log().lines().count(), 1, program.log());
+        }
+        Files.delete(file);
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/telemetry/TelemetryTest.java
@@ -0,0 +1,110 @@
+package lineward.telemetry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import io.opentelemetry.proto.collector.metrics.v1.ExportMetricsServiceRequest;
+import io.opentelemetry.proto.collector.trace.v1.ExportTraceServiceRequest;
+import io.opentelemetry.proto.trace.v1.Span;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import lineward.Program;
+import lineward.thrift.Platform;
+import org.testng.annotations.Test;
+
+/** The export over OTLP, against a stand-in collector. */
+public class TelemetryTest {
+    private final List<Span> spans = new CopyOnWriteArrayList<>();
+    private final List<String> metrics = new CopyOnWriteArrayList<>();
+
+    private HttpServer collector(CountDownLatch holdUntil) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0),
+                0);
+        server.setExecutor(Executors.newCachedThreadPool());
+        server.createContext("/v1/traces", exchange -> {
+            ExportTraceServiceRequest.parseFrom(exchange.getRequestBody()).getResourceSpansList().forEach(
+                    r -> r.getScopeSpansList().forEach(s -> spans.addAll(s.getSpansList())));
+            awaitQuietly(holdUntil);
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
+        server.createContext("/v1/metrics", exchange -> {
+            metrics.add(ExportMetricsServiceRequest.parseFrom(exchange.getRequestBody()).toString());
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
+        server.start();
+        return server;
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Map<String, String> variables(HttpServer collector) {
+        return Map.of("OTEL_EXPORTER_OTLP_ENDPOINT", "http://127.0.0.1:" + collector.getAddress().getPort(),
+                "OTEL_BSP_SCHEDULE_DELAY", "50", "OTEL_METRIC_EXPORT_INTERVAL", "200",
+                "OTEL_BSP_MAX_QUEUE_SIZE", "8", "OTEL_BSP_MAX_EXPORT_BATCH_SIZE", "8");
+    }
+
+    private static String outcome(Span span) {
+        return span.getAttributesList().stream().filter(a -> a.getKey().equals("lineward.outcome"))
+                .map(a -> a.getValue().getStringValue()).findFirst().orElse("");
+    }
+
+    @Test
+    public void requestsAndAttemptsBecomeSpansAndMetrics() throws IOException {
+        HttpServer collector = collector(new CountDownLatch(0));
+        try (Platform platform = new Platform(variables(collector))) {
+            platform.exercise(1);
+            Program.await("three spans", () -> spans.size() >= 3);
+            Span attempt = spans.stream().filter(s -> s.getName().equals("attempt")).findFirst()
+                    .orElseThrow();
+            Span request = spans.stream().filter(s -> s.getSpanId().equals(attempt.getParentSpanId()))
+                    .findFirst().orElseThrow();
+            assertEquals(outcome(attempt), "ok");
+            assertEquals(outcome(request), "served");
+            Program.await("the refusal", () -> spans.stream().anyMatch(s -> outcome(s).equals("refused")));
+            Program.await("counts by class and outcome", () -> metrics.stream().anyMatch(
+                    m -> m.contains("lineward.requests") && m.contains("look") && m.contains("refused")));
+        } finally {
+            collector.stop(0);
+        }
+    }
+
+    /** Guards against a collector that takes connections and never answers: requests must not wait for it. */
+    @Test
+    public void aSilentCollectorDelaysNobodyAndSpansAreDropped() throws IOException {
+        CountDownLatch hold = new CountDownLatch(1);
+        HttpServer collector = collector(hold);
+        spans.clear();
+        try (Platform platform = new Platform(variables(collector))) {
+            long start = System.nanoTime();
+            platform.exercise(200);
+            assertTrue((System.nanoTime() - start) / 1e9 < 10, "200 requests in " + start);
+            Program.await("the first batch", () -> !spans.isEmpty());
+            assertTrue(spans.size() <= 16, "queue of 8 and batch of 8, got " + spans.size());
+        } finally {
+            hold.countDown();
+            collector.stop(0);
+        }
+    }
+
+    @Test
+    public void withoutAnEndpointItIsOff() {
+        assertFalse(Telemetry.isOn(Map.of("OTEL_SERVICE_NAME", "x")));
+        assertTrue(Telemetry.isOn(Map.of("OTEL_EXPORTER_OTLP_METRICS_ENDPOINT", "http://127.0.0.1:4318")));
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -0,0 +1,72 @@
+package lineward.thrift;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import lineward.Program;
+
+/** The program on a small platform: two engines, a journal, a configuration. */
+public final class Platform implements AutoCloseable {
+    private static final String SETTINGS = """
+            {"az":0,"classes":[{"name":"look","aim":500,"aim-stretch":2,"deadline":2500,"value":1,
+             "effect":"retryable","dedup-scope":"all","late-share":0.1}],"peers-total":2,"ordinal":0,
+             "limits":{"cancel":true,"max-attempts":6,"retry-after":true,"max-retry-after":2000,
+             "connect-timeout":250,"conn-idle":30000,"streams-per-conn":100},
+             "obligations":{"drain-grace":1000,"cold":15000,"cold-share":0.34,"overload-factor":2.5,
+             "fall":1500},
+             "specifics":{"cpu-of-kind":[8],"ram-of-kind-mb":[16384],"grants":true,"lanes-count":true,
+             "threads-by-class":[1]},"skus":["std"],"zones":["east"],
+             "tenants":[{"name":"west","quota-rps":50}]}""";
+
+    final StandInJournal journal = new StandInJournal();
+    final StandInLines one = new StandInLines();
+    final StandInLines two = new StandInLines();
+    final Program program;
+    private final Path config = Files.createTempFile("config", ".json");
+
+    public Platform(Map<String, String> environment) throws IOException {
+        journal.tell(true, "s-1", "" + one.port(), "ready", "s-2", "" + two.port(), "ready");
+        Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
+                + "{\"sockets\":1024},\"journal\":\"" + journal.address() + "\",\"known\":" + journal.after(0)
+                + ",\"settings\":" + SETTINGS + "}");
+        Map<String, String> all = new HashMap<>(environment);
+        all.put("RELAY_CONFIG", config.toString());
+        program = new Program(all, "serve");
+        program.port();
+    }
+
+    /** Sets what both engines do. */
+    void both(StandInLines.Mode mode) {
+        one.mode = mode;
+        two.mode = mode;
+    }
+
+    StandInCaller caller() throws IOException {
+        return new StandInCaller(program.port());
+    }
+
+    /** Has some requests served, and one refused. */
+    public void exercise(int served) throws IOException {
+        try (StandInCaller caller = caller()) {
+            for (int i = 0; i < served; i++) {
+                caller.call(StandInCaller.fields(2000), "select 1");
+            }
+            caller.call(StandInCaller.fields(20), "select 1");
+        }
+    }
+
+    public Program program() {
+        return program;
+    }
+
+    @Override
+    public void close() throws IOException {
+        program.close();
+        one.close();
+        two.close();
+        journal.close();
+        Files.delete(config);
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -0,0 +1,230 @@
+package lineward.thrift;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import lineward.Program;
+import lineward.thrift.StandInLines.Mode;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The rules of the platform, each with real sockets. */
+public class PlatformRulesTest {
+    private static final int REPLY = 2;
+    private static final int EXCEPTION = 3;
+    private static final int SERVED = 0;
+    private static final int REFUSED = 1;
+    private static final String[][] UNUSABLE = {{"op", "unknown"}, {"call", "short"},
+        {"call", "zzzzzzzzzzzzzzzz"}, {"ttl", "0"}, {"ttl", "soon"}, {"org", "nobody"}, {"work", "-1"},
+        {"mem", "1e9"}, {"rep", "yes"}};
+    private Platform platform;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        StandInLines.TWICE.clear();
+        platform = new Platform(Map.of());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        platform.close();
+    }
+
+    private StandInCaller.Answer ask(StandInCaller caller, int ttl) throws IOException {
+        return caller.call(StandInCaller.fields(ttl), "select * from sales_17.orders");
+    }
+
+    private long wants() {
+        return platform.one.count("want") + platform.two.count("want");
+    }
+
+    @Test
+    public void allPagesComeInOrderAndTheStatementGoesUnchanged() throws IOException {
+        try (StandInCaller caller = platform.caller()) {
+            Map<String, String> fields = StandInCaller.fields(2000);
+            String statement = "select 'é' -- \r\n from t";
+            StandInCaller.Answer answer = caller.call(fields, statement);
+            assertEquals(answer.field(), SERVED);
+            assertTrue(answer.good());
+            assertEquals(answer.body(), String.join("", StandInLines.PAGES));
+            StandInLines engine = platform.one.heard.isEmpty() ? platform.two : platform.one;
+            assertTrue(engine.heard.get(0).startsWith("want " + fields.get("call") + " sort=look,patience="));
+            assertEquals(engine.heard.get(1), "body " + statement);
+        }
+    }
+
+    @DataProvider
+    public Object[][] troubles() {
+        return new Object[][] {{Mode.FAULT}, {Mode.SHED}, {Mode.RESET}, {Mode.GARBAGE}, {Mode.LOSE_PAGES}};
+    }
+
+    @Test(dataProvider = "troubles")
+    public void anotherEngineServesWhatOneDoesNot(Mode mode) throws IOException {
+        platform.one.mode = mode;
+        try (StandInCaller caller = platform.caller()) {
+            while (platform.one.count("want") == 0) {
+                assertEquals(ask(caller, 2000).field(), SERVED);
+            }
+            assertTrue(platform.two.count("want") > 0);
+        }
+    }
+
+    @Test
+    public void manyOpenRequestsGetOneAnswerEachAndNeverRunTwiceAtOnce() throws IOException {
+        platform.one.mode = Mode.SILENT;
+        try (StandInCaller caller = platform.caller()) {
+            Set<Integer> open = new HashSet<>();
+            for (int i = 0; i < 32; i++) {
+                open.add(caller.send(StandInCaller.fields(1500), "select 1"));
+            }
+            while (!open.isEmpty()) {
+                assertTrue(open.remove(caller.read().seqid()), "an answer nobody waits for");
+            }
+            assertEquals(caller.simple("ping").seqid(), 33, "no second answer came before the ping's");
+        }
+        assertEquals(StandInLines.TWICE, Set.of());
+    }
+
+    @Test
+    public void silenceIsRefusedBeforeTheClientGivesUpAndTellsWhenToReturn() throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller caller = platform.caller()) {
+            long start = System.nanoTime();
+            StandInCaller.Answer answer = ask(caller, 800);
+            assertEquals(answer.field(), REFUSED);
+            assertTrue(Integer.parseInt(answer.fields().get("pushback")) > 0);
+            assertTrue(System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(850), "in time");
+        }
+    }
+
+    @Test
+    public void whatCannotMakeItIsRefusedAtOnce() throws IOException {
+        try (StandInCaller caller = platform.caller()) {
+            assertEquals(ask(caller, 30).field(), REFUSED);
+            assertEquals(wants(), 0);
+        }
+    }
+
+    @Test
+    public void anAbortedRequestIsGivenUpAndNotAnswered() throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller caller = platform.caller()) {
+            int seqid = caller.send(StandInCaller.fields(2000), "select 1");
+            Program.await("it runs", () -> wants() == 1);
+            caller.abort(seqid);
+            Program.await("the engine hears", () -> platform.one.count("never_mind")
+                    + platform.two.count("never_mind") == 1);
+            assertEquals(caller.simple("ping").seqid(), seqid + 2, "nothing came but the ping's answer");
+        }
+    }
+
+    @Test
+    public void aClientThatHangsUpHasItsRequestsGivenUp() throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller caller = platform.caller()) {
+            caller.send(StandInCaller.fields(2000), "select 1");
+            Program.await("it runs", () -> wants() == 1);
+        }
+        Program.await("the engine hears", () -> platform.one.count("never_mind")
+                + platform.two.count("never_mind") == 1);
+    }
+
+    @Test
+    public void nothingNewGoesToADrainingEngine() throws IOException, InterruptedException {
+        platform.journal.tell(false, "s-1", "" + platform.one.port(), "draining");
+        long told = System.nanoTime();
+        try (StandInCaller caller = platform.caller()) {
+            long late = 0;
+            while (System.nanoTime() - told < TimeUnit.MILLISECONDS.toNanos(1500)) {
+                ask(caller, 2000);
+                if (System.nanoTime() - told < TimeUnit.MILLISECONDS.toNanos(1000)) {
+                    late = platform.one.count("want");
+                }
+            }
+            assertEquals(platform.one.count("want"), late);
+            assertTrue(platform.two.count("want") > 0);
+        }
+    }
+
+    @Test
+    public void aNewEngineAtAnOldAddressIsUsedAndTheJournalMayFailMeanwhile() throws IOException {
+        try (StandInCaller caller = platform.caller()) {
+            ask(caller, 2000);
+            platform.journal.broken = true;
+            int port = platform.one.port();
+            platform.one.close();
+            try (StandInLines next = new StandInLines(port)) {
+                platform.journal.tell(false, "s-1", "" + port, "gone", "s-2", "" + platform.two.port(),
+                        "gone", "s-9", "" + port, "ready");
+                platform.journal.broken = false;
+                long before = platform.two.count("want");
+                Program.await("the new engine serves", () -> {
+                    try {
+                        return ask(caller, 2000).field() == SERVED && next.count("want") > 0;
+                    } catch (IOException e) {
+                        throw new AssertionError(e);
+                    }
+                });
+                assertTrue(before >= 0);
+            }
+        }
+    }
+
+    @Test
+    public void fieldsThatCannotBeUsedReachNoEngine() throws IOException {
+        try (StandInCaller caller = platform.caller()) {
+            for (String[] field : UNUSABLE) {
+                Map<String, String> fields = StandInCaller.fields(1000);
+                fields.put(field[0], field[1]);
+                StandInCaller.Answer answer = caller.call(fields, "select 1");
+                assertEquals(answer.kind(), EXCEPTION);
+                assertTrue(answer.body().contains(field[0]), answer.body());
+            }
+            assertEquals(wants(), 0);
+        }
+    }
+
+    @Test
+    public void aBrokenFrameClosesItsConnectionOnly() throws IOException {
+        try (StandInCaller other = platform.caller()) {
+            for (String broken : new String[] {"not thrift at all", ""}) {
+                try (StandInCaller caller = platform.caller()) {
+                    caller.frame(broken.getBytes(StandardCharsets.UTF_8));
+                    assertThrows(EOFException.class, caller::read);
+                }
+            }
+            assertEquals(ask(other, 2000).field(), SERVED);
+            assertEquals(other.simple("dance").kind(), EXCEPTION);
+            assertTrue(other.simple("ping").good());
+        }
+    }
+
+    @Test
+    public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell()
+            throws IOException, InterruptedException {
+        try (StandInCaller open = platform.caller()) {
+            assertTrue(open.simple("ping").good());
+            platform.program.terminate();
+            Program.await("it drains", () -> platform.program.log().contains("SIGTERM"));
+            try (StandInCaller late = platform.caller()) {
+                assertEquals(ask(late, 2000).field(), SERVED);
+                assertFalse(late.simple("ping").good());
+            }
+            platform.both(Mode.SILENT);
+            open.send(StandInCaller.fields(2000), "select 1");
+            assertEquals(open.read().kind(), REPLY);
+            assertEquals(platform.program.status(), 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -0,0 +1,155 @@
+package lineward.thrift;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A small engine of the line protocol. What it does with a request is set by its mode. */
+final class StandInLines implements AutoCloseable {
+    /** What it does with what it is sent. */
+    enum Mode { SERVE, SILENT, FAULT, SHED, RESET, GARBAGE, LOSE_PAGES }
+
+    /** Pages of every result. */
+    static final List<String> PAGES = List.of("a\tb\tc\n", "d\te\tf\n", "g\th\ti\n");
+    /** Requests that run anywhere now, and those that ever ran twice at once. */
+    private static final Set<String> RUNNING = ConcurrentHashMap.newKeySet();
+    static final Set<String> TWICE = ConcurrentHashMap.newKeySet();
+
+    final List<String> heard = new CopyOnWriteArrayList<>();
+    private final ServerSocket server = new ServerSocket();
+    private final Map<Socket, Set<String>> sockets = new ConcurrentHashMap<>();
+    volatile Mode mode = Mode.SERVE;
+
+    StandInLines() throws IOException {
+        this(0);
+    }
+
+    StandInLines(int port) throws IOException {
+        server.setReuseAddress(true);
+        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
+        Thread acceptor = new Thread(this::accept, "engine");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    long count(String word) {
+        return heard.stream().filter(line -> line.startsWith(word)).count();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                sockets.put(socket, ConcurrentHashMap.newKeySet());
+                Thread session = new Thread(() -> session(socket), "session");
+                session.setDaemon(true);
+                session.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void session(Socket socket) {
+        Set<String> here = sockets.get(socket);
+        try (socket; InputStream in = new BufferedInputStream(socket.getInputStream())) {
+            while (true) {
+                String line = line(in);
+                heard.add(line);
+                String[] words = line.split(" ");
+                if (words[0].equals("want")) {
+                    String body = new String(in.readNBytes(Integer.parseInt(words[3])),
+                            StandardCharsets.UTF_8);
+                    line(in);
+                    heard.add("body " + body);
+                    if (!RUNNING.add(words[1])) {
+                        TWICE.add(words[1]);
+                    }
+                    here.add(words[1]);
+                    want(socket, words[1], here);
+                } else if (words[0].equals("turn")) {
+                    int page = Integer.parseInt(words[2]);
+                    if (mode == Mode.LOSE_PAGES) {
+                        say(socket, words[1] + " FAULT -", "");
+                    } else {
+                        say(socket, words[1] + " PART index=" + page, PAGES.get(page));
+                    }
+                } else if (words[0].equals("never_mind")) {
+                    ended(words[1], here);
+                }
+            }
+        } catch (IOException e) {
+            // Hung up, or told to die.
+        } finally {
+            sockets.remove(socket);
+            here.forEach(RUNNING::remove);
+        }
+    }
+
+    private static void ended(String id, Set<String> here) {
+        if (here.remove(id)) {
+            RUNNING.remove(id);
+        }
+    }
+
+    private void want(Socket socket, String id, Set<String> here) throws IOException {
+        Mode now = mode;
+        if (now == Mode.SILENT) {
+            return;
+        }
+        ended(id, here);
+        switch (now) {
+            case FAULT -> say(socket, id + " FAULT why=test", "");
+            case SHED -> say(socket, id + " SHED -", "");
+            case RESET -> {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            case GARBAGE -> say(socket, "what is this now", "x");
+            default -> say(socket, id + " HIT total=" + PAGES.size(), PAGES.get(0));
+        }
+    }
+
+    private static void say(Socket socket, String head, String body) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write((head + ' ' + body.length() + "\r\n" + body + "\r\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new EOFException();
+            }
+            line.write(c);
+        }
+        return line.toString(StandardCharsets.UTF_8).stripTrailing();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets.keySet()) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+}
