--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -57,6 +57,7 @@
     private final FrontClock clock = new FrontClock();
     private final List<FrontDoor> doors = new ArrayList<>();
     private final List<Runnable> starts = new ArrayList<>();
+    private final List<Consumer<String>> journals = new ArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Telemetry telemetry;
 
@@ -105,7 +106,9 @@
             }
         });
         doors.add(front);
-        starts.add(new JournalPoll(group, config.journal(), list)::start);
+        JournalPoll poll = new JournalPoll(loop, config.journal(), list);
+        starts.add(poll::start);
+        journals.add(poll::moveTo);
     }
 
     /** Adds the MySQL front, unless its file names no address to listen on. */
@@ -135,6 +138,21 @@
         }
     }
 
+    /**
+     * Reads the platform's file anew, as SIGHUP asks for, and follows the journal to the address that now
+     * stands there; the rest of it holds from a start to the next. Signals come on threads of their own: read
+     * one after the other, or an older file could come to hold.
+     */
+    synchronized void reload(String path) {
+        try {
+            String journal = Config.read(path).journal();
+            LOG.info("SIGHUP: the journal is at {}", journal);
+            loop.execute(() -> journals.forEach(j -> j.accept(journal)));
+        } catch (ConfigException e) {
+            LOG.warn("SIGHUP: the configuration stays as it was: {}", e.getMessage());
+        }
+    }
+
     /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
         every(TICK_MS, () -> doors.forEach(FrontDoor::tick));
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -3,6 +3,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import org.jline.utils.Signals;
 
 /**
  * The command line: {@code serve [MYSQL-FILE]} runs a front end for the platform, and the MySQL front with it
@@ -34,7 +35,10 @@
         try {
             FrontEnd frontEnd = new FrontEnd();
             if (platform) {
-                frontEnd.addPlatform(Config.read(System.getenv("RELAY_CONFIG")));
+                String path = System.getenv("RELAY_CONFIG");
+                frontEnd.addPlatform(Config.read(path));
+                // Without a handler the virtual machine ends on SIGHUP.
+                Signals.register("HUP", () -> frontEnd.reload(path));
             }
             if (required || Files.exists(mysql)) {
                 frontEnd.addMysql(new MysqlFile(mysql));
--- a/src/main/java/lineward/journal/JournalPoll.java
+++ b/src/main/java/lineward/journal/JournalPoll.java
@@ -4,10 +4,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -23,6 +24,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,29 +41,43 @@
     private static final int RETRY_MS = 100;
     private static final int LARGEST_ANSWER = 4 << 20;
 
-    private final EventLoopGroup loop;
-    private final InetSocketAddress address;
+    private final EventLoop loop;
     private final EngineList list;
-    private final String host;
-    private boolean stopped;
+    private String host;
+    /** The connection that counts; what an earlier one says or how it ends is passed over. */
     private Channel channel;
+    private Future<?> retry;
+    private boolean troubled;
 
-    /** @param address of the journal service */
-    public JournalPoll(EventLoopGroup loop, String address, EngineList list) {
+    /**
+     * @param loop on which everything here runs
+     * @param address of the journal service
+     */
+    public JournalPoll(EventLoop loop, String address, EngineList list) {
         this.loop = loop;
-        int colon = address.lastIndexOf(':');
-        this.address = new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1)));
         this.host = address;
         this.list = list;
     }
 
-    /** Connects and polls until {@link #stop}. */
-    public void start() {
-        if (stopped) {
-            return;
+    /** Polls another address from now on; the events' numbers carry on there. */
+    public void moveTo(String address) {
+        if (!address.equals(host)) {
+            host = address;
+            Channel old = channel;
+            if (retry != null) {
+                retry.cancel(false);
+            }
+            start();
+            old.close();
         }
-        channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+    }
+
+    /** Connects and polls from then on. */
+    public void start() {
+        int colon = host.lastIndexOf(':');
+        InetSocketAddress address = new InetSocketAddress(host.substring(0, colon),
+                Integer.parseInt(host.substring(colon + 1)));
+        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
@@ -71,25 +87,27 @@
                                 new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
                                 new Poller());
                     }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        LOG.warn("journal: {}", done.cause().toString());
-                        again();
-                    }
-                }).channel();
+                }).connect(address);
+        channel = connecting.channel();
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                tell(done.cause().toString());
+                again(connecting.channel());
+            }
+        });
     }
 
-    /** Ends the polling. */
-    public void stop() {
-        stopped = true;
-        if (channel != null) {
-            channel.close();
+    private void again(Channel ended) {
+        if (ended == channel) {
+            retry = loop.schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void again() {
-        if (!stopped) {
-            loop.next().schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
+    /** One line for a row of failures: a service that is away is tried ten times a second. */
+    private void tell(String trouble) {
+        if (!troubled) {
+            troubled = true;
+            LOG.warn("journal at {}: {}", host, trouble);
         }
     }
 
@@ -111,8 +129,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) throws IOException {
+            if (ctx.channel() != channel) {
+                return;
+            }
             if (!answer.status().equals(HttpResponseStatus.OK)) {
-                LOG.warn("journal answers {}", answer.status());
+                tell("answers " + answer.status());
                 ctx.close();
                 return;
             }
@@ -120,6 +141,7 @@
             try (InputStream in = new ByteBufInputStream(answer.content())) {
                 list.take(JSON.readTree(in));
             }
+            troubled = false;
             // Danger: a service that answers at once with nothing new would have us ask without a pause.
             boolean hasty = list.position() == before
                     && System.nanoTime() - askedAt < TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MS / 2);
@@ -134,13 +156,13 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.warn("journal: {}", cause.toString());
+            tell(cause.toString());
             ctx.close();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            again();
+            again(ctx.channel());
         }
     }
 }
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -67,6 +67,11 @@
         process.toHandle().destroy(); // Process.destroy would close the log as well
     }
 
+    /** Sends SIGHUP. */
+    public void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
     /** @return its exit status, once it has ended */
     public int status() throws InterruptedException {
         if (!process.waitFor(30, TimeUnit.SECONDS)) {
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -28,15 +28,24 @@
 
     public Platform(Map<String, String> environment) throws IOException {
         journal.tell(true, "s-1", "" + one.port(), "ready", "s-2", "" + two.port(), "ready");
-        Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
-                + "{\"sockets\":1024},\"journal\":\"" + journal.address() + "\",\"known\":" + journal.after(0)
-                + ",\"settings\":" + SETTINGS + "}");
+        configure(journal);
         Map<String, String> all = new HashMap<>(environment);
         all.put("RELAY_CONFIG", config.toString());
         program = new Program(all, "serve");
         program.port();
     }
 
+    /** Writes the configuration, which names this journal. */
+    void configure(StandInJournal service) throws IOException {
+        configure("{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
+                + "{\"sockets\":1024},\"journal\":\"" + service.address() + "\",\"known\":" + service.after(0)
+                + ",\"settings\":" + SETTINGS + "}");
+    }
+
+    void configure(String text) throws IOException {
+        Files.writeString(config, text);
+    }
+
     /** Sets what both engines do. */
     void both(StandInLines.Mode mode) {
         one.mode = mode;
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -181,6 +181,33 @@
         }
     }
 
+    @Test
+    public void sighupMovesTheJournalAndAnUnusableFileChangesNothing()
+            throws IOException, InterruptedException {
+        platform.configure("{");
+        platform.program.hangUp();
+        Program.await("its line", () -> platform.program.log().contains("stays as it was"));
+        try (StandInJournal next = new StandInJournal(); StandInCaller caller = platform.caller()) {
+            next.tell(true, "s-1", "" + platform.one.port(), "ready", "s-2", "" + platform.two.port(),
+                    "ready");
+            platform.configure(next);
+            platform.program.hangUp();
+            platform.program.hangUp();
+            Program.await("it moves", () -> next.polls() > 0);
+            platform.journal.close();
+            next.tell(false, "s-1", "" + platform.one.port(), "gone");
+            Program.await("it is told", () -> next.told() == 2);
+            long before = platform.one.count("want");
+            for (int i = 0; i < 10; i++) {
+                assertEquals(ask(caller, 2000).field(), SERVED);
+            }
+            assertEquals(platform.one.count("want"), before);
+            platform.program.terminate();
+            platform.program.hangUp();
+        }
+        assertEquals(platform.program.status(), 0, "SIGHUP amid a drain");
+    }
+
     @Test
     public void fieldsThatCannotBeUsedReachNoEngine() throws IOException {
         try (StandInCaller caller = platform.caller()) {
--- a/src/test/java/lineward/thrift/StandInJournal.java
+++ b/src/test/java/lineward/thrift/StandInJournal.java
@@ -16,6 +16,8 @@
     private final HttpServer server;
     private final List<String> events = new ArrayList<>();
     volatile boolean broken;
+    private volatile int polls;
+    private volatile int told;
 
     StandInJournal() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
@@ -32,6 +34,16 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** @return the polls that have come */
+    int polls() {
+        return polls;
+    }
+
+    /** @return the number of the last event that the program knows */
+    int told() {
+        return told;
+    }
+
     /** Adds an event. Each instance is its id, its port and its state. */
     synchronized void tell(boolean whole, String... instances) {
         StringBuilder list = new StringBuilder();
@@ -61,6 +73,8 @@
 
     private void poll(HttpExchange exchange) throws IOException {
         String[] query = exchange.getRequestURI().getQuery().split("[=&]");
+        polls++;
+        told = Integer.parseInt(query[1]);
         try (exchange) {
             String answer = broken ? "{" : waitFor(Integer.parseInt(query[1]), Integer.parseInt(query[3]));
             byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
