Close silent clients, let the idlest make room, and keep one client's reads small

ClientTable now holds connections by what they are at: never spoken, waiting, resting. The listener always accepts; when full, the longest resting (or, in a crowd of silent ones, the longest silent) is closed, never one that waits. Silence or half a frame of 1.5 s, a number that does not rise, an abort of what was never asked, bytes behind the arguments and a 33rd open request close the connection; the id of an open or just ended request, and figures out of range, get an exception. One connection is read 16 KB a turn; log lines are one a second.

Ruled out: memory (59 of 128 MB), the list (kept in time). A first try closed its own rehearsal at 33 open requests and left a process that served nobody: the rehearsal now keeps within the bound, and any failure of the start ends the process.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -31,6 +31,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import peatwick.Control;
+import peatwick.Front;
 
 /** Wires one front end: one event loop, the wheel's tick, the fronts with a planner each. */
 final class FrontEnd {
@@ -40,12 +41,13 @@
     /** A word to give up crosses the floors well within this. */
     private static final double STOP_TAKES_MS = 6;
     private static final int MOST_REQUESTS = 8192;
-    /** Clients may take a third of the descriptors; the rest is for those that open before closing. */
-    private static final double CLIENT_PART = 0.4;
+    /** Clients may take a third of the descriptors; the rest is for those that stay and for bad ones. */
+    private static final double CLIENT_PART = 0.5;
     private static final int LINKS_PER_ENGINE = 8;
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
     private static final int STILL_COMING_MS = 1200;
     private static final int IDLE_SWEEP_MS = 1000;
+    private static final int SILENCE_SWEEP_MS = 100;
     /** How often the MySQL file is looked at: a drain must be known well within a second. */
     private static final int FILE_SWEEP_MS = 200;
 
@@ -85,6 +87,7 @@
                 config.limit("streams-per-conn").asInt(100), LINKS_PER_ENGINE));
         News news = new News();
         ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
+                config.settings().classes().stream().map(Front.RequestClass::deadline).toList(),
                 (int) (config.sockets() * CLIENT_PART), config.listen());
         onLoop(() -> {
             lineward.engine.Rehearsal.play();
@@ -156,6 +159,7 @@
     /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
         every(TICK_MS, () -> doors.forEach(FrontDoor::tick));
+        every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilentClients));
         every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
         starts.forEach(Runnable::run);
         for (FrontDoor door : doors) {
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -46,6 +46,10 @@
             frontEnd.run();
         } catch (ConfigException e) {
             stop("lineward: " + e.getMessage());
+        } catch (RuntimeException e) {
+            // The event loop would keep a process alive that serves nobody.
+            e.printStackTrace();
+            System.exit(1);
         }
     }
 
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -30,6 +30,7 @@
     private final Map<Long, ClientStatement> statements = new HashMap<>();
     private Channel channel;
     private Handshake.Login login;
+    private final long connectedAt = System.nanoTime();
     private boolean loggedIn;
     private boolean ending;
     private int unread;
@@ -56,6 +57,11 @@
         return running == null && waiting.isEmpty() && unread == 0;
     }
 
+    /** @return whether it came before then and has not logged in */
+    boolean isStrangerSince(long nanoTime) {
+        return !loggedIn && connectedAt - nanoTime < 0;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -39,6 +39,8 @@
     static final String VERSION = "8.0.36-lineward";
     /** Advice to a client that found this front full. */
     static final long BUSY_RETRY_MS = 500;
+    /** A login that is not through by then never will be. */
+    private static final long LOGIN_TAKES = TimeUnit.SECONDS.toNanos(10);
     /** Bytes of prepared texts kept for all clients. */
     private static final long TEXTS = 8L << 20;
 
@@ -123,6 +125,13 @@
         List.copyOf(clients).stream().filter(ClientSession::isIdle).forEach(c -> c.channel().close());
     }
 
+    /** Who has not logged in yet is let go; who has may rest, as sessions do. */
+    @Override
+    public void closeSilentClients() {
+        long before = System.nanoTime() - LOGIN_TAKES;
+        clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
+    }
+
     @Override
     public boolean isQuiet() {
         return planner.open() == 0 && clients.isEmpty();
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -9,22 +9,26 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
-import org.slf4j.Logger;
+import lineward.front.SparseLog;
 import org.slf4j.LoggerFactory;
 
 /** The forwarder of one client's connection: takes out the fields that decisions need, passes on the rest. */
 final class ClientHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private static final Logger LOG = LoggerFactory.getLogger(ClientHandler.class);
+    private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(ClientHandler.class));
     /** Open requests that a connection carries. */
     private static final int MOST_OPEN = 32;
 
     private final ThriftFront front;
+    private final FrameDecoder decoder;
     private final Map<Integer, Call> open = new HashMap<>();
     private Channel channel;
     private long unread;
+    private int lastSeqid;
 
-    ClientHandler(ThriftFront front) {
+    /** @param decoder brings this handler its frames */
+    ClientHandler(ThriftFront front, FrameDecoder decoder) {
         this.front = front;
+        this.decoder = decoder;
     }
 
     @Override
@@ -35,30 +39,49 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+        // Frames that came with the one that made us close are nobody's any more.
+        if (!ctx.channel().isActive()) {
+            return;
+        }
         ThriftReader.Head head = ThriftReader.head(frame);
         if (head.kind() == ThriftReader.ONEWAY && head.method().equals("abort")) {
-            Integer seqid = ThriftReader.number(frame);
-            Call call = seqid == null ? null : open.remove(seqid);
-            if (call != null) {
-                front.abort(call);
-            }
+            abort(ThriftReader.number(frame));
         } else if (head.kind() != ThriftReader.CALL) {
             throw new DecoderException("message of kind " + head.kind() + " for " + head.method());
         } else if (head.method().equals("invoke")) {
             invoke(head.seqid(), ThriftReader.invocation(frame));
         } else if (head.method().equals("ping")) {
+            rest();
             send(ThriftWriter.pong(ctx.alloc(), head.seqid(), !front.isDraining()));
         } else {
+            rest();
             send(ThriftWriter.exception(ctx.alloc(), head.method(), head.seqid(),
                     ThriftWriter.UNKNOWN_METHOD, "no such method"));
         }
     }
 
+    /** An answer may cross the word that takes its request back; a number never given can't be taken back. */
+    private void abort(Integer seqid) {
+        if (seqid == null || seqid > lastSeqid) {
+            throw new DecoderException("request " + seqid + " was never made");
+        }
+        Call call = open.remove(seqid);
+        if (call != null) {
+            front.abort(call);
+            rest();
+        }
+    }
+
     private void invoke(int seqid, ThriftReader.Invocation asked) {
-        // Two open requests of one number could not be told apart: the connection is not what it should be.
-        if (open.containsKey(seqid)) {
-            throw new DecoderException("sequence number " + seqid + " is open already");
+        // Two requests of one number can't be told apart: the connection is not what it should be.
+        if (seqid <= lastSeqid) {
+            throw new DecoderException("sequence number " + seqid + " does not rise");
         }
+        lastSeqid = seqid;
+        if (open.size() >= MOST_OPEN) {
+            throw new DecoderException("more than " + MOST_OPEN + " open requests");
+        }
+        rest();
         CallFields fields;
         try {
             if (asked.body() == null) {
@@ -71,17 +94,25 @@
             return;
         }
         Call call = new Call(this, seqid, fields, asked.body());
-        if (open.size() >= MOST_OPEN || !front.take(call)) {
+        if (!front.take(call)) {
             send(ThriftWriter.overloaded(channel.alloc(), seqid, front.busyPushbackMs()));
             return;
         }
         open.put(seqid, call);
+        front.waits(this);
+    }
+
+    private void rest() {
+        if (open.isEmpty()) {
+            front.rests(this);
+        }
     }
 
     /** Every answer to a request passes here once; the request is over for this connection with it. */
     void answer(Call call, ByteBuf frame) {
         if (open.remove(call.seqid, call)) {
             send(frame);
+            rest();
         } else {
             frame.release();
         }
@@ -91,6 +122,11 @@
         front.write(this, frame);
     }
 
+    /** @return whether it has sent half a frame and, for that long, not the rest */
+    boolean isStuck(long nanos) {
+        return decoder.isStuck(nanos) && channel.config().isAutoRead();
+    }
+
     /** @return whether nothing is open and all that was answered has been sent */
     boolean isIdle() {
         return open.isEmpty() && unread == 0;
@@ -118,7 +154,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        LOG.info("client connection closed: {}", cause.toString());
+        LOG.info("closed the connection of client", ctx.channel().remoteAddress(), cause);
         ctx.close();
     }
 
--- a/src/main/java/lineward/thrift/Rehearsal.java
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -16,7 +16,8 @@
  */
 public final class Rehearsal {
     private static final int ROUNDS = 150;
-    private static final int TTL_MS = 30_000;
+    private static final int CALLS = 25;
+    private static final int TTL_MS = 2_000;
 
     private Rehearsal() { }
 
@@ -30,6 +31,11 @@
         ThriftFront front = new ThriftFront(names, planner, fleet, clock, () -> { });
         EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
         for (int i = 1; i <= ROUNDS; i++) {
+            // What the planner holds back stays open, and a connection carries only so many.
+            if (i % CALLS == 0) {
+                channel.close();
+                channel = new EmbeddedChannel(front.handlers());
+            }
             channel.writeInbound(ThriftWriter.invocation(channel.alloc(), i, Map.of("op",
                     names.classes().get(i % names.classes().size()), "call", String.format("%016x", i),
                     "ttl", Integer.toString(TTL_MS), "org", names.tenants().isEmpty() ? ""
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -10,13 +11,15 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import lineward.core.Budget;
 import lineward.core.Command;
@@ -26,13 +29,20 @@
 import lineward.core.TableGroups;
 import lineward.engine.EngineFleet;
 import lineward.engine.Run;
+import lineward.front.ClientTable;
 import lineward.front.FrontDoor;
 import peatwick.Front;
 
 /** The platform's front: clients speak Thrift, engines the line protocol, one planner decides. */
 public final class ThriftFront implements Forwarder<Call>, FrontDoor {
-    /** Largest frame of a client: a statement and its fields. */
-    private static final int LARGEST_FRAME = 64 * 1024;
+    /** Bytes read from one connection in a turn of the loop: who sends at full speed waits for the others. */
+    private static final int LEAST_READ = 512;
+    private static final int FIRST_READ = 2 * 1024;
+    private static final int MOST_READ = 16 * 1024;
+    /** Who has connected, or begun a frame, and then says nothing for so long is let go. */
+    private static final long SILENCE = TimeUnit.MILLISECONDS.toNanos(1500);
+    /** An id is new with every request; one that comes again so soon after its end is none of ours. */
+    private static final long ID_RESTS = TimeUnit.SECONDS.toNanos(5);
     /** Bytes of statements held at once; requests beyond are refused. */
     private static final long STATEMENTS = 12L << 20;
     /** Bytes of answers that clients have not read yet; past it the slowest client's connection is closed. */
@@ -45,11 +55,14 @@
     /**
      * @param classes names of the classes, in the order of the settings
      * @param tenants names of the tenants, in the order of the settings
-     * @param mostClients connections of clients held at once; further ones wait in the backlog
+     * @param deadlines of the classes in milliseconds, in the order of the settings
+     * @param mostClients connections of clients held at once
      */
-    public record Names(List<String> classes, List<String> tenants, int mostClients,
+    public record Names(List<String> classes, List<String> tenants, List<Double> deadlines, int mostClients,
             InetSocketAddress listen) { }
 
+    private record Ended(String id, long atNanos) { }
+
     private final Names names;
     private final Planner<Call> planner;
     private final EngineFleet fleet;
@@ -57,7 +70,10 @@
     private final Runnable news;
     private final Budget statements = new Budget(STATEMENTS);
     private final Budget answers = new Budget(ANSWERS);
-    private final Set<ClientHandler> clients = new LinkedHashSet<>();
+    private final ClientTable<ClientHandler> clients;
+    /** Ids that are open or were a moment ago. */
+    private final Set<String> ids = new HashSet<>();
+    private final Deque<Ended> ended = new ArrayDeque<>();
     private Channel listener;
     private boolean draining;
 
@@ -69,6 +85,7 @@
         this.fleet = fleet;
         this.clock = clock;
         this.news = news;
+        this.clients = new ClientTable<>(names.mostClients(), System::nanoTime, c -> c.channel().close());
     }
 
     @Override
@@ -77,6 +94,8 @@
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ,
+                        FIRST_READ, MOST_READ).maxMessagesPerRead(1))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(SLOW / 4, SLOW))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -90,8 +109,8 @@
 
     /** What reads one client's connection. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
-            new ClientHandler(this)};
+        FrameDecoder decoder = new FrameDecoder();
+        return new ChannelHandler[] {decoder, new ClientHandler(this, decoder)};
     }
 
     @Override
@@ -107,13 +126,22 @@
     @Override
     public void closeIdleClients() {
         listener.close();
-        List.copyOf(clients).stream()
-                .filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
+        clients.all().stream().filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
+    }
+
+    @Override
+    public void closeSilentClients() {
+        clients.closeSilent(SILENCE);
+        clients.all().stream().filter(c -> c.isStuck(SILENCE)).forEach(c -> c.channel().close());
+        long before = System.nanoTime() - ID_RESTS;
+        while (!ended.isEmpty() && ended.peek().atNanos() <= before) {
+            ids.remove(ended.poll().id());
+        }
     }
 
     @Override
     public boolean isQuiet() {
-        return planner.open() == 0 && clients.isEmpty();
+        return planner.open() == 0 && clients.size() == 0;
     }
 
     boolean isDraining() {
@@ -125,21 +153,27 @@
     }
 
     CallFields read(Map<String, String> fields, String statement) {
-        return CallFields.of(fields, names.classes(), names.tenants(), TableGroups.of(statement));
+        CallFields read = CallFields.of(fields, names, TableGroups.of(statement));
+        if (ids.contains(read.id())) {
+            throw new IllegalArgumentException("field call is in use already");
+        }
+        return read;
     }
 
     void connected(ClientHandler client) {
-        clients.add(client);
-        if (clients.size() >= names.mostClients()) {
-            listener.config().setAutoRead(false);
-        }
+        clients.arrived(client);
+    }
+
+    void waits(ClientHandler client) {
+        clients.waits(client);
+    }
+
+    void rests(ClientHandler client) {
+        clients.rests(client);
     }
 
     void disconnected(ClientHandler client) {
-        clients.remove(client);
-        if (clients.size() == names.mostClients() - 1) {
-            listener.config().setAutoRead(true);
-        }
+        clients.left(client);
     }
 
     /** @return false where there is no room for the request, which must then be refused */
@@ -154,6 +188,7 @@
             return false;
         }
         call.statement.retain();
+        ids.add(call.id());
         news.run();
         return true;
     }
@@ -169,7 +204,7 @@
         int size = frame.readableBytes();
         Channel channel = client.channel();
         if (!answers.reserve(size)) {
-            clients.stream().max(Comparator.comparingLong(ClientHandler::unread))
+            clients.all().stream().max(Comparator.comparingLong(ClientHandler::unread))
                     .ifPresent(c -> c.channel().close());
             if (!channel.isActive() || !answers.reserve(size)) {
                 frame.release();
@@ -242,5 +277,6 @@
     private void release(Call call) {
         statements.release(call.statement.readableBytes());
         call.statement.release();
+        ended.add(new Ended(call.id(), System.nanoTime()));
     }
 }
--- a/src/main/java/lineward/thrift/ThriftReader.java
+++ b/src/main/java/lineward/thrift/ThriftReader.java
@@ -64,6 +64,7 @@
                     skip(in, type, 0);
                 }
             }
+            end(in);
         } catch (IndexOutOfBoundsException e) {
             throw new CorruptedFrameException("arguments end early");
         }
@@ -82,12 +83,20 @@
                     skip(in, type, 0);
                 }
             }
+            end(in);
         } catch (IndexOutOfBoundsException e) {
             throw new CorruptedFrameException("arguments end early");
         }
         return found;
     }
 
+    /** A length that is wrong somewhere may still leave what reads well: only the end then shows it. */
+    private static void end(ByteBuf in) {
+        if (in.isReadable()) {
+            throw new CorruptedFrameException(in.readableBytes() + " bytes behind the arguments");
+        }
+    }
+
     private static Map<String, String> map(ByteBuf in) {
         byte key = in.readByte();
         byte value = in.readByte();
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -8,7 +8,9 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -27,7 +29,8 @@
     private static final int REFUSED = 1;
     private static final String[][] UNUSABLE = {{"op", "unknown"}, {"call", "short"},
         {"call", "zzzzzzzzzzzzzzzz"}, {"ttl", "0"}, {"ttl", "soon"}, {"org", "nobody"}, {"work", "-1"},
-        {"mem", "1e9"}, {"rep", "yes"}};
+        {"mem", "1e9"}, {"rep", "yes"}, {"ttl", "99999999"}, {"work", "99999999999"}, {"work", "NaN"},
+        {"mem", "99999999"}};
     private Platform platform;
 
     @BeforeMethod
@@ -237,6 +240,73 @@
         }
     }
 
+    /** What bad clients send: none of it may be served, or be left without a word for long. */
+    @DataProvider
+    public Object[][] badClients() {
+        Bad silent = caller -> { };
+        Bad half = caller -> caller.raw(new byte[] {0, 0, 1, 0, 1});
+        Bad huge = caller -> caller.raw(new byte[] {3, -128, 0, 0, 1});
+        Bad negative = caller -> caller.raw(new byte[] {-1, -1, -1, -1});
+        Bad behind = caller -> caller.send(StandInCaller.fields(2000), "select 1", new byte[] {0});
+        Bad twice = caller -> {
+            caller.send(StandInCaller.fields(2000), "select 1");
+            caller.renumber(1);
+            caller.send(StandInCaller.fields(2000), "select 1");
+        };
+        Bad abort = caller -> caller.abort(7);
+        Bad crowd = caller -> {
+            for (int i = 0; i < 40; i++) {
+                caller.send(StandInCaller.fields(2000), "select 1");
+            }
+        };
+        return new Object[][] {{silent}, {half}, {huge}, {negative}, {behind}, {twice}, {abort}, {crowd}};
+    }
+
+    private interface Bad {
+        void speak(StandInCaller caller) throws IOException;
+    }
+
+    @Test(dataProvider = "badClients")
+    public void badClientsAreClosedSoonAndNotServed(Bad bad) throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller caller = platform.caller()) {
+            caller.socket.setSoTimeout(3000);
+            bad.speak(caller);
+            assertTrue(caller.isClosed(), "no close within 3 s");
+        }
+    }
+
+    @Test
+    public void theIdOfAnOpenRequestIsNotRunAgain() throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller first = platform.caller(); StandInCaller second = platform.caller()) {
+            Map<String, String> fields = StandInCaller.fields(2000);
+            first.send(fields, "select 1");
+            Program.await("it runs", () -> wants() == 1);
+            StandInCaller.Answer answer = second.call(fields, "select 2");
+            assertEquals(answer.kind(), EXCEPTION);
+            assertTrue(answer.body().contains("call"), answer.body());
+        }
+    }
+
+    @Test
+    public void whoAsksOnceAndStaysMakesRoomForOthers() throws IOException {
+        List<StandInCaller> all = new ArrayList<>();
+        try {
+            for (int i = 0; i < 600; i++) {
+                StandInCaller caller = platform.caller();
+                all.add(caller);
+                assertEquals(ask(caller, 2000).field(), SERVED);
+            }
+            all.get(0).send(StandInCaller.fields(2000), "select 1");
+            assertTrue(all.get(0).isClosed(), "it rested longest");
+        } finally {
+            for (StandInCaller caller : all) {
+                caller.close();
+            }
+        }
+    }
+
     @Test
     public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell()
             throws IOException, InterruptedException {
--- a/src/test/java/lineward/thrift/StandInCaller.java
+++ b/src/test/java/lineward/thrift/StandInCaller.java
@@ -5,6 +5,8 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -39,7 +41,17 @@
                 "org", "west"));
     }
 
+    /** The next request gets this number. */
+    void renumber(int next) {
+        seqid = next - 1;
+    }
+
     int send(Map<String, String> fields, String statement) throws IOException {
+        return send(fields, statement, new byte[0]);
+    }
+
+    /** @param behind bytes behind the message, in its frame */
+    int send(Map<String, String> fields, String statement, byte[] behind) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream message = begin(bytes, 1, "invoke", ++seqid);
         message.write(new byte[] {13, 0, 1, 11, 11});
@@ -51,6 +63,7 @@
         message.write(new byte[] {11, 0, 2});
         text(message, statement);
         message.write(0);
+        message.write(behind);
         frame(bytes.toByteArray());
         return seqid;
     }
@@ -76,6 +89,21 @@
         return read();
     }
 
+    void raw(byte[] bytes) throws IOException {
+        out.write(bytes);
+    }
+
+    /** @return whether the connection has ended, or does so before an answer and the time-out */
+    boolean isClosed() throws IOException {
+        try {
+            return in.read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (SocketException e) {
+            return true; // A reset tells the end as well as a close does.
+        }
+    }
+
     void frame(byte[] bytes) throws IOException {
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
         DataOutputStream head = new DataOutputStream(whole);
