Fail only the runs on an unreadable link, pass second copies over, ask silent links

Now a run gets a connection of its own while there are enough (16 an engine, 0.35 of the descriptors), a second copy is passed over, HIT needs its total, pages must be whole rows of three columns within 6,000 bytes, and runs on a link that we close end 6 ms later, so that a rerun can't overtake the close. A link quiet for 0.4 s with runs out, or whose run was given up, is asked 'there'; it gets nothing new until it speaks and is left after 0.7 s.

Open: engines are still suspected of errors now and then; see whose requests fail.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -43,7 +43,8 @@
     private static final int MOST_REQUESTS = 8192;
     /** Clients may take a third of the descriptors; the rest is for those that stay and for bad ones. */
     private static final double CLIENT_PART = 0.5;
-    private static final int LINKS_PER_ENGINE = 8;
+    /** Part of the descriptors that connections to engines may take. */
+    private static final double LINK_PART = 0.35;
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
     private static final int STILL_COMING_MS = 1200;
     private static final int IDLE_SWEEP_MS = 1000;
@@ -84,7 +85,8 @@
                 STOP_TAKES_MS, tracer(Call::op));
         EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
                 config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
-                config.limit("streams-per-conn").asInt(100), LINKS_PER_ENGINE));
+                config.limit("streams-per-conn").asInt(100),
+                (int) (config.sockets() * LINK_PART)));
         News news = new News();
         ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
                 config.settings().classes().stream().map(Front.RequestClass::deadline).toList(),
@@ -159,7 +161,7 @@
     /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
         every(TICK_MS, () -> doors.forEach(FrontDoor::tick));
-        every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilentClients));
+        every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilent));
         every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
         starts.forEach(Runnable::run);
         for (FrontDoor door : doors) {
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -29,9 +29,9 @@
 
     /**
      * @param streams runs that one connection carries
-     * @param linksPerEngine most connections to one engine
+     * @param links most connections to all engines
      */
-    public record Limits(int connectTimeoutMs, double idleMs, int streams, int linksPerEngine) { }
+    public record Limits(int connectTimeoutMs, double idleMs, int streams, int links) { }
 
     private final Map<String, Member> members = new HashMap<>();
     private final Bootstrap bootstrap;
@@ -58,7 +58,7 @@
                     m.pool.closeAll();
                 }
                 m = new Member(new EnginePool(bootstrap, address, limits.streams(),
-                        limits.linksPerEngine()));
+                        () -> links() < limits.links()));
                 members.put(e.id(), m);
             }
             m.gone = e.condition() == Front.Condition.GONE;
@@ -102,7 +102,16 @@
         long now = System.nanoTime();
         long before = now - TimeUnit.MICROSECONDS.toNanos(Math.round(limits.idleMs() * IDLE_PART * 1000));
         members.values().forEach(m -> m.pool.closeIdle(m.gone ? now : before));
-        members.values().removeIf(m -> m.gone && m.pool.isEmpty());
+        members.values().removeIf(m -> m.gone && m.pool.size() == 0);
+    }
+
+    /** Has every connection look whether it still works. */
+    public void beat() {
+        members.values().forEach(m -> m.pool.beat());
+    }
+
+    private int links() {
+        return members.values().stream().mapToInt(m -> m.pool.size()).sum();
     }
 
     private static InetSocketAddress parse(String address) {
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -6,40 +6,45 @@
 import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import peatwick.Front;
 
 /** The connections to one engine. A new engine at an old address gets a pool of its own. */
 final class EnginePool {
+    /** Connections to one engine: more runs than that go to one engine only in a crowd. */
+    private static final int MOST_LINKS = 16;
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
     private final int streams;
-    private final int mostLinks;
+    private final BooleanSupplier room;
     private final List<Link> links = new ArrayList<>();
 
-    EnginePool(Bootstrap bootstrap, InetSocketAddress address, int streams, int mostLinks) {
+    /** @param room tells whether one more connection may be opened */
+    EnginePool(Bootstrap bootstrap, InetSocketAddress address, int streams, BooleanSupplier room) {
         this.bootstrap = bootstrap;
         this.address = address;
         this.streams = streams;
-        this.mostLinks = mostLinks;
+        this.room = room;
     }
 
     InetSocketAddress address() {
         return address;
     }
 
+    /** Each run gets a connection of its own while there are enough: with one that spoils, all on it fail. */
     void start(Run run) {
-        for (Link link : links) {
-            if (link.takes(run.id, streams)) {
-                link.start(run);
-                return;
-            }
+        Link best = links.stream().filter(l -> l.takes(run.id, streams))
+                .min(Comparator.comparingInt(Link::load)).orElse(null);
+        if ((best == null || best.load() > 0) && links.size() < MOST_LINKS && room.getAsBoolean()) {
+            best = connect();
         }
-        if (links.size() >= mostLinks) {
+        if (best == null) {
             run.end(Front.Outcome.FULL);
-            return;
+        } else {
+            best.start(run);
         }
-        connect().start(run);
     }
 
     private Link connect() {
@@ -79,8 +84,12 @@
         links.stream().filter(l -> l.openedBefore(unixMs)).toList().forEach(Link::close);
     }
 
-    boolean isEmpty() {
-        return links.isEmpty();
+    void beat() {
+        List.copyOf(links).forEach(Link::beat);
+    }
+
+    int size() {
+        return links.size();
     }
 
     void closeAll() {
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -6,30 +6,37 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import org.slf4j.Logger;
+import java.util.concurrent.TimeUnit;
+import lineward.front.SparseLog;
 import org.slf4j.LoggerFactory;
 import peatwick.Front;
 
 /** One connection to an engine, with the runs that it carries. */
 final class Link extends SimpleChannelInboundHandler<Reply> {
-    private static final Logger LOG = LoggerFactory.getLogger(Link.class);
-    /** Ids given up here are kept apart: past so many of them the link takes nothing new and retires. */
-    private static final int MOST_SPENT = 4096;
+    private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(Link.class));
+    /** With runs out and no word for so long, the connection is asked whether it works. */
+    private static final long QUIET = TimeUnit.MILLISECONDS.toNanos(400);
+    /** Beats by which it has to say so: an engine may stand still for half a second. */
+    private static final int MOST_BEATS = 7;
+    /** A close reaches its engine within this: a rerun must not overtake it. */
+    private static final int CLOSE_TAKES_MS = 6;
 
     private final Map<String, Run> runs = new LinkedHashMap<>();
     /** Given up while an answer may be on its way: the same id may not go out here again. */
-    private final Set<String> spent = new HashSet<>();
+    private final Map<String, Run> spent = new LinkedHashMap<>();
     private final long openedAtUnixMs = System.currentTimeMillis();
     private final Runnable onClosed;
     private Channel channel;
     private boolean up;
     private boolean closed;
     private long usedAt = System.nanoTime();
+    /** Beats since it was asked whether it works; 0 where nothing is asked. */
+    private int beats;
+    /** Its last run was given up unheard: it gets nothing new until it has spoken. */
+    private boolean doubted;
 
     /** @param onClosed is called once, when the link is of no more use */
     Link(Runnable onClosed) {
@@ -42,8 +49,12 @@
     }
 
     boolean takes(String id, int most) {
-        return !closed && runs.size() < most && spent.size() < MOST_SPENT && !runs.containsKey(id)
-                && !spent.contains(id) && (!up || channel.isWritable());
+        return !closed && !doubted && runs.size() < most && !runs.containsKey(id)
+                && !spent.containsKey(id) && (!up || channel.isOpen() && channel.isWritable());
+    }
+
+    int load() {
+        return runs.size();
     }
 
     boolean idleSince(long nanoTime) {
@@ -58,10 +69,6 @@
         return runs.get(run.id) == run;
     }
 
-    boolean isEmpty() {
-        return runs.isEmpty();
-    }
-
     void start(Run run) {
         runs.put(run.id, run);
         usedAt = System.nanoTime();
@@ -74,12 +81,37 @@
         runs.remove(run.id);
         usedAt = System.nanoTime();
         if (run.written) {
-            spent.add(run.id);
+            spent.put(run.id, run);
             say((run.paging() ? "shut " : "never_mind ") + run.id + "\r\n");
+            doubted = true;
+            ask();
         }
         run.drop();
     }
 
+    /** An answer may be lost with its connection, which stays open and silent: this word tells. */
+    private void ask() {
+        if (beats == 0) {
+            beats = 1;
+            say("there t" + System.nanoTime() + "\r\n");
+        }
+    }
+
+    /** Comes ten times a second. Beats count, not time: after a stall of ours the answer may be here. */
+    void beat() {
+        long now = System.nanoTime();
+        if (beats > 0) {
+            beats++;
+            if (beats > MOST_BEATS) {
+                LOG.info("engine connection", channel.remoteAddress(), "silent");
+                fail(Front.Outcome.RESET);
+            }
+        } else if (up && !closed && !runs.isEmpty() && now - usedAt > QUIET) {
+            ask();
+        }
+        spent.values().removeIf(run -> run.isPast(now));
+    }
+
     void hurry(Run run) {
         if (run.written && !run.paging()) {
             say("hurry " + run.id + ' ' + run.priority + "\r\n");
@@ -125,14 +157,17 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Reply reply) {
         usedAt = System.nanoTime();
-        Run run = runs.get(reply.id());
-        if (run == null) {
+        beats = 0;
+        doubted = false;
+        // What comes behind an unreadable reply, a second copy, or under an id that is none of ours.
+        Run run = closed ? null : runs.get(reply.id());
+        if (run == null || run.has(reply)) {
             reply.body().release();
             return;
         }
         switch (reply.word()) {
             case HIT -> {
-                run.open(reply.number("total", 1), reply.body());
+                run.open(reply.number("total", -1), reply.body());
                 for (int page = 1; page < run.total(); page++) {
                     say("turn " + run.id + ' ' + page + "\r\n");
                 }
@@ -151,7 +186,6 @@
     private void finishIfWhole(Run run) {
         if (run.whole()) {
             runs.remove(run.id);
-            spent.remove(run.id);
             if (run.total() > 1) {
                 say("shut " + run.id + "\r\n");
             }
@@ -165,16 +199,28 @@
         run.end(outcome);
     }
 
-    /** An engine that breaks the protocol can't be trusted with what else it says on this connection. */
+    /** What follows a reply that can't be read can't be read either: all runs here are lost with it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        LOG.warn("engine connection {}: {}", ctx.channel().remoteAddress(), cause.toString());
+        LOG.info("engine connection", ctx.channel().remoteAddress(), cause);
         if (cause instanceof MalformedReplyException || cause.getCause() instanceof MalformedReplyException) {
-            endAll(Front.Outcome.ERROR);
+            fail(Front.Outcome.ERROR);
         }
         ctx.close();
     }
 
+    /** Closes the connection, and ends its runs once the engine must have heard of that. */
+    private void fail(Front.Outcome outcome) {
+        if (!closed) {
+            closed = true;
+            onClosed.run();
+            List<Run> all = takeAll();
+            channel.close();
+            channel.eventLoop().schedule(() -> all.forEach(run -> run.end(outcome)), CLOSE_TAKES_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         ended(Front.Outcome.RESET);
@@ -189,13 +235,13 @@
         if (!closed) {
             closed = true;
             onClosed.run();
-            endAll(outcome);
+            takeAll().forEach(run -> run.end(outcome));
         }
     }
 
-    private void endAll(Front.Outcome outcome) {
+    private List<Run> takeAll() {
         List<Run> all = new ArrayList<>(runs.values());
         runs.clear();
-        all.forEach(run -> run.end(outcome));
+        return all;
     }
 }
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -24,7 +24,8 @@
                     result.release();
                 }
             }));
-            for (String reply : new String[] {" HIT total=2 2\r\na\n\r\n", " PART index=1 2\r\nb\n\r\n"}) {
+            for (String reply : new String[] {" HIT total=2 6\r\na\tb\tc\n\r\n",
+                " PART index=1 6\r\nd\te\tf\n\r\n"}) {
                 channel.writeInbound(Unpooled.copiedBuffer(id + reply, StandardCharsets.US_ASCII));
             }
             for (ByteBuf said = channel.readOutbound(); said != null; said = channel.readOutbound()) {
--- a/src/main/java/lineward/engine/Run.java
+++ b/src/main/java/lineward/engine/Run.java
@@ -14,9 +14,10 @@
         void ended(Front.Outcome outcome, ByteBuf result);
     }
 
-    /** Most bytes of one result; the protocol allows 48,000. */
-    private static final int LARGEST_RESULT = 64 * 1024;
-    /** Most pages of one result. */
+    /** Most bytes of one result, and of one page of it. */
+    private static final int LARGEST_RESULT = 48_000;
+    private static final int LARGEST_PAGE = 6_000;
+    /** Most pages of one result: short rows, each on a page of its own. */
     private static final int MOST_PAGES = 1024;
 
     final String id;
@@ -52,8 +53,18 @@
         return Math.max(1, (until - System.nanoTime()) / 1_000_000);
     }
 
-    boolean isOver() {
-        return over;
+    /** @return whether its time is over, so that its id will not be used again */
+    boolean isPast(long nanoTime) {
+        return until - nanoTime < 0;
+    }
+
+    /** @return whether this is a second copy of what is here */
+    boolean has(Reply reply) {
+        if (pages == null || reply.word() == Reply.Word.HIT) {
+            return pages != null;
+        }
+        int index = reply.word() == Reply.Word.PART ? reply.number("index", -1) : -1;
+        return index >= 0 && index < pages.length && pages[index] != null;
     }
 
     /** @return whether the first page is here */
@@ -65,19 +76,19 @@
     void open(int total, ByteBuf page) {
         if (pages != null || total < 1 || total > MOST_PAGES) {
             page.release();
-            throw new MalformedReplyException("result of " + total + " pages, or begun twice");
+            throw new MalformedReplyException("result of " + total + " pages");
         }
         pages = new ByteBuf[total];
         missing = total;
         put(0, page);
     }
 
-    /** Takes a page in; the last one missing ends the run. */
+    /** Takes a page in. */
     void put(int index, ByteBuf page) {
-        if (pages == null || index < 0 || index >= pages.length || pages[index] != null
-                || bytes + page.readableBytes() > LARGEST_RESULT) {
+        if (pages == null || index < 0 || index >= pages.length || page.readableBytes() > LARGEST_PAGE
+                || bytes + page.readableBytes() > LARGEST_RESULT || !Rows.areWhole(page)) {
             page.release();
-            throw new MalformedReplyException("page " + index + " was not asked for or is too large");
+            throw new MalformedReplyException("page " + index + " was not asked for or holds no rows");
         }
         pages[index] = page;
         bytes += page.readableBytes();
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -17,8 +17,8 @@
     /** Closes the listener and the connections of clients that wait for nothing. */
     void closeIdleClients();
 
-    /** Closes the connections of clients that say nothing, or not the rest of what they began. */
-    void closeSilentClients();
+    /** Closes connections that say nothing, or not the rest of what they began; comes ten times a second. */
+    void closeSilent();
 
     /** Closes connections to engines that have been idle for long. */
     void closeIdleEngines();
--- a/src/main/java/lineward/front/SparseLog.java
+++ b/src/main/java/lineward/front/SparseLog.java
@@ -16,13 +16,13 @@
     }
 
     /** Logs the line, unless one was logged a moment ago. */
-    public void info(String what, Object about, Throwable cause) {
+    public void info(String what, Object about, Object cause) {
         long now = System.nanoTime();
         if (now - next < 0) {
             passedOver++;
             return;
         }
-        log.info("{} {}: {} ({} lines like this passed over)", what, about, cause, passedOver);
+        log.info("{} {}: {} ({} lines like this passed over)", what, about, cause.toString(), passedOver);
         next = now + PAUSE;
         passedOver = 0;
     }
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -127,7 +127,7 @@
 
     /** Who has not logged in yet is let go; who has may rest, as sessions do. */
     @Override
-    public void closeSilentClients() {
+    public void closeSilent() {
         long before = System.nanoTime() - LOGIN_TAKES;
         clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
     }
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -130,7 +130,8 @@
     }
 
     @Override
-    public void closeSilentClients() {
+    public void closeSilent() {
+        fleet.beat();
         clients.closeSilent(SILENCE);
         clients.all().stream().filter(c -> c.isStuck(SILENCE)).forEach(c -> c.channel().close());
         long before = System.nanoTime() - ID_RESTS;
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -69,7 +69,8 @@
 
     @DataProvider
     public Object[][] troubles() {
-        return new Object[][] {{Mode.FAULT}, {Mode.SHED}, {Mode.RESET}, {Mode.GARBAGE}, {Mode.LOSE_PAGES}};
+        return new Object[][] {{Mode.FAULT}, {Mode.SHED}, {Mode.RESET}, {Mode.GARBAGE}, {Mode.LOSE_PAGES},
+            {Mode.NOISE}, {Mode.NO_TOTAL}, {Mode.DEAD}, {Mode.SHORT}};
     }
 
     @Test(dataProvider = "troubles")
@@ -83,6 +84,39 @@
         }
     }
 
+    @Test
+    public void secondCopiesAndUnknownIdsArePassedOver() throws IOException {
+        platform.both(Mode.COPIES);
+        try (StandInCaller caller = platform.caller()) {
+            for (int i = 1; i <= 20; i++) {
+                assertEquals(ask(caller, 2000).body(), String.join("", StandInLines.PAGES));
+                assertEquals(wants(), i, "nothing runs again");
+            }
+        }
+    }
+
+    @Test
+    public void anUnreadableReplyFailsNoRunOnAnotherConnection() throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller open = platform.caller(); StandInCaller caller = platform.caller()) {
+            open.send(StandInCaller.fields(2400), "select 1");
+            open.send(StandInCaller.fields(2400), "select 1");
+            Program.await("one runs at each", () -> platform.one.count("want") == 1
+                    && platform.two.count("want") == 1);
+            platform.two.mode = Mode.SERVE;
+            platform.one.mode = Mode.GARBAGE;
+            for (int i = 0; i < 6; i++) {
+                caller.send(StandInCaller.fields(2000), "select 1");
+            }
+            for (int i = 0; i < 6; i++) {
+                assertEquals(caller.read().field(), SERVED);
+            }
+            assertTrue(platform.one.count("want") > 1, "some met the unreadable reply");
+            String first = platform.one.heard.get(0).split(" ")[1];
+            assertEquals(platform.two.count("want " + first) + platform.one.count("never_mind"), 0);
+        }
+    }
+
     @Test
     public void manyOpenRequestsGetOneAnswerEachAndNeverRunTwiceAtOnce() throws IOException {
         platform.one.mode = Mode.SILENT;
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -20,7 +20,7 @@
 /** A small engine of the line protocol. What it does with a request is set by its mode. */
 final class StandInLines implements AutoCloseable {
     /** What it does with what it is sent. */
-    enum Mode { SERVE, SILENT, FAULT, SHED, RESET, GARBAGE, LOSE_PAGES }
+    enum Mode { SERVE, SILENT, FAULT, SHED, RESET, GARBAGE, LOSE_PAGES, DEAD, COPIES, NOISE, NO_TOTAL, SHORT }
 
     /** Pages of every result. */
     static final List<String> PAGES = List.of("a\tb\tc\n", "d\te\tf\n", "g\th\ti\n");
@@ -70,6 +70,7 @@
 
     private void session(Socket socket) {
         Set<String> here = sockets.get(socket);
+        boolean dead = false;
         try (socket; InputStream in = new BufferedInputStream(socket.getInputStream())) {
             while (true) {
                 String line = line(in);
@@ -84,9 +85,15 @@
                         TWICE.add(words[1]);
                     }
                     here.add(words[1]);
+                    dead = mode == Mode.DEAD || mode == Mode.SHORT;
                     want(socket, words[1], here);
+                } else if (words[0].equals("there") && !dead) {
+                    say(socket, words[1] + " PONG -", "");
                 } else if (words[0].equals("turn")) {
                     int page = Integer.parseInt(words[2]);
+                    if (mode == Mode.COPIES) {
+                        say(socket, words[1] + " PART index=" + page, PAGES.get(page));
+                    }
                     if (mode == Mode.LOSE_PAGES) {
                         say(socket, words[1] + " FAULT -", "");
                     } else {
@@ -117,6 +124,16 @@
         }
         ended(id, here);
         switch (now) {
+            case DEAD -> { }
+            case COPIES -> {
+                say(socket, "fedcba9876543210 HIT total=1", PAGES.get(0));
+                say(socket, id + " HIT total=" + PAGES.size(), PAGES.get(0));
+                say(socket, id + " HIT total=" + PAGES.size(), PAGES.get(0));
+            }
+            case NOISE -> say(socket, id + " HIT total=1", "a\tb\u0001\tc\n");
+            case NO_TOTAL -> say(socket, id + " HIT -", PAGES.get(0));
+            case SHORT -> socket.getOutputStream().write((id + " HIT total=1 900\r\na\tb").getBytes(
+                    StandardCharsets.US_ASCII));
             case FAULT -> say(socket, id + " FAULT why=test", "");
             case SHED -> say(socket, id + " SHED -", "");
             case RESET -> {
