Blame no engine for a request that errs at two, and no crash on a single reset

A second error of one request now takes the first one's blame back, and after three it is given up. One RESET no longer makes its engine cold (downAt): a process that ends resets all its connections, and one connection may break for itself; two in a row still do.

--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -68,6 +68,10 @@
     private static final double TRIALS_SAVED = 2;
     /** Bad outcomes in a row that make an engine suspected. */
     private static final int BAD_IN_A_ROW = 3;
+    /** Resets in a row that tell of a process that ended: a single connection may break for itself. */
+    private static final int RESETS_IN_A_ROW = 2;
+    /** Errors by which a request counts as one that no engine can run. */
+    private static final int ERRORS = 3;
     /** With fewer sound engines than this share, suspicion is as likely ours: use them all. */
     private static final double FEW_SOUND = 0.34;
     /** Memory of an engine's relative speed. */
@@ -679,7 +683,7 @@
     /** A further attempt where the effect allows it and time is left; else the answer at once. */
     private void again(Request r, Try a, Outcome o) {
         if (!mayRepeat(r) || r.attempts.size() >= set.limits().maxAttempts() || cannotMakeIt(r)
-                || o == Outcome.MOOT) {
+                || o == Outcome.MOOT || r.errors >= ERRORS) {
             finish(r);
             return;
         }
@@ -725,8 +729,10 @@
                     r.c.ran(Math.max(age, least), false);
                 }
                 if (v.outcome() == Outcome.RESET) {
-                    a.e.downAt = now;
                     bad(a.e, "resets");
+                    if (a.e.badInARow >= RESETS_IN_A_ROW) {
+                        a.e.downAt = now;
+                    }
                 }
             }
             case CONNECT_FAILED -> {
@@ -734,7 +740,7 @@
                 a.e.downAt = now;
                 bad(a.e, "refuses connections");
             }
-            case ERROR -> bad(a.e, "answers with errors");
+            case ERROR -> blame(r, a.e);
             default -> { }
         }
     }
@@ -866,6 +872,17 @@
         }
     }
 
+    /** Danger: a request that every engine answers with an error would make all of them suspected. */
+    private void blame(Request r, Engine e) {
+        r.errors++;
+        if (r.errors == 1) {
+            r.erred = e;
+            bad(e, "answers with errors");
+        } else if (r.errors == 2 && r.erred.badInARow > 0) {
+            r.erred.suspected &= r.erred.badInARow-- != BAD_IN_A_ROW;
+        }
+    }
+
     private void bad(Engine e, String what) {
         e.badInARow++;
         if (e.badInARow >= BAD_IN_A_ROW) {
--- a/src/main/java/peatwick/RequestState.java
+++ b/src/main/java/peatwick/RequestState.java
@@ -26,6 +26,9 @@
     E ran;
     double firstRan;
     double rank;
+    /** Errors that it met, and the engine that gave the first. */
+    int errors;
+    E erred;
 
     RequestState(Front.Arrival e, double now) {
         id = e.request();
--- /dev/null
+++ b/src/test/java/peatwick/BlameTest.java
@@ -0,0 +1,66 @@
+package peatwick;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+import peatwick.Front.Outcome;
+
+/** Whose fault an error or a reset is: the request's, the connection's or the engine's. */
+public class BlameTest {
+    private static long suspicions(Scene s) {
+        return s.all(Front.Log.class).stream().filter(l -> l.text().contains("suspected")).count();
+    }
+
+    @Test
+    public void requestsThatNoEngineCanRunMakeNoneSuspectedAndEndSoon() {
+        Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3, 4);
+        for (int id = 1; id <= 20; id++) {
+            s.ask(id, 0);
+            int attempts = 0;
+            while (s.last(Front.Refuse.class).isEmpty()) {
+                assertEquals(s.last(Front.Send.class).size(), 1);
+                s.verdict(id, attempts++, Outcome.ERROR);
+            }
+            assertEquals(attempts, 3);
+        }
+        assertEquals(suspicions(s), 0);
+    }
+
+    @Test
+    public void anEngineThatFailsWhatOthersServeIsSuspected() {
+        Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3, 4);
+        for (int id = 1; id <= 40; id++) {
+            s.ask(id, 0);
+            int attempt = 0;
+            while (s.sentTo() == 1) {
+                s.verdict(id, attempt++, Outcome.ERROR);
+            }
+            s.verdict(id, attempt, Outcome.OK);
+        }
+        assertTrue(suspicions(s) > 0);
+    }
+
+    /** What an engine that just broke off is sent at once: less, should it have come back cold. */
+    private static int sentAfterResets(int resets) {
+        Scene s = new Scene(Scene.settings(Scene.look())).engines(1);
+        s.now += 2000;
+        for (int id = 1; id <= resets; id++) {
+            s.ask(id, 0);
+        }
+        for (int id = 1; id <= resets; id++) {
+            s.verdict(id, 0, Outcome.RESET).tell(new Front.Aborted(id));
+        }
+        int before = s.all(Front.Send.class).size();
+        for (int id = 101; id <= 110; id++) {
+            s.ask(id, 0, 0, 2000, 5000);
+        }
+        return s.all(Front.Send.class).size() - before;
+    }
+
+    @Test
+    public void aSingleResetTellsNothingOfTheEngineAndTwoDo() {
+        assertEquals(sentAfterResets(1), sentAfterResets(0));
+        assertTrue(sentAfterResets(2) < sentAfterResets(1));
+    }
+}
