--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -46,7 +46,9 @@
     /** Part of the descriptors that connections to engines may take. */
     private static final double LINK_PART = 0.35;
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
-    private static final int STILL_COMING_MS = 1200;
+    private static final int STILL_COMING_MS = 900;
+    /** SIGKILL may come 3.7 s after SIGTERM: who waits must have heard by then. */
+    private static final int LAST_WORD_MS = 3300;
     private static final int IDLE_SWEEP_MS = 1000;
     private static final int SILENCE_SWEEP_MS = 100;
     /** How often the MySQL file is looked at: a drain must be known well within a second. */
@@ -220,6 +222,7 @@
                 drained.countDown();
             }
         }), STILL_COMING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> doors.forEach(FrontDoor::lastWord), LAST_WORD_MS, TimeUnit.MILLISECONDS);
         try {
             drained.await();
         } catch (InterruptedException e) {
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -8,7 +8,8 @@
 /**
  * The command line: {@code serve [MYSQL-FILE]} runs a front end for the platform, and the MySQL front with it
  * where its file says so; {@code mysql FILE} runs the MySQL front alone; {@code adapter} speaks the
- * simulator's wire.
+ * simulator's wire; {@code rehearse FILE} starts as a front end with that configuration and ends at once, so
+ * that the build can keep the classes of a start in an archive.
  */
 public final class Main {
     private static final Path MYSQL_FILE = Path.of("deploy", "mysql.toml");
@@ -24,18 +25,21 @@
             peatwick.adapter.Main.main(args);
         } else if (command.equals("serve") && words.size() <= 2 || command.equals("mysql")
                 && words.size() == 2) {
-            run(command.equals("serve"), words.size() == 2 ? Path.of(words.get(1)) : MYSQL_FILE,
-                    words.size() == 2);
+            run(command.equals("serve"), System.getenv("RELAY_CONFIG"),
+                    words.size() == 2 ? Path.of(words.get(1)) : MYSQL_FILE, words.size() == 2);
+        } else if (command.equals("rehearse") && words.size() == 2) {
+            run(true, words.get(1), MYSQL_FILE, false);
+            System.exit(0);
         } else {
-            stop("usage: java -jar lineward.jar serve [MYSQL-FILE] | mysql MYSQL-FILE | adapter");
+            stop("usage: java -jar lineward.jar serve [MYSQL-FILE] | mysql MYSQL-FILE | adapter"
+                    + " | rehearse CONFIG");
         }
     }
 
-    private static void run(boolean platform, Path mysql, boolean required) {
+    private static void run(boolean platform, String path, Path mysql, boolean required) {
         try {
             FrontEnd frontEnd = new FrontEnd();
             if (platform) {
-                String path = System.getenv("RELAY_CONFIG");
                 frontEnd.addPlatform(Config.read(path));
                 // Without a handler the virtual machine ends on SIGHUP.
                 Signals.register("HUP", () -> frontEnd.reload(path));
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -95,6 +95,18 @@
         }
     }
 
+    /** Gives all requests that are still owed an answer the answer 'failed'. */
+    public void failAll() {
+        requests.forEach(r -> {
+            if (!r.over) {
+                commands.add(new Command.Fail<>(r.exchange));
+                close(r, Tracer.Ending.FAILED);
+                events.add(new Front.Aborted(r.id));
+                tidy(r);
+            }
+        });
+    }
+
     /**
      * An attempt has ended.
      *
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -7,7 +7,7 @@
 
 /** Plays runs through a connection that leads nowhere, so that none of its code runs cold when it counts. */
 public final class Rehearsal {
-    private static final int ROUNDS = 150;
+    private static final int ROUNDS = 60;
 
     private Rehearsal() { }
 
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -14,6 +14,9 @@
     /** From now on the front asks for no new clients, but serves all that come. */
     void drain();
 
+    /** Fails what is still open where the process is about to be killed. */
+    void lastWord();
+
     /** Closes the listener and the connections of clients that wait for nothing. */
     void closeIdleClients();
 
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -119,6 +119,10 @@
     @Override
     public void drain() { }
 
+    /** Nobody kills a front by the clock that serves MySQL: its statements run to their deadlines. */
+    @Override
+    public void lastWord() { }
+
     @Override
     public void closeIdleClients() {
         listener.close();
--- a/src/main/java/lineward/thrift/Rehearsal.java
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -15,7 +15,7 @@
  * virtual machine took some 80 ms for its first request: enough to answer a short one too late.
  */
 public final class Rehearsal {
-    private static final int ROUNDS = 150;
+    private static final int ROUNDS = 60;
     private static final int CALLS = 25;
     private static final int TTL_MS = 2_000;
 
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -118,6 +118,12 @@
         draining = true;
     }
 
+    @Override
+    public void lastWord() {
+        planner.failAll();
+        news.run();
+    }
+
     @Override
     public void closeIdleEngines() {
         fleet.closeIdle();
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -27,6 +27,7 @@
     private static final int EXCEPTION = 3;
     private static final int SERVED = 0;
     private static final int REFUSED = 1;
+    private static final int FAILED = 2;
     private static final String[][] UNUSABLE = {{"op", "unknown"}, {"call", "short"},
         {"call", "zzzzzzzzzzzzzzzz"}, {"ttl", "0"}, {"ttl", "soon"}, {"org", "nobody"}, {"work", "-1"},
         {"mem", "1e9"}, {"rep", "yes"}, {"ttl", "99999999"}, {"work", "99999999999"}, {"work", "NaN"},
@@ -341,6 +342,21 @@
         }
     }
 
+    @Test
+    public void whoStillWaitsWhenTheProgramIsAboutToBeKilledHears() throws IOException, InterruptedException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller caller = platform.caller(); StandInCaller resting = platform.caller()) {
+            assertTrue(resting.simple("ping").good());
+            caller.send(StandInCaller.fields(9000), "select 1");
+            Program.await("it runs", () -> wants() == 1);
+            long start = System.nanoTime();
+            platform.program.terminate();
+            assertEquals(caller.read().field(), FAILED);
+            assertEquals(platform.program.status(), 0);
+            assertTrue(System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(3700), "ends in time");
+        }
+    }
+
     @Test
     public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell()
             throws IOException, InterruptedException {
