Tell a broken connection from a broken engine; forget engines that are gone

Now a connection lost while others to its engine stand ends its runs without blame, one reset when new is tried once more, and only a repetition with no word between, or a refusal, counts against the engine (EnginePool).

Also: the planner forgets numbers of engines that are gone, the MySQL front their links; bounds of requests, statements and answers follow the memory stated.

--- a/src/main/java/lineward/app/Config.java
+++ b/src/main/java/lineward/app/Config.java
@@ -23,8 +23,8 @@
  * @param known the journal's events so far
  * @param raw the settings as they came, for what the module does not need
  */
-record Config(String name, InetSocketAddress listen, long seed, int sockets, String journal, JsonNode known,
-        Front.Settings settings, JsonNode raw) {
+record Config(String name, InetSocketAddress listen, long seed, int memoryMb, int sockets, String journal,
+        JsonNode known, Front.Settings settings, JsonNode raw) {
     private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
     private static final int HIGHEST_PORT = 65535;
     private static final int HEX = 16;
@@ -48,7 +48,7 @@
         try {
             return new Config(root.path("name").asText("lineward"),
                     address("listen", root.path("listen").asText("")), seed(root.path("seed").asText("0")),
-                    root.path("limits").path("sockets").asInt(1024), journal(root),
+                    limit(root, "memory_mb", 192), limit(root, "sockets", 1024), journal(root),
                     root.path("known"), SettingsReader.read(root.path("settings").toString()),
                     root.path("settings"));
         } catch (WireException e) {
@@ -56,6 +56,14 @@
         }
     }
 
+    private static int limit(JsonNode root, String name, int fallback) {
+        int limit = root.path("limits").path(name).asInt(fallback);
+        if (limit <= 0) {
+            throw new ConfigException("limits: " + name + " is no positive number");
+        }
+        return limit;
+    }
+
     private static String journal(JsonNode root) {
         String text = root.path("journal").asText("");
         address("journal", text);
--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -41,6 +41,10 @@
     /** A word to give up crosses the floors well within this. */
     private static final double STOP_TAKES_MS = 6;
     private static final int MOST_REQUESTS = 8192;
+    /** Open requests for each megabyte of the memory, and the parts of it for what is held of them. */
+    private static final int REQUESTS_PER_MB = 64;
+    private static final int STATEMENT_PART = 16;
+    private static final int ANSWER_PART = 12;
     /** Clients may take a third of the descriptors; the rest is for those that stay and for bad ones. */
     private static final double CLIENT_PART = 0.5;
     /** Part of the descriptors that connections to engines may take. */
@@ -83,7 +87,8 @@
 
     /** Adds the platform's front. */
     void addPlatform(Config config) {
-        Planner<Call> planner = new Planner<>(new Control(config.settings(), config.seed()), MOST_REQUESTS,
+        int mostRequests = Math.min(MOST_REQUESTS, config.memoryMb() * REQUESTS_PER_MB);
+        Planner<Call> planner = new Planner<>(new Control(config.settings(), config.seed()), mostRequests,
                 STOP_TAKES_MS, tracer(Call::op));
         EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
                 config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
@@ -91,14 +96,16 @@
                 (int) (config.sockets() * LINK_PART)));
         News news = new News();
         ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
-                config.settings().classes().stream().map(Front.RequestClass::deadline).toList(),
-                (int) (config.sockets() * CLIENT_PART), config.listen());
+                config.settings().classes().stream().map(Front.RequestClass::deadline).toList());
+        long memory = (long) config.memoryMb() << 20;
+        ThriftFront.Bounds bounds = new ThriftFront.Bounds((int) (config.sockets() * CLIENT_PART),
+                memory / STATEMENT_PART, memory / ANSWER_PART);
         onLoop(() -> {
             lineward.engine.Rehearsal.play();
-            Rehearsal.play(names, new Planner<>(new Control(config.settings(), 0), MOST_REQUESTS,
+            Rehearsal.play(names, bounds, new Planner<>(new Control(config.settings(), 0), mostRequests,
                     STOP_TAKES_MS, new LogTracer<>()), fleet, clock);
         });
-        ThriftFront front = new ThriftFront(names, planner, fleet, clock, news);
+        ThriftFront front = new ThriftFront(names, bounds, config.listen(), planner, fleet, clock, news);
         news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
             fleet.list(whole, entries);
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import peatwick.Front;
 
 /**
@@ -153,6 +155,21 @@
     public void list(boolean whole, List<EngineEntry> entries) {
         events.add(new Front.ListChange(whole, entries.stream().map(e -> new Front.Listed(number(e.id()),
                 e.kind(), e.weight(), e.startedAtMs(), e.condition(), e.zone(), e.cell())).toList()));
+        if (whole) {
+            Set<String> named = entries.stream().map(EngineEntry::id).collect(Collectors.toSet());
+            List.copyOf(numbers.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
+        }
+        entries.stream().filter(e -> e.condition() == Front.Condition.GONE).forEach(e -> forget(e.id()));
+    }
+
+    /** The module sends nothing to who is gone; engines come under ever new ids. */
+    private void forget(String engine) {
+        names.remove(numbers.remove(engine));
+    }
+
+    /** @return engines known by number */
+    int engines() {
+        return names.size();
     }
 
     /** @return requests that are still owed an answer */
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -4,15 +4,19 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import peatwick.Front;
 
 /** The connections to one engine. A new engine at an old address gets a pool of its own. */
-final class EnginePool {
+final class EnginePool implements Link.Owner {
+    /** Connections lost with no word between by which it is the engine that is at fault. */
+    private static final int REPEATED = 2;
     /** Connections to one engine: more runs than that go to one engine only in a crowd. */
     private static final int MOST_LINKS = 16;
     private final Bootstrap bootstrap;
@@ -20,6 +24,7 @@
     private final int streams;
     private final BooleanSupplier room;
     private final List<Link> links = new ArrayList<>();
+    private int lost;
 
     /** @param room tells whether one more connection may be opened */
     EnginePool(Bootstrap bootstrap, InetSocketAddress address, int streams, BooleanSupplier room) {
@@ -48,9 +53,7 @@
     }
 
     private Link connect() {
-        Link[] made = new Link[1];
-        Link link = new Link(() -> links.remove(made[0]));
-        made[0] = link;
+        Link link = new Link(this);
         links.add(link);
         ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
@@ -61,12 +64,51 @@
         link.connecting(opening.channel());
         opening.addListener(done -> {
             if (!done.isSuccess()) {
-                link.failedToConnect();
+                link.failedToConnect(done.cause());
             }
         });
         return link;
     }
 
+    @Override
+    public void closed(Link link) {
+        links.remove(link);
+    }
+
+    @Override
+    public void heard() {
+        lost = 0;
+    }
+
+    /**
+     * A process that ends resets all its connections, so where another still stands, this one broke for
+     * itself: its runs end with no blame, unless that repeats. All of one end are here a moment later.
+     */
+    @Override
+    public void lost(List<Run> runs) {
+        if (!runs.isEmpty()) {
+            lost++;
+            bootstrap.config().group().next().schedule(() -> {
+                boolean alive = lost < REPEATED && links.stream().anyMatch(Link::isUp);
+                runs.forEach(run -> run.end(alive ? Front.Outcome.CANCELLED : Front.Outcome.RESET));
+            }, Link.CLOSE_TAKES_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A refusal, or no word at all, is the engine's; a connection reset when new is tried once more. */
+    @Override
+    public void unsent(List<Run> runs, Throwable cause) {
+        lost++;
+        boolean its = lost >= REPEATED || cause instanceof ConnectException;
+        runs.forEach(run -> {
+            if (its) {
+                run.end(Front.Outcome.CONNECT_FAILED);
+            } else {
+                start(run);
+            }
+        });
+    }
+
     void stop(Run run) {
         links.stream().filter(l -> l.holds(run)).findFirst().ifPresent(l -> l.stop(run));
     }
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -4,16 +4,31 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** Plays runs through a connection that leads nowhere, so that none of its code runs cold when it counts. */
 public final class Rehearsal {
     private static final int ROUNDS = 60;
 
+    private static final Link.Owner NOBODY = new Link.Owner() {
+        @Override
+        public void closed(Link link) { }
+
+        @Override
+        public void heard() { }
+
+        @Override
+        public void lost(List<Run> runs) { }
+
+        @Override
+        public void unsent(List<Run> runs, Throwable cause) { }
+    };
+
     private Rehearsal() { }
 
     /** Plays some runs of two pages each. */
     public static void play() {
-        Link link = new Link(() -> { });
+        Link link = new Link(NOBODY);
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder(), link);
         link.connecting(channel);
         ByteBuf statement = Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII);
--- a/src/main/java/lineward/mysql/EngineLinks.java
+++ b/src/main/java/lineward/mysql/EngineLinks.java
@@ -138,8 +138,9 @@
         closing = false;
     }
 
-    boolean isEmpty() {
-        return links.isEmpty();
+    /** @return whether it takes nothing new and has no connection left */
+    boolean isDrained() {
+        return closing && links.isEmpty();
     }
 
     void closeIdle(long usedBeforeNanos) {
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -113,6 +113,7 @@
     public void closeIdleEngines() {
         long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(config.bounds().idleMs());
         engines.values().forEach(l -> l.closeIdle(before));
+        engines.values().removeIf(l -> l.isDrained());
     }
 
     /** The protocol has no word by which clients could be asked to stay away. */
@@ -204,7 +205,12 @@
         Query query = c.exchange();
         query.runOf = c.attempt();
         query.run = new MysqlRun(query.work, new Reports(query, c.attempt()));
-        engines.get(c.engine()).start(query.run);
+        EngineLinks links = engines.get(c.engine());
+        if (links == null) {
+            query.run.end(Front.Outcome.CONNECT_FAILED);
+        } else {
+            links.start(query.run);
+        }
     }
 
     @Override
--- a/src/main/java/lineward/thrift/Rehearsal.java
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -25,10 +25,10 @@
      * @param planner of the rehearsal alone
      * @param fleet with no engine in it: attempts end at once
      */
-    public static void play(ThriftFront.Names names, Planner<Call> planner, EngineFleet fleet,
-            DoubleSupplier clock) {
+    public static void play(ThriftFront.Names names, ThriftFront.Bounds bounds, Planner<Call> planner,
+            EngineFleet fleet, DoubleSupplier clock) {
         planner.list(true, List.of(new EngineEntry("rehearsal", "", 0, 1, 0, Front.Condition.READY, 0, 0)));
-        ThriftFront front = new ThriftFront(names, planner, fleet, clock, () -> { });
+        ThriftFront front = new ThriftFront(names, bounds, null, planner, fleet, clock, () -> { });
         EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
         for (int i = 1; i <= ROUNDS; i++) {
             // What the planner holds back stays open, and a connection carries only so many.
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -43,10 +43,6 @@
     private static final long SILENCE = TimeUnit.MILLISECONDS.toNanos(1500);
     /** An id is new with every request; one that comes again so soon after its end is none of ours. */
     private static final long ID_RESTS = TimeUnit.SECONDS.toNanos(5);
-    /** Bytes of statements held at once; requests beyond are refused. */
-    private static final long STATEMENTS = 12L << 20;
-    /** Bytes of answers that clients have not read yet; past it the slowest client's connection is closed. */
-    private static final long ANSWERS = 16L << 20;
     /** Pending bytes at which a client counts as slow. */
     private static final int SLOW = 256 * 1024;
     /** Advice to a client that found this front end full. */
@@ -56,20 +52,26 @@
      * @param classes names of the classes, in the order of the settings
      * @param tenants names of the tenants, in the order of the settings
      * @param deadlines of the classes in milliseconds, in the order of the settings
-     * @param mostClients connections of clients held at once
      */
-    public record Names(List<String> classes, List<String> tenants, List<Double> deadlines, int mostClients,
-            InetSocketAddress listen) { }
+    public record Names(List<String> classes, List<String> tenants, List<Double> deadlines) { }
+
+    /**
+     * @param clients connections of clients held at once
+     * @param statements bytes of statements held at once; requests beyond are refused
+     * @param answers bytes of answers that clients have not read yet; past it the slowest client is let go
+     */
+    public record Bounds(int clients, long statements, long answers) { }
 
     private record Ended(String id, long atNanos) { }
 
     private final Names names;
+    private final InetSocketAddress address;
     private final Planner<Call> planner;
     private final EngineFleet fleet;
     private final DoubleSupplier clock;
     private final Runnable news;
-    private final Budget statements = new Budget(STATEMENTS);
-    private final Budget answers = new Budget(ANSWERS);
+    private final Budget statements;
+    private final Budget answers;
     private final ClientTable<ClientHandler> clients;
     /** Ids that are open or were a moment ago. */
     private final Set<String> ids = new HashSet<>();
@@ -78,14 +80,17 @@
     private boolean draining;
 
     /** @param news is called when the planner has something to decide on */
-    public ThriftFront(Names names, Planner<Call> planner, EngineFleet fleet, DoubleSupplier clock,
-            Runnable news) {
+    public ThriftFront(Names names, Bounds bounds, InetSocketAddress address, Planner<Call> planner,
+            EngineFleet fleet, DoubleSupplier clock, Runnable news) {
         this.names = names;
+        this.address = address;
+        this.statements = new Budget(bounds.statements());
+        this.answers = new Budget(bounds.answers());
         this.planner = planner;
         this.fleet = fleet;
         this.clock = clock;
         this.news = news;
-        this.clients = new ClientTable<>(names.mostClients(), System::nanoTime, c -> c.channel().close());
+        this.clients = new ClientTable<>(bounds.clients(), System::nanoTime, c -> c.channel().close());
     }
 
     @Override
@@ -102,7 +107,7 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(handlers());
                     }
-                }).bind(names.listen());
+                }).bind(address);
         listener = bound.channel();
         return bound;
     }
--- a/src/test/java/lineward/StartTest.java
+++ b/src/test/java/lineward/StartTest.java
@@ -19,6 +19,7 @@
         return new Object[][] {{"serve", "{", "not JSON"}, {"serve", "{}", "no settings"},
             {"serve", "{\"settings\":{}}", "listen is no address"},
             {"serve", "{" + GOOD + ",\"settings\":{}}", "classes"},
+            {"serve", "{" + GOOD + ",\"settings\":{},\"limits\":{\"sockets\":-1}}", "sockets is no"},
             {"mysql", "listen = 5 5", "not TOML"}, {"mysql", "", "nothing to serve"},
             {"mysql", "listen = \"127.0.0.1:0\"", "needs a user"},
             {"mysql", "[[engine]]\nname = \"a\"\naddress = \"here\"", "no address"},
