Take four connections lost in a row, not two, for a fault of their engine

Connects failed with 'reset by peer' (30 of 37) soon after another loss, so that EnginePool's two in a row were reached by chance and CONNECT_FAILED made the engine cold for 15 s; refusals were 9 and true. A test has three connections reset while another stands.

--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -16,7 +16,7 @@
 /** The connections to one engine. A new engine at an old address gets a pool of its own. */
 final class EnginePool implements Link.Owner {
     /** Connections lost with no word between by which it is the engine that is at fault. */
-    private static final int REPEATED = 2;
+    private static final int REPEATED = 4;
     /** Connections to one engine: more runs than that go to one engine only in a crowd. */
     private static final int MOST_LINKS = 16;
     private final Bootstrap bootstrap;
@@ -38,7 +38,7 @@
         return address;
     }
 
-    /** Each run gets a connection of its own while there are enough: with one that spoils, all on it fail. */
+    /** Each run gets a connection of its own while there are enough: with one that spoils, all there fail. */
     void start(Run run) {
         Link best = links.stream().filter(l -> l.takes(run.id, streams))
                 .min(Comparator.comparingInt(Link::load)).orElse(null);
@@ -95,11 +95,14 @@
         }
     }
 
-    /** A refusal, or no word at all, is the engine's; a connection reset when new is tried once more. */
+    /**
+     * A refusal, or no word at all, is the engine's. A connection reset when new tells only that nothing ran:
+     * there another is opened, unless that repeats.
+     */
     @Override
     public void unsent(List<Run> runs, Throwable cause) {
         lost++;
-        boolean its = lost >= REPEATED || cause instanceof ConnectException;
+        boolean its = cause instanceof ConnectException || lost >= REPEATED;
         runs.forEach(run -> {
             if (its) {
                 run.end(Front.Outcome.CONNECT_FAILED);
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -28,7 +28,7 @@
         /** Runs that were sent have lost their connection: the owner ends them. */
         void lost(List<Run> runs);
 
-        /** Runs that were never sent, as no connection came up: the owner ends them or sends them elsewhere. */
+        /** Runs never sent, as no connection came up: the owner ends them or sends them elsewhere. */
         void unsent(List<Run> runs, Throwable cause);
     }
 
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -118,6 +118,28 @@
         }
     }
 
+    @Test
+    public void connectionsThatBreakWhileOthersStandMakeNoEngineSuspected() throws IOException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller open = platform.caller(); StandInCaller caller = platform.caller()) {
+            open.send(StandInCaller.fields(2400), "select 1");
+            open.send(StandInCaller.fields(2400), "select 1");
+            Program.await("one runs at each", () -> platform.one.count("want") == 1
+                    && platform.two.count("want") == 1);
+            platform.both(Mode.SERVE);
+            platform.one.resets.set(3);
+            platform.one.mode = Mode.RESET_SOME;
+            for (int i = 0; i < 12; i++) {
+                caller.send(StandInCaller.fields(2000), "select 1");
+            }
+            for (int i = 0; i < 12; i++) {
+                assertEquals(caller.read().field(), SERVED);
+            }
+            assertEquals(platform.one.mode, Mode.SERVE, "three were reset");
+            assertFalse(platform.program.log().contains("resets"), platform.program.log());
+        }
+    }
+
     @Test
     public void manyOpenRequestsGetOneAnswerEachAndNeverRunTwiceAtOnce() throws IOException {
         platform.one.mode = Mode.SILENT;
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -16,12 +16,13 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small engine of the line protocol. What it does with a request is set by its mode. */
 final class StandInLines implements AutoCloseable {
     /** What it does with what it is sent. */
     enum Mode { SERVE, SILENT, FAULT, SHED, RESET, GARBAGE, GARBAGE_ONCE, LOSE_PAGES, DEAD, COPIES, NOISE,
-        NO_TOTAL, SHORT }
+        NO_TOTAL, SHORT, RESET_SOME }
 
     /** Pages of every result. */
     static final List<String> PAGES = List.of("a\tb\tc\n", "d\te\tf\n", "g\th\ti\n");
@@ -33,6 +34,8 @@
     private final ServerSocket server = new ServerSocket();
     private final Map<Socket, Set<String>> sockets = new ConcurrentHashMap<>();
     volatile Mode mode = Mode.SERVE;
+    /** Connections still to be reset before it serves again. */
+    final AtomicInteger resets = new AtomicInteger();
 
     StandInLines() throws IOException {
         this(0);
@@ -137,7 +140,10 @@
                     StandardCharsets.US_ASCII));
             case FAULT -> say(socket, id + " FAULT why=test", "");
             case SHED -> say(socket, id + " SHED -", "");
-            case RESET -> {
+            case RESET, RESET_SOME -> {
+                if (resets.decrementAndGet() == 0) {
+                    mode = Mode.SERVE;
+                }
                 socket.setSoLinger(true, 0);
                 socket.close();
             }
