--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -96,22 +96,30 @@
         }
     }
 
+    private void holdOneAtEach(StandInCaller caller) throws IOException {
+        platform.both(Mode.SILENT);
+        caller.send(StandInCaller.fields(2400), "select 1");
+        caller.send(StandInCaller.fields(2400), "select 1");
+        Program.await("one runs at each", () -> platform.one.count("want") == 1
+                && platform.two.count("want") == 1);
+    }
+
+    private static void serveAtOnce(StandInCaller caller, int many) throws IOException {
+        for (int i = 0; i < many; i++) {
+            caller.send(StandInCaller.fields(2000), "select 1");
+        }
+        for (int i = 0; i < many; i++) {
+            assertEquals(caller.read().field(), SERVED);
+        }
+    }
+
     @Test
     public void anUnreadableReplyFailsNoRunOnAnotherConnection() throws IOException {
-        platform.both(Mode.SILENT);
         try (StandInCaller open = platform.caller(); StandInCaller caller = platform.caller()) {
-            open.send(StandInCaller.fields(2400), "select 1");
-            open.send(StandInCaller.fields(2400), "select 1");
-            Program.await("one runs at each", () -> platform.one.count("want") == 1
-                    && platform.two.count("want") == 1);
+            holdOneAtEach(open);
             platform.two.mode = Mode.SERVE;
             platform.one.mode = Mode.GARBAGE_ONCE;
-            for (int i = 0; i < 6; i++) {
-                caller.send(StandInCaller.fields(2000), "select 1");
-            }
-            for (int i = 0; i < 6; i++) {
-                assertEquals(caller.read().field(), SERVED);
-            }
+            serveAtOnce(caller, 6);
             assertEquals(platform.one.mode, Mode.SERVE, "one met the unreadable reply");
             String first = platform.one.heard.get(0).split(" ")[1];
             assertEquals(platform.two.count("want " + first) + platform.one.count("never_mind"), 0);
@@ -120,21 +128,12 @@
 
     @Test
     public void connectionsThatBreakWhileOthersStandMakeNoEngineSuspected() throws IOException {
-        platform.both(Mode.SILENT);
         try (StandInCaller open = platform.caller(); StandInCaller caller = platform.caller()) {
-            open.send(StandInCaller.fields(2400), "select 1");
-            open.send(StandInCaller.fields(2400), "select 1");
-            Program.await("one runs at each", () -> platform.one.count("want") == 1
-                    && platform.two.count("want") == 1);
+            holdOneAtEach(open);
             platform.both(Mode.SERVE);
             platform.one.resets.set(3);
             platform.one.mode = Mode.RESET_SOME;
-            for (int i = 0; i < 12; i++) {
-                caller.send(StandInCaller.fields(2000), "select 1");
-            }
-            for (int i = 0; i < 12; i++) {
-                assertEquals(caller.read().field(), SERVED);
-            }
+            serveAtOnce(caller, 12);
             assertEquals(platform.one.mode, Mode.SERVE, "three were reset");
             assertFalse(platform.program.log().contains("resets"), platform.program.log());
         }
