--- a/src/main/java/lineward/app/Config.java
+++ b/src/main/java/lineward/app/Config.java
@@ -21,10 +21,11 @@
  *
  * @param journal address of the journal service
  * @param known the journal's events so far
+ * @param management where operators call; null: nowhere
  * @param raw the settings as they came, for what the module does not need
  */
 record Config(String name, InetSocketAddress listen, long seed, int memoryMb, int sockets, String journal,
-        JsonNode known, Front.Settings settings, JsonNode raw) {
+        InetSocketAddress management, JsonNode known, Front.Settings settings, JsonNode raw) {
     private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
     private static final int HIGHEST_PORT = 65535;
     private static final int HEX = 16;
@@ -49,6 +50,8 @@
             return new Config(root.path("name").asText("lineward"),
                     address("listen", root.path("listen").asText("")), seed(root.path("seed").asText("0")),
                     limit(root, "memory_mb", 192), limit(root, "sockets", 1024), journal(root),
+                    root.hasNonNull("management")
+                            ? address("management", root.get("management").asText()) : null,
                     root.path("known"), SettingsReader.read(root.path("settings").toString()),
                     root.path("settings"));
         } catch (WireException e) {
--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -1,17 +1,16 @@
 package lineward.app;
 
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import lineward.core.FrontClock;
@@ -21,9 +20,12 @@
 import lineward.front.FrontDoor;
 import lineward.journal.EngineList;
 import lineward.journal.JournalPoll;
+import lineward.lifecycle.Lifecycle;
+import lineward.lifecycle.Ticker;
 import lineward.mysql.MysqlConfig;
 import lineward.mysql.MysqlFront;
 import lineward.mysql.Query;
+import lineward.operations.OperationsServer;
 import lineward.telemetry.Telemetry;
 import lineward.thrift.Call;
 import lineward.thrift.Rehearsal;
@@ -33,11 +35,9 @@
 import peatwick.Control;
 import peatwick.Front;
 
-/** Wires one front end: one event loop, the wheel's tick, the fronts with a planner each. */
+/** Wires one front end: one event loop, the wheel's tick, the fronts with a planner each, the second address. */
 final class FrontEnd {
     private static final Logger LOG = LoggerFactory.getLogger(FrontEnd.class);
-    private static final int TICK_MS = 5;
-    private static final int WHEEL_SLOTS = 64;
     /** A word to give up crosses the floors well within this. */
     private static final double STOP_TAKES_MS = 6;
     private static final int MOST_REQUESTS = 8192;
@@ -49,10 +49,6 @@
     private static final double CLIENT_PART = 0.5;
     /** Part of the descriptors that connections to engines may take. */
     private static final double LINK_PART = 0.35;
-    /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
-    private static final int STILL_COMING_MS = 900;
-    /** SIGKILL may come 3.7 s after SIGTERM: who waits must have heard by then. */
-    private static final int LAST_WORD_MS = 3300;
     private static final int IDLE_SWEEP_MS = 1000;
     private static final int SILENCE_SWEEP_MS = 100;
     /** How often the MySQL file is looked at: a drain must be known well within a second. */
@@ -61,13 +57,13 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
             NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final HashedWheelTimer wheel = new HashedWheelTimer(new DefaultThreadFactory("wheel", true),
-            TICK_MS, TimeUnit.MILLISECONDS, WHEEL_SLOTS, false, -1, loop);
+    private final Ticker ticker = new Ticker(loop);
     private final FrontClock clock = new FrontClock();
     private final List<FrontDoor> doors = new ArrayList<>();
     private final List<Runnable> starts = new ArrayList<>();
     private final List<Consumer<String>> journals = new ArrayList<>();
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Lifecycle lifecycle = new Lifecycle(loop, ticker, doors);
+    private InetSocketAddress management;
     private final Telemetry telemetry;
 
     FrontEnd() {
@@ -122,6 +118,7 @@
         doors.add(front);
         JournalPoll poll = new JournalPoll(loop, config.journal(), list);
         starts.add(poll::start);
+        management = config.management();
         journals.add(poll::moveTo);
     }
 
@@ -139,7 +136,7 @@
         news.door = front;
         onLoop(() -> front.engines(config.engines()));
         doors.add(front);
-        starts.add(() -> every(FILE_SWEEP_MS, () -> reload(file, front::engines)));
+        starts.add(() -> ticker.every(FILE_SWEEP_MS, () -> reload(file, front::engines)));
     }
 
     private static void reload(MysqlFile file, Consumer<List<MysqlConfig.Engine>> engines) {
@@ -169,22 +166,31 @@
 
     /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
-        every(TICK_MS, () -> doors.forEach(FrontDoor::tick));
-        every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilent));
-        every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
+        ticker.every(Ticker.TICK_MS, () -> doors.forEach(FrontDoor::tick));
+        ticker.every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilent));
+        ticker.every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
+        if (management != null) {
+            OperationsServer operations = new OperationsServer(lifecycle);
+            LOG.info("operators call at {}", bound(operations.listen(group, management)));
+            ticker.every(SILENCE_SWEEP_MS, operations::closeSilent);
+        }
         starts.forEach(Runnable::run);
         for (FrontDoor door : doors) {
-            try {
-                Channel listener = door.listen(group).syncUninterruptibly().channel();
-                LOG.info("listening on {}", listener.localAddress());
-            } catch (Exception e) {
-                throw new ConfigException("can't listen: " + e.getMessage());
-            }
+            LOG.info("listening on {}", bound(door.listen(group)));
         }
         if (doors.isEmpty()) {
             throw new ConfigException("nothing to serve: the MySQL file names no address to listen on");
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        onLoop(lifecycle::serve);
+    }
+
+    private static SocketAddress bound(ChannelFuture listening) {
+        try {
+            return listening.syncUninterruptibly().channel().localAddress();
+        } catch (Exception e) {
+            throw new ConfigException("can't listen: " + e.getMessage());
+        }
     }
 
     /** What came in within one turn of the loop is decided on together, at its end. */
@@ -208,33 +214,9 @@
         loop.submit(task).syncUninterruptibly();
     }
 
-    private void every(int ms, Runnable task) {
-        wheel.newTimeout(timeout -> {
-            try {
-                task.run();
-            } catch (RuntimeException e) {
-                LOG.error("tick failed", e);
-            }
-            every(ms, task);
-        }, ms, TimeUnit.MILLISECONDS);
-    }
-
-    /** Serves on while requests still come, answers all that is open, then ends the process with status 0. */
-    private void drain() {
-        LOG.info("SIGTERM: serving on until all is answered");
-        loop.execute(() -> doors.forEach(FrontDoor::drain));
-        loop.schedule(() -> every(TICK_MS, () -> {
-            doors.forEach(FrontDoor::closeIdleClients);
-            if (doors.stream().allMatch(FrontDoor::isQuiet)) {
-                drained.countDown();
-            }
-        }), STILL_COMING_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> doors.forEach(FrontDoor::lastWord), LAST_WORD_MS, TimeUnit.MILLISECONDS);
-        try {
-            drained.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    /** Ends the process with status 0 once all is answered. */
+    private void end() {
+        lifecycle.end();
         if (telemetry != null) {
             telemetry.close();
         }
--- a/src/main/java/lineward/front/ClientTable.java
+++ b/src/main/java/lineward/front/ClientTable.java
@@ -73,6 +73,11 @@
         return all;
     }
 
+    /** Closes that part of the connections that wait for nothing, one at least, the longest silent first. */
+    public static <C> void closePart(List<C> resting, double part, Consumer<C> closer) {
+        resting.subList(0, (int) Math.ceil(part * resting.size())).forEach(closer);
+    }
+
     /** Closes the connections that have come and said nothing in all that time. */
     public void closeSilent(long nanos) {
         long before = nanoClock.getAsLong() - nanos;
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -5,20 +5,33 @@
 
 /** What the program asks of each front. All but listening runs on the event loop. */
 public interface FrontDoor {
+    /** How a front meets its clients. */
+    enum Intake {
+        /** It serves all that come. */
+        OPEN,
+        /** It serves all that come, but asks for no new clients. */
+        LEAVING,
+        /** It refuses new requests and answers what it has taken. */
+        REFUSING
+    }
+
     /** Starts to listen. */
     ChannelFuture listen(EventLoopGroup loop);
 
     /** Lets the planner decide on what came in and carries its commands out. */
     void tick();
 
-    /** From now on the front asks for no new clients, but serves all that come. */
-    void drain();
+    /** From now on the front meets its clients so. */
+    void admit(Intake intake);
 
     /** Fails what is still open where the process is about to be killed. */
     void lastWord();
 
-    /** Closes the listener and the connections of clients that wait for nothing. */
-    void closeIdleClients();
+    /** Closes the listener. */
+    void stopListening();
+
+    /** Closes that part of the connections whose clients wait for nothing, one at least; 1 closes all. */
+    void closeResting(double part);
 
     /** Closes connections that say nothing, or not the rest of what they began; comes ten times a second. */
     void closeSilent();
--- /dev/null
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -0,0 +1,120 @@
+package lineward.lifecycle;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lineward.front.FrontDoor;
+import lineward.front.FrontDoor.Intake;
+import lineward.operations.Operations;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What this process is at: starting, serving, sending its clients away because an operator asks, or ending
+ * because of SIGTERM. All but {@link #end} runs on the event loop.
+ */
+public final class Lifecycle implements Operations {
+    private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
+    /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
+    private static final int STILL_COMING_MS = 900;
+    /** SIGKILL may come 3.7 s after SIGTERM: who waits must have heard by then. */
+    private static final int LAST_WORD_MS = 3300;
+    /** A drain: new connections come for 0.3 s yet; then the resting ones close one by one. */
+    private static final double FIRST_CLOSE_MS = 300;
+    private static final double ALL_CLOSE_MS = 1500;
+    /** From then on requests are refused: at 4 s a connection may carry none of the last 2 s. */
+    private static final double REFUSE_MS = 1800;
+    private static final double NANOS = 1e6;
+
+    private final EventLoop loop;
+    private final Ticker ticker;
+    private final List<FrontDoor> doors;
+    private final CountDownLatch quiet = new CountDownLatch(1);
+    private boolean serving;
+    private boolean ending;
+    private boolean draining;
+    private long drainedSince;
+
+    /** @param doors all fronts; may be filled until {@link #serve} */
+    public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors) {
+        this.loop = loop;
+        this.ticker = ticker;
+        this.doors = doors;
+    }
+
+    /** All fronts listen: from now on this process says that it is ready. */
+    public void serve() {
+        serving = true;
+        ticker.every(Ticker.TICK_MS, this::sendAway);
+    }
+
+    @Override
+    public boolean isReady() {
+        return serving && !draining && !ending;
+    }
+
+    @Override
+    public void startDrain() {
+        if (!draining) {
+            LOG.info("drain: clients are sent away");
+            draining = true;
+            drainedSince = System.nanoTime();
+            admit(Intake.LEAVING);
+        }
+    }
+
+    @Override
+    public boolean stopDrain() {
+        if (draining && !ending) {
+            LOG.info("drain over: clients are taken again");
+            admit(Intake.OPEN);
+        }
+        draining &= ending;
+        return !ending;
+    }
+
+    private void admit(Intake intake) {
+        doors.forEach(d -> d.admit(intake));
+    }
+
+    /** Danger: clients whose connections all close at once come back elsewhere all at once. */
+    private void sendAway() {
+        if (!draining || ending) {
+            return;
+        }
+        double since = (System.nanoTime() - drainedSince) / NANOS;
+        if (since >= REFUSE_MS) {
+            admit(Intake.REFUSING);
+        }
+        if (since >= FIRST_CLOSE_MS) {
+            double part = Ticker.TICK_MS / Math.max(Ticker.TICK_MS, ALL_CLOSE_MS - since);
+            doors.forEach(d -> d.closeResting(part));
+        }
+    }
+
+    /**
+     * SIGTERM: serves on while requests still come and answers all that is open; returns when nobody is owed
+     * anything. Called on a thread of its own.
+     */
+    public void end() {
+        LOG.info("SIGTERM: serving on until all is answered");
+        loop.execute(() -> {
+            ending = true;
+            admit(Intake.LEAVING);
+        });
+        loop.schedule(() -> ticker.every(Ticker.TICK_MS, () -> {
+            doors.forEach(FrontDoor::stopListening);
+            doors.forEach(d -> d.closeResting(1));
+            if (doors.stream().allMatch(FrontDoor::isQuiet)) {
+                quiet.countDown();
+            }
+        }), STILL_COMING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> doors.forEach(FrontDoor::lastWord), LAST_WORD_MS, TimeUnit.MILLISECONDS);
+        try {
+            quiet.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -25,6 +25,7 @@
 import lineward.core.Forwarder;
 import lineward.core.Planner;
 import lineward.core.SlotTable;
+import lineward.front.ClientTable;
 import lineward.front.FrontDoor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,6 +55,7 @@
     private final Budget texts = new Budget(TEXTS);
     private Channel listener;
     private int lastClient;
+    private Intake intake = Intake.OPEN;
 
     /** @param news is called when the planner has something to decide on */
     public MysqlFront(EventLoopGroup loop, MysqlConfig config, Planner<Query> planner, DoubleSupplier clock,
@@ -116,18 +118,25 @@
         engines.values().removeIf(l -> l.isDrained());
     }
 
-    /** The protocol has no word by which clients could be asked to stay away. */
+    /** The protocol has no word by which clients could be asked to stay away; they can be refused. */
     @Override
-    public void drain() { }
+    public void admit(Intake next) {
+        intake = next;
+    }
 
     /** Nobody kills a front by the clock that serves MySQL: its statements run to their deadlines. */
     @Override
     public void lastWord() { }
 
     @Override
-    public void closeIdleClients() {
+    public void stopListening() {
         listener.close();
-        List.copyOf(clients).stream().filter(ClientSession::isIdle).forEach(c -> c.channel().close());
+    }
+
+    @Override
+    public void closeResting(double part) {
+        ClientTable.closePart(clients.stream().filter(ClientSession::isIdle).toList(), part,
+                c -> c.channel().close());
     }
 
     /** Who has not logged in yet is let go; who has may rest, as sessions do. */
@@ -188,6 +197,9 @@
 
     /** @return false where there is no room for the request, which must then be refused */
     boolean take(Query query) {
+        if (intake == Intake.REFUSING) {
+            return false;
+        }
         double deadline = config.classes().get(query.place()).deadlineMs();
         query.request = planner.take(clock.getAsDouble(),
                 new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
--- /dev/null
+++ b/src/main/java/lineward/operations/CallHandler.java
@@ -0,0 +1,119 @@
+package lineward.operations;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.BiFunction;
+import lineward.front.ClientTable;
+
+/** Answers one call and lets its caller go. */
+final class CallHandler extends SimpleChannelInboundHandler<Object> {
+    private record Reply(HttpResponseStatus status, String text) {
+        static Reply of(boolean yes, HttpResponseStatus no, String text) {
+            return new Reply(yes ? HttpResponseStatus.OK : no, text);
+        }
+    }
+
+    /** What can be asked at a path; the answer may depend on the body. */
+    private record Call(HttpMethod method, BiFunction<Operations, String, Reply> answer) { }
+
+    private static final Map<String, Call> CALLS = Map.of(
+            "/ops/readiness", new Call(HttpMethod.GET, (ops, body) -> Reply.of(ops.isReady(),
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, ops.isReady() ? "ready\n" : "not ready\n")),
+            "/ops/drain/start", new Call(HttpMethod.POST, (ops, body) -> {
+                ops.startDrain();
+                return new Reply(HttpResponseStatus.OK, "draining\n");
+            }),
+            "/ops/drain/stop", new Call(HttpMethod.POST, (ops, body) -> ops.stopDrain()
+                    ? new Reply(HttpResponseStatus.OK, "serving\n")
+                    : new Reply(HttpResponseStatus.CONFLICT, "the process is ending\n")));
+
+    private final Operations operations;
+    private final ClientTable<Channel> callers;
+    private boolean answered;
+
+    CallHandler(Operations operations, ClientTable<Channel> callers) {
+        this.operations = operations;
+        this.callers = callers;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        callers.arrived(ctx.channel());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        callers.left(ctx.channel());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+        // One call for each connection: what comes behind it is passed over.
+        if (answered) {
+            return;
+        }
+        answered = true;
+        if (message == CallAggregator.TOO_LARGE) {
+            send(ctx, new Reply(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large\n"), null);
+            return;
+        }
+        FullHttpRequest request = (FullHttpRequest) message;
+        Call call = request.decoderResult().isSuccess()
+                ? CALLS.get(new QueryStringDecoder(request.uri()).path()) : null;
+        if (!request.decoderResult().isSuccess()) {
+            send(ctx, new Reply(HttpResponseStatus.BAD_REQUEST, "no call that can be read\n"), null);
+        } else if (call == null) {
+            send(ctx, new Reply(HttpResponseStatus.NOT_FOUND, "no such path\n"), null);
+        } else if (!call.method().equals(request.method())) {
+            send(ctx, new Reply(HttpResponseStatus.METHOD_NOT_ALLOWED, "not by that method\n"),
+                    call.method());
+        } else {
+            send(ctx, call.answer().apply(operations,
+                    request.content().toString(StandardCharsets.UTF_8).strip()), null);
+        }
+    }
+
+    /**
+     * Only our half is closed: a close with bytes of the caller unread would reset the connection and take
+     * the answer with it. The caller's close, or the end of its time, ends the rest.
+     */
+    private static void send(ChannelHandlerContext ctx, Reply reply, HttpMethod allowed) {
+        ByteBuf text = ByteBufUtil.writeUtf8(ctx.alloc(), reply.text());
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(), text);
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+                .set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes())
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (allowed != null) {
+            response.headers().set(HttpHeaderNames.ALLOW, allowed.name());
+        }
+        ctx.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
+            if (done.isSuccess() && done.channel() instanceof DuplexChannel duplex) {
+                duplex.shutdownOutput();
+            } else {
+                done.channel().close();
+            }
+        });
+    }
+
+    /** Who hangs up amid a call is owed nothing. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/operations/Operations.java
@@ -0,0 +1,13 @@
+package lineward.operations;
+
+/** What operators may ask of this process. All of it runs on the event loop. */
+public interface Operations {
+    /** @return whether this process can serve and wants to */
+    boolean isReady();
+
+    /** Sends clients away; the process stays. */
+    void startDrain();
+
+    /** @return whether clients are taken again; not while the process ends */
+    boolean stopDrain();
+}
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -52,7 +52,7 @@
             invoke(head.seqid(), ThriftReader.invocation(frame));
         } else if (head.method().equals("ping")) {
             rest();
-            send(ThriftWriter.pong(ctx.alloc(), head.seqid(), !front.isDraining()));
+            send(ThriftWriter.pong(ctx.alloc(), head.seqid(), front.wantsClients()));
         } else {
             rest();
             send(ThriftWriter.exception(ctx.alloc(), head.method(), head.seqid(),
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -77,7 +77,7 @@
     private final Set<String> ids = new HashSet<>();
     private final Deque<Ended> ended = new ArrayDeque<>();
     private Channel listener;
-    private boolean draining;
+    private Intake intake = Intake.OPEN;
 
     /** @param news is called when the planner has something to decide on */
     public ThriftFront(Names names, Bounds bounds, InetSocketAddress address, Planner<Call> planner,
@@ -119,8 +119,8 @@
     }
 
     @Override
-    public void drain() {
-        draining = true;
+    public void admit(Intake next) {
+        intake = next;
     }
 
     @Override
@@ -135,9 +135,14 @@
     }
 
     @Override
-    public void closeIdleClients() {
+    public void stopListening() {
         listener.close();
-        clients.all().stream().filter(ClientHandler::isIdle).forEach(c -> c.channel().close());
+    }
+
+    @Override
+    public void closeResting(double part) {
+        ClientTable.closePart(clients.all().stream().filter(ClientHandler::isIdle).toList(), part,
+                c -> c.channel().close());
     }
 
     @Override
@@ -156,8 +161,8 @@
         return planner.open() == 0 && clients.size() == 0;
     }
 
-    boolean isDraining() {
-        return draining;
+    boolean wantsClients() {
+        return intake == Intake.OPEN;
     }
 
     long busyPushbackMs() {
@@ -191,7 +196,7 @@
     /** @return false where there is no room for the request, which must then be refused */
     boolean take(Call call) {
         int size = call.statement.readableBytes();
-        if (!statements.reserve(size)) {
+        if (intake == Intake.REFUSING || !statements.reserve(size)) {
             return false;
         }
         call.request = planner.take(clock.getAsDouble(), call.fields.demand(), call);
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -14,6 +14,7 @@
 /** The program as it is run: a process of its own, found by what it logs. */
 public final class Program implements AutoCloseable {
     private static final String LISTENS = "listening on ";
+    private static final String OPERATIONS = "operators call at ";
     private final Process process;
     private final List<String> log = new ArrayList<>();
 
@@ -46,9 +47,18 @@
 
     /** @return the port of its first listener, once it listens */
     public int port() {
-        await("it listens", () -> log().contains(LISTENS) || !process.isAlive());
+        return portIn(LISTENS);
+    }
+
+    /** @return the port where operators call */
+    public int operations() {
+        return portIn(OPERATIONS);
+    }
+
+    private int portIn(String words) {
+        await(words, () -> log().contains(words) || !process.isAlive());
         String text = log();
-        String line = text.substring(text.indexOf(LISTENS)).lines().findFirst().orElseThrow();
+        String line = text.substring(text.indexOf(words)).lines().findFirst().orElseThrow();
         return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
     }
 
