--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -35,7 +35,7 @@
 import peatwick.Control;
 import peatwick.Front;
 
-/** Wires one front end: one event loop, the wheel's tick, the fronts with a planner each, the second address. */
+/** Wires one front end: one event loop, its tick, the fronts with a planner each, the second address. */
 final class FrontEnd {
     private static final Logger LOG = LoggerFactory.getLogger(FrontEnd.class);
     /** A word to give up crosses the floors well within this. */
--- a/src/test/java/lineward/operations/CallTest.java
+++ b/src/test/java/lineward/operations/CallTest.java
@@ -47,7 +47,8 @@
             {"GET /" + "a".repeat(2000) + " HTTP/1.1\r\n\r\n", 400},
             {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + "a".repeat(5000), 413},
             {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n", 413},
-            {"", 0}, {"GET /ops/readi", 0}, {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 5\r\n\r\na", 0}};
+            {"", 0}, {"GET /ops/readi", 0},
+            {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 5\r\n\r\na", 0}};
     }
 
     @Test(dataProvider = "calls")
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -38,8 +38,8 @@
     /** Writes the configuration, which names this journal. */
     void configure(StandInJournal service) throws IOException {
         configure("{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
-                + "{\"sockets\":1024},\"journal\":\"" + service.address() + "\",\"management\":\"127.0.0.1:0\",\"known\":"
-                + service.after(0)
+                + "{\"sockets\":1024},\"journal\":\"" + service.address()
+                + "\",\"management\":\"127.0.0.1:0\",\"known\":" + service.after(0)
                 + ",\"settings\":" + SETTINGS + "}");
     }
 
