Count what ends once, and tell it as Prometheus text at /ops/stats

A tracer ahead of the log and of OTLP counts ends by class; the fronts count their own refusals and unusable requests; an attempt counts when its last byte has been written. Ruled out: that counting attempts at their start would do: connections that never come up send nothing.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -25,6 +25,8 @@
 import lineward.mysql.MysqlConfig;
 import lineward.mysql.MysqlFront;
 import lineward.mysql.Query;
+import lineward.operations.CountingTracer;
+import lineward.operations.Figures;
 import lineward.operations.OperationsServer;
 import lineward.telemetry.Telemetry;
 import lineward.thrift.Call;
@@ -62,7 +64,8 @@
     private final List<FrontDoor> doors = new ArrayList<>();
     private final List<Runnable> starts = new ArrayList<>();
     private final List<Consumer<String>> journals = new ArrayList<>();
-    private final Lifecycle lifecycle = new Lifecycle(loop, ticker, doors);
+    private final Figures figures = new Figures();
+    private final Lifecycle lifecycle = new Lifecycle(loop, ticker, doors, figures);
     private InetSocketAddress management;
     private final Telemetry telemetry;
 
@@ -77,8 +80,8 @@
     }
 
     private <X> Tracer<X> tracer(Function<X, String> classOf) {
-        Tracer<X> log = new LogTracer<>();
-        return telemetry == null ? log : telemetry.tracer(classOf, Object::toString, log);
+        Tracer<X> counts = new CountingTracer<>(figures, classOf, new LogTracer<>());
+        return telemetry == null ? counts : telemetry.tracer(classOf, Object::toString, counts);
     }
 
     /** Adds the platform's front. */
@@ -89,7 +92,8 @@
         EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
                 config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
                 config.limit("streams-per-conn").asInt(100),
-                (int) (config.sockets() * LINK_PART)));
+                (int) (config.sockets() * LINK_PART)), figures::relayed);
+        figures.announce(config.names("classes"));
         News news = new News();
         ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
                 config.settings().classes().stream().map(Front.RequestClass::deadline).toList());
@@ -101,7 +105,8 @@
             Rehearsal.play(names, bounds, new Planner<>(new Control(config.settings(), 0), mostRequests,
                     STOP_TAKES_MS, new LogTracer<>()), fleet, clock);
         });
-        ThriftFront front = new ThriftFront(names, bounds, config.listen(), planner, fleet, clock, news);
+        ThriftFront front = new ThriftFront(names, bounds, config.listen(), planner, fleet, clock, news,
+                figures);
         news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
             fleet.list(whole, entries);
@@ -132,7 +137,8 @@
                 MOST_REQUESTS, MysqlFront.STOP_TAKES_MS,
                 tracer(query -> config.classes().get(query.place()).name()));
         News news = new News();
-        MysqlFront front = new MysqlFront(group, config, planner, clock, news);
+        MysqlFront front = new MysqlFront(group, config, planner, clock, news, figures);
+        figures.announce(config.classes().stream().map(MysqlConfig.QueryClass::name).toList());
         news.door = front;
         onLoop(() -> front.engines(config.engines()));
         doors.add(front);
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -167,11 +167,16 @@
         names.remove(numbers.remove(engine));
     }
 
-    /** @return engines known by number */
-    int engines() {
+    /** @return engines on the list */
+    public int engines() {
         return names.size();
     }
 
+    /** @return engines on the list that the module sends nothing to now */
+    public int avoided() {
+        return module.avoided();
+    }
+
     /** @return requests that are still owed an answer */
     public int open() {
         return open;
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -36,9 +36,14 @@
     private final Map<String, Member> members = new HashMap<>();
     private final Bootstrap bootstrap;
     private final Limits limits;
+    private final Runnable sent;
 
-    /** @param loop runs all connections */
-    public EngineFleet(EventLoopGroup loop, Limits limits) {
+    /**
+     * @param loop runs all connections
+     * @param sent is called when a run has been written whole
+     */
+    public EngineFleet(EventLoopGroup loop, Limits limits, Runnable sent) {
+        this.sent = sent;
         this.limits = limits;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -58,7 +63,7 @@
                     m.pool.closeAll();
                 }
                 m = new Member(new EnginePool(bootstrap, address, limits.streams(),
-                        () -> links() < limits.links()));
+                        () -> links() < limits.links(), sent));
                 members.put(e.id(), m);
             }
             m.gone = e.condition() == Front.Condition.GONE;
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -23,11 +23,17 @@
     private final InetSocketAddress address;
     private final int streams;
     private final BooleanSupplier room;
+    private final Runnable sent;
     private final List<Link> links = new ArrayList<>();
     private int lost;
 
-    /** @param room tells whether one more connection may be opened */
-    EnginePool(Bootstrap bootstrap, InetSocketAddress address, int streams, BooleanSupplier room) {
+    /**
+     * @param room tells whether one more connection may be opened
+     * @param sent is called when a run has been written whole
+     */
+    EnginePool(Bootstrap bootstrap, InetSocketAddress address, int streams, BooleanSupplier room,
+            Runnable sent) {
+        this.sent = sent;
         this.bootstrap = bootstrap;
         this.address = address;
         this.streams = streams;
@@ -75,6 +81,11 @@
         links.remove(link);
     }
 
+    @Override
+    public void sent() {
+        sent.run();
+    }
+
     @Override
     public void heard() {
         lost = 0;
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,9 @@
         /** The link is of no more use. */
         void closed(Link link);
 
+        /** A run has been written whole. */
+        void sent();
+
         /** An engine has spoken. */
         void heard();
 
@@ -165,13 +169,17 @@
         line.writeCharSequence(head, StandardCharsets.US_ASCII);
         channel.write(line);
         channel.write(run.statement.retainedDuplicate());
-        say("\r\n");
+        say("\r\n").addListener(done -> {
+            if (done.isSuccess()) {
+                owner.sent();
+            }
+        });
     }
 
-    private void say(String text) {
+    private ChannelFuture say(String text) {
         ByteBuf line = channel.alloc().buffer(text.length());
         line.writeCharSequence(text, StandardCharsets.US_ASCII);
-        channel.writeAndFlush(line);
+        return channel.writeAndFlush(line);
     }
 
     @Override
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -14,6 +14,9 @@
         @Override
         public void closed(Link link) { }
 
+        @Override
+        public void sent() { }
+
         @Override
         public void heard() { }
 
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -39,6 +39,15 @@
     /** Closes connections to engines that have been idle for long. */
     void closeIdleEngines();
 
+    /** @return requests taken and not yet ended */
+    int open();
+
+    /** @return engines on the list */
+    int engines();
+
+    /** @return engines on the list that get nothing now */
+    int avoided();
+
     /** @return whether nobody is owed an answer and every answer has been written */
     boolean isQuiet();
 }
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import lineward.front.FrontDoor;
 import lineward.front.FrontDoor.Intake;
+import lineward.operations.Figures;
 import lineward.operations.Operations;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +31,7 @@
     private final EventLoop loop;
     private final Ticker ticker;
     private final List<FrontDoor> doors;
+    private final Figures figures;
     private final CountDownLatch quiet = new CountDownLatch(1);
     private boolean serving;
     private boolean ending;
@@ -37,7 +39,8 @@
     private long drainedSince;
 
     /** @param doors all fronts; may be filled until {@link #serve} */
-    public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors) {
+    public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures) {
+        this.figures = figures;
         this.loop = loop;
         this.ticker = ticker;
         this.doors = doors;
@@ -54,6 +57,11 @@
         return serving && !draining && !ending;
     }
 
+    @Override
+    public String figures() {
+        return figures.text(doors);
+    }
+
     @Override
     public void startDrain() {
         if (!draining) {
--- a/src/main/java/lineward/mysql/EngineLink.java
+++ b/src/main/java/lineward/mysql/EngineLink.java
@@ -100,7 +100,14 @@
             send(Commands.PREPARE, w.text());
         } else {
             state = State.MAIN;
+            MysqlRun begun = run;
             main(work);
+            // Behind all that went out: this is done when that has been written.
+            write(Unpooled.EMPTY_BUFFER).addListener(done -> {
+                if (done.isSuccess()) {
+                    begun.written();
+                }
+            });
         }
     }
 
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -27,6 +27,7 @@
 import lineward.core.SlotTable;
 import lineward.front.ClientTable;
 import lineward.front.FrontDoor;
+import lineward.operations.Figures;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import peatwick.Front;
@@ -49,6 +50,7 @@
     private final Planner<Query> planner;
     private final DoubleSupplier clock;
     private final Runnable news;
+    private final Figures figures;
     private final Bootstrap bootstrap;
     private final Map<String, EngineLinks> engines = new HashMap<>();
     private final Set<ClientSession> clients = new LinkedHashSet<>();
@@ -57,13 +59,17 @@
     private int lastClient;
     private Intake intake = Intake.OPEN;
 
-    /** @param news is called when the planner has something to decide on */
+    /**
+     * @param news is called when the planner has something to decide on
+     * @param figures count what ends here, before the planner has taken it
+     */
     public MysqlFront(EventLoopGroup loop, MysqlConfig config, Planner<Query> planner, DoubleSupplier clock,
-            Runnable news) {
+            Runnable news, Figures figures) {
         this.config = config;
         this.planner = planner;
         this.clock = clock;
         this.news = news;
+        this.figures = figures;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, config.bounds().connectTimeoutMs());
@@ -146,6 +152,21 @@
         clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
     }
 
+    @Override
+    public int open() {
+        return planner.open();
+    }
+
+    @Override
+    public int engines() {
+        return planner.engines();
+    }
+
+    @Override
+    public int avoided() {
+        return planner.avoided();
+    }
+
     @Override
     public boolean isQuiet() {
         return planner.open() == 0 && clients.isEmpty();
@@ -197,9 +218,18 @@
 
     /** @return false where there is no room for the request, which must then be refused */
     boolean take(Query query) {
-        if (intake == Intake.REFUSING) {
-            return false;
+        boolean taken = intake != Intake.REFUSING && hasRoom(query);
+        if (!taken) {
+            figures.ended(className(query), Figures.End.THROTTLED);
         }
+        return taken;
+    }
+
+    private String className(Query query) {
+        return config.classes().get(query.place()).name();
+    }
+
+    private boolean hasRoom(Query query) {
         double deadline = config.classes().get(query.place()).deadlineMs();
         query.request = planner.take(clock.getAsDouble(),
                 new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
@@ -257,6 +287,11 @@
             this.attempt = attempt;
         }
 
+        @Override
+        public void written() {
+            figures.relayed();
+        }
+
         @Override
         public boolean opened(MysqlRun run) {
             query.open = planner.opened(query.request, attempt);
--- a/src/main/java/lineward/mysql/MysqlRun.java
+++ b/src/main/java/lineward/mysql/MysqlRun.java
@@ -8,6 +8,9 @@
 final class MysqlRun {
     /** Hears of a reply that is too long to be held, and of the end. */
     interface Listener {
+        /** The work has been written whole to the engine. */
+        default void written() { }
+
         /**
          * The reply is too long to be held: from now on it is passed on as it comes.
          *
@@ -38,6 +41,10 @@
         this.listener = listener;
     }
 
+    void written() {
+        listener.written();
+    }
+
     boolean isOver() {
         return over;
     }
--- a/src/main/java/lineward/operations/CallHandler.java
+++ b/src/main/java/lineward/operations/CallHandler.java
@@ -35,6 +35,8 @@
     private static final Map<String, Call> CALLS = Map.of(
             "/ops/readiness", new Call(HttpMethod.GET, (ops, body) -> Reply.of(ops.isReady(),
                     HttpResponseStatus.SERVICE_UNAVAILABLE, ops.isReady() ? "ready\n" : "not ready\n")),
+            "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> new Reply(HttpResponseStatus.OK,
+                    ops.figures())),
             "/ops/drain/start", new Call(HttpMethod.POST, (ops, body) -> {
                 ops.startDrain();
                 return new Reply(HttpResponseStatus.OK, "draining\n");
--- /dev/null
+++ b/src/main/java/lineward/operations/Figures.java
@@ -0,0 +1,71 @@
+package lineward.operations;
+
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import lineward.front.FrontDoor;
+
+/** What this process has done since its start, in the text format of Prometheus. */
+public final class Figures {
+    /** How a request ended. */
+    public enum End { FULFILLED, THROTTLED, FAULTED }
+
+    private static final String PREFIX = "edge_relay_";
+    private final Map<String, Map<End, Long>> ended = new TreeMap<>();
+    private long relayed;
+
+    /** The classes whose figures are there from the start, at 0. */
+    public void announce(Collection<String> classes) {
+        for (String type : classes) {
+            Map<End, Long> row = ended.computeIfAbsent(type, t -> new EnumMap<>(End.class));
+            List.of(End.values()).forEach(end -> row.putIfAbsent(end, 0L));
+        }
+    }
+
+    /** A request of that class has ended; a class never announced is passed over. */
+    public void ended(String type, End end) {
+        Map<End, Long> row = ended.get(type);
+        if (row != null) {
+            row.merge(end, 1L, Long::sum);
+        }
+    }
+
+    /** An attempt has been written whole to an engine. */
+    public void relayed() {
+        relayed++;
+    }
+
+    /** @return all figures; what the fronts hold now is asked of them */
+    public String text(Collection<FrontDoor> doors) {
+        StringBuilder text = new StringBuilder();
+        head(text, "operations_total", "counter", "Requests that have ended, by class and end.");
+        ended.forEach((type, row) -> row.forEach((end, count) -> text.append(PREFIX)
+                .append("operations_total{priority=\"").append(escaped(type)).append("\",status=\"")
+                .append(end.name().toLowerCase(Locale.ROOT)).append("\"} ").append(count).append('\n')));
+        one(text, "relayed_total", "counter", "Attempts written whole to query engines.", relayed);
+        one(text, "open_requests", "gauge", "Requests taken and not yet ended.",
+                doors.stream().mapToInt(FrontDoor::open).sum());
+        one(text, "registry_entries", "gauge", "Query engines on the list.",
+                doors.stream().mapToInt(FrontDoor::engines).sum());
+        one(text, "out_of_rotation", "gauge", "Query engines on the list that get nothing now.",
+                doors.stream().mapToInt(FrontDoor::avoided).sum());
+        return text.toString();
+    }
+
+    private static void one(StringBuilder text, String name, String type, String help, long value) {
+        head(text, name, type, help);
+        text.append(PREFIX).append(name).append(' ').append(value).append('\n');
+    }
+
+    private static void head(StringBuilder text, String name, String type, String help) {
+        text.append("# HELP ").append(PREFIX).append(name).append(' ').append(help).append('\n')
+                .append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
+    }
+
+    private static String escaped(String label) {
+        return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+}
--- a/src/main/java/lineward/operations/Operations.java
+++ b/src/main/java/lineward/operations/Operations.java
@@ -5,6 +5,9 @@
     /** @return whether this process can serve and wants to */
     boolean isReady();
 
+    /** @return what this process has done and holds, in the text format of Prometheus */
+    String figures();
+
     /** Sends clients away; the process stays. */
     void startDrain();
 
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -89,6 +89,7 @@
             }
             fields = front.read(asked.fields(), asked.body().toString(StandardCharsets.UTF_8));
         } catch (IllegalArgumentException e) {
+            front.unusable(asked.fields().get("op"));
             send(ThriftWriter.exception(channel.alloc(), "invoke", seqid, ThriftWriter.PROTOCOL_ERROR,
                     e.getMessage()));
             return;
--- a/src/main/java/lineward/thrift/Rehearsal.java
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -8,6 +8,7 @@
 import lineward.core.EngineEntry;
 import lineward.core.Planner;
 import lineward.engine.EngineFleet;
+import lineward.operations.Figures;
 import peatwick.Front;
 
 /**
@@ -28,7 +29,8 @@
     public static void play(ThriftFront.Names names, ThriftFront.Bounds bounds, Planner<Call> planner,
             EngineFleet fleet, DoubleSupplier clock) {
         planner.list(true, List.of(new EngineEntry("rehearsal", "", 0, 1, 0, Front.Condition.READY, 0, 0)));
-        ThriftFront front = new ThriftFront(names, bounds, null, planner, fleet, clock, () -> { });
+        ThriftFront front = new ThriftFront(names, bounds, null, planner, fleet, clock, () -> { },
+                new Figures());
         EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
         for (int i = 1; i <= ROUNDS; i++) {
             // What the planner holds back stays open, and a connection carries only so many.
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -31,6 +31,7 @@
 import lineward.engine.Run;
 import lineward.front.ClientTable;
 import lineward.front.FrontDoor;
+import lineward.operations.Figures;
 import peatwick.Front;
 
 /** The platform's front: clients speak Thrift, engines the line protocol, one planner decides. */
@@ -70,6 +71,7 @@
     private final EngineFleet fleet;
     private final DoubleSupplier clock;
     private final Runnable news;
+    private final Figures figures;
     private final Budget statements;
     private final Budget answers;
     private final ClientTable<ClientHandler> clients;
@@ -79,9 +81,12 @@
     private Channel listener;
     private Intake intake = Intake.OPEN;
 
-    /** @param news is called when the planner has something to decide on */
+    /**
+     * @param news is called when the planner has something to decide on
+     * @param figures count what ends here, before the planner has taken it
+     */
     public ThriftFront(Names names, Bounds bounds, InetSocketAddress address, Planner<Call> planner,
-            EngineFleet fleet, DoubleSupplier clock, Runnable news) {
+            EngineFleet fleet, DoubleSupplier clock, Runnable news, Figures figures) {
         this.names = names;
         this.address = address;
         this.statements = new Budget(bounds.statements());
@@ -90,6 +95,7 @@
         this.fleet = fleet;
         this.clock = clock;
         this.news = news;
+        this.figures = figures;
         this.clients = new ClientTable<>(bounds.clients(), System::nanoTime, c -> c.channel().close());
     }
 
@@ -156,6 +162,21 @@
         }
     }
 
+    @Override
+    public int open() {
+        return planner.open();
+    }
+
+    @Override
+    public int engines() {
+        return planner.engines();
+    }
+
+    @Override
+    public int avoided() {
+        return planner.avoided();
+    }
+
     @Override
     public boolean isQuiet() {
         return planner.open() == 0 && clients.size() == 0;
@@ -193,8 +214,21 @@
         clients.left(client);
     }
 
+    /** A request of that class has failed: its fields can't be used. */
+    void unusable(String op) {
+        figures.ended(op, Figures.End.FAULTED);
+    }
+
     /** @return false where there is no room for the request, which must then be refused */
     boolean take(Call call) {
+        boolean taken = hasRoom(call);
+        if (!taken) {
+            figures.ended(call.op(), Figures.End.THROTTLED);
+        }
+        return taken;
+    }
+
+    private boolean hasRoom(Call call) {
         int size = call.statement.readableBytes();
         if (intake == Intake.REFUSING || !statements.reserve(size)) {
             return false;
--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -211,6 +211,11 @@
         return out;
     }
 
+    @Override
+    public int avoided() {
+        return (int) engines.values().stream().filter(e -> !e.gone && e.suspected).count();
+    }
+
     private void handle(Event event) {
         if (event instanceof Arrival e) {
             take(e);
--- a/src/main/java/peatwick/Front.java
+++ b/src/main/java/peatwick/Front.java
@@ -18,6 +18,9 @@
      */
     List<Action> decide(double now, List<? extends Event> events);
 
+    /** @return engines on the list that get nothing now, by order or by choice */
+    int avoided();
+
     /** Whether a request may run more than once: always, by key within a group of engines, or never. */
     enum Effect { SAFE, KEYED, UNSAFE }
 
--- a/src/test/java/lineward/core/CoreTest.java
+++ b/src/test/java/lineward/core/CoreTest.java
@@ -68,6 +68,11 @@
         final List<Event> heard = new ArrayList<>();
         List<Action> next = List.of();
 
+        @Override
+        public int avoided() {
+            return 0;
+        }
+
         @Override
         public List<Action> decide(double now, List<? extends Event> events) {
             heard.addAll(events);
