--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -17,9 +17,11 @@
 import lineward.core.Planner;
 import lineward.core.Tracer;
 import lineward.engine.EngineFleet;
+import lineward.front.Doorway;
 import lineward.front.FrontDoor;
 import lineward.journal.EngineList;
 import lineward.journal.JournalPoll;
+import lineward.lifecycle.InheritedDoorway;
 import lineward.lifecycle.Lifecycle;
 import lineward.lifecycle.Ticker;
 import lineward.mysql.MysqlConfig;
@@ -51,6 +53,14 @@
     private static final double CLIENT_PART = 0.5;
     /** Part of the descriptors that connections to engines may take. */
     private static final double LINK_PART = 0.35;
+    /**
+     * SIGKILL comes 0.7 s after the longest deadline, which counts as so long at most at a restart and at an
+     * upgrade: who waits must have heard by then.
+     */
+    private static final int LONGEST_RESTART_MS = 3000;
+    private static final int LONGEST_UPGRADE_MS = 5000;
+    private static final int LAST_WORD_BEHIND_MS = 300;
+    private static final String INHERITED = "RELAY_ACCEPT_FD";
     private static final int IDLE_SWEEP_MS = 1000;
     private static final int SILENCE_SWEEP_MS = 100;
     /** How often the MySQL file is looked at: a drain must be known well within a second. */
@@ -67,6 +77,8 @@
     private final Figures figures = new Figures();
     private final Lifecycle lifecycle = new Lifecycle(loop, ticker, doors, figures);
     private InetSocketAddress management;
+    private boolean inherited;
+    private double longestMs = LONGEST_RESTART_MS;
     private final Telemetry telemetry;
 
     FrontEnd() {
@@ -105,7 +117,7 @@
             Rehearsal.play(names, bounds, new Planner<>(new Control(config.settings(), 0), mostRequests,
                     STOP_TAKES_MS, new LogTracer<>()), fleet, clock);
         });
-        ThriftFront front = new ThriftFront(names, bounds, config.listen(), planner, fleet, clock, news,
+        ThriftFront front = new ThriftFront(names, bounds, doorway(config), planner, fleet, clock, news,
                 figures);
         news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
@@ -124,9 +136,23 @@
         JournalPoll poll = new JournalPoll(loop, config.journal(), list);
         starts.add(poll::start);
         management = config.management();
+        longestMs = names.deadlines().stream().mapToDouble(d -> d).max().orElse(LONGEST_RESTART_MS);
         journals.add(poll::moveTo);
     }
 
+    private Doorway doorway(Config config) {
+        String descriptor = System.getenv().getOrDefault(INHERITED, "");
+        if (descriptor.isBlank()) {
+            return Doorway.at(config.listen());
+        }
+        try {
+            inherited = true;
+            return InheritedDoorway.take(descriptor);
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException(INHERITED + ": " + e.getMessage());
+        }
+    }
+
     /** Adds the MySQL front, unless its file names no address to listen on. */
     void addMysql(MysqlFile file) {
         MysqlConfig config = file.read();
@@ -187,8 +213,11 @@
         if (doors.isEmpty()) {
             throw new ConfigException("nothing to serve: the MySQL file names no address to listen on");
         }
+        Lifecycle.Ending ending = new Lifecycle.Ending(inherited,
+                (int) Math.min(longestMs, inherited ? LONGEST_UPGRADE_MS : LONGEST_RESTART_MS)
+                        + LAST_WORD_BEHIND_MS);
+        onLoop(() -> lifecycle.serve(ending));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-        onLoop(lifecycle::serve);
     }
 
     private static SocketAddress bound(ChannelFuture listening) {
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -17,10 +17,16 @@
  */
 public final class Lifecycle implements Operations {
     private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
+    /**
+     * How this process ends after SIGTERM.
+     *
+     * @param inherited whether others accept on the clients' socket: none is accepted here any more then
+     * @param lastWordMs when who still waits has to hear
+     */
+    public record Ending(boolean inherited, int lastWordMs) { }
+
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
     private static final int STILL_COMING_MS = 900;
-    /** SIGKILL may come 3.7 s after SIGTERM: who waits must have heard by then. */
-    private static final int LAST_WORD_MS = 3300;
     /** A drain: new connections come for 0.3 s yet; then the resting ones close one by one. */
     private static final double FIRST_CLOSE_MS = 300;
     private static final double ALL_CLOSE_MS = 1500;
@@ -33,10 +39,10 @@
     private final List<FrontDoor> doors;
     private final Figures figures;
     private final CountDownLatch quiet = new CountDownLatch(1);
-    private boolean serving;
+    private Ending how;
     private boolean ending;
     private boolean draining;
-    private long drainedSince;
+    private long leavingSince;
 
     /** @param doors all fronts; may be filled until {@link #serve} */
     public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures) {
@@ -47,14 +53,14 @@
     }
 
     /** All fronts listen: from now on this process says that it is ready. */
-    public void serve() {
-        serving = true;
+    public void serve(Ending ending) {
+        how = ending;
         ticker.every(Ticker.TICK_MS, this::sendAway);
     }
 
     @Override
     public boolean isReady() {
-        return serving && !draining && !ending;
+        return how != null && !draining && !ending;
     }
 
     @Override
@@ -67,7 +73,7 @@
         if (!draining) {
             LOG.info("drain: clients are sent away");
             draining = true;
-            drainedSince = System.nanoTime();
+            leavingSince = System.nanoTime();
             admit(Intake.LEAVING);
         }
     }
@@ -88,11 +94,11 @@
 
     /** Danger: clients whose connections all close at once come back elsewhere all at once. */
     private void sendAway() {
-        if (!draining || ending) {
+        if (ending ? !how.inherited() : !draining) {
             return;
         }
-        double since = (System.nanoTime() - drainedSince) / NANOS;
-        if (since >= REFUSE_MS) {
+        double since = (System.nanoTime() - leavingSince) / NANOS;
+        if (since >= REFUSE_MS && !ending) {
             admit(Intake.REFUSING);
         }
         if (since >= FIRST_CLOSE_MS) {
@@ -109,20 +115,30 @@
         LOG.info("SIGTERM: serving on until all is answered");
         loop.execute(() -> {
             ending = true;
-            admit(Intake.LEAVING);
-        });
-        loop.schedule(() -> ticker.every(Ticker.TICK_MS, () -> {
-            doors.forEach(FrontDoor::stopListening);
-            doors.forEach(d -> d.closeResting(1));
-            if (doors.stream().allMatch(FrontDoor::isQuiet)) {
-                quiet.countDown();
+            leavingSince = System.nanoTime();
+            if (how.inherited()) {
+                doors.forEach(FrontDoor::stopListening);
+            } else {
+                admit(Intake.LEAVING);
             }
-        }), STILL_COMING_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> doors.forEach(FrontDoor::lastWord), LAST_WORD_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> ticker.every(Ticker.TICK_MS, this::finish),
+                    how.inherited() ? 0 : STILL_COMING_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> doors.forEach(FrontDoor::lastWord), how.lastWordMs(), TimeUnit.MILLISECONDS);
+        });
         try {
             quiet.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    private void finish() {
+        if (!how.inherited()) {
+            doors.forEach(FrontDoor::stopListening);
+            doors.forEach(d -> d.closeResting(1));
+        }
+        if (doors.stream().allMatch(FrontDoor::isQuiet)) {
+            quiet.countDown();
+        }
+    }
 }
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -26,6 +25,7 @@
 import lineward.core.Planner;
 import lineward.core.SlotTable;
 import lineward.front.ClientTable;
+import lineward.front.Doorway;
 import lineward.front.FrontDoor;
 import lineward.operations.Figures;
 import org.slf4j.Logger;
@@ -47,6 +47,7 @@
     private static final long TEXTS = 8L << 20;
 
     private final MysqlConfig config;
+    private final Doorway doorway;
     private final Planner<Query> planner;
     private final DoubleSupplier clock;
     private final Runnable news;
@@ -66,6 +67,7 @@
     public MysqlFront(EventLoopGroup loop, MysqlConfig config, Planner<Query> planner, DoubleSupplier clock,
             Runnable news, Figures figures) {
         this.config = config;
+        this.doorway = Doorway.at(config.listen());
         this.planner = planner;
         this.clock = clock;
         this.news = news;
@@ -77,7 +79,7 @@
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture open = doorway.open(new ServerBootstrap()
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -86,9 +88,9 @@
                         channel.pipeline().addLast(new PacketDecoder(maxPacket()),
                                 new ClientSession(MysqlFront.this, ++lastClient));
                     }
-                }).bind(config.listen());
-        listener = bound.channel();
-        return bound;
+                }), loop);
+        listener = open.channel();
+        return open;
     }
 
     /** Takes in the engines as the configuration now has them; who is not named any more is gone. */
@@ -136,7 +138,7 @@
 
     @Override
     public void stopListening() {
-        listener.close();
+        doorway.shut(listener);
     }
 
     @Override
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -10,8 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
@@ -30,6 +28,7 @@
 import lineward.engine.EngineFleet;
 import lineward.engine.Run;
 import lineward.front.ClientTable;
+import lineward.front.Doorway;
 import lineward.front.FrontDoor;
 import lineward.operations.Figures;
 import peatwick.Front;
@@ -66,7 +65,7 @@
     private record Ended(String id, long atNanos) { }
 
     private final Names names;
-    private final InetSocketAddress address;
+    private final Doorway doorway;
     private final Planner<Call> planner;
     private final EngineFleet fleet;
     private final DoubleSupplier clock;
@@ -85,10 +84,10 @@
      * @param news is called when the planner has something to decide on
      * @param figures count what ends here, before the planner has taken it
      */
-    public ThriftFront(Names names, Bounds bounds, InetSocketAddress address, Planner<Call> planner,
+    public ThriftFront(Names names, Bounds bounds, Doorway doorway, Planner<Call> planner,
             EngineFleet fleet, DoubleSupplier clock, Runnable news, Figures figures) {
         this.names = names;
-        this.address = address;
+        this.doorway = doorway;
         this.statements = new Budget(bounds.statements());
         this.answers = new Budget(bounds.answers());
         this.planner = planner;
@@ -101,7 +100,7 @@
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture open = doorway.open(new ServerBootstrap()
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -113,9 +112,9 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(handlers());
                     }
-                }).bind(address);
-        listener = bound.channel();
-        return bound;
+                }), loop);
+        listener = open.channel();
+        return open;
     }
 
     /** What reads one client's connection. */
@@ -142,7 +141,7 @@
 
     @Override
     public void stopListening() {
-        listener.close();
+        doorway.shut(listener);
     }
 
     @Override
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -1,9 +1,7 @@
 package lineward;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,34 +13,34 @@
 public final class Program implements AutoCloseable {
     private static final String LISTENS = "listening on ";
     private static final String OPERATIONS = "operators call at ";
+    /** Null where it was started by somebody else. */
     private final Process process;
-    private final List<String> log = new ArrayList<>();
+    private final ProcessHandle handle;
+    private final Path log;
 
     public Program(Map<String, String> environment, String... words) throws IOException {
+        log = Files.createTempFile("program", ".log");
+        ProcessBuilder builder = new ProcessBuilder(command(words)).redirectErrorStream(true)
+                .redirectOutput(log.toFile());
+        builder.environment().putAll(environment);
+        process = builder.start();
+        handle = process.toHandle();
+    }
+
+    /** A program that inherits the holder's socket. */
+    public Program(SocketHolder holder, String environment) throws IOException {
+        log = Files.createTempFile("program", ".log");
+        process = null;
+        handle = holder.start(log.toString(), environment + ";RELAY_ACCEPT_FD=0", command("serve"));
+    }
+
+    private static List<String> command(String... words) {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "lineward.app.Main"));
         command.addAll(List.of(words));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().putAll(environment);
-        process = builder.start();
-        Thread reader = new Thread(this::read, "log");
-        reader.setDaemon(true);
-        reader.start();
-    }
-
-    private void read() {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(),
-                StandardCharsets.UTF_8))) {
-            for (String line = in.readLine(); line != null; line = in.readLine()) {
-                synchronized (log) {
-                    log.add(line);
-                }
-            }
-        } catch (IOException e) {
-            // The process has ended; its status tells the rest.
-        }
+        return command;
     }
 
     /** @return the port of its first listener, once it listens */
@@ -56,30 +54,32 @@
     }
 
     private int portIn(String words) {
-        await(words, () -> log().contains(words) || !process.isAlive());
+        await(words, () -> log().contains(words) || !isAlive());
         String text = log();
         String line = text.substring(text.indexOf(words)).lines().findFirst().orElseThrow();
         return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
     }
 
     public String log() {
-        synchronized (log) {
-            return String.join("\n", log);
+        try {
+            return Files.readString(log).stripTrailing();
+        } catch (IOException e) {
+            throw new AssertionError(e);
         }
     }
 
     public boolean isAlive() {
-        return process.isAlive();
+        return handle.isAlive();
     }
 
     /** Sends SIGTERM. */
     public void terminate() {
-        process.toHandle().destroy(); // Process.destroy would close the log as well
+        handle.destroy();
     }
 
     /** Sends SIGHUP. */
     public void hangUp() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-HUP", Long.toString(handle.pid())).start().waitFor();
     }
 
     /** @return its exit status, once it has ended */
@@ -108,6 +108,7 @@
 
     @Override
     public void close() {
-        process.destroyForcibly();
+        handle.destroyForcibly();
+        log.toFile().delete();
     }
 }
--- /dev/null
+++ b/src/test/java/lineward/SocketHolder.java
@@ -0,0 +1,80 @@
+package lineward;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Holds a listening socket as a platform does and starts programs that inherit it as descriptor 0. Java can't
+ * pass a socket on, so this is a few lines of Perl, which every Debian has.
+ */
+public final class SocketHolder implements AutoCloseable {
+    private static final String SCRIPT = """
+            use Socket; use Fcntl; use POSIX (); $| = 1; $SIG{CHLD} = 'IGNORE';
+            socket(my $s, PF_INET, SOCK_STREAM, 0); setsockopt($s, SOL_SOCKET, SO_REUSEADDR, 1);
+            bind($s, sockaddr_in(0, INADDR_LOOPBACK)) && listen($s, 64) or die;
+            my ($port) = sockaddr_in(getsockname($s));
+            open(my $in, '<&', \\*STDIN);
+            print "$port\\n";
+            while (my $line = <$in>) {
+                chomp $line;
+                if ($line eq 'blocking') { fcntl($s, F_SETFL, fcntl($s, F_GETFL, 0) & ~O_NONBLOCK); next; }
+                my ($out, $env, @command) = split /\\t/, $line;
+                my $pid = fork;
+                if (!$pid) {
+                    POSIX::dup2(fileno($s), 0);
+                    open(STDOUT, '>', $out); open(STDERR, '>&', \\*STDOUT);
+                    for (split /;/, $env) { my ($k, $v) = split /=/, $_, 2; $ENV{$k} = $v; }
+                    exec @command;
+                }
+                print "$pid\\n";
+            }
+            """;
+    private final Process process;
+    private final int port;
+
+    public SocketHolder() throws IOException {
+        process = new ProcessBuilder("perl", "-e", SCRIPT).redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        port = number();
+    }
+
+    private int number() throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = process.getInputStream().read(); c != '\n'; c = process.getInputStream().read()) {
+            if (c < 0) {
+                throw new IOException("the holder has ended");
+            }
+            line.append((char) c);
+        }
+        return Integer.parseInt(line.toString());
+    }
+
+    /** @return the port that the socket listens on */
+    public int port() {
+        return port;
+    }
+
+    /** Clears the flag that keeps an accept from waiting, for all that share the socket. */
+    public void makeBlocking() throws IOException {
+        say("blocking");
+    }
+
+    /** Starts a program; its output goes to the file. */
+    public ProcessHandle start(String out, String environment, List<String> command) throws IOException {
+        say(out + '\t' + environment + '\t' + String.join("\t", command));
+        return ProcessHandle.of(number()).orElseThrow(() -> new IOException("it has ended at once"));
+    }
+
+    private void say(String line) throws IOException {
+        OutputStream to = process.getOutputStream();
+        to.write((line + '\n').getBytes(StandardCharsets.UTF_8));
+        to.flush();
+    }
+
+    @Override
+    public void close() {
+        process.destroy();
+    }
+}
--- a/src/test/java/lineward/thrift/FiguresTest.java
+++ b/src/test/java/lineward/thrift/FiguresTest.java
@@ -15,8 +15,8 @@
 public class FiguresTest {
     private static final String ENDS = "edge_relay_operations_total{priority=\"look\",status=";
 
-    static Map<String, Integer> figures(Platform platform) throws IOException {
-        Operator.Answer answer = new Operator(platform.program()).get("/ops/stats");
+    static Map<String, Integer> figures(Program program) throws IOException {
+        Operator.Answer answer = new Operator(program).get("/ops/stats");
         assertEquals(answer.status(), 200);
         Map<String, Integer> all = new TreeMap<>();
         answer.body().lines().filter(line -> !line.startsWith("#")).forEach(line -> all.put(
@@ -37,7 +37,7 @@
             Map<String, String> unusable = StandInCaller.fields(1000);
             unusable.put("org", "nobody");
             caller.call(unusable, "select 1");
-            Map<String, Integer> seen = figures(platform);
+            Map<String, Integer> seen = figures(platform.program);
             assertEquals((int) seen.get(ENDS + "\"fulfilled\"}"), answers[0]);
             assertEquals((int) seen.get(ENDS + "\"throttled\"}"), answers[1]);
             assertEquals((int) seen.get(ENDS + "\"faulted\"}"), answers[2] + 1);
@@ -58,13 +58,13 @@
                 caller.send(StandInCaller.fields(2000), "select 1");
             }
             Program.await("they run", () -> platform.one.count("want") + platform.two.count("want") == 3);
-            assertEquals((int) figures(platform).get("edge_relay_open_requests"), 3);
+            assertEquals((int) figures(platform.program).get("edge_relay_open_requests"), 3);
             platform.one.close();
             platform.two.mode = Mode.SERVE;
             Program.await("a dead engine is avoided", () -> {
                 try {
                     caller.call(StandInCaller.fields(2000), "select 1");
-                    return figures(platform).get("edge_relay_out_of_rotation") == 1;
+                    return figures(platform.program).get("edge_relay_out_of_rotation") == 1;
                 } catch (IOException e) {
                     throw new AssertionError(e);
                 }
@@ -72,7 +72,7 @@
             platform.journal.tell(false, "s-1", "" + platform.one.port(), "gone");
             Program.await("it has left the list", () -> {
                 try {
-                    Map<String, Integer> seen = figures(platform);
+                    Map<String, Integer> seen = figures(platform.program);
                     return seen.get("edge_relay_registry_entries") == 1
                             && seen.get("edge_relay_out_of_rotation") == 0;
                 } catch (IOException e) {
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -5,7 +5,9 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 import lineward.Program;
+import lineward.SocketHolder;
 
 /** The program on a small platform: two engines, a journal, a configuration. */
 public final class Platform implements AutoCloseable {
@@ -24,17 +26,31 @@
     final StandInLines one = new StandInLines();
     final StandInLines two = new StandInLines();
     final Program program;
-    private final Path config = Files.createTempFile("config", ".json");
+    private final SocketHolder holder;
+    final Path shared = Files.createTempDirectory("shared");
+    private final Path config = shared.resolve("config.json");
 
     public Platform(Map<String, String> environment) throws IOException {
+        this(environment, null);
+    }
+
+    /** @param holder holds the clients' socket; null: the program binds one itself */
+    public Platform(Map<String, String> environment, SocketHolder holder) throws IOException {
+        this.holder = holder;
         journal.tell(true, "s-1", "" + one.port(), "ready", "s-2", "" + two.port(), "ready");
         configure(journal);
         Map<String, String> all = new HashMap<>(environment);
         all.put("RELAY_CONFIG", config.toString());
-        program = new Program(all, "serve");
+        all.put("TMPDIR", shared.toString());
+        program = holder == null ? new Program(all, "serve") : again();
         program.port();
     }
 
+    /** Starts the program anew on the same socket. */
+    Program again() throws IOException {
+        return new Program(holder, "RELAY_CONFIG=" + config + ";TMPDIR=" + shared);
+    }
+
     /** Writes the configuration, which names this journal. */
     void configure(StandInJournal service) throws IOException {
         configure("{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
@@ -54,7 +70,7 @@
     }
 
     StandInCaller caller() throws IOException {
-        return new StandInCaller(program.port());
+        return new StandInCaller(holder == null ? program.port() : holder.port());
     }
 
     /** Has some requests served, and one refused. */
@@ -77,6 +93,9 @@
         one.close();
         two.close();
         journal.close();
-        Files.delete(config);
+        try (Stream<Path> files = Files.list(shared)) {
+            files.forEach(file -> file.toFile().delete());
+        }
+        Files.deleteIfExists(shared);
     }
 }
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -32,6 +32,7 @@
 
     final List<String> heard = new CopyOnWriteArrayList<>();
     private final ServerSocket server = new ServerSocket();
+    private final Thread acceptor;
     private final Map<Socket, Set<String>> sockets = new ConcurrentHashMap<>();
     volatile Mode mode = Mode.SERVE;
     /** Connections still to be reset before it serves again. */
@@ -44,7 +45,7 @@
     StandInLines(int port) throws IOException {
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
-        Thread acceptor = new Thread(this::accept, "engine");
+        acceptor = new Thread(this::accept, "engine");
         acceptor.setDaemon(true);
         acceptor.start();
     }
@@ -175,6 +176,12 @@
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            // Until its accept has returned the port is taken, and a new engine there can't bind it.
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets.keySet()) {
             socket.setSoLinger(true, 0);
             socket.close();
