Hold engines out by hand, across lists and upgrades, and use them cold when called back

Seen: nothing answered the calls. The module hears HeldOut beside the list; every choice goes by the one flag ready, so reruns obey; what still waits for a connection there ends as never run. Each process keeps a file of its own in TMPDIR.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import lineward.front.FrontDoor;
 import lineward.journal.EngineList;
 import lineward.journal.JournalPoll;
+import lineward.lifecycle.HandOver;
 import lineward.lifecycle.InheritedDoorway;
 import lineward.lifecycle.Lifecycle;
 import lineward.lifecycle.Ticker;
@@ -75,8 +77,9 @@
     private final List<Runnable> starts = new ArrayList<>();
     private final List<Consumer<String>> journals = new ArrayList<>();
     private final Figures figures = new Figures();
-    private final Lifecycle lifecycle = new Lifecycle(loop, ticker, doors, figures);
     private InetSocketAddress management;
+    private Lifecycle lifecycle;
+    private String name = "mysql";
     private boolean inherited;
     private double longestMs = LONGEST_RESTART_MS;
     private final Telemetry telemetry;
@@ -136,6 +139,7 @@
         JournalPoll poll = new JournalPoll(loop, config.journal(), list);
         starts.add(poll::start);
         management = config.management();
+        name = config.name() + '-' + config.listen().getPort();
         longestMs = names.deadlines().stream().mapToDouble(d -> d).max().orElse(LONGEST_RESTART_MS);
         journals.add(poll::moveTo);
     }
@@ -198,6 +202,8 @@
 
     /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
+        lifecycle = lifecycle();
+        onLoop(lifecycle::begin);
         ticker.every(Ticker.TICK_MS, () -> doors.forEach(FrontDoor::tick));
         ticker.every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilent));
         ticker.every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
@@ -213,13 +219,29 @@
         if (doors.isEmpty()) {
             throw new ConfigException("nothing to serve: the MySQL file names no address to listen on");
         }
-        Lifecycle.Ending ending = new Lifecycle.Ending(inherited,
-                (int) Math.min(longestMs, inherited ? LONGEST_UPGRADE_MS : LONGEST_RESTART_MS)
-                        + LAST_WORD_BEHIND_MS);
-        onLoop(() -> lifecycle.serve(ending));
+        onLoop(lifecycle::serve);
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
     }
 
+    private Lifecycle lifecycle() {
+        String shared = System.getenv().getOrDefault("TMPDIR", "");
+        HandOver handOver = new HandOver(shared.isBlank() ? null : Path.of(shared), name, clock,
+                new HandOver.Listener() {
+                    @Override
+                    public void heldOut(String engine, boolean out, double since) {
+                        doors.forEach(d -> d.holdOut(engine, out, since));
+                    }
+
+                    @Override
+                    public void company(int processes) {
+                        doors.forEach(d -> d.company(processes));
+                    }
+                });
+        return new Lifecycle(loop, ticker, doors, figures, handOver, new Lifecycle.Ending(inherited,
+                (int) Math.min(longestMs, inherited ? LONGEST_UPGRADE_MS : LONGEST_RESTART_MS)
+                        + LAST_WORD_BEHIND_MS));
+    }
+
     private static SocketAddress bound(ChannelFuture listening) {
         try {
             return listening.syncUninterruptibly().channel().localAddress();
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import peatwick.Front;
 
 /**
@@ -57,6 +57,9 @@
     private final Deadlines deadlines = new Deadlines();
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
+    /** Engines on the list, and those held out, which keep their numbers when they leave it. */
+    private final Set<String> listed = new HashSet<>();
+    private final Set<String> heldOut = new HashSet<>();
     private List<Front.Event> events = new ArrayList<>();
     private List<Command<X>> commands = new ArrayList<>();
     private int open;
@@ -156,20 +159,48 @@
         events.add(new Front.ListChange(whole, entries.stream().map(e -> new Front.Listed(number(e.id()),
                 e.kind(), e.weight(), e.startedAtMs(), e.condition(), e.zone(), e.cell())).toList()));
         if (whole) {
-            Set<String> named = entries.stream().map(EngineEntry::id).collect(Collectors.toSet());
-            List.copyOf(numbers.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
+            listed.clear();
         }
-        entries.stream().filter(e -> e.condition() == Front.Condition.GONE).forEach(e -> forget(e.id()));
+        for (EngineEntry e : entries) {
+            if (e.condition() == Front.Condition.GONE) {
+                listed.remove(e.id());
+            } else {
+                listed.add(e.id());
+            }
+        }
+        forgetOthers();
     }
 
     /** The module sends nothing to who is gone; engines come under ever new ids. */
-    private void forget(String engine) {
-        names.remove(numbers.remove(engine));
+    private void forgetOthers() {
+        numbers.keySet().removeIf(id -> !knows(id));
+        names.values().removeIf(id -> !knows(id));
+    }
+
+    /** @return whether that engine is on the list or held out */
+    public boolean knows(String engine) {
+        return listed.contains(engine) || heldOut.contains(engine);
+    }
+
+    /** By order an engine gets nothing from now on, whatever the list says, or is used again. */
+    public void holdOut(String engine, boolean out, double at) {
+        events.add(new Front.HeldOut(number(engine), out, at));
+        if (out) {
+            heldOut.add(engine);
+        } else {
+            heldOut.remove(engine);
+            forgetOthers();
+        }
+    }
+
+    /** So many processes, this one included, serve as this front end now. */
+    public void company(int processes) {
+        events.add(new Front.Company(processes));
     }
 
     /** @return engines on the list */
     public int engines() {
-        return names.size();
+        return listed.size();
     }
 
     /** @return engines on the list that the module sends nothing to now */
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -93,6 +93,14 @@
         }
     }
 
+    /** Ends what still waits for a connection to that engine, as never run. */
+    public void recall(String engine) {
+        Member m = members.get(engine);
+        if (m != null) {
+            m.pool.recall();
+        }
+    }
+
     /** Tells the engine the run's new priority. */
     public void hurry(String engine, Run run, int priority) {
         run.priority = priority;
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -144,6 +144,10 @@
         List.copyOf(links).forEach(Link::beat);
     }
 
+    void recall() {
+        List.copyOf(links).forEach(Link::recall);
+    }
+
     int size() {
         return links.size();
     }
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -148,6 +148,14 @@
         }
     }
 
+    /** What waits for the connection to come up never goes out. */
+    void recall() {
+        if (!up) {
+            end(all -> all.forEach(run -> run.end(Front.Outcome.FULL)));
+            close();
+        }
+    }
+
     /** The connection is up: what waited for it goes out. */
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -39,6 +39,15 @@
     /** Closes connections to engines that have been idle for long. */
     void closeIdleEngines();
 
+    /** @return whether that engine is on the list or held out */
+    boolean knows(String engine);
+
+    /** By order an engine gets nothing from now on, or is used again; at tells when that was said. */
+    void holdOut(String engine, boolean out, double at);
+
+    /** So many processes, this one included, serve as this front end now. */
+    void company(int processes);
+
     /** @return requests taken and not yet ended */
     int open();
 
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -33,34 +33,62 @@
     /** From then on requests are refused: at 4 s a connection may carry none of the last 2 s. */
     private static final double REFUSE_MS = 1800;
     private static final double NANOS = 1e6;
+    /** Another process's word on an engine has to hold here well within a second. */
+    private static final int LOOK_MS = 100;
 
     private final EventLoop loop;
     private final Ticker ticker;
     private final List<FrontDoor> doors;
     private final Figures figures;
     private final CountDownLatch quiet = new CountDownLatch(1);
-    private Ending how;
+    private final Ending how;
+    private final HandOver handOver;
+    private boolean serving;
     private boolean ending;
     private boolean draining;
     private long leavingSince;
 
-    /** @param doors all fronts; may be filled until {@link #serve} */
-    public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures) {
+    /**
+     * @param doors all fronts
+     * @param how this process will end
+     */
+    public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures, HandOver handOver,
+            Ending how) {
         this.figures = figures;
+        this.handOver = handOver;
+        this.how = how;
         this.loop = loop;
         this.ticker = ticker;
         this.doors = doors;
     }
 
+    /** Takes in what a process before this one was told, and watches for more. */
+    public void begin() {
+        handOver.look();
+        handOver.write();
+        ticker.every(LOOK_MS, handOver::look);
+        ticker.every(HandOver.BEAT_MS, handOver::write);
+    }
+
     /** All fronts listen: from now on this process says that it is ready. */
-    public void serve(Ending ending) {
-        how = ending;
+    public void serve() {
+        serving = true;
         ticker.every(Ticker.TICK_MS, this::sendAway);
     }
 
     @Override
     public boolean isReady() {
-        return how != null && !draining && !ending;
+        return serving && !draining && !ending;
+    }
+
+    /** What is used already is told so and nothing more: it has not been away. */
+    @Override
+    public boolean holdOut(String engine, boolean out) {
+        boolean known = doors.stream().anyMatch(d -> d.knows(engine));
+        if (known && out != handOver.isOut(engine)) {
+            handOver.say(engine, out);
+        }
+        return known;
     }
 
     @Override
@@ -130,6 +158,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        loop.submit(handOver::leave).syncUninterruptibly();
     }
 
     private void finish() {
--- a/src/main/java/lineward/mysql/EngineLink.java
+++ b/src/main/java/lineward/mysql/EngineLink.java
@@ -75,6 +75,13 @@
         channel.close();
     }
 
+    /** What has not gone out yet never does. */
+    void recall() {
+        if (run != null && state != State.MAIN && state != State.KILLED) {
+            fail(Front.Outcome.FULL);
+        }
+    }
+
     /** Reads on, or waits until the client has read what it was sent. */
     void flow(boolean on) {
         channel.config().setAutoRead(on);
--- a/src/main/java/lineward/mysql/EngineLinks.java
+++ b/src/main/java/lineward/mysql/EngineLinks.java
@@ -115,6 +115,12 @@
         return link;
     }
 
+    /** Ends what waits for a login as never run, and closes the connections that are free. */
+    void recall() {
+        List.copyOf(links).forEach(EngineLink::recall);
+        closeIdle(System.nanoTime() + 1);
+    }
+
     void free(EngineLink link) {
         if (closing) {
             link.close();
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -154,6 +154,28 @@
         clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
     }
 
+    @Override
+    public boolean knows(String engine) {
+        return planner.knows(engine);
+    }
+
+    @Override
+    public void holdOut(String engine, boolean out, double at) {
+        planner.holdOut(engine, out, at);
+        if (out) {
+            EngineLinks links = engines.get(engine);
+            if (links != null) {
+                links.recall();
+            }
+        }
+        news.run();
+    }
+
+    @Override
+    public void company(int processes) {
+        planner.company(processes);
+    }
+
     @Override
     public int open() {
         return planner.open();
--- a/src/main/java/lineward/operations/CallHandler.java
+++ b/src/main/java/lineward/operations/CallHandler.java
@@ -37,6 +37,10 @@
                     HttpResponseStatus.SERVICE_UNAVAILABLE, ops.isReady() ? "ready\n" : "not ready\n")),
             "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> new Reply(HttpResponseStatus.OK,
                     ops.figures())),
+            "/ops/query-engines/down", new Call(HttpMethod.POST, (ops, body) -> Reply.of(
+                    ops.holdOut(body, true), HttpResponseStatus.NOT_FOUND, "query engine " + body + '\n')),
+            "/ops/query-engines/up", new Call(HttpMethod.POST, (ops, body) -> Reply.of(
+                    ops.holdOut(body, false), HttpResponseStatus.NOT_FOUND, "query engine " + body + '\n')),
             "/ops/drain/start", new Call(HttpMethod.POST, (ops, body) -> {
                 ops.startDrain();
                 return new Reply(HttpResponseStatus.OK, "draining\n");
--- a/src/main/java/lineward/operations/Operations.java
+++ b/src/main/java/lineward/operations/Operations.java
@@ -5,6 +5,13 @@
     /** @return whether this process can serve and wants to */
     boolean isReady();
 
+    /**
+     * Leaves an engine out, or uses it again.
+     *
+     * @return false if no such engine is known
+     */
+    boolean holdOut(String engine, boolean out);
+
     /** @return what this process has done and holds, in the text format of Prometheus */
     String figures();
 
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -161,6 +161,25 @@
         }
     }
 
+    @Override
+    public boolean knows(String engine) {
+        return planner.knows(engine);
+    }
+
+    @Override
+    public void holdOut(String engine, boolean out, double at) {
+        planner.holdOut(engine, out, at);
+        if (out) {
+            fleet.recall(engine);
+        }
+        news.run();
+    }
+
+    @Override
+    public void company(int processes) {
+        planner.company(processes);
+    }
+
     @Override
     public int open() {
         return planner.open();
--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -142,6 +142,7 @@
     private List<Action> out = new ArrayList<>();
     private double now;
     private boolean ask, waking, blocked;
+    private int company = 1;
     private double trials = TRIALS_SAVED, nextReckon, share, fleetSlow = 1, readyCores = 1;
     /** Part of an engine's load that this front does not see: 0 for few fronts, near 1 for hundreds. */
     private final double blind;
@@ -213,7 +214,8 @@
 
     @Override
     public int avoided() {
-        return (int) engines.values().stream().filter(e -> !e.gone && e.suspected).count();
+        return (int) engines.values().stream().filter(e -> !e.gone && (e.suspected || e.heldOut))
+                .count();
     }
 
     private void handle(Event event) {
@@ -234,6 +236,10 @@
             hear(e.octets());
         } else if (event instanceof ListChange e) {
             list(e);
+        } else if (event instanceof HeldOut e) {
+            hold(e);
+        } else if (event instanceof Company e) {
+            company = Math.max(1, e.processes());
         } else if (event instanceof Aborted e && requests.containsKey(e.request())) {
             over(requests.get(e.request()));
         } else if (event instanceof Opened e && requests.containsKey(e.request())) {
@@ -346,7 +352,9 @@
                 continue;
             }
             double luck = -Math.log(-Math.log(1 - random.nextDouble() * 0.999999 - 5e-7));
-            double s = trial && !useAll ? Double.NEGATIVE_INFINITY
+            // Danger: a cold engine never looks best; what is called back must be used all the same.
+            boolean first = trial && !useAll || e.recalled && e.attempts.isEmpty();
+            double s = first ? Double.NEGATIVE_INFINITY
                     : score(r, e) - (TIE + BLUR * blind)
                             * (Math.log(capacityLeft(r.c, e)) + luck);
             if (s < bestScore) {
@@ -516,7 +524,7 @@
         double sent = e.sends.sum(now) + Math.max(r.work(), r.c.usualWork());
         boolean forgot = now - startedAt < set.rules().fallMs() && startedAt > e.coldFrom();
         double budget = COLD_PART * set.rules().overloadFactor() * set.rules().coldShare() * e.cores
-                * set.rules().fallMs();
+                * set.rules().fallMs() / company;
         if (set.fronts() <= TURNS) {
             return !forgot && sent <= budget / set.fronts();
         }
@@ -704,7 +712,7 @@
             case OK -> {
                 a.e.heardAt = now;
                 a.e.badInARow = 0;
-                a.e.suspected = false;
+                a.e.suspected = a.e.recalled = false;
                 if (a.first) {
                     r.c.ran(age, true);
                     if (r.cost == 0) {
@@ -803,7 +811,7 @@
             }
         }
         rests.values().removeIf(t -> t <= now);
-        engines.values().removeIf(e -> e.gone && e.attempts.isEmpty() && e.sends.sum(now) == 0);
+        engines.values().removeIf(e -> e.gone && !e.heldOut && e.attempts.isEmpty() && e.sends.sum(now) == 0);
     }
 
     private void reckon() {
@@ -854,6 +862,19 @@
                 e.badInARow = 0;
             }
         }
+        countCores();
+    }
+
+    /** Danger: no list clears an order; an engine held out is restarted meanwhile and comes back cold. */
+    private void hold(HeldOut order) {
+        Engine e = engines.computeIfAbsent(order.engine(), id -> new Engine(id));
+        e.hold(order.out(), order.at());
+        e.suspected &= order.out();
+        e.badInARow = 0;
+        countCores();
+    }
+
+    private void countCores() {
         readyCores = engines.values().stream().filter(e -> e.ready).mapToDouble(e -> e.cores).sum();
     }
 
--- a/src/main/java/peatwick/EngineState.java
+++ b/src/main/java/peatwick/EngineState.java
@@ -17,6 +17,10 @@
     boolean ready;
     boolean gone;
     boolean suspected;
+    /** By order, whatever the list says. */
+    boolean heldOut;
+    /** Called back and not heard of since. */
+    boolean recalled;
     int badInARow;
     double nextTrial;
     double heardAt;
@@ -41,13 +45,22 @@
         at = l;
         cores = kind.cores();
         memory = kind.memoryMb();
-        ready = l.condition() == Front.Condition.READY;
+        ready = l.condition() == Front.Condition.READY && !heldOut;
         gone = l.condition() == Front.Condition.GONE;
         boolean anew = l.upSince() != upSince;
         upSince = l.upSince();
         return anew;
     }
 
+    /** Takes an order in. The list decides whether an engine called back is ready. */
+    void hold(boolean out, double since) {
+        heldOut = out;
+        gone |= at == null;
+        ready = !out && !gone && at.condition() == Front.Condition.READY;
+        recalled = !out;
+        downAt = out ? downAt : Math.max(downAt, since);
+    }
+
     void add(A attempt, int itsThreads, double grant) {
         attempts.add(attempt);
         threads += itsThreads;
--- a/src/main/java/peatwick/Front.java
+++ b/src/main/java/peatwick/Front.java
@@ -141,7 +141,8 @@
             int cell) { }
 
     /** What happened. */
-    sealed interface Event permits ListChange, ListFailed, Arrival, Opened, Note, Verdict, Aborted, Probed,
+    sealed interface Event permits ListChange, ListFailed, HeldOut,
+            Company, Arrival, Opened, Note, Verdict, Aborted, Probed,
             Wake,
             PeerSays { }
 
@@ -151,6 +152,15 @@
     /** A call to the list failed; the old list stays. */
     record ListFailed() implements Event { }
 
+    /**
+     * By order, an engine gets nothing from now on, whatever the list says, or is used again; at tells when
+     * that was said. It may be an engine that the list has not, or no longer.
+     */
+    record HeldOut(long engine, boolean out, double at) implements Event { }
+
+    /** So many processes, this one included, serve as this front: while one takes over from another. */
+    record Company(int processes) implements Event { }
+
     /** A request was taken. Key 0 is none, a cost or memory of 0 is not known. */
     record Arrival(long request, int type, long key, double timeLeft, double cost, double memoryMb, int group,
             boolean repeat, int customer) implements Event { }
