Let a run hold its statement until it is over, and let go of a request once

Cause: a client takes its request back in the turn in which the connection comes up that the run waits for; ThriftFront.abort lets the statement go, Link.channelActive writes it before the planner's word to stop. The bytes then belong to somebody else, and counts go wrong from there. Also found: failAll and a client that hangs up in the same turn both released. Ruled out: the part of the cold budget, the file, the inherited socket: none touches a buffer.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -233,8 +233,8 @@
                     }
 
                     @Override
-                    public void company(int processes) {
-                        doors.forEach(d -> d.company(processes));
+                    public void part(double part) {
+                        doors.forEach(d -> d.part(part));
                     }
                 });
         return new Lifecycle(loop, ticker, doors, figures, handOver, new Lifecycle.Ending(inherited,
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -193,9 +193,9 @@
         }
     }
 
-    /** So many processes, this one included, serve as this front end now. */
-    public void company(int processes) {
-        events.add(new Front.Company(processes));
+    /** The part of this front end's work that falls to this process now. */
+    public void part(double part) {
+        events.add(new Front.Part(part));
     }
 
     /** @return engines on the list */
--- a/src/main/java/lineward/engine/Run.java
+++ b/src/main/java/lineward/engine/Run.java
@@ -36,13 +36,14 @@
     /**
      * @param id the request's id, passed on unchanged
      * @param sort the class's name
-     * @param statement the bytes to run; borrowed until the end
+     * @param statement the bytes to run. Held until the run is over: its request may end, and let go of them,
+     *     in the turn in which the connection comes up that the run waits for
      */
     public Run(String id, String sort, ByteBuf statement, long patienceMs, double grantMb, int priority,
             Listener listener) {
         this.id = id;
         this.sort = sort;
-        this.statement = statement;
+        this.statement = statement.retain();
         this.until = System.nanoTime() + patienceMs * 1_000_000;
         this.grantMb = (long) Math.ceil(grantMb);
         this.priority = priority;
@@ -105,10 +106,9 @@
 
     /** Ends the run; what comes after the first end is passed over. */
     void end(Front.Outcome outcome) {
-        if (over) {
+        if (!finish()) {
             return;
         }
-        over = true;
         ByteBuf result = null;
         if (outcome == Front.Outcome.OK) {
             CompositeByteBuf all = Unpooled.compositeBuffer(pages.length);
@@ -122,8 +122,19 @@
 
     /** Gives the run up without a word to anyone. */
     void drop() {
+        if (finish()) {
+            dropPages();
+        }
+    }
+
+    /** @return whether it was not over before */
+    private boolean finish() {
+        boolean first = !over;
         over = true;
-        dropPages();
+        if (first) {
+            statement.release();
+        }
+        return first;
     }
 
     private void dropPages() {
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -45,8 +45,8 @@
     /** By order an engine gets nothing from now on, or is used again; at tells when that was said. */
     void holdOut(String engine, boolean out, double at);
 
-    /** So many processes, this one included, serve as this front end now. */
-    void company(int processes);
+    /** The part of this front end's work that falls to this process now. */
+    void part(double part);
 
     /** @return requests taken and not yet ended */
     int open();
--- a/src/main/java/lineward/lifecycle/HandOver.java
+++ b/src/main/java/lineward/lifecycle/HandOver.java
@@ -26,8 +26,8 @@
         /** That engine is held out since then, or used again since then. */
         void heldOut(String engine, boolean out, double since);
 
-        /** So many processes, this one included, serve as this front end. */
-        void company(int processes);
+        /** The part of this front end's work that falls to this process from now on. */
+        void part(double part);
     }
 
     private record Word(boolean out, double since) { }
@@ -53,7 +53,8 @@
     private final DoubleSupplier clock;
     private final Listener listener;
     private final Map<String, Word> words = new TreeMap<>();
-    private int company = 1;
+    private double part = 1;
+    private boolean leaving;
     private boolean troubled;
     private boolean left;
 
@@ -100,7 +101,7 @@
         }
         double now = clock.getAsDouble();
         words.values().removeIf(w -> !w.out() && w.since() < now - FORGET_MS);
-        ObjectNode root = JSON.createObjectNode().put("at", now);
+        ObjectNode root = JSON.createObjectNode().put("at", now).put("leaving", leaving);
         ObjectNode engines = root.putObject("engines");
         words.forEach((engine, w) -> engines.putObject(engine).put("out", w.out()).put("since", w.since()));
         Path draft = own.resolveSibling(own.getFileName() + ".new");
@@ -118,18 +119,19 @@
         if (own == null) {
             return;
         }
-        int processes = 1;
+        int staying = 0;
         try (Stream<Path> files = Files.list(directory)) {
             for (Path file : files.filter(this::isAnothers).toList()) {
-                processes += read(file) ? 1 : 0;
+                staying += read(file) ? 1 : 0;
             }
         } catch (IOException e) {
             tell("can't see other processes: " + e);
         }
-        if (processes != company) {
-            company = processes;
-            LOG.info("processes that serve as this front end: {}", processes);
-            listener.company(processes);
+        double now = leaving && staying > 0 ? 0 : 1.0 / (1 + staying);
+        if (now != part) {
+            part = now;
+            LOG.info("part of this front end's work: {}", part);
+            listener.part(part);
         }
     }
 
@@ -138,7 +140,7 @@
         return name.startsWith(prefix) && name.endsWith(ENDING) && !file.equals(own);
     }
 
-    /** @return whether its process lives */
+    /** @return whether its process lives and stays */
     private boolean read(Path file) {
         try {
             JsonNode root = Files.size(file) > LARGEST ? null : JSON.readTree(Files.readString(file));
@@ -155,13 +157,20 @@
                     hear(e.getKey(), new Word(word.get("out").asBoolean(), word.get("since").asDouble()));
                 }
             }
-            return age < ALIVE_MS;
+            return age < ALIVE_MS && !root.path("leaving").asBoolean();
         } catch (IOException e) {
             tell(file.getFileName() + " is passed over: " + e.getMessage());
             return false;
         }
     }
 
+    /** This process leaves its work to others, where there are any. */
+    public void leaveWork() {
+        leaving = true;
+        write();
+        look();
+    }
+
     /** This process ends: who took over has read what stands here. */
     public void leave() {
         left = true;
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -144,6 +144,7 @@
         loop.execute(() -> {
             ending = true;
             leavingSince = System.nanoTime();
+            handOver.leaveWork();
             if (how.inherited()) {
                 doors.forEach(FrontDoor::stopListening);
             } else {
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -172,8 +172,8 @@
     }
 
     @Override
-    public void company(int processes) {
-        planner.company(processes);
+    public void part(double part) {
+        planner.part(part);
     }
 
     @Override
--- a/src/main/java/lineward/thrift/Call.java
+++ b/src/main/java/lineward/thrift/Call.java
@@ -12,6 +12,8 @@
     long request;
     Run run;
     int runOf = -1;
+    /** Its final answer is settled and its statement let go. */
+    boolean over;
 
     @Override
     public String toString() {
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -176,8 +176,8 @@
     }
 
     @Override
-    public void company(int processes) {
-        planner.company(processes);
+    public void part(double part) {
+        planner.part(part);
     }
 
     @Override
@@ -342,8 +342,15 @@
         news.run();
     }
 
-    /** Its last statement has gone out, or will never go. */
+    /**
+     * The request is over. Danger: a client may hang up between the word that its request has failed and the
+     * answer; what is let go twice is taken from somebody else.
+     */
     private void release(Call call) {
+        if (call.over) {
+            return;
+        }
+        call.over = true;
         statements.release(call.statement.readableBytes());
         call.statement.release();
         ended.add(new Ended(call.id(), System.nanoTime()));
--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -142,7 +142,8 @@
     private List<Action> out = new ArrayList<>();
     private double now;
     private boolean ask, waking, blocked;
-    private int company = 1;
+    private double part = 1, partBefore = 1, partAt = Double.NEGATIVE_INFINITY;
+    private boolean succeeds;
     private double trials = TRIALS_SAVED, nextReckon, share, fleetSlow = 1, readyCores = 1;
     /** Part of an engine's load that this front does not see: 0 for few fronts, near 1 for hundreds. */
     private final double blind;
@@ -238,8 +239,11 @@
             list(e);
         } else if (event instanceof HeldOut e) {
             hold(e);
-        } else if (event instanceof Company e) {
-            company = Math.max(1, e.processes());
+        } else if (event instanceof Part e) {
+            partBefore = coldPart();
+            partAt = now;
+            part = e.part();
+            succeeds |= part < 1;
         } else if (event instanceof Aborted e && requests.containsKey(e.request())) {
             over(requests.get(e.request()));
         } else if (event instanceof Opened e && requests.containsKey(e.request())) {
@@ -520,11 +524,12 @@
         if (!e.cold() || set.rules().overloadFactor() <= 0) {
             return true;
         }
-        // Danger: a front just started has forgotten what it sent there a moment ago.
+        // Danger: a front just started has forgotten what it sent there a moment ago. One that takes over
+        // from another process has its half of the budget, and the whole of it one window later.
         double sent = e.sends.sum(now) + Math.max(r.work(), r.c.usualWork());
-        boolean forgot = now - startedAt < set.rules().fallMs() && startedAt > e.coldFrom();
+        boolean forgot = !succeeds && now - startedAt < set.rules().fallMs() && startedAt > e.coldFrom();
         double budget = COLD_PART * set.rules().overloadFactor() * set.rules().coldShare() * e.cores
-                * set.rules().fallMs() / company;
+                * set.rules().fallMs() * coldPart();
         if (set.fronts() <= TURNS) {
             return !forgot && sent <= budget / set.fronts();
         }
@@ -533,6 +538,11 @@
         return !forgot && turn < TURNS && sent <= budget / 2 / TURNS;
     }
 
+    /** What another process sent counts for a window yet: a larger part holds only then. */
+    private double coldPart() {
+        return now - partAt < set.rules().fallMs() ? Math.min(part, partBefore) : part;
+    }
+
     private void send(Request r, Engine e) {
         if (e.attempts.isEmpty()) {
             e.heardAt = now;
--- a/src/main/java/peatwick/Front.java
+++ b/src/main/java/peatwick/Front.java
@@ -142,7 +142,7 @@
 
     /** What happened. */
     sealed interface Event permits ListChange, ListFailed, HeldOut,
-            Company, Arrival, Opened, Note, Verdict, Aborted, Probed,
+            Part, Arrival, Opened, Note, Verdict, Aborted, Probed,
             Wake,
             PeerSays { }
 
@@ -158,8 +158,11 @@
      */
     record HeldOut(long engine, boolean out, double at) implements Event { }
 
-    /** So many processes, this one included, serve as this front: while one takes over from another. */
-    record Company(int processes) implements Event { }
+    /**
+     * The part of this front's work that falls to this process: 1 alone, half while another serves beside it
+     * at an upgrade, 0 once it leaves the work to that one.
+     */
+    record Part(double part) implements Event { }
 
     /** A request was taken. Key 0 is none, a cost or memory of 0 is not known. */
     record Arrival(long request, int type, long key, double timeLeft, double cost, double memoryMb, int group,
