Take only what can end before the process must, and refuse after the last word

Kept connections that always carry something never rest, so the old process goes on taking requests until SIGKILL; each one that came after the last word was lost. Now what comes after SIGTERM has the time to the last word at most, so the module refuses at once what can't be done, and after the last word everything is refused until the connections rest.

--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -63,6 +63,7 @@
     private List<Front.Event> events = new ArrayList<>();
     private List<Command<X>> commands = new ArrayList<>();
     private int open;
+    private double endsAt = Double.POSITIVE_INFINITY;
 
     /**
      * @param module decides for this pool alone
@@ -79,17 +80,23 @@
 
     /** @return the request's id, or {@link SlotTable#FULL} where no slot is left and it must be refused */
     public long take(double now, Demand d, X exchange) {
-        Request r = new Request(exchange, now + d.timeLeftMs());
+        double left = Math.min(d.timeLeftMs(), endsAt - now);
+        Request r = new Request(exchange, now + left);
         r.id = requests.add(r);
         if (r.id != SlotTable.FULL) {
             open++;
             tracer.requestTaken(exchange);
-            events.add(new Front.Arrival(r.id, d.type(), 0, d.timeLeftMs(), d.cost(), d.memoryMb(),
+            events.add(new Front.Arrival(r.id, d.type(), 0, left, d.cost(), d.memoryMb(),
                     d.group(), d.repeat(), d.customer()));
         }
         return r.id;
     }
 
+    /** What is taken from now on must be over by then: what can't be is refused and may succeed elsewhere. */
+    public void endAt(double at) {
+        endsAt = at;
+    }
+
     /** The client stopped waiting; nothing is owed any more. A request that is over is passed over. */
     public void abort(long request) {
         Request r = requests.get(request);
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -24,6 +24,9 @@
     /** From now on the front meets its clients so. */
     void admit(Intake intake);
 
+    /** What is taken from now on has so long at most, whatever its client says. */
+    void endIn(int ms);
+
     /** Fails what is still open where the process is about to be killed. */
     void lastWord();
 
--- a/src/main/java/lineward/lifecycle/HandOver.java
+++ b/src/main/java/lineward/lifecycle/HandOver.java
@@ -54,7 +54,6 @@
     private final Listener listener;
     private final Map<String, Word> words = new TreeMap<>();
     private double part = 1;
-    private boolean leaving;
     private boolean troubled;
     private boolean left;
 
@@ -101,7 +100,7 @@
         }
         double now = clock.getAsDouble();
         words.values().removeIf(w -> !w.out() && w.since() < now - FORGET_MS);
-        ObjectNode root = JSON.createObjectNode().put("at", now).put("leaving", leaving);
+        ObjectNode root = JSON.createObjectNode().put("at", now);
         ObjectNode engines = root.putObject("engines");
         words.forEach((engine, w) -> engines.putObject(engine).put("out", w.out()).put("since", w.since()));
         Path draft = own.resolveSibling(own.getFileName() + ".new");
@@ -119,15 +118,15 @@
         if (own == null) {
             return;
         }
-        int staying = 0;
+        int others = 0;
         try (Stream<Path> files = Files.list(directory)) {
             for (Path file : files.filter(this::isAnothers).toList()) {
-                staying += read(file) ? 1 : 0;
+                others += read(file) ? 1 : 0;
             }
         } catch (IOException e) {
             tell("can't see other processes: " + e);
         }
-        double now = leaving && staying > 0 ? 0 : 1.0 / (1 + staying);
+        double now = 1.0 / (1 + others);
         if (now != part) {
             part = now;
             LOG.info("part of this front end's work: {}", part);
@@ -140,7 +139,7 @@
         return name.startsWith(prefix) && name.endsWith(ENDING) && !file.equals(own);
     }
 
-    /** @return whether its process lives and stays */
+    /** @return whether its process lives */
     private boolean read(Path file) {
         try {
             JsonNode root = Files.size(file) > LARGEST ? null : JSON.readTree(Files.readString(file));
@@ -157,20 +156,13 @@
                     hear(e.getKey(), new Word(word.get("out").asBoolean(), word.get("since").asDouble()));
                 }
             }
-            return age < ALIVE_MS && !root.path("leaving").asBoolean();
+            return age < ALIVE_MS;
         } catch (IOException e) {
             tell(file.getFileName() + " is passed over: " + e.getMessage());
             return false;
         }
     }
 
-    /** This process leaves its work to others, where there are any. */
-    public void leaveWork() {
-        leaving = true;
-        write();
-        look();
-    }
-
     /** This process ends: who took over has read what stands here. */
     public void leave() {
         left = true;
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -144,7 +144,7 @@
         loop.execute(() -> {
             ending = true;
             leavingSince = System.nanoTime();
-            handOver.leaveWork();
+            doors.forEach(d -> d.endIn(how.lastWordMs()));
             if (how.inherited()) {
                 doors.forEach(FrontDoor::stopListening);
             } else {
@@ -152,7 +152,7 @@
             }
             loop.schedule(() -> ticker.every(Ticker.TICK_MS, this::finish),
                     how.inherited() ? 0 : STILL_COMING_MS, TimeUnit.MILLISECONDS);
-            loop.schedule(() -> doors.forEach(FrontDoor::lastWord), how.lastWordMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(this::lastWord, how.lastWordMs(), TimeUnit.MILLISECONDS);
         });
         try {
             quiet.await();
@@ -160,6 +160,13 @@
             Thread.currentThread().interrupt();
         }
         loop.submit(handOver::leave).syncUninterruptibly();
+        LOG.info("all is answered");
+    }
+
+    private void lastWord() {
+        LOG.info("last word: {} requests fail", doors.stream().mapToInt(FrontDoor::open).sum());
+        admit(Intake.REFUSING);
+        doors.forEach(FrontDoor::lastWord);
     }
 
     private void finish() {
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -134,6 +134,10 @@
 
     /** Nobody kills a front by the clock that serves MySQL: its statements run to their deadlines. */
     @Override
+    public void endIn(int ms) { }
+
+    /** See {@link #endIn}. */
+    @Override
     public void lastWord() { }
 
     @Override
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -128,6 +128,11 @@
         intake = next;
     }
 
+    @Override
+    public void endIn(int ms) {
+        planner.endAt(clock.getAsDouble() + ms);
+    }
+
     @Override
     public void lastWord() {
         planner.failAll();
--- a/src/main/java/peatwick/Front.java
+++ b/src/main/java/peatwick/Front.java
@@ -160,7 +160,7 @@
 
     /**
      * The part of this front's work that falls to this process: 1 alone, half while another serves beside it
-     * at an upgrade, 0 once it leaves the work to that one.
+     * at an upgrade.
      */
     record Part(double part) implements Event { }
 
--- a/src/test/java/lineward/thrift/UpgradeTest.java
+++ b/src/test/java/lineward/thrift/UpgradeTest.java
@@ -4,10 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.net.SocketException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import lineward.Program;
 import lineward.SocketHolder;
 import lineward.operations.Operator;
@@ -72,6 +76,33 @@
         assertTrue(operator.isReady());
     }
 
+    @Test
+    public void aClientThatNeverRestsHoldsNoOldProcessUp() throws IOException {
+        platform.both(StandInLines.Mode.SILENT);
+        StandInCaller caller = platform.caller();
+        Set<Integer> open = new HashSet<>();
+        for (int i = 0; i < 5; i++) {
+            open.add(caller.send(StandInCaller.fields(9000), "select 1"));
+        }
+        Program.await("they run", () -> platform.one.count("want") + platform.two.count("want") >= 5);
+        Program first = FiguresTest.figures(next).get("edge_relay_open_requests") > 0 ? next
+                : platform.program;
+        first.terminate();
+        int answered = 0;
+        try {
+            while (true) {
+                assertTrue(open.remove(caller.read().seqid()));
+                answered++;
+                open.add(caller.send(StandInCaller.fields(9000), "select 1"));
+            }
+        } catch (EOFException | SocketException e) {
+            // Closed when nothing was open any more.
+        }
+        assertTrue(answered >= 5, "all that ran were answered");
+        Program.await("it ends", () -> !first.isAlive());
+        assertTrue(first.log().contains("all is answered"), first.log());
+    }
+
     @Test
     public void anAcceptThatFindsNothingHoldsNobodyUp() throws IOException {
         holder.makeBlocking();
