--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -234,7 +234,7 @@
 
                     @Override
                     public void part(double part) {
-                        doors.forEach(d -> d.part(part));
+                        doors.forEach(d -> d.planner().part(part));
                     }
                 });
         return new Lifecycle(loop, ticker, doors, figures, handOver, new Lifecycle.Ending(inherited,
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -10,7 +10,7 @@
 public final class Rehearsal {
     private static final int ROUNDS = 60;
 
-    private static final Link.Owner NOBODY = new Link.Owner() {
+    static final Link.Owner NOBODY = new Link.Owner() {
         @Override
         public void closed(Link link) { }
 
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/front/FrontDoor.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
+import lineward.core.Planner;
 
 /** What the program asks of each front. All but listening runs on the event loop. */
 public interface FrontDoor {
@@ -42,23 +43,11 @@
     /** Closes connections to engines that have been idle for long. */
     void closeIdleEngines();
 
-    /** @return whether that engine is on the list or held out */
-    boolean knows(String engine);
-
     /** By order an engine gets nothing from now on, or is used again; at tells when that was said. */
     void holdOut(String engine, boolean out, double at);
 
-    /** The part of this front end's work that falls to this process now. */
-    void part(double part);
-
-    /** @return requests taken and not yet ended */
-    int open();
-
-    /** @return engines on the list */
-    int engines();
-
-    /** @return engines on the list that get nothing now */
-    int avoided();
+    /** @return what decides for this front */
+    Planner<?> planner();
 
     /** @return whether nobody is owed an answer and every answer has been written */
     boolean isQuiet();
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -84,7 +84,7 @@
     /** What is used already is told so and nothing more: it has not been away. */
     @Override
     public boolean holdOut(String engine, boolean out) {
-        boolean known = doors.stream().anyMatch(d -> d.knows(engine));
+        boolean known = doors.stream().anyMatch(d -> d.planner().knows(engine));
         if (known && out != handOver.isOut(engine)) {
             handOver.say(engine, out);
         }
@@ -164,7 +164,7 @@
     }
 
     private void lastWord() {
-        LOG.info("last word: {} requests fail", doors.stream().mapToInt(FrontDoor::open).sum());
+        LOG.info("last word: {} requests fail", doors.stream().mapToInt(d -> d.planner().open()).sum());
         admit(Intake.REFUSING);
         doors.forEach(FrontDoor::lastWord);
     }
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -158,11 +158,6 @@
         clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
     }
 
-    @Override
-    public boolean knows(String engine) {
-        return planner.knows(engine);
-    }
-
     @Override
     public void holdOut(String engine, boolean out, double at) {
         planner.holdOut(engine, out, at);
@@ -176,23 +171,8 @@
     }
 
     @Override
-    public void part(double part) {
-        planner.part(part);
-    }
-
-    @Override
-    public int open() {
-        return planner.open();
-    }
-
-    @Override
-    public int engines() {
-        return planner.engines();
-    }
-
-    @Override
-    public int avoided() {
-        return planner.avoided();
+    public Planner<?> planner() {
+        return planner;
     }
 
     @Override
--- a/src/main/java/lineward/operations/Figures.java
+++ b/src/main/java/lineward/operations/Figures.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ToIntFunction;
+import lineward.core.Planner;
 import lineward.front.FrontDoor;
 
 /** What this process has done since its start, in the text format of Prometheus. */
@@ -47,14 +49,18 @@
                 .append(end.name().toLowerCase(Locale.ROOT)).append("\"} ").append(count).append('\n')));
         one(text, "relayed_total", "counter", "Attempts written whole to query engines.", relayed);
         one(text, "open_requests", "gauge", "Requests taken and not yet ended.",
-                doors.stream().mapToInt(FrontDoor::open).sum());
+                sum(doors, Planner::open));
         one(text, "registry_entries", "gauge", "Query engines on the list.",
-                doors.stream().mapToInt(FrontDoor::engines).sum());
+                sum(doors, Planner::engines));
         one(text, "out_of_rotation", "gauge", "Query engines on the list that get nothing now.",
-                doors.stream().mapToInt(FrontDoor::avoided).sum());
+                sum(doors, Planner::avoided));
         return text.toString();
     }
 
+    private static int sum(Collection<FrontDoor> doors, ToIntFunction<Planner<?>> figure) {
+        return doors.stream().map(FrontDoor::planner).mapToInt(figure).sum();
+    }
+
     private static void one(StringBuilder text, String name, String type, String help, long value) {
         head(text, name, type, help);
         text.append(PREFIX).append(name).append(' ').append(value).append('\n');
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -166,11 +166,6 @@
         }
     }
 
-    @Override
-    public boolean knows(String engine) {
-        return planner.knows(engine);
-    }
-
     @Override
     public void holdOut(String engine, boolean out, double at) {
         planner.holdOut(engine, out, at);
@@ -181,23 +176,8 @@
     }
 
     @Override
-    public void part(double part) {
-        planner.part(part);
-    }
-
-    @Override
-    public int open() {
-        return planner.open();
-    }
-
-    @Override
-    public int engines() {
-        return planner.engines();
-    }
-
-    @Override
-    public int avoided() {
-        return planner.avoided();
+    public Planner<?> planner() {
+        return planner;
     }
 
     @Override
--- a/src/test/java/lineward/operations/CallTest.java
+++ b/src/test/java/lineward/operations/CallTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +59,21 @@
         assertTrue(Operator.millisSince(start) < 2000, "answered or closed in time");
     }
 
+    @Test
+    public void aCallInPiecesIsAnswered() throws IOException {
+        byte[] call = "POST /ops/query-engines/down HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-9".getBytes(
+                StandardCharsets.US_ASCII);
+        for (int cut = 1; cut < call.length; cut++) {
+            try (Socket socket = new Socket("127.0.0.1", platform.program().operations())) {
+                socket.setTcpNoDelay(true);
+                socket.getOutputStream().write(call, 0, cut);
+                socket.getOutputStream().write(call, cut, call.length - cut);
+                String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+                assertTrue(answer.startsWith("HTTP/1.1 404 "), answer);
+            }
+        }
+    }
+
     @Test
     public void whoSaysNothingKeepsNobodyOut() throws IOException {
         List<Socket> silent = new ArrayList<>();
