--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -92,6 +92,8 @@
     private static final double TIE = 0.01;
     /** Least part of an engine's cores that counts as free for a class that may run anywhere. */
     private static final double LEAST_SPARE = 0.05;
+    /** Part of a cold engine's warming that its budget counts on: it may warm late, or not evenly. */
+    private static final double WARMS = 0.75;
     /** Run time of a class assumed at first, as a part of its give-up time, and the weight of that guess. */
     private static final double FIRST_GUESS = 0.125;
     private static final double GUESS_WEIGHT = 1;
@@ -528,7 +530,7 @@
         // from another process has its half of the budget, and the whole of it one window later.
         double sent = e.sends.sum(now) + Math.max(r.work(), r.c.usualWork());
         boolean forgot = !succeeds && now - startedAt < set.rules().fallMs() && startedAt > e.coldFrom();
-        double budget = COLD_PART * set.rules().overloadFactor() * set.rules().coldShare() * e.cores
+        double budget = COLD_PART * set.rules().overloadFactor() * e.sureOf() * e.cores
                 * set.rules().fallMs() * coldPart();
         if (set.fronts() <= TURNS) {
             return !forgot && sent <= budget / set.fronts();
@@ -1017,9 +1019,13 @@
             return Math.max(threads, view[inHand] * perQuery + sentSince);
         }
 
+        double startTold() {
+            return Math.max(upSince, backAt);
+        }
+
         /** Danger: an engine that broke off or refused may be back, cold, long before the list tells. */
         double coldFrom() {
-            return Math.max(upSince, downAt);
+            return Math.max(startTold(), downAt);
         }
 
         boolean cold() {
@@ -1033,12 +1039,22 @@
 
         /** Speed against the fleet; a cold engine counts as what it is known to do at least. */
         double speed() {
-            double warm = 1;
-            if (cold()) {
-                double age = (now - coldFrom()) / set.rules().coldMs();
-                warm = set.rules().coldShare() + (1 - set.rules().coldShare()) * age;
-            }
-            return Math.max(0.1, Math.min(1.3, fleetSlow / slow())) * warm;
+            return Math.max(0.1, Math.min(1.3, fleetSlow / slow())) * warm(0);
+        }
+
+        /**
+         * Part of its capacity that the cold rule may count on. It warms by time, but only from a start that
+         * was told: one that broke off may be back at any time since.
+         */
+        double sureOf() {
+            double least = set.rules().coldShare();
+            return downAt > startTold() ? least : least + WARMS * (warm(set.rules().fallMs()) - least);
+        }
+
+        /** Part of its capacity that it had so long ago. */
+        double warm(double ago) {
+            double age = Math.max(0, now - ago - coldFrom()) / set.rules().coldMs();
+            return cold() ? set.rules().coldShare() + (1 - set.rules().coldShare()) * age : 1;
         }
     }
 
--- a/src/main/java/peatwick/EngineState.java
+++ b/src/main/java/peatwick/EngineState.java
@@ -14,6 +14,8 @@
     double memory;
     double upSince;
     double downAt;
+    /** When it was called back: cold at the most since then. */
+    double backAt;
     boolean ready;
     boolean gone;
     boolean suspected;
@@ -58,7 +60,7 @@
         gone |= at == null;
         ready = !out && !gone && at.condition() == Front.Condition.READY;
         recalled = !out;
-        downAt = out ? downAt : Math.max(downAt, since);
+        backAt = out ? backAt : since;
     }
 
     void add(A attempt, int itsThreads, double grant) {
--- a/src/test/java/peatwick/HeldOutTest.java
+++ b/src/test/java/peatwick/HeldOutTest.java
@@ -79,6 +79,23 @@
         assertTrue(there * 200 <= budget, there + " requests of 200 ms at once");
     }
 
+    /** How long ago the engine started, and how many requests of 1,000 ms it gets at once. */
+    @DataProvider
+    public Object[][] ages() {
+        return new Object[][] {{0, 3}, {1000, 3}, {6000, 4}, {12_000, 6}};
+    }
+
+    @Test(dataProvider = "ages")
+    public void theColdBudgetGrowsAsAnEngineWarmsWhoseStartWasTold(int age, int sent) {
+        Scene s = new Scene(Scene.settings(Scene.look())).engines();
+        s.now += 20_000;
+        s.tell(new ListChange(true, List.of(listed(Condition.READY, s.now - age))));
+        for (int i = 0; i < 40; i++) {
+            s.ask(10 + i, 0, 0, 1000, 5000);
+        }
+        assertEquals(s.all(Send.class).size(), sent);
+    }
+
     @Test
     public void twoProcessesShareTheColdBudget() {
         Scene alone = new Scene(Scene.settings(Scene.look()));
