Say in an operator's answer what became of the call

A 404 for an engine read like the yes but for its status. The answers now say 'is left out', 'is used' or that no such engine is known; statuses stay as they were.

--- a/src/main/java/lineward/operations/CallHandler.java
+++ b/src/main/java/lineward/operations/CallHandler.java
@@ -24,8 +24,8 @@
 /** Answers one call and lets its caller go. */
 final class CallHandler extends SimpleChannelInboundHandler<Object> {
     private record Reply(HttpResponseStatus status, String text) {
-        static Reply of(boolean yes, HttpResponseStatus no, String text) {
-            return new Reply(yes ? HttpResponseStatus.OK : no, text);
+        static Reply yes(String text) {
+            return new Reply(HttpResponseStatus.OK, text);
         }
     }
 
@@ -33,22 +33,24 @@
     private record Call(HttpMethod method, BiFunction<Operations, String, Reply> answer) { }
 
     private static final Map<String, Call> CALLS = Map.of(
-            "/ops/readiness", new Call(HttpMethod.GET, (ops, body) -> Reply.of(ops.isReady(),
-                    HttpResponseStatus.SERVICE_UNAVAILABLE, ops.isReady() ? "ready\n" : "not ready\n")),
-            "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> new Reply(HttpResponseStatus.OK,
-                    ops.figures())),
-            "/ops/query-engines/down", new Call(HttpMethod.POST, (ops, body) -> Reply.of(
-                    ops.holdOut(body, true), HttpResponseStatus.NOT_FOUND, "query engine " + body + '\n')),
-            "/ops/query-engines/up", new Call(HttpMethod.POST, (ops, body) -> Reply.of(
-                    ops.holdOut(body, false), HttpResponseStatus.NOT_FOUND, "query engine " + body + '\n')),
+            "/ops/readiness", new Call(HttpMethod.GET, (ops, body) -> ops.isReady() ? Reply.yes("ready\n")
+                    : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n")),
+            "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> Reply.yes(ops.figures())),
+            "/ops/query-engines/down", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, true)),
+            "/ops/query-engines/up", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, false)),
             "/ops/drain/start", new Call(HttpMethod.POST, (ops, body) -> {
                 ops.startDrain();
-                return new Reply(HttpResponseStatus.OK, "draining\n");
+                return Reply.yes("draining\n");
             }),
             "/ops/drain/stop", new Call(HttpMethod.POST, (ops, body) -> ops.stopDrain()
-                    ? new Reply(HttpResponseStatus.OK, "serving\n")
+                    ? Reply.yes("serving\n")
                     : new Reply(HttpResponseStatus.CONFLICT, "the process is ending\n")));
 
+    private static Reply hold(Operations ops, String engine, boolean out) {
+        return ops.holdOut(engine, out) ? Reply.yes(engine + (out ? " is left out\n" : " is used\n"))
+                : new Reply(HttpResponseStatus.NOT_FOUND, "no query engine " + engine + " is known\n");
+    }
+
     private final Operations operations;
     private final ClientTable<Channel> callers;
     private boolean answered;
