Close resting connections within 0.1 s at an upgrade, one by one at a drain only

The longer both processes live, the longer each has half of the cold budget. At a drain clients go elsewhere all together, so there the spread stays.

--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -30,6 +30,8 @@
     /** A drain: new connections come for 0.3 s yet; then the resting ones close one by one. */
     private static final double FIRST_CLOSE_MS = 300;
     private static final double ALL_CLOSE_MS = 1500;
+    /** At an upgrade they come back to the same socket: the sooner, the shorter two share the work. */
+    private static final double ALL_HANDED_MS = 400;
     /** From then on requests are refused: at 4 s a connection may carry none of the last 2 s. */
     private static final double REFUSE_MS = 1800;
     private static final double NANOS = 1e6;
@@ -130,7 +132,8 @@
             admit(Intake.REFUSING);
         }
         if (since >= FIRST_CLOSE_MS) {
-            double chance = Ticker.TICK_MS / Math.max(Ticker.TICK_MS, ALL_CLOSE_MS - since);
+            double left = (ending ? ALL_HANDED_MS : ALL_CLOSE_MS) - since;
+            double chance = Ticker.TICK_MS / Math.max(Ticker.TICK_MS, left);
             doors.forEach(d -> d.closeResting(chance));
         }
     }
