--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -32,6 +32,7 @@
 import lineward.operations.CountingTracer;
 import lineward.operations.Figures;
 import lineward.operations.OperationsServer;
+import lineward.spool.Spool;
 import lineward.telemetry.Telemetry;
 import lineward.thrift.Call;
 import lineward.thrift.Rehearsal;
@@ -65,6 +66,8 @@
     private static final String INHERITED = "RELAY_ACCEPT_FD";
     private static final int IDLE_SWEEP_MS = 1000;
     private static final int SILENCE_SWEEP_MS = 100;
+    /** The journal's poll needs no finer clock, and each tick wakes the loop. */
+    private static final int POLL_TICK_MS = 20;
     /** How often the MySQL file is looked at: a drain must be known well within a second. */
     private static final int FILE_SWEEP_MS = 200;
 
@@ -75,6 +78,7 @@
     private final FrontClock clock = new FrontClock();
     private final List<FrontDoor> doors = new ArrayList<>();
     private final List<Runnable> starts = new ArrayList<>();
+    private final List<AutoCloseable> closings = new ArrayList<>();
     private JournalPoll journal;
     private final Figures figures = new Figures();
     private InetSocketAddress management;
@@ -141,7 +145,7 @@
         starts.add(() -> {
             // Danger: what the first poll loads must not fall into the first client's time.
             onLoop(journal::tick);
-            ticker.every(Ticker.TICK_MS, journal::tick);
+            ticker.every(POLL_TICK_MS, journal::tick);
         });
         management = config.management();
         name = config.name() + '-' + config.listen().getPort();
@@ -171,7 +175,10 @@
                 MOST_REQUESTS, MysqlFront.STOP_TAKES_MS,
                 tracer(query -> config.classes().get(query.place()).name()));
         News news = new News();
-        MysqlFront front = new MysqlFront(group, config, planner, clock, news, figures);
+        Spool spool = Spools.open(config.spool(), loop, clock);
+        closings.add(spool);
+        figures.spool(spool::figures);
+        MysqlFront front = new MysqlFront(group, config, planner, clock, news, figures, spool);
         figures.announce(config.classes().stream().map(MysqlConfig.QueryClass::name).toList());
         news.door = front;
         onLoop(() -> front.engines(config.engines()));
@@ -271,6 +278,13 @@
     /** Ends the process with status 0 once all is answered. */
     private void end() {
         lifecycle.end();
+        for (AutoCloseable closing : closings) {
+            try {
+                closing.close();
+            } catch (Exception e) {
+                LOG.warn("at the end: {}", e.toString());
+            }
+        }
         if (telemetry != null) {
             telemetry.close();
         }
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -2,63 +2,112 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
+import java.util.concurrent.Callable;
 import org.jline.utils.Signals;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
-/**
- * The command line: {@code serve [MYSQL-FILE]} runs a front end for the platform, and the MySQL front with it
- * where its file says so; {@code mysql FILE} runs the MySQL front alone; {@code adapter} speaks the
- * simulator's wire; {@code rehearse FILE} starts as a front end with that configuration and ends at once, so
- * that the build can keep the classes of a start in an archive.
- */
-public final class Main {
+/** The command line; {@code --help} tells its commands. Bad use ends with status 2. */
+@Command(name = "lineward", mixinStandardHelpOptions = true, version = "lineward 0.1.0",
+        description = "A front end for query engines.", subcommands = {Main.Serve.class, Main.Mysql.class,
+            Main.Adapter.class, Main.Rehearse.class, SpoolCommand.class})
+public final class Main implements Runnable {
     private static final Path MYSQL_FILE = Path.of("deploy", "mysql.toml");
-    private static final int BAD_USE = 2;
+
+    @Spec
+    private CommandSpec spec;
 
     private Main() { }
 
-    /** @param args a command and its file */
+    /** @param args a command and its arguments */
     public static void main(String[] args) {
-        List<String> words = List.of(args);
-        String command = words.isEmpty() ? "" : words.get(0);
-        if (command.equals("adapter") && words.size() == 1) {
-            peatwick.adapter.Main.main(args);
-        } else if (command.equals("serve") && words.size() <= 2 || command.equals("mysql")
-                && words.size() == 2) {
-            run(command.equals("serve"), System.getenv("RELAY_CONFIG"),
-                    words.size() == 2 ? Path.of(words.get(1)) : MYSQL_FILE, words.size() == 2);
-        } else if (command.equals("rehearse") && words.size() == 2) {
-            run(true, words.get(1), MYSQL_FILE, false);
-            System.exit(0);
-        } else {
-            stop("usage: java -jar lineward.jar serve [MYSQL-FILE] | mysql MYSQL-FILE | adapter"
-                    + " | rehearse CONFIG");
-        }
-    }
-
-    private static void run(boolean platform, String path, Path mysql, boolean required) {
-        try {
-            FrontEnd frontEnd = new FrontEnd();
-            if (platform) {
-                frontEnd.addPlatform(Config.read(path), path);
-                // Without a handler the virtual machine ends on SIGHUP.
-                Signals.register("HUP", frontEnd::hangUp);
+        int status = new CommandLine(new Main()).setExecutionExceptionHandler((e, line, parsed) -> {
+            if (e instanceof ConfigException) {
+                System.err.println("lineward: " + e.getMessage());
+                return CommandLine.ExitCode.USAGE;
             }
-            if (required || Files.exists(mysql)) {
-                frontEnd.addMysql(new MysqlFile(mysql));
-            }
-            frontEnd.run();
-        } catch (ConfigException e) {
-            stop("lineward: " + e.getMessage());
-        } catch (RuntimeException e) {
             // The event loop would keep a process alive that serves nobody.
             e.printStackTrace();
-            System.exit(1);
+            return CommandLine.ExitCode.SOFTWARE;
+        }).setParameterExceptionHandler((e, words) -> {
+            System.err.println("lineward: " + e.getMessage().lines().findFirst().orElse("bad use")
+                    + "; --help tells the usage");
+            return CommandLine.ExitCode.USAGE;
+        }).execute(args);
+        if (status != RUNS) {
+            System.exit(status);
         }
     }
 
-    private static void stop(String line) {
-        System.err.println(line);
-        System.exit(BAD_USE);
+    /** What a command returns whose fronts go on in threads of their own. */
+    static final int RUNS = -1;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    @Command(name = "serve", description = "Runs a front end for the platform; RELAY_CONFIG names its"
+            + " configuration. The MySQL front runs with it where its file says so.")
+    static final class Serve implements Callable<Integer> {
+        @Parameters(index = "0", arity = "0..1", paramLabel = "MYSQL-FILE")
+        private Path mysql;
+
+        @Override
+        public Integer call() {
+            start(true, System.getenv("RELAY_CONFIG"), mysql == null ? MYSQL_FILE : mysql, mysql != null);
+            return RUNS;
+        }
+    }
+
+    @Command(name = "mysql", description = "Runs the MySQL front alone.")
+    static final class Mysql implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "MYSQL-FILE")
+        private Path mysql;
+
+        @Override
+        public Integer call() {
+            start(false, null, mysql, true);
+            return RUNS;
+        }
+    }
+
+    @Command(name = "adapter", description = "Speaks the simulator's wire on standard input and output.")
+    static final class Adapter implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            peatwick.adapter.Main.main(new String[] {"adapter"});
+            return 0;
+        }
+    }
+
+    @Command(name = "rehearse",
+            description = "Starts as a front end with that configuration and ends at once,"
+            + " so that the build can keep the classes of a start in an archive.")
+    static final class Rehearse implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "CONFIG")
+        private String config;
+
+        @Override
+        public Integer call() {
+            start(true, config, MYSQL_FILE, false);
+            return 0;
+        }
+    }
+
+    private static void start(boolean platform, String path, Path mysql, boolean required) {
+        FrontEnd frontEnd = new FrontEnd();
+        if (platform) {
+            frontEnd.addPlatform(Config.read(path), path);
+            // Without a handler the virtual machine ends on SIGHUP.
+            Signals.register("HUP", frontEnd::hangUp);
+        }
+        if (required || Files.exists(mysql)) {
+            frontEnd.addMysql(new MysqlFile(mysql));
+        }
+        frontEnd.run();
     }
 }
--- a/src/main/java/lineward/app/MysqlFile.java
+++ b/src/main/java/lineward/app/MysqlFile.java
@@ -15,10 +15,17 @@
 import java.util.regex.Pattern;
 import java.util.regex.PatternSyntaxException;
 import lineward.mysql.MysqlConfig;
+import lineward.spool.SpoolLimits;
 import peatwick.Front;
 
 /** The file that configures the MySQL front; its engines may change while the program runs. */
 final class MysqlFile {
+    private static final long MB = 1 << 20;
+    /** Part of the heap that results may take where the file says nothing. */
+    private static final int HEAP_PART = 4;
+    /** Part of an attempt's time for which its result is held back, so that it may still be tried again. */
+    private static final double HOLD_PART = 0.5;
+
     private final Path path;
     private FileTime readAt;
 
@@ -39,7 +46,9 @@
     MysqlConfig read() {
         try {
             readAt = Files.getLastModifiedTime(path);
-            return translate(new TomlMapper().readTree(Files.readString(path)));
+            JsonNode root = new TomlMapper().readTree(Files.readString(path));
+            FileSchema.check("mysql.schema.json", root);
+            return translate(root);
         } catch (JsonProcessingException e) {
             throw new ConfigException(path + " is not TOML: line " + (e.getLocation() == null ? "?"
                     : e.getLocation().getLineNr()));
@@ -73,7 +82,23 @@
         root.path("class").forEach(c -> classes.add(queryClass(c)));
         require(listen == null || !users.isEmpty() && !engines.isEmpty() && !classes.isEmpty(),
                 "a front that listens needs a user, an engine and a class");
-        return new MysqlConfig(listen, bounds, users, engines, classes);
+        return new MysqlConfig(listen, bounds, users, engines, classes, spooling(root.path("spool")));
+    }
+
+    private static MysqlConfig.Spooling spooling(JsonNode spool) {
+        long heapMb = Math.max(4, Runtime.getRuntime().maxMemory() / MB);
+        long memory = MB * positive(spool, "memory-mb", (int) Math.min(1024, heapMb / HEAP_PART));
+        String folder = spool.path("folder").asText("");
+        long file = folder.isEmpty() ? 0 : MB * positive(spool, "file-mb", 1024);
+        long all = memory + file;
+        require(memory < MB * heapMb, "memory-mb of the spool is more than the heap");
+        return new MysqlConfig.Spooling(new SpoolLimits(memory, file,
+                folder.isEmpty() ? 0 : positive(spool, "files", 1000), positive(spool, "results", 10_000),
+                MB * positive(spool, "user-mb", (int) Math.max(1, all / MB / 2)),
+                MB * positive(spool, "result-mb", (int) Math.max(1, all / MB / 2)),
+                MB * positive(spool, "hold-mb", (int) Math.max(1, memory / MB / 4)), HOLD_PART,
+                1000.0 * positive(spool, "lease-s", 60), 1000.0 * positive(spool, "key-lease-s", 300)),
+                folder.isEmpty() ? null : Path.of(folder));
     }
 
     private static MysqlConfig.QueryClass queryClass(JsonNode c) {
--- a/src/main/java/lineward/core/SqlTokens.java
+++ b/src/main/java/lineward/core/SqlTokens.java
@@ -7,6 +7,7 @@
 
     private final String text;
     private int at;
+    private int began;
     private Kind kind;
     private String token = "";
 
@@ -46,6 +47,16 @@
         return token;
     }
 
+    /** @return where the token begins in the text */
+    public int start() {
+        return began;
+    }
+
+    /** @return where the token ends in the text */
+    public int end() {
+        return at;
+    }
+
     /** @return whether the token is this word, in capitals or not */
     public boolean is(String word) {
         return kind != Kind.NAME && token.equalsIgnoreCase(word);
@@ -53,6 +64,7 @@
 
     private boolean read(char c) {
         int from = at;
+        began = at;
         if (c == '\'') {
             skipQuoted(c);
             return found(Kind.STRING, "");
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -12,6 +12,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import lineward.spool.SpoolPolicy;
+import lineward.spool.SpooledResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,6 +24,7 @@
     private static final int MOST_WAITING = 8;
     private static final int MOST_LONG_DATA = 1 << 20;
     private static final int ID = 4;
+    private static final SpoolHint NO_HINT = SpoolHint.of("");
 
     private final MysqlFront front;
     private final int number;
@@ -35,6 +38,9 @@
     private boolean ending;
     private int unread;
     private Query running;
+    /** What is being sent from the spool; no further command is taken up meanwhile. */
+    private Outflow outflow;
+    private final SessionSettings settings = new SessionSettings();
     private String schema = "";
     private int sequence;
     private long lastStatement;
@@ -45,6 +51,10 @@
         this.number = number;
     }
 
+    String user() {
+        return login.user();
+    }
+
     int number() {
         return number;
     }
@@ -54,7 +64,19 @@
     }
 
     boolean isIdle() {
-        return running == null && waiting.isEmpty() && unread == 0;
+        return isBetweenCommands() && statements.values().stream().noneMatch(ClientStatement::hasCursor);
+    }
+
+    private boolean isBetweenCommands() {
+        return running == null && outflow == null && waiting.isEmpty() && unread == 0;
+    }
+
+    /** The process is ending and cursors have had their time: the client is told so. */
+    void endCursors() {
+        if (isBetweenCommands()) {
+            sequence = -1;
+            endWith(Failure.goingDown());
+        }
     }
 
     /** @return whether it came before then and has not logged in */
@@ -80,7 +102,7 @@
     }
 
     private void next() {
-        while (running == null && !ending && !waiting.isEmpty()) {
+        while (running == null && outflow == null && !ending && !waiting.isEmpty()) {
             ByteBuf frame = waiting.poll();
             try {
                 sequence = Packets.sequence(frame);
@@ -131,14 +153,10 @@
         if (login.schema().isEmpty()) {
             sendOk();
         } else {
-            use(latin1(login.schema()));
+            use(Texts.latin1(login.schema()));
         }
     }
 
-    private static String latin1(String text) {
-        return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
-    }
-
     private void command(ByteBuf in) {
         if (!in.isReadable()) {
             throw new DecoderException("empty command");
@@ -161,7 +179,8 @@
                 ClientStatement closed = in.readableBytes() < ID ? null
                         : statements.remove(in.readUnsignedIntLE());
                 if (closed != null) {
-                    front.forget(closed.text.length());
+                    closed.closeCursor();
+                    front.forget(closed.kept);
                 }
             }
             case Commands.RESET -> {
@@ -173,10 +192,11 @@
             }
             case Commands.RESET_CONNECTION -> {
                 forgetStatements();
+                settings.reset();
                 schema = "";
                 sendOk();
             }
-            case Commands.FETCH -> sendError(Failure.unsupported("a cursor"));
+            case Commands.FETCH -> fetch(in);
             default -> sendError(Failure.unknownCommand());
         }
     }
@@ -189,15 +209,99 @@
         } else if (kind instanceof StatementKind.Nothing) {
             sendOk();
         } else if (kind instanceof StatementKind.Use u) {
-            use(latin1(u.schema()));
+            use(Texts.latin1(u.schema()));
+        } else if (kind instanceof StatementKind.Setting) {
+            set(text);
         } else {
-            run(new Work.Query(schema, in.toString(StandardCharsets.ISO_8859_1)), text,
-                    kind instanceof StatementKind.Write);
+            SessionSettings.Reading reading = settings.read(text);
+            if (reading == null) {
+                runText(in.toString(StandardCharsets.ISO_8859_1), text, kind instanceof StatementKind.Write);
+            } else {
+                send(LocalResult.of(channel.alloc(), sequence + 1, reading));
+            }
+        }
+    }
+
+    private void set(String text) {
+        try {
+            settings.take(text);
+            sendOk();
+        } catch (SessionSettings.UnkeepableException e) {
+            sendError(e.getMessage().startsWith("autocommit") ? Failure.noTransaction("SET " + e.getMessage())
+                    : Failure.unsupported(e.getMessage()));
+        }
+    }
+
+    private void runText(String latin1, String text, boolean writes) {
+        SpoolHint hint = SpoolHint.of(latin1);
+        Work.Query work = new Work.Query(schema, hint.statement());
+        if (writes || hint.key().isEmpty()) {
+            run(work, text, writes, Query.Spooling.PLAIN);
+        } else if (!fromSpool(hint, work.digest(), null)) {
+            run(work, text, false, new Query.Spooling(hint.key(), work.digest(), null));
         }
     }
 
+    /** @return whether the client has been answered: by the result under its key, or because there is none */
+    private boolean fromSpool(SpoolHint hint, String digest, ClientStatement cursor) {
+        SpooledResult result = front.spool().find(login.user(), hint.key());
+        if (result == null && hint.isPart()) {
+            sendError(Failure.noResult());
+        } else if (result != null && !result.statement().equals(digest)) {
+            sendError(Failure.otherResult());
+        } else if (result != null && (result.isWhole() || !hint.isPart())) {
+            flowOut(result, hint, cursor);
+        } else if (result != null) {
+            sendError(Failure.noResult());
+        }
+        return result != null || hint.isPart();
+    }
+
+    private void flowOut(SpooledResult result, SpoolHint hint, ClientStatement cursor) {
+        if (cursor != null || hint.isPart()) {
+            OpenCursor rows = new OpenCursor(channel, result, hint.from(),
+                    cursor != null ? -1 : hint.rows() < 0 ? Long.MAX_VALUE : hint.rows(), this::send,
+                            this::flowed);
+            if (cursor != null) {
+                cursor.closeCursor();
+                cursor.cursor = rows;
+            }
+            outflow = rows;
+        } else {
+            outflow = new ReplyPump(channel, result, this::send, this::flowed);
+        }
+        outflow.move();
+    }
+
+    /** What flows from the spool has come to an end, or to a pause between two fetches. */
+    private void flowed(SpooledResult.Ahead how, int next) {
+        if (how == SpooledResult.Ahead.LAPSED && !channel.isWritable()) {
+            channel.close();
+        } else if (next > 0 && how == SpooledResult.Ahead.BROKEN) {
+            send(Packets.error(channel.alloc(), next, Failure.brokenOff()));
+        } else if (next > 0 && how == SpooledResult.Ahead.LAPSED) {
+            send(Packets.error(channel.alloc(), next, Failure.lapsed()));
+        }
+        outflow = null;
+        channel.eventLoop().execute(this::next);
+    }
+
+    private void fetch(ByteBuf in) {
+        long id = in.readableBytes() < ID ? -1 : in.getUnsignedIntLE(in.readerIndex());
+        ClientStatement statement = statement(in);
+        if (statement == null) {
+            return;
+        }
+        if (!statement.hasCursor() || in.readableBytes() < ID) {
+            sendError(Failure.noCursor(id));
+            return;
+        }
+        outflow = statement.cursor;
+        statement.cursor.fetch(in.readUnsignedIntLE());
+    }
+
     private void use(String name) {
-        run(new Work.UseSchema(name), "USE", false);
+        run(new Work.UseSchema(name), "USE", false, Query.Spooling.PLAIN);
     }
 
     private void prepare(ByteBuf in) {
@@ -205,13 +309,14 @@
         StatementKind kind = StatementKind.of(text);
         if (kind instanceof StatementKind.Refused refused) {
             sendError(refused.failure());
-        } else if (kind instanceof StatementKind.Use) {
-            sendError(new Failure(1295, "HY000", "USE can't be prepared"));
+        } else if (kind instanceof StatementKind.Use || kind instanceof StatementKind.Setting) {
+            sendError(new Failure(1295, "HY000", "USE and SET can't be prepared"));
         } else if (statements.size() >= front.maxStatements() || !front.keep(in.readableBytes())) {
             sendError(Failure.tooMany("prepared statements"));
         } else {
             // To prepare changes nothing, whatever the statement does when it is executed.
-            run(new Work.Prepare(schema, in.toString(StandardCharsets.ISO_8859_1)), text, false);
+            String latin1 = in.toString(StandardCharsets.ISO_8859_1);
+            run(new Work.Prepare(schema, latin1), text, false, Query.Spooling.PLAIN);
         }
     }
 
@@ -230,15 +335,22 @@
             return;
         }
         Work.Execute work;
+        boolean cursor = ClientStatement.wantsCursor(in);
+        statement.closeCursor();
         try {
             work = statement.execute(in);
         } catch (IllegalArgumentException e) {
             sendError(Failure.wrongArguments(e.getMessage()));
             return;
         }
-        String text = new String(statement.text.getBytes(StandardCharsets.ISO_8859_1),
-                StandardCharsets.UTF_8);
-        run(work, text, StatementKind.of(text) instanceof StatementKind.Write);
+        String text = Texts.utf8(statement.text);
+        boolean writes = StatementKind.of(text) instanceof StatementKind.Write;
+        ClientStatement cursorOf = cursor && !writes ? statement : null;
+        String key = writes ? "" : statement.hint.key();
+        String digest = key.isEmpty() ? "" : work.digest();
+        if (key.isEmpty() || !fromSpool(statement.hint, digest, cursorOf)) {
+            run(work, text, writes, new Query.Spooling(key, digest, cursorOf));
+        }
     }
 
     /** Nothing answers this command; too much of it makes the execution fail, as its data is not whole. */
@@ -259,9 +371,14 @@
         }
     }
 
-    private void run(Work work, String text, boolean writes) {
-        Query query = new Query(this, work, front.typeOf(text, writes));
+    private void run(Work work, String text, boolean writes, Query.Spooling spooling) {
+        Query query = new Query(this, work, front.typeOf(text, writes), settings.forEngines(), spooling);
         running = query;
+        if (!writes && front.spool().admit(login.user()) instanceof SpoolPolicy.Turned turned) {
+            front.turnedAway(query);
+            refuse(query, turned.retryAfterMs());
+            return;
+        }
         if (!front.take(query)) {
             refuse(query, MysqlFront.BUSY_RETRY_MS);
         }
@@ -269,6 +386,11 @@
 
     /** The whole reply of an engine, as the bytes that came but for the ids that are the front's own. */
     void served(Query query, ByteBuf reply) {
+        if (reply == null) {
+            opened(query);
+            passed(query);
+            return;
+        }
         if (running != query || !channel.isActive()) {
             reply.release();
             return;
@@ -277,7 +399,9 @@
         if (query.work instanceof Work.Prepare w) {
             if (good) {
                 int params = reply.getUnsignedShortLE(reply.readerIndex() + Packets.HEAD + 7);
-                statements.put(++lastStatement, new ClientStatement(w.schema(), w.text(), params));
+                SpoolHint hint = SpoolHint.of(w.text());
+                statements.put(++lastStatement,
+                        new ClientStatement(w.schema(), hint, params, w.text().length()));
                 reply.setIntLE(reply.readerIndex() + Packets.HEAD + 1, (int) lastStatement);
             } else {
                 front.forget(w.text().length());
@@ -290,29 +414,18 @@
         over();
     }
 
-    /** Packets of a reply that is too long to be held. */
-    void pass(ByteBuf packets) {
-        if (running == null) {
-            packets.release();
-            return;
-        }
-        // The next packet's number, should the rest of the reply have to be an error.
-        for (int at = 0; at < packets.readableBytes();) {
-            sequence = packets.getUnsignedByte(packets.readerIndex() + at + Packets.HEAD - 1);
-            at += Packets.HEAD + packets.getUnsignedMediumLE(packets.readerIndex() + at);
-        }
-        send(packets);
-        if (!channel.isWritable()) {
-            running.run.link.flow(false);
+    /** The spooled result of the client's command goes out now, whole or not. */
+    void opened(Query query) {
+        if (running == query && channel.isActive()) {
+            flowOut(query.spooled, NO_HINT, query.spooling.cursor());
+        } else {
+            query.spooled.abandon();
         }
     }
 
-    /** The end of a reply that was passed on as it came. */
-    void passed(Query query, boolean whole) {
+    /** The run whose result goes out has ended; what is left of it, or an error, follows from the spool. */
+    void passed(Query query) {
         if (running == query) {
-            if (!whole) {
-                sendError(Failure.brokenOff());
-            }
             over();
         }
     }
@@ -362,8 +475,8 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (running != null && running.open && !running.run.isOver()) {
-            running.run.link.flow(channel.isWritable());
+        if (outflow != null && channel.isWritable()) {
+            outflow.move();
         }
     }
 
@@ -395,11 +508,18 @@
             }
             front.abort(left);
         }
+        if (outflow != null) {
+            outflow.close();
+            outflow = null;
+        }
         forgetStatements();
     }
 
     private void forgetStatements() {
-        statements.values().forEach(s -> front.forget(s.text.length()));
+        statements.values().forEach(s -> {
+            s.closeCursor();
+            front.forget(s.kept);
+        });
         statements.clear();
     }
 }
--- a/src/main/java/lineward/mysql/ClientStatement.java
+++ b/src/main/java/lineward/mysql/ClientStatement.java
@@ -7,19 +7,44 @@
 /** A statement that a client has prepared: the front keeps its text, as any engine may have to run it. */
 final class ClientStatement {
     private static final int HEAD = 5;
+    private static final int READ_ONLY = 1;
 
     final String schema;
+    /** Without the hint. */
     final String text;
+    final SpoolHint hint;
     final int params;
+    final int kept;
+    /** Null: none was ever opened. */
+    OpenCursor cursor;
     private final List<Work.LongData> longData = new ArrayList<>();
     private byte[] types;
 
-    ClientStatement(String schema, String text, int params) {
+    /** @param kept bytes that its text is booked with */
+    ClientStatement(String schema, SpoolHint hint, int params, int kept) {
         this.schema = schema;
-        this.text = text;
+        this.text = hint.statement();
+        this.kept = kept;
+        this.hint = hint;
         this.params = params;
     }
 
+    boolean hasCursor() {
+        return cursor != null && !cursor.isDone();
+    }
+
+    void closeCursor() {
+        if (cursor != null) {
+            cursor.close();
+            cursor = null;
+        }
+    }
+
+    /** @return whether an execution with these arguments asks for a read-only cursor */
+    static boolean wantsCursor(ByteBuf arguments) {
+        return arguments.isReadable() && arguments.getByte(arguments.readerIndex()) == READ_ONLY;
+    }
+
     void add(Work.LongData data) {
         longData.add(data);
     }
@@ -28,9 +53,10 @@
         return longData.stream().mapToInt(d -> d.bytes().length).sum();
     }
 
-    /** Drops the pieces sent ahead. */
+    /** Drops the pieces sent ahead, and the cursor. */
     void reset() {
         longData.clear();
+        closeCursor();
     }
 
     /**
@@ -43,10 +69,12 @@
     Work.Execute execute(ByteBuf in) {
         ByteBuf out = in.alloc().heapBuffer(in.readableBytes() + 2 * params + 1);
         try {
-            if (in.getByte(in.readerIndex()) != 0) {
-                throw new IllegalArgumentException("cursors are not supported");
+            int flags = in.readUnsignedByte();
+            if (flags > READ_ONLY) {
+                throw new IllegalArgumentException("only read-only cursors are supported");
             }
-            out.writeBytes(in, HEAD);
+            // The cursor is the front's own: the engine is to send all rows and be free.
+            out.writeByte(0).writeBytes(in, HEAD - 1);
             if (params > 0) {
                 out.writeBytes(in, (params + 7) / 8);
                 if (in.readByte() == 1) {
@@ -66,7 +94,7 @@
             throw new IllegalArgumentException("they end early", e);
         } finally {
             out.release();
-            reset();
+            longData.clear();
         }
     }
 }
--- a/src/main/java/lineward/mysql/EngineLink.java
+++ b/src/main/java/lineward/mysql/EngineLink.java
@@ -32,7 +32,7 @@
     /** Errors by which an engine says that it is going down: no answer to what was asked. */
     private static final Set<Integer> GOING_DOWN = Set.of(1053, 1077, 1079, 1927);
 
-    private enum State { CONNECTING, LOGIN, IDLE, SCHEMA, PREPARING, MAIN, KILLED }
+    private enum State { CONNECTING, LOGIN, IDLE, SETTINGS, SCHEMA, PREPARING, MAIN, KILLED }
 
     private record Prepared(long id, int params) { }
 
@@ -45,6 +45,8 @@
     private long thread;
     private byte[] nonce;
     private String schema = "";
+    /** Settings of the session that are not the engine's own, as they stand at this connection. */
+    private Map<String, String> settings = Map.of();
     private long usedAt = System.nanoTime();
     private Prepared fresh;
     private boolean closed;
@@ -59,8 +61,13 @@
     }
 
     /** A schema once chosen can be changed but not given up. */
-    boolean suits(Work work) {
-        return schema.isEmpty() || !work.schema().isEmpty();
+    boolean suits(MysqlRun next) {
+        return schema.isEmpty() || !next.work.schema().isEmpty();
+    }
+
+    /** @return whether the run finds its settings in place here */
+    boolean isSetFor(MysqlRun next) {
+        return settings.equals(next.settings);
     }
 
     boolean isReady() {
@@ -95,11 +102,17 @@
         }
     }
 
-    /** Takes the next step of the run: the schema first, then the statement, then the work itself. */
+    /**
+     * Takes the next step of the run: settings and schema first, then the statement, then the work itself.
+     */
     private void step() {
         usedAt = System.nanoTime();
         Work work = run.work;
-        if (!work.schema().isEmpty() && !work.schema().equals(schema) && !(work instanceof Work.UseSchema)) {
+        if (!settings.equals(run.settings)) {
+            state = State.SETTINGS;
+            send(Commands.QUERY, Texts.latin1(SessionSettings.change(settings, run.settings)));
+        } else if (!work.schema().isEmpty() && !work.schema().equals(schema)
+                && !(work instanceof Work.UseSchema)) {
             state = State.SCHEMA;
             send(Commands.INIT_DB, work.schema());
         } else if (work instanceof Work.Execute w && !prepared.containsKey(key(w.schema(), w.text()))) {
@@ -135,7 +148,7 @@
         if (statement.params() != w.params()) {
             ByteBuf error = Packets.error(channel.alloc(), 1, Failure.wrongArguments(
                     "the statement's parameters have changed since it was prepared"));
-            run.take(channel.alloc(), error);
+            run.take(channel.alloc(), error, ReplyTracker.Place.LAST_ERROR);
             finish(Front.Outcome.OK);
             return;
         }
@@ -272,6 +285,9 @@
         if (place == ReplyTracker.Place.LAST_ERROR && noAnswer(Packets.errorCode(frame))) {
             return false;
         }
+        if (state == State.SETTINGS) {
+            return set(frame, place);
+        }
         boolean preparing = state == State.PREPARING || run.work instanceof Work.Prepare
                 && state != State.SCHEMA;
         if (preparing && place != ReplyTracker.Place.LAST_ERROR) {
@@ -285,8 +301,8 @@
             }
             return false;
         }
-        run.take(channel.alloc(), frame);
-        if (place != ReplyTracker.Place.WITHIN) {
+        run.take(channel.alloc(), frame, place);
+        if (place.isLast()) {
             if (run.work instanceof Work.UseSchema && place == ReplyTracker.Place.LAST_OK) {
                 schema = run.work.schema();
             }
@@ -296,6 +312,20 @@
         return true;
     }
 
+    /** An engine that does not know a setting answers the statement with that: it was never run. */
+    private boolean set(ByteBuf frame, ReplyTracker.Place place) {
+        if (place == ReplyTracker.Place.LAST_ERROR) {
+            run.take(channel.alloc(), frame, place);
+            // What the engine did set of them is not known.
+            state = State.KILLED;
+            finish(Front.Outcome.OK);
+            return true;
+        }
+        settings = run.settings;
+        step();
+        return false;
+    }
+
     /** Notes the id under which the statement stands here, once its reply is whole. */
     private void remember(ByteBuf frame, ReplyTracker.Place place) {
         if (fresh == null) {
--- a/src/main/java/lineward/mysql/EngineLinks.java
+++ b/src/main/java/lineward/mysql/EngineLinks.java
@@ -10,14 +10,13 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import lineward.spool.SpooledResult;
 import peatwick.Front;
 
 /** The connections to one MySQL engine. */
 final class EngineLinks {
-    /** Largest packet of an engine: a row. */
-    private static final int LARGEST_PACKET = 4 << 20;
-
     private final Bootstrap bootstrap;
     private final MysqlConfig.Engine engine;
     private final MysqlConfig.Bounds bounds;
@@ -48,7 +47,8 @@
     }
 
     void start(MysqlRun run) {
-        EngineLink free = idle.stream().filter(l -> l.suits(run.work)).findFirst().orElse(null);
+        EngineLink free = idle.stream().filter(l -> l.suits(run) && l.isSetFor(run)).findFirst()
+                .or(() -> idle.stream().filter(l -> l.suits(run)).findFirst()).orElse(null);
         if (free != null) {
             idle.remove(free);
             free.start(run);
@@ -68,15 +68,16 @@
 
     /** Kills what runs on another connection, through one of its own. */
     void kill(long thread) {
-        MysqlRun kill = new MysqlRun(new Work.Query("", "KILL QUERY " + thread), new MysqlRun.Listener() {
+        MysqlRun kill = new MysqlRun(new Work.Query("", "KILL QUERY " + thread), Map.of(), 0,
+                new MysqlRun.Listener() {
             @Override
-            public boolean opened(MysqlRun run) {
-                return false;
+            public SpooledResult spool() {
+                return null;
             }
 
             @Override
-            public void more(ByteBuf packets) {
-                packets.release();
+            public boolean opened() {
+                return false;
             }
 
             @Override
@@ -96,7 +97,7 @@
         ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new PacketDecoder(LARGEST_PACKET), link);
+                channel.pipeline().addLast(new PacketDecoder(Packets.LONGEST), link);
             }
         }).connect(engine.address());
         link.connecting(opening.channel());
--- a/src/main/java/lineward/mysql/Failure.java
+++ b/src/main/java/lineward/mysql/Failure.java
@@ -18,6 +18,28 @@
         return new Failure(1317, "70100", "failed: the engine broke off amid the rows");
     }
 
+    /** In the place of a row: nobody has read for so long that the rest was given back. */
+    static Failure lapsed() {
+        return new Failure(1317, "70100", "the result was given back, as nobody read it for too long");
+    }
+
+    static Failure noCursor(long id) {
+        return new Failure(1421, "HY000", "the statement " + id + " has no open cursor");
+    }
+
+    /** The same for a key that never was, that has lapsed and that is another user's. */
+    static Failure noResult() {
+        return new Failure(1210, "HY000", "no result stands under that key");
+    }
+
+    static Failure otherResult() {
+        return new Failure(1210, "HY000", "the key stands for the result of another statement");
+    }
+
+    static Failure goingDown() {
+        return new Failure(1053, "08S01", "the server is shutting down");
+    }
+
     static Failure unsupported(String what) {
         return new Failure(1235, "0A000", what + " can't be kept: each statement may run on another engine");
     }
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -1,9 +1,11 @@
 package lineward.mysql;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import lineward.spool.SpoolLimits;
 import peatwick.Front;
 
 /**
@@ -11,9 +13,17 @@
  *
  * @param listen where clients connect; null: the front is off
  * @param users passwords by name
+ * @param spool where results are spooled
  */
 public record MysqlConfig(InetSocketAddress listen, Bounds bounds, Map<String, String> users,
-        List<Engine> engines, List<QueryClass> classes) {
+        List<Engine> engines, List<QueryClass> classes, Spooling spool) {
+
+    /**
+     * Where results are spooled.
+     *
+     * @param folder null: memory alone
+     */
+    public record Spooling(SpoolLimits limits, Path folder) { }
 
     /**
      * @param maxPacket largest packet of a client
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -28,6 +28,8 @@
 import lineward.front.Doorway;
 import lineward.front.FrontDoor;
 import lineward.operations.Figures;
+import lineward.spool.Spool;
+import lineward.spool.SpooledResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import peatwick.Front;
@@ -43,6 +45,8 @@
     static final long BUSY_RETRY_MS = 500;
     /** A login that is not through by then never will be. */
     private static final long LOGIN_TAKES = TimeUnit.SECONDS.toNanos(10);
+    /** Cursors that are open when the process is to end may be read for so long. */
+    private static final long CURSORS_LAST = TimeUnit.SECONDS.toNanos(10);
     /** Bytes of prepared texts kept for all clients. */
     private static final long TEXTS = 8L << 20;
 
@@ -56,16 +60,20 @@
     private final Map<String, EngineLinks> engines = new HashMap<>();
     private final Set<ClientSession> clients = new LinkedHashSet<>();
     private final Budget texts = new Budget(TEXTS);
+    private final Spool spool;
     private Channel listener;
     private int lastClient;
     private Intake intake = Intake.OPEN;
+    private long leavingSince;
 
     /**
      * @param news is called when the planner has something to decide on
      * @param figures count what ends here, before the planner has taken it
+     * @param spool takes results that are long, paged or named
      */
     public MysqlFront(EventLoopGroup loop, MysqlConfig config, Planner<Query> planner, DoubleSupplier clock,
-            Runnable news, Figures figures) {
+            Runnable news, Figures figures, Spool spool) {
+        this.spool = spool;
         this.config = config;
         this.doorway = Doorway.at(config.listen());
         this.planner = planner;
@@ -129,6 +137,9 @@
     /** The protocol has no word by which clients could be asked to stay away; they can be refused. */
     @Override
     public void admit(Intake next) {
+        if (intake == Intake.OPEN && next != Intake.OPEN) {
+            leavingSince = System.nanoTime();
+        }
         intake = next;
     }
 
@@ -147,6 +158,9 @@
 
     @Override
     public void closeResting(double chance) {
+        if (System.nanoTime() - leavingSince > CURSORS_LAST) {
+            List.copyOf(clients).forEach(ClientSession::endCursors);
+        }
         ClientTable.closeSome(clients.stream().filter(ClientSession::isIdle).toList(), chance,
                 c -> c.channel().close());
     }
@@ -156,6 +170,7 @@
     public void closeSilent() {
         long before = System.nanoTime() - LOGIN_TAKES;
         clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
+        spool.tick();
     }
 
     @Override
@@ -215,6 +230,15 @@
         texts.release(bytes);
     }
 
+    Spool spool() {
+        return spool;
+    }
+
+    /** The spool has no room for the result: refused before the planner has taken it. */
+    void turnedAway(Query query) {
+        figures.ended(className(query), Figures.End.THROTTLED);
+    }
+
     String statistics() {
         return "Clients: " + clients.size() + "  Open: " + planner.open() + "  Engines: " + engines.size();
     }
@@ -254,7 +278,8 @@
     public void start(Command.Start<Query> c) {
         Query query = c.exchange();
         query.runOf = c.attempt();
-        query.run = new MysqlRun(query.work, new Reports(query, c.attempt()));
+        query.spooled = null;
+        query.run = new MysqlRun(query.work, query.settings, c.patienceMs(), new Reports(query, c.attempt()));
         EngineLinks links = engines.get(c.engine());
         if (links == null) {
             query.run.end(Front.Outcome.CONNECT_FAILED);
@@ -301,25 +326,30 @@
         }
 
         @Override
-        public boolean opened(MysqlRun run) {
-            query.open = planner.opened(query.request, attempt);
-            return query.open;
+        public SpooledResult spool() {
+            query.spooled = spool.begin(query.client.user(), query.spooling.key(), query.spooling.digest());
+            return query.spooled;
+        }
+
+        @Override
+        public boolean spoolsAll() {
+            return !query.spooling.isPlain();
         }
 
         @Override
-        public void more(ByteBuf packets) {
+        public boolean opened() {
+            query.open = planner.opened(query.request, attempt);
             if (query.open) {
-                query.client.pass(packets);
-            } else {
-                packets.release();
+                query.client.opened(query);
             }
+            return query.open;
         }
 
         @Override
         public void ended(Front.Outcome outcome, ByteBuf reply) {
             boolean served = planner.ended(query.request, attempt, outcome);
             if (query.open) {
-                query.client.passed(query, served);
+                query.client.passed(query);
             } else if (served) {
                 query.client.served(query, reply);
             } else if (reply != null) {
--- a/src/main/java/lineward/mysql/PacketDecoder.java
+++ b/src/main/java/lineward/mysql/PacketDecoder.java
@@ -11,7 +11,7 @@
     private final int most;
     private boolean broken;
 
-    /** @param most bytes of a payload; less than the 16 MB at which a packet is continued in the next */
+    /** @param most bytes of a payload */
     PacketDecoder(int most) {
         this.most = most;
     }
--- a/src/main/java/lineward/mysql/Packets.java
+++ b/src/main/java/lineward/mysql/Packets.java
@@ -11,6 +11,10 @@
     static final int EOF = 0xfe;
     static final int ERR = 0xff;
     static final int AUTOCOMMIT = 0x0002;
+    static final int CURSOR_EXISTS = 0x0040;
+    static final int LAST_ROW_SENT = 0x0080;
+    /** Bytes of a payload at which a packet is continued in the next. */
+    static final int LONGEST = 0xffffff;
     /** An EOF packet is shorter than this; a row that begins with the same byte is longer. */
     private static final int EOF_LESS_THAN = 9;
     private static final int LENGTH_2 = 0xfc;
@@ -33,6 +37,15 @@
                 .writeShortLE(0));
     }
 
+    static ByteBuf eof(ByteBufAllocator alloc, int sequence, int status) {
+        return done(begin(alloc, sequence).writeByte(EOF).writeShortLE(0).writeShortLE(AUTOCOMMIT | status));
+    }
+
+    /** @return the length, head included, of the packet that begins there */
+    static int length(byte[] packets, int at) {
+        return HEAD + (packets[at] & 0xff | (packets[at + 1] & 0xff) << 8 | (packets[at + 2] & 0xff) << 16);
+    }
+
     static ByteBuf error(ByteBufAllocator alloc, int sequence, Failure failure) {
         ByteBuf out = begin(alloc, sequence).writeByte(ERR).writeShortLE(failure.code());
         out.writeCharSequence("#" + failure.state() + failure.message(), StandardCharsets.UTF_8);
--- a/src/main/java/lineward/mysql/Query.java
+++ b/src/main/java/lineward/mysql/Query.java
@@ -1,20 +1,47 @@
 package lineward.mysql;
 
+import java.util.Map;
+import lineward.spool.SpooledResult;
+
 /** One command of a client that an engine must answer. */
 public final class Query {
     final ClientSession client;
     final Work work;
     final int type;
+    final Map<String, String> settings;
+    final Spooling spooling;
     long request;
     MysqlRun run;
     int runOf = -1;
     boolean open;
+    /** The result of the present attempt, if it is spooled. */
+    SpooledResult spooled;
+
+    /**
+     * How its result is spooled.
+     *
+     * @param key empty: the client names it by none
+     * @param digest of the statement, where there is a key
+     * @param cursor whose rows are fetched one page after the other; null: all are sent
+     */
+    record Spooling(String key, String digest, ClientStatement cursor) {
+        static final Spooling PLAIN = new Spooling("", "", null);
+
+        boolean isPlain() {
+            return key.isEmpty() && cursor == null;
+        }
+    }
 
-    /** @param type the place of its class in the planner's settings */
-    Query(ClientSession client, Work work, int type) {
+    /**
+     * @param type the place of its class in the planner's settings
+     * @param settings of the session, which must hold at the engine
+     */
+    Query(ClientSession client, Work work, int type, Map<String, String> settings, Spooling spooling) {
         this.client = client;
         this.work = work;
         this.type = type;
+        this.settings = settings;
+        this.spooling = spooling;
     }
 
     /** @return the place of its class in the configuration */
--- a/src/main/java/lineward/mysql/ReplyTracker.java
+++ b/src/main/java/lineward/mysql/ReplyTracker.java
@@ -6,7 +6,22 @@
 /** Follows the packets of one reply and knows which is the last. */
 final class ReplyTracker {
     /** What a packet is to the reply. */
-    enum Place { WITHIN, LAST_OK, LAST_ERROR }
+    enum Place {
+        /** Before the rows. */
+        HEAD,
+        /** The last before the rows. */
+        HEAD_END,
+        /** A row, or the last part of one. */
+        ROW,
+        /** A part of a row that goes on in the next packet. */
+        ROW_PART,
+        LAST_OK,
+        LAST_ERROR;
+
+        boolean isLast() {
+            return this == LAST_OK || this == LAST_ERROR;
+        }
+    }
 
     private enum State { FIRST, PREPARED, COLUMNS, ROWS }
 
@@ -18,6 +33,7 @@
     private State state = State.FIRST;
     private int blocks;
     private int status;
+    private boolean amidRow;
 
     /** @param prepare whether the reply is to COM_STMT_PREPARE, which has a form of its own */
     ReplyTracker(boolean prepare) {
@@ -30,6 +46,9 @@
     }
 
     Place take(ByteBuf frame) {
+        if (amidRow) {
+            return row(frame);
+        }
         int first = Packets.first(frame);
         if (first < 0) {
             throw new DecoderException("empty packet in a reply");
@@ -56,7 +75,7 @@
             int params = payload.readUnsignedShortLE();
             blocks = (columns > 0 ? 1 : 0) + (params > 0 ? 1 : 0);
             state = State.PREPARED;
-            return blocks == 0 ? Place.LAST_OK : Place.WITHIN;
+            return blocks == 0 ? Place.LAST_OK : Place.HEAD;
         }
         if (first == Packets.OK) {
             Packets.lengthEncoded(payload);
@@ -68,11 +87,11 @@
             throw new DecoderException("reply begins with " + first);
         }
         state = State.COLUMNS;
-        return Place.WITHIN;
+        return Place.HEAD;
     }
 
     private Place prepared(ByteBuf frame) {
-        return Packets.isEof(frame) && --blocks == 0 ? Place.LAST_OK : Place.WITHIN;
+        return Packets.isEof(frame) && --blocks == 0 ? Place.LAST_OK : Place.HEAD;
     }
 
     private Place columns(ByteBuf frame, int first) {
@@ -81,8 +100,9 @@
         }
         if (Packets.isEof(frame)) {
             state = State.ROWS;
+            return Place.HEAD_END;
         }
-        return Place.WITHIN;
+        return Place.HEAD;
     }
 
     private Place rows(ByteBuf frame, int first) {
@@ -90,12 +110,18 @@
             return Place.LAST_ERROR;
         }
         if (!Packets.isEof(frame)) {
-            return Place.WITHIN;
+            return row(frame);
         }
         status(Packets.payload(frame).skipBytes(3).readUnsignedShortLE());
         return Place.LAST_OK;
     }
 
+    /** A packet as long as packets get is continued in the next, which may be empty. */
+    private Place row(ByteBuf frame) {
+        amidRow = Packets.size(frame) == Packets.LONGEST;
+        return amidRow ? Place.ROW_PART : Place.ROW;
+    }
+
     private void status(int told) {
         status = told;
         if ((told & MORE_RESULTS) != 0) {
--- a/src/main/java/lineward/mysql/StatementKind.java
+++ b/src/main/java/lineward/mysql/StatementKind.java
@@ -15,6 +15,9 @@
     /** Changes nothing that the front does not keep anyhow: answered at once. */
     record Nothing() implements StatementKind { }
 
+    /** Sets something for the session; {@link SessionSettings} tells whether it can be kept. */
+    record Setting() implements StatementKind { }
+
     /** Chooses the schema of this session. */
     record Use(String schema) implements StatementKind { }
 
@@ -31,9 +34,6 @@
             "release_lock", "release_all_locks", "is_used_lock", "is_free_lock", "connection_id");
     /** Words with which a statement begins that needs a session of its own. */
     Set<String> SESSION_WORDS = Set.of("prepare", "execute", "deallocate", "handler", "kill", "declare");
-    /** Settings of a session that are the same on every connection of the front. */
-    Set<String> SAME_EVERYWHERE = Set.of("names utf8mb4", "names utf8", "names utf8mb3",
-            "autocommit=1", "autocommit=on", "character_set_results=null", "character_set_results=utf8mb4");
 
     /** @return what the text asks for; what is not known to be a read counts as a write */
     static StatementKind of(String text) {
@@ -48,7 +48,7 @@
         String second = tokens.next() ? tokens.text().toLowerCase(Locale.ROOT) : "";
         return switch (first) {
             case "use" -> new Use(second.isEmpty() ? "" : tokens.text());
-            case "set" -> setting(text);
+            case "set" -> new Setting();
             case "begin", "savepoint", "xa", "lock", "unlock", "release" -> new Refused(
                     Failure.noTransaction(first.toUpperCase(Locale.ROOT)));
             case "start" -> second.equals("transaction") ? new Refused(
@@ -83,18 +83,4 @@
         }
         return read && !WRITES.contains(before) ? new Read() : new Write();
     }
-
-    private static StatementKind setting(String text) {
-        String what = text.strip().replaceAll(";\\s*$", "").toLowerCase(Locale.ROOT)
-                .replaceFirst("^set\\s+", "").replaceFirst("^(@@)?(session[.\\s]\\s*|local[.\\s]\\s*)", "")
-                .replaceFirst("^@@", "").replaceAll("\\s*:?=\\s*", "=").replaceAll("['\"]", "")
-                .replaceFirst("\\s+collate\\s+\\w+$", "").strip();
-        if (SAME_EVERYWHERE.contains(what)) {
-            return new Nothing();
-        }
-        if (what.startsWith("autocommit") || what.startsWith("transaction")) {
-            return new Refused(Failure.noTransaction("SET " + what.split("[\\s=]", 2)[0]));
-        }
-        return new Refused(Failure.unsupported("SET of a session"));
-    }
 }
--- /dev/null
+++ b/src/main/java/lineward/mysql/Texts.java
@@ -0,0 +1,18 @@
+package lineward.mysql;
+
+import java.nio.charset.StandardCharsets;
+
+/** Texts of clients travel as Latin-1 strings of their bytes; these take them there and back. */
+final class Texts {
+    private Texts() { }
+
+    /** @return the text's UTF-8 bytes, each as one character */
+    static String latin1(String text) {
+        return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
+
+    /** @return the text whose UTF-8 bytes these characters are */
+    static String utf8(String latin1) {
+        return new String(latin1.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+    }
+}
--- a/src/main/java/lineward/mysql/Work.java
+++ b/src/main/java/lineward/mysql/Work.java
@@ -1,5 +1,11 @@
 package lineward.mysql;
 
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.List;
 
 /** What one attempt has an engine do, from scratch. Texts are Latin-1 strings of the client's bytes. */
@@ -8,7 +14,12 @@
     String schema();
 
     /** Runs a text. */
-    record Query(String schema, String text) implements Work { }
+    record Query(String schema, String text) implements Work {
+        /** @return a digest of all that its result depends on */
+        String digest() {
+            return Work.digest(List.of(bytes(schema), bytes(text)));
+        }
+    }
 
     /** Prepares a text, for what the client is to know of it. */
     record Prepare(String schema, String text) implements Work { }
@@ -20,11 +31,42 @@
      * @param arguments what follows the statement's id, with the types always in place
      */
     record Execute(String schema, String text, int params, byte[] arguments, List<LongData> longData)
-            implements Work { }
+            implements Work {
+        /** @return a digest of all that its result depends on */
+        String digest() {
+            return Work.digest(List.of(bytes(schema), bytes(text), arguments, joined()));
+        }
+
+        private byte[] joined() {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (LongData data : longData) {
+                all.write(data.param());
+                all.writeBytes(data.bytes());
+            }
+            return all.toByteArray();
+        }
+    }
 
     /** Chooses the schema. */
     record UseSchema(String schema) implements Work { }
 
+    private static byte[] bytes(String latin1) {
+        return latin1.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String digest(List<byte[]> parts) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            for (byte[] part : parts) {
+                digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
+                digest.update(part);
+            }
+            return HexFormat.of().formatHex(digest.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** A piece of a parameter sent ahead of the execution. */
     record LongData(int param, byte[] bytes) { }
 }
--- a/src/main/java/lineward/operations/Figures.java
+++ b/src/main/java/lineward/operations/Figures.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import lineward.core.Planner;
 import lineward.front.FrontDoor;
+import lineward.spool.SpoolPolicy;
 
 /** What this process has done since its start, in the text format of Prometheus. */
 public final class Figures {
@@ -20,6 +22,7 @@
     private final Map<String, Map<End, Long>> ended = new TreeMap<>();
     private long relayed;
     private LongSupplier listAge;
+    private Supplier<SpoolPolicy.Figures> spool;
 
     /** The classes whose figures are there from the start, at 0. */
     public void announce(Collection<String> classes) {
@@ -47,6 +50,11 @@
         listAge = ageMs;
     }
 
+    /** @param now tells what the spool holds */
+    public void spool(Supplier<SpoolPolicy.Figures> now) {
+        spool = now;
+    }
+
     /** @return all figures; what the fronts hold now is asked of them */
     public String text(Collection<FrontDoor> doors) {
         StringBuilder text = new StringBuilder();
@@ -65,9 +73,25 @@
             one(text, "list_age_ms", "gauge", "Milliseconds since the journal's last usable answer.",
                     listAge.getAsLong());
         }
+        if (spool != null) {
+            spool(text, spool.get());
+        }
         return text.toString();
     }
 
+    private static void spool(StringBuilder text, SpoolPolicy.Figures now) {
+        one(text, "spool_held_bytes", "gauge", "Bytes of results held in memory.", now.heldBytes());
+        one(text, "spool_filed_bytes", "gauge", "Bytes of results on files.", now.filedBytes());
+        one(text, "spool_results", "gauge", "Results held.", now.results());
+        one(text, "spool_readers", "gauge", "Clients and cursors that read results.", now.readers());
+        one(text, "spool_returned_total", "counter", "Results given back.", now.returned());
+        one(text, "spool_lapsed_total", "counter", "Results given back because nobody read.", now.lapsed());
+        one(text, "spool_refused_total", "counter", "Statements refused because the spool was full.",
+                now.refused());
+        one(text, "spool_slowed_total", "counter", "Results whose engine had to wait for the reader.",
+                now.slowed());
+    }
+
     private static int sum(Collection<FrontDoor> doors, ToIntFunction<Planner<?>> figure) {
         return doors.stream().map(FrontDoor::planner).mapToInt(figure).sum();
     }
--- /dev/null
+++ b/src/test/java/lineward/mysql/MeasureSpool.java
@@ -0,0 +1,243 @@
+package lineward.mysql;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import lineward.spool.store.SpoolFolder;
+import lineward.spool.store.SpoolFixture;
+
+/**
+ * Measures spooled results and prints a line a figure. Arguments: the jar, and where it is to be compared an
+ * earlier version's jar. Everything is on loopback and ends by itself.
+ */
+public final class MeasureSpool {
+    private static final int READERS = 200;
+    private static final int PAIRS = 5;
+    private static final double MS = 1e6;
+
+    private MeasureSpool() { }
+
+    /** @param args the jar to measure; an earlier one */
+    public static void main(String[] args) throws Exception {
+        release("", args[0], READERS);
+        if (args.length > 1) {
+            release("-before", args[1], 4);
+        }
+        memory(args[0]);
+        recovery();
+        if (args.length > 1) {
+            paths(args[0], args[1]);
+        }
+        System.exit(0);
+    }
+
+    private static void figure(String name, double value, String unit) {
+        System.out.printf(Locale.ROOT, "%s %.3f %s%n", name, value, unit);
+    }
+
+    /** The program before one engine. */
+    private static final class Rig implements AutoCloseable {
+        final StandInEngine engine = new StandInEngine();
+        final Path folder = Files.createTempDirectory("measure");
+        final Process process;
+        final int port;
+
+        Rig(String jar, int links, int heapMb, String spool) throws IOException {
+            Path file = folder.resolve("mysql.toml");
+            Files.writeString(file,
+                    "listen = \"127.0.0.1:0\"\n[limits]\nclients = 1000\nconnections-per-engine = "
+                    + links + "\n" + spool.replace("FOLDER", folder.resolve("spool").toString())
+                    + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
+                    + "[[class]]\nname = \"all\"\naim-ms = 5000\ndeadline-ms = 30000\n"
+                    + "[[engine]]\nname = \"one\"\naddress = \"" + engine.address()
+                            + "\"\nuser = \"front\"\n");
+            Path log = folder.resolve("log");
+            process = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx" + heapMb + "m",
+                    "-Xlog:gc:file=" + folder.resolve("gc"), "-Dio.netty.maxDirectMemory=25165824", "-jar",
+                            jar,
+                    "mysql", file.toString()).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+            String text = "";
+            for (int i = 0; i < 200 && !text.contains("listening on "); i++) {
+                pause(50);
+                text = Files.readString(log);
+            }
+            String line = text.substring(text.indexOf("listening on ")).lines().findFirst().orElseThrow();
+            port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
+        }
+
+        double cpuMs() {
+            return process.info().totalCpuDuration().orElseThrow().toNanos() / MS;
+        }
+
+        @Override
+        public void close() throws IOException {
+            process.destroyForcibly();
+            engine.close();
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
+            }
+        }
+    }
+
+    private static void pause(int ms) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * From the engine's last byte until its one session takes the next statement, which waits already, while
+     * readers take 1 KB a second of 1 MB. The next statement's own way is in the figure.
+     */
+    private static void release(String suffix, String jar, int readers) throws Exception {
+        List<StandInClient> slow = new ArrayList<>();
+        double[] took = new double[readers];
+        try (Rig rig = new Rig(jar, 1, 512, suffix.isEmpty() ? "[spool]\nmemory-mb = 250\nresults = 1000\n"
+                : "");
+                StandInClient next = new StandInClient(rig.port)) {
+            for (int i = 0; i < readers; i++) {
+                StandInClient client = new StandInClient(rig.port);
+                client.wire.socket.setReceiveBufferSize(4096);
+                slow.add(client);
+                int ran = rig.engine.ran.size();
+                client.send(3, "select rows=1000 size=1000");
+                for (int t = 0; t < 2000 && rig.engine.ran.size() == ran; t++) {
+                    pause(1);
+                }
+                long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+                while (next.query("select rows=1").code() != 0 && System.nanoTime() < limit) {
+                    drip(slow);
+                }
+                took[i] = rig.engine.releasedAfterMs(limit);
+                drip(slow);
+            }
+            Arrays.sort(took);
+            figure("engine-release-p99-ms" + suffix, took[(int) Math.ceil(readers * 0.99) - 1], "ms");
+        } finally {
+            for (StandInClient client : slow) {
+                client.close();
+            }
+        }
+    }
+
+    private static void drip(List<StandInClient> readers) throws IOException {
+        for (StandInClient reader : readers) {
+            if (reader.wire.socket.getInputStream().available() > 0) {
+                reader.wire.socket.getInputStream().readNBytes(
+                        Math.min(20, reader.wire.socket.getInputStream().available()));
+            }
+        }
+    }
+
+    private static void memory(String jar) throws Exception {
+        try (Rig rig = new Rig(jar, 8, 64,
+                "[spool]\nmemory-mb = 16\nfolder = \"FOLDER\"\nfile-mb = 4096\nresult-mb = 64\n"
+                        + "user-mb = 4096\n")) {
+            List<StandInClient> clients = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                StandInClient client = new StandInClient(rig.port);
+                client.wire.socket.setReceiveBufferSize(4096);
+                clients.add(client);
+                client.send(3, "select rows=1600 size=10000");
+                if (i % 4 == 3) {
+                    for (int t = 0; t < 3000 && rig.engine.ran.size() <= i; t++) {
+                        pause(1);
+                    }
+                }
+            }
+            int lost = 0;
+            for (int i = 0; i < 50; i++) {
+                clients.get(i).wire.socket.setSoTimeout(20_000);
+                lost += clients.get(i).count() == 1600 ? 0 : 1;
+            }
+            String status = Files.readString(Path.of("/proc/" + rig.process.pid() + "/status"));
+            double rss = Double.parseDouble(status.lines().filter(l -> l.startsWith("VmHWM")).findFirst()
+                    .orElseThrow().replaceAll("[^0-9]", "")) / 1024;
+            double heap = Files.readString(rig.folder.resolve("gc")).lines().filter(l -> l.contains("->"))
+                    .mapToDouble(l -> Double.parseDouble(l.replaceAll(".* (\\d+)M->.*",
+                            "$1"))).max().orElse(0);
+            figure("heap-peak-mb", heap, "MB");
+            figure("rss-peak-mb", rss, "MB");
+            figure("lost-results", lost, "of 50 read");
+            for (StandInClient client : clients) {
+                client.close();
+            }
+            long start = System.nanoTime();
+            while (segments(rig.folder.resolve("spool")) > 0 && System.nanoTime() - start < 20_000 * MS) {
+                pause(5);
+            }
+            figure("returned-after-ms", (System.nanoTime() - start) / MS, "ms");
+        }
+    }
+
+    private static long segments(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(f -> f.toString().endsWith(".lwseg")).count();
+        }
+    }
+
+    private static void recovery() throws IOException {
+        Path folder = Files.createTempDirectory("recover");
+        int megabytes = 512;
+        SpoolFixture.fill(folder, megabytes / 16, 16);
+        long start = System.nanoTime();
+        try (SpoolFolder held = SpoolFolder.take(folder)) {
+            int whole = held.recover().whole().size();
+            figure("recover-ms", (System.nanoTime() - start) / MS, "ms for " + whole + " results, "
+                    + SpoolFixture.megabytes(folder) + " MB on file");
+        }
+        figure("wrong-bytes", SpoolFixture.wrongBytes(folder, new Random(1), 1000), "in 1000 crash points");
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
+        }
+    }
+
+    private static void paths(String now, String before) throws Exception {
+        double[] shorts = new double[PAIRS];
+        double[] longs = new double[PAIRS];
+        try (Rig a = new Rig(now, 16, 256, ""); Rig b = new Rig(before, 16, 256, "")) {
+            cpu(a, "select rows=10", 3000);
+            cpu(b, "select rows=10", 3000);
+            seconds(a);
+            seconds(b);
+            for (int i = 0; i < PAIRS; i++) {
+                shorts[i] = cpu(a, "select rows=10", 3000) / cpu(b, "select rows=10", 3000);
+                longs[i] = seconds(b) / seconds(a);
+            }
+        }
+        Arrays.sort(shorts);
+        Arrays.sort(longs);
+        figure("short-path-ratio", shorts[PAIRS / 2], "cpu, to the version before");
+        figure("long-path-ratio", longs[PAIRS / 2], "throughput, to the version before");
+    }
+
+    private static double cpu(Rig rig, String text, int times) throws IOException {
+        double before = rig.cpuMs();
+        try (StandInClient client = new StandInClient(rig.port)) {
+            for (int i = 0; i < times; i++) {
+                client.query(text);
+            }
+        }
+        return rig.cpuMs() - before;
+    }
+
+    private static double seconds(Rig rig) throws IOException {
+        long start = System.nanoTime();
+        try (StandInClient client = new StandInClient(rig.port)) {
+            for (int i = 0; i < 3; i++) {
+                client.send(3, "select rows=20000 size=1000");
+                client.count();
+            }
+        }
+        return (System.nanoTime() - start) / 1e9;
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -0,0 +1,249 @@
+package lineward.spool;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import lineward.spool.SpooledResult.Ahead;
+import lineward.spool.store.SegmentStore;
+import lineward.spool.store.SpoolFolder;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Results that are written and read at once, on a stand-in for the event loop that this thread turns. */
+public class SpoolTest {
+    private static final long MB = 1 << 20;
+    private final LinkedBlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
+    private Path folder;
+    private double now;
+
+    @BeforeMethod
+    public void makeFolder() throws IOException {
+        folder = Files.createTempDirectory("spool");
+        loop.clear();
+        now = 0;
+    }
+
+    @AfterMethod
+    public void dropFolder() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
+        }
+    }
+
+    private Spool spool(boolean files) throws IOException {
+        SpoolLimits limits = new SpoolLimits(2 * MB, 64 * MB, 100, 100, 64 * MB, 32 * MB, MB, 0.5, 1000,
+                5000);
+        if (!files) {
+            return new Spool(limits, null, () -> now);
+        }
+        SpoolFolder held = SpoolFolder.take(folder);
+        SpoolFolder.Recovered found = held.recover();
+        Spool spool = new Spool(limits, new SegmentStore(held, loop::add), () -> now);
+        spool.restore(found);
+        return spool;
+    }
+
+    private void turn() {
+        try {
+            Runnable task = loop.poll(5, TimeUnit.SECONDS);
+            assertNotNull(task, "nothing happens any more");
+            task.run();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static byte[] row(Random random) {
+        byte[] row = new byte[1 + random.nextInt(20_000)];
+        random.nextBytes(row);
+        return row;
+    }
+
+    private static void append(SpooledResult result, byte[] bytes, boolean row) {
+        int at = result.reserve(bytes.length);
+        System.arraycopy(bytes, 0, result.buffer(), at, bytes.length);
+        result.took(bytes.length, row, false);
+    }
+
+    private byte[] drain(SpooledResult.Reader reader) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (reader.ahead() == Ahead.MORE) {
+            SpooledResult.Piece piece = reader.poll();
+            if (piece == null) {
+                turn();
+            } else {
+                all.writeBytes(piece.bytes());
+            }
+        }
+        return all.toByteArray();
+    }
+
+    @Test
+    public void whatIsReadIsWhatWasWrittenWhereverItLay() throws IOException {
+        for (int seed = 0; seed < 20; seed++) {
+            Random random = new Random(seed);
+            try (Spool spool = spool(seed % 2 == 0)) {
+                SpooledResult result = spool.begin("u", "", "");
+                SpooledResult.Reader reader = null;
+                ByteArrayOutputStream wrote = new ByteArrayOutputStream();
+                ByteArrayOutputStream read = new ByteArrayOutputStream();
+                for (int i = 0; i < 400; i++) {
+                    byte[] row = row(random);
+                    append(result, row, true);
+                    wrote.writeBytes(row);
+                    if (i == 100) {
+                        reader = result.read(() -> { });
+                    }
+                    while (reader != null && (seed % 2 != 0 || random.nextInt(3) == 0)) {
+                        SpooledResult.Piece piece = reader.poll();
+                        if (piece == null) {
+                            break;
+                        }
+                        read.writeBytes(piece.bytes());
+                    }
+                }
+                result.complete();
+                read.writeBytes(drain(reader));
+                assertEquals(reader.ahead(), Ahead.END);
+                assertEquals(read.toByteArray(), wrote.toByteArray(), "seed " + seed);
+                reader.close();
+                while (spool.figures().results() > 0) {
+                    turn();
+                }
+                assertEquals(spool.figures().heldBytes() + spool.figures().filedBytes(), 0);
+            }
+        }
+    }
+
+    @Test
+    public void aNamedResultOutlivesItsProcessAndOnlyItsUserFindsIt() throws IOException {
+        byte[] row = row(new Random(1));
+        try (Spool first = spool(true)) {
+            SpooledResult result = first.begin("u", "k", "digest");
+            for (int i = 0; i < 20; i++) {
+                append(result, row, true);
+            }
+            result.complete();
+            for (int i = 0; i < 4; i++) {
+                turn();
+            }
+            SpooledResult partial = first.begin("u", "half", "digest");
+            append(partial, new byte[100_000], true);
+            turn();
+        }
+        try (Spool second = spool(true)) {
+            assertNull(second.find("other", "k"));
+            assertNull(second.find("u", "half"), "what was not whole is dropped");
+            SpooledResult found = second.find("u", "k");
+            assertEquals(found.statement(), "digest");
+            SpooledResult.Reader reader = found.read(() -> { });
+            assertEquals(drain(reader).length, 20 * row.length);
+            SpooledResult.Reader page = found.read(() -> { });
+            int before = page.seek(15);
+            SpooledResult.Piece piece = null;
+            while (piece == null) {
+                piece = page.poll();
+                if (piece == null) {
+                    turn();
+                }
+            }
+            assertTrue(before >= 0 && before < piece.rows());
+            reader.close();
+            page.close();
+            now = 5001;
+            second.tick();
+            assertNull(second.find("u", "k"), "its lease has lapsed");
+            turn();
+            assertEquals(second.figures().filedBytes(), 0);
+        }
+        try (Stream<Path> left = Files.list(folder)) {
+            assertEquals(left.filter(f -> f.toString().endsWith("lwseg")).count(), 0);
+        }
+    }
+
+    /**
+     * The folder goes away under the writer, as a full or lost disk does: nothing is lost, the engine waits.
+     */
+    @Test
+    public void whenWritesFailTheResultStaysInMemory() throws IOException, InterruptedException {
+        try (Spool spool = spool(true)) {
+            SpooledResult result = spool.begin("u", "", "");
+            byte[] row = new byte[100_000];
+            for (int i = 0; i < 6; i++) {
+                append(result, row, true);
+            }
+            turn();
+            try (Stream<Path> files = Files.list(folder)) {
+                files.filter(f -> f.toString().endsWith("lwseg")).forEach(f -> f.toFile().delete());
+            }
+            int rows = 6;
+            while (result.wantsMore() && rows < 100) {
+                append(result, row, true);
+                rows++;
+                Runnable told = loop.poll(20, TimeUnit.MILLISECONDS);
+                if (told != null) {
+                    told.run();
+                }
+            }
+            assertTrue(rows < 100, "the engine is slowed");
+            SpooledResult.Reader reader = result.read(() -> { });
+            int got = 0;
+            while (reader.ahead() == Ahead.MORE) {
+                SpooledResult.Piece piece = reader.poll();
+                if (piece == null) {
+                    break;
+                }
+                got += piece.bytes().length;
+            }
+            // The first block on file is gone with its file; what lies before it has been served.
+            assertTrue(got >= row.length, got + " bytes");
+            result.release();
+            assertEquals(spool.figures().heldBytes(), 0);
+        }
+    }
+
+    @Test
+    public void aReaderThatStopsLosesItsResult() throws IOException {
+        try (Spool spool = spool(false)) {
+            SpooledResult result = spool.begin("u", "", "");
+            append(result, new byte[200_000], true);
+            int[] told = new int[1];
+            SpooledResult.Reader reader = result.read(() -> told[0]++);
+            reader.poll();
+            result.complete();
+            now = 1001;
+            spool.tick();
+            assertTrue(told[0] > 0);
+            assertEquals(reader.ahead(), Ahead.LAPSED);
+            reader.close();
+            assertEquals(spool.figures().heldBytes(), 0);
+            assertEquals(spool.figures().lapsed(), 1);
+        }
+    }
+
+    @Test
+    public void aBrokenResultSaysSoBehindItsLastByte() throws IOException {
+        try (Spool spool = spool(false)) {
+            SpooledResult result = spool.begin("u", "", "");
+            SpooledResult.Reader reader = result.read(() -> { });
+            append(result, new byte[100], true);
+            result.breakOff();
+            assertEquals(reader.ahead(), Ahead.MORE);
+            assertEquals(reader.poll().bytes().length, 100);
+            assertEquals(reader.ahead(), Ahead.BROKEN);
+            reader.close();
+            assertEquals(spool.figures().results(), 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -0,0 +1,192 @@
+package lineward.spool.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Segments that were cut, spoilt, swapped or written by others: none serves a wrong byte. */
+public class SegmentTest {
+    private Path folder;
+
+    @BeforeMethod
+    public void makeFolder() throws IOException {
+        folder = Files.createTempDirectory("segments");
+    }
+
+    @AfterMethod
+    public void dropFolder() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
+        }
+    }
+
+    private static List<byte[]> blocks(Random random, int count) {
+        List<byte[]> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            byte[] block = new byte[random.nextInt(3000)];
+            if (random.nextBoolean()) {
+                random.nextBytes(block);
+            } else {
+                Arrays.fill(block, (byte) i);
+            }
+            all.add(block);
+        }
+        return all;
+    }
+
+    private Path write(String name, List<byte[]> blocks) throws IOException {
+        Segment segment = new Segment(folder.resolve(name + SpoolFolder.ENDING));
+        segment.create(1);
+        List<Segment.Place> places = new ArrayList<>();
+        for (int i = 0; i < blocks.size(); i++) {
+            places.add(segment.append(blocks.get(i), 10L * i, 10));
+        }
+        segment.complete(new Manifest("u", name, "d", 1, 10L * blocks.size(), 0), places);
+        return segment.path();
+    }
+
+    /** @return whether the file is taken in and every block that can be read is right */
+    private static boolean servesWrongBytes(Path file, List<byte[]> blocks) {
+        Segment.Found found;
+        try {
+            found = Segment.open(file);
+        } catch (IOException | RuntimeException e) {
+            return false;
+        }
+        for (int i = 0; i < found.blocks().size(); i++) {
+            try {
+                if (!Arrays.equals(found.segment().read(found.blocks().get(i)), blocks.get(i))) {
+                    return true;
+                }
+            } catch (IOException e) {
+                // Told, not served.
+            }
+        }
+        return found.blocks().size() != blocks.size();
+    }
+
+    @Test
+    public void cutAtEachByteItIsNoWholeResult() throws IOException {
+        List<byte[]> blocks = blocks(new Random(1), 3);
+        byte[] whole = Files.readAllBytes(write("a", blocks));
+        Path cut = folder.resolve("cut" + SpoolFolder.ENDING);
+        for (int length = 0; length < whole.length; length++) {
+            Files.write(cut, Arrays.copyOf(whole, length));
+            assertThrows(IOException.class, () -> Segment.open(cut));
+        }
+    }
+
+    @Test
+    public void aThousandSeededFlipsCutsAndSwapsServeNoWrongByte() throws IOException {
+        int noticed = 0;
+        for (int seed = 0; seed < 1000; seed++) {
+            Random random = new Random(seed);
+            List<byte[]> blocks = blocks(random, 1 + random.nextInt(5));
+            byte[] bytes = Files.readAllBytes(write("s" + seed, blocks));
+            int faults = 1 + random.nextInt(3);
+            byte[] spoilt = bytes.clone();
+            for (int i = 0; i < faults; i++) {
+                int at = random.nextInt(spoilt.length);
+                switch (random.nextInt(4)) {
+                    case 0 -> spoilt[at] ^= (byte) (1 << random.nextInt(8));
+                    case 1 -> spoilt = Arrays.copyOf(spoilt, at + 1);
+                    case 2 -> Arrays.fill(spoilt, at, Math.min(spoilt.length, at + 512), (byte) 0);
+                    default -> System.arraycopy(spoilt, 0, spoilt, at, Math.min(100, spoilt.length - at));
+                }
+            }
+            Path file = folder.resolve("spoilt" + SpoolFolder.ENDING);
+            Files.write(file, spoilt);
+            assertTrue(!servesWrongBytes(file, blocks), "seed " + seed);
+            noticed += Arrays.equals(bytes, spoilt) ? 0 : 1;
+        }
+        assertTrue(noticed > 900, "faults were there at all: " + noticed);
+    }
+
+    @Test
+    public void theCheckerFindsAWrongByte() throws IOException {
+        List<byte[]> blocks = blocks(new Random(2), 2);
+        Path file = write("a", blocks);
+        List<byte[]> others = List.of(blocks.get(0), new byte[] {1, 2, 3});
+        assertTrue(servesWrongBytes(file, others));
+    }
+
+    @DataProvider
+    public Object[][] foreign() {
+        return new Object[][] {{new byte[0], "cut"}, {new byte[100], "no segment"},
+            {"#!/bin/sh\necho hello and much more text to fill the head".getBytes(), "no segment"},
+            {SegmentFormat.head(1).putInt(8, 9).array(), "its version is 9"}};
+    }
+
+    @Test(dataProvider = "foreign")
+    public void filesOfOthersAreToldByTheirHead(byte[] bytes, String why) throws IOException {
+        Path file = folder.resolve("x" + SpoolFolder.ENDING);
+        Files.write(file, bytes);
+        SpoolFolder.Recovered seen = SpoolFolder.look(folder);
+        assertEquals(seen.whole().size(), 0);
+        assertTrue(seen.dropped().get(0).why().contains(why), seen.dropped().get(0).why());
+    }
+
+    @Test
+    public void recoveryKeepsWholeResultsForeignFilesAndUnknownVersionsAndDropsTheRest() throws IOException {
+        write("good", blocks(new Random(3), 4));
+        Segment partial = new Segment(folder.resolve("partial" + SpoolFolder.ENDING));
+        partial.create(1);
+        partial.append(new byte[100], 0, 1);
+        Files.writeString(folder.resolve("notes.txt"), "not ours");
+        Files.write(folder.resolve("later" + SpoolFolder.ENDING), SegmentFormat.head(1).putInt(8, 2).array());
+        try (SpoolFolder held = SpoolFolder.take(folder)) {
+            SpoolFolder.Recovered seen = held.recover();
+            assertEquals(seen.whole().size(), 1);
+            assertEquals(seen.whole().get(0).manifest().key(), "good");
+        }
+        assertTrue(Files.exists(folder.resolve("notes.txt")));
+        assertTrue(Files.exists(folder.resolve("later" + SpoolFolder.ENDING)));
+        assertTrue(Files.notExists(partial.path()));
+    }
+
+    @Test
+    public void aSecondHolderIsRefusedUntilTheFirstLetsGo() throws IOException {
+        try (SpoolFolder first = SpoolFolder.take(folder)) {
+            assertEquals(first.toString(), folder.toString());
+            assertThrows(SpoolFolder.HeldException.class, () -> SpoolFolder.take(folder));
+        }
+        SpoolFolder.take(folder).close();
+    }
+
+    @Test
+    public void aFolderThatCannotBeMadeIsToldInOneLine() throws IOException {
+        Path file = folder.resolve("file");
+        Files.writeString(file, "");
+        IOException e = null;
+        try {
+            SpoolFolder.take(file.resolve("below"));
+        } catch (IOException thrown) {
+            e = thrown;
+        }
+        assertTrue(e != null && e.getMessage().endsWith("can't be made"), String.valueOf(e));
+    }
+
+    @Test
+    public void aFileThatWasRemovedOrSwappedIsToldNotServed() throws IOException {
+        Path one = write("one", blocks(new Random(4), 2));
+        Path two = write("two", blocks(new Random(5), 2));
+        Segment.Found found = Segment.open(one);
+        Files.move(two, one, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        assertThrows(IOException.class, () -> found.segment().read(found.blocks().get(1)));
+        Files.delete(one);
+        assertThrows(IOException.class, () -> found.segment().read(found.blocks().get(0)));
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/spool/store/SpoolFixture.java
@@ -0,0 +1,79 @@
+package lineward.spool.store;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+
+/** Fills folders with results and spoils them, for measurements. */
+public final class SpoolFixture {
+    private static final int BLOCK = 64 << 10;
+
+    private SpoolFixture() { }
+
+    private static byte[] block(int result, int index) {
+        byte[] block = new byte[BLOCK];
+        new Random(result * 31L + index).nextBytes(block);
+        return block;
+    }
+
+    /** Writes so many results of so many megabytes that no packing makes smaller. */
+    public static void fill(Path folder, int results, int megabytes) throws IOException {
+        for (int r = 0; r < results; r++) {
+            Segment segment = new Segment(folder.resolve("r" + r + SpoolFolder.ENDING));
+            segment.create(1);
+            List<Segment.Place> places = new ArrayList<>();
+            for (int i = 0; i < megabytes * 16; i++) {
+                places.add(segment.append(block(r, i), 10L * i, 10));
+            }
+            segment.complete(new Manifest("u", "k" + r, "d", 1, 160L * megabytes, 0), places);
+        }
+    }
+
+    /** @return megabytes of the files in a folder */
+    public static long megabytes(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.mapToLong(f -> f.toFile().length()).sum() >> 20;
+        }
+    }
+
+    /** @return blocks that were read and are not what was written, over so many seeded cuts and flips */
+    public static int wrongBytes(Path folder, Random random, int times) throws IOException {
+        int wrong = 0;
+        Path file = folder.resolve("spoilt" + SpoolFolder.ENDING);
+        List<byte[]> blocks = new ArrayList<>();
+        Segment segment = new Segment(file);
+        Files.deleteIfExists(file);
+        segment.create(1);
+        List<Segment.Place> places = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            blocks.add(block(0, i));
+            places.add(segment.append(blocks.get(i), 10L * i, 10));
+        }
+        segment.complete(new Manifest("u", "k", "d", 1, 30, 0), places);
+        byte[] good = Files.readAllBytes(file);
+        for (int t = 0; t < times; t++) {
+            byte[] spoilt = random.nextBoolean() ? Arrays.copyOf(good, random.nextInt(good.length))
+                    : good.clone();
+            if (spoilt.length > 0 && random.nextBoolean()) {
+                spoilt[random.nextInt(spoilt.length)] ^= (byte) (1 << random.nextInt(8));
+            }
+            Files.write(file, spoilt);
+            try {
+                Segment.Found found = Segment.open(file);
+                for (int i = 0; i < found.blocks().size(); i++) {
+                    wrong += Arrays.equals(found.segment().read(found.blocks().get(i)), blocks.get(i)) ? 0
+                            : 1;
+                }
+            } catch (IOException | RuntimeException e) {
+                // Told, not served.
+            }
+        }
+        Files.delete(file);
+        return wrong;
+    }
+}
