Frame results as clients with CLIENT_DEPRECATE_EOF want them

Connector/J 9.6 found no rows in the results of statements prepared at the server: without that capability it took the EOF packet behind the columns for the end of the rows. The front now offers it to clients; engines are spoken to as before. Dialect leaves that packet out, numbers what is behind it anew and ends rows with an OK packet, for held replies, prepared statements, spooled rows, pages and cursors; clients without it get the bytes that came. The toy engine of the example takes prepared statements and writes an answer in one piece.

--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -1,3 +1,4 @@
+import java.io.BufferedOutputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.EOFException;
@@ -7,8 +8,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 
-/** A toy MySQL engine on loopback: it lets everyone in and answers each text with one row that repeats it. */
+/**
+ * A toy MySQL engine on loopback: it lets everyone in and answers each text, prepared or not, with one row
+ * that
+ * repeats it.
+ */
 public final class ToyServer {
     private ToyServer() { }
 
@@ -29,29 +37,66 @@
     private static void serve(Socket socket) {
         try (socket) {
             DataInputStream in = new DataInputStream(socket.getInputStream());
-            OutputStream out = socket.getOutputStream();
+            // An answer of several packets is one write: else each waits for the peer's word on the one
+            // before.
+            socket.setTcpNoDelay(true);
+            OutputStream out = new BufferedOutputStream(socket.getOutputStream());
             send(out, 0, 10, "toy", 0, 1, 0, 0, 0, "abcdefgh", 0, 0, 0xa2, 45, 2, 0, 8, 0, 21,
                     new byte[10], "ijklmnopqrst", 0, "mysql_native_password", 0);
+            out.flush();
             receive(in);
             send(out, 2, 0, 0, 0, 2, 0, 0, 0);
+            List<String> prepared = new ArrayList<>();
             while (true) {
+                out.flush();
                 byte[] command = receive(in);
-                if (command[0] != 3) {
-                    send(out, 1, 0, 0, 0, 2, 0, 0, 0);
-                    continue;
-                }
                 String text = new String(command, 1, command.length - 1, StandardCharsets.UTF_8);
-                send(out, 1, 1);
-                send(out, 2, 3, "def", 0, 0, 0, 4, "echo", 0, 12, 45, 0, 0, 4, 0, 0, 253, 0, 0, 0, 0, 0);
-                send(out, 3, 0xfe, 0, 0, 2, 0);
-                send(out, 4, Math.min(250, text.length()), text.substring(0, Math.min(250, text.length())));
-                send(out, 5, 0xfe, 0, 0, 2, 0);
+                switch (command[0]) {
+                    case 0x03 -> answer(out, text, false);
+                    case 0x16 -> {
+                        prepared.add(text);
+                        prepare(out, prepared.size(), (int) text.chars().filter(c -> c == '?').count());
+                    }
+                    case 0x17 -> answer(out, prepared.get((command[1] & 0xff)
+                            + ((command[2] & 0xff) << 8) - 1),
+                            true);
+                    case 0x18, 0x19 -> { }
+                    default -> send(out, 1, 0, 0, 0, 2, 0, 0, 0);
+                }
             }
         } catch (IOException e) {
             System.out.println("a connection has ended");
         }
     }
 
+    private static void prepare(OutputStream out, int number, int params) throws IOException {
+        int sequence = 1;
+        send(out, sequence++, 0, number & 0xff, number >> 8, 0, 0, 1, 0, params, 0, 0, 0, 0);
+        for (int i = 0; i < params; i++) {
+            column(out, sequence++, "?");
+        }
+        if (params > 0) {
+            send(out, sequence++, 0xfe, 0, 0, 2, 0);
+        }
+        column(out, sequence++, "echo");
+        send(out, sequence, 0xfe, 0, 0, 2, 0);
+    }
+
+    private static void answer(OutputStream out, String text, boolean binary) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        byte[] row = Arrays.copyOf(bytes, Math.min(250, bytes.length));
+        send(out, 1, 1);
+        column(out, 2, "echo");
+        send(out, 3, 0xfe, 0, 0, 2, 0);
+        send(out, 4, binary ? new byte[2] : new byte[0], row.length, row);
+        send(out, 5, 0xfe, 0, 0, 2, 0);
+    }
+
+    private static void column(OutputStream out, int sequence, String name) throws IOException {
+        send(out, sequence, 3, "def", 0, 0, 0, name.length(), name, 0, 12, 45, 0, 0, 4, 0, 0, 253, 0, 0, 0,
+                0, 0);
+    }
+
     private static byte[] receive(DataInputStream in) throws IOException {
         int length = in.read();
         if (length < 0) {
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -33,6 +33,7 @@
     private final Map<Long, ClientStatement> statements = new HashMap<>();
     private Channel channel;
     private Handshake.Login login;
+    private Dialect dialect = Dialect.PLAIN;
     private final long connectedAt = System.nanoTime();
     private boolean loggedIn;
     private boolean ending;
@@ -128,6 +129,7 @@
         String plugin;
         if (login == null) {
             login = Handshake.readLogin(in);
+            dialect = Dialect.of(login.capabilities());
             plugin = login.plugin();
             proof = login.proof();
             if (!Auth.known(plugin)) {
@@ -217,7 +219,7 @@
             if (reading == null) {
                 runText(in.toString(StandardCharsets.ISO_8859_1), text, kind instanceof StatementKind.Write);
             } else {
-                send(LocalResult.of(channel.alloc(), sequence + 1, reading));
+                send(LocalResult.of(channel.alloc(), sequence + 1, dialect, reading));
             }
         }
     }
@@ -259,7 +261,7 @@
 
     private void flowOut(SpooledResult result, SpoolHint hint, ClientStatement cursor) {
         if (cursor != null || hint.isPart()) {
-            OpenCursor rows = new OpenCursor(channel, result, hint.from(),
+            OpenCursor rows = new OpenCursor(channel, result, dialect, hint.from(),
                     cursor != null ? -1 : hint.rows() < 0 ? Long.MAX_VALUE : hint.rows(), this::send,
                             this::flowed);
             if (cursor != null) {
@@ -268,7 +270,7 @@
             }
             outflow = rows;
         } else {
-            outflow = new ReplyPump(channel, result, this::send, this::flowed);
+            outflow = new ReplyPump(channel, result, dialect, this::send, this::flowed);
         }
         outflow.move();
     }
@@ -410,7 +412,7 @@
             schema = good ? w.schema() : schema;
             reply.setByte(reply.readerIndex() + Packets.HEAD - 1, sequence + 1);
         }
-        send(reply);
+        send(dialect.whole(channel.alloc(), reply, good && query.work instanceof Work.Prepare));
         over();
     }
 
--- a/src/main/java/lineward/mysql/Handshake.java
+++ b/src/main/java/lineward/mysql/Handshake.java
@@ -17,11 +17,15 @@
     static final int PLUGIN_AUTH = 0x80000;
     static final int PLUGIN_DATA = 0x200000;
     /**
-     * What both sides of the front agree on. It is the same on both, so that a result passes as it came:
-     * no shortened EOF, no session tracking, no query attributes, one statement and one result at a time.
+     * What the front and its engines agree on: no shortened EOF, no session tracking, no query attributes,
+     * one statement and one result at a time. With clients that agree on the same a result passes as it came.
      */
     static final int CAPABILITIES = LONG_PASSWORD | WITH_DB | PROTOCOL_41 | TRANSACTIONS | SECURE
             | PLUGIN_AUTH;
+    /** Results without the packet behind their columns, and with another one behind their rows. */
+    static final int DEPRECATE_EOF = 0x1000000;
+    /** What clients are offered: the front writes their replies anew where they differ from the engine's. */
+    static final int OFFERED = CAPABILITIES | DEPRECATE_EOF;
     static final int UTF8MB4 = 45;
     private static final int VERSION = 10;
     private static final int NONCE_HEAD = 8;
@@ -39,8 +43,8 @@
         ByteBuf out = Packets.begin(alloc, 0).writeByte(VERSION);
         text(out, version);
         out.writeIntLE(thread).writeBytes(nonce, 0, NONCE_HEAD).writeByte(0);
-        out.writeShortLE(CAPABILITIES).writeByte(UTF8MB4).writeShortLE(Packets.AUTOCOMMIT);
-        out.writeShortLE(CAPABILITIES >>> 16).writeByte(nonce.length + 1).writeZero(10);
+        out.writeShortLE(OFFERED).writeByte(UTF8MB4).writeShortLE(Packets.AUTOCOMMIT);
+        out.writeShortLE(OFFERED >>> 16).writeByte(nonce.length + 1).writeZero(10);
         out.writeBytes(nonce, NONCE_HEAD, nonce.length - NONCE_HEAD).writeByte(0);
         text(out, Auth.SHA2);
         return Packets.done(out);
--- a/src/main/java/lineward/mysql/LocalResult.java
+++ b/src/main/java/lineward/mysql/LocalResult.java
@@ -11,7 +11,7 @@
 
     private LocalResult() { }
 
-    static ByteBuf of(ByteBufAllocator alloc, int first, SessionSettings.Reading reading) {
+    static ByteBuf of(ByteBufAllocator alloc, int first, Dialect dialect, SessionSettings.Reading reading) {
         int sequence = first;
         ByteBuf out = alloc.buffer();
         ByteBuf count = Packets.begin(alloc, sequence++).writeByte(reading.labels().size());
@@ -25,15 +25,21 @@
                     .writeShortLE(0).writeByte(0).writeShortLE(0);
             add(out, column);
         }
-        add(out, Packets.eof(alloc, sequence++, 0));
+        if (dialect == Dialect.PLAIN) {
+            add(out, Packets.eof(alloc, sequence++, 0));
+        }
         ByteBuf row = Packets.begin(alloc, sequence++);
         reading.values().forEach(value -> text(row, value));
         add(out, row);
-        return add(out, Packets.eof(alloc, sequence, 0));
+        return append(out, dialect.end(alloc, sequence, 0));
     }
 
     private static ByteBuf add(ByteBuf to, ByteBuf packet) {
-        to.writeBytes(Packets.done(packet));
+        return append(to, Packets.done(packet));
+    }
+
+    private static ByteBuf append(ByteBuf to, ByteBuf packet) {
+        to.writeBytes(packet);
         packet.release();
         return to;
     }
--- a/src/main/java/lineward/mysql/MysqlRun.java
+++ b/src/main/java/lineward/mysql/MysqlRun.java
@@ -8,8 +8,7 @@
 
 /**
  * One attempt at an engine: its work, the reply so far, and who is told. A short reply is held as it is; a
- * longer
- * one goes to the spool, so that the engine is free once its last byte has come.
+ * longer one goes to the spool, so that the engine is free once its last byte has come.
  */
 final class MysqlRun {
     /** Hears of a reply that is too long to be held whole, and of the end. */
--- a/src/main/java/lineward/mysql/OpenCursor.java
+++ b/src/main/java/lineward/mysql/OpenCursor.java
@@ -8,9 +8,8 @@
 
 /**
  * Rows of a spooled result as they are asked for: a read-only cursor, whose columns go out first and whose
- * rows as
- * they are fetched, or one page of a result, columns and rows in one reply. The engine has no part in it. One
- * fetch at a time, as a client sends one command at a time.
+ * rows as they are fetched, or one page of a result, columns and rows in one reply. The engine has no part in
+ * it. One fetch at a time, as a client sends one command at a time.
  */
 final class OpenCursor implements Outflow {
     private final Channel channel;
@@ -23,6 +22,7 @@
     private boolean over;
     private boolean moving;
     private long wanted;
+    private final Dialect dialect;
     private final long from;
     private final long page;
     private int skip;
@@ -35,8 +35,9 @@
      * @param page rows of the one reply that is wanted; negative: a cursor
      * @param ending hears that a fetch, or the cursor's opening, is over; more may follow while it ended well
      */
-    OpenCursor(Channel channel, SpooledResult result, long from, long page, Consumer<ByteBuf> out,
-            Ending ending) {
+    OpenCursor(Channel channel, SpooledResult result, Dialect dialect, long from, long page,
+            Consumer<ByteBuf> out, Ending ending) {
+        this.dialect = dialect;
         this.from = from;
         this.page = page;
         this.channel = channel;
@@ -87,21 +88,19 @@
             }
             return;
         }
-        byte[] columns = head.bytes().clone();
+        byte[] columns = head.bytes();
         columnsSent = true;
         if (from > 0) {
             skip = reader.seek(from);
             done = skip < 0;
         }
         if (page >= 0) {
-            out.accept(Unpooled.wrappedBuffer(columns));
+            out.accept(dialect.columns(columns));
             wanted = page;
             fetching = true;
-            sequence = ReplyPump.sequenceBehind(columns);
+            sequence = dialect.behindColumns(columns);
         } else {
-            // The status stands at the end of the last packet, which ends the columns.
-            columns[columns.length - 2] |= (byte) Packets.CURSOR_EXISTS;
-            out.accept(Unpooled.wrappedBuffer(columns));
+            out.accept(dialect.cursor(channel.alloc(), columns));
             ending.over(SpooledResult.Ahead.MORE, 0);
         }
     }
@@ -121,7 +120,7 @@
                 nextBlock();
             }
             fetching = false;
-            out.accept(Packets.eof(channel.alloc(), sequence, page >= 0 ? 0
+            out.accept(dialect.end(channel.alloc(), sequence, page >= 0 ? 0
                     : done ? Packets.LAST_ROW_SENT : Packets.CURSOR_EXISTS));
             done |= page >= 0;
             if (done) {
--- a/src/main/java/lineward/mysql/ReplyPump.java
+++ b/src/main/java/lineward/mysql/ReplyPump.java
@@ -1,18 +1,19 @@
 package lineward.mysql;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.util.function.Consumer;
 import lineward.spool.SpooledResult;
 
-/** Sends a spooled reply to a client as the bytes that came, as fast as the client reads them. */
+/** Sends a spooled reply to a client as fast as the client reads it. */
 final class ReplyPump implements Outflow {
     private final Channel channel;
     private final Consumer<ByteBuf> out;
     private final SpooledResult.Reader reader;
     private final Ending ending;
+    private final Dialect dialect;
     private byte[] last;
+    private boolean inRows;
     private boolean moving;
     private boolean over;
 
@@ -20,7 +21,8 @@
      * @param out sends whole packets
      * @param ending hears once that nothing more goes out
      */
-    ReplyPump(Channel channel, SpooledResult result, Consumer<ByteBuf> out, Ending ending) {
+    ReplyPump(Channel channel, SpooledResult result, Dialect dialect, Consumer<ByteBuf> out, Ending ending) {
+        this.dialect = dialect;
         this.channel = channel;
         this.out = out;
         this.ending = ending;
@@ -41,14 +43,16 @@
                 break;
             }
             last = piece.bytes();
-            out.accept(Unpooled.wrappedBuffer(last));
+            out.accept(piece.rows() > 0 ? dialect.rows(last) : inRows ? dialect.tail(channel.alloc(), last)
+                    : dialect.columns(last));
+            inRows = true;
         }
         moving = false;
         SpooledResult.Ahead ahead = reader.ahead();
         if (ahead == SpooledResult.Ahead.LAPSED || piece == null && ahead == SpooledResult.Ahead.END
                 || piece == null && ahead == SpooledResult.Ahead.BROKEN && channel.isWritable()) {
             close();
-            ending.over(ahead, last == null ? 1 : sequenceBehind(last));
+            ending.over(ahead, last == null ? 1 : dialect.behindColumns(last));
         }
     }
 
--- a/src/main/java/lineward/mysql/SessionSettings.java
+++ b/src/main/java/lineward/mysql/SessionSettings.java
@@ -11,9 +11,8 @@
 
 /**
  * The settings of one client's session: what it has set, as far as an engine must know it, and what it is
- * told
- * when it asks. Statements may run on any engine; what differs from an engine's own settings is put on its
- * connection before them.
+ * told when it asks. Statements may run on any engine; what differs from an engine's own settings is put on
+ * its connection before them.
  */
 final class SessionSettings {
     /** What can be kept for a session and put on any engine's connection. */
--- a/src/main/java/lineward/mysql/SpoolHint.java
+++ b/src/main/java/lineward/mysql/SpoolHint.java
@@ -5,8 +5,8 @@
 
 /**
  * How a client names its result, in a comment of the statement: {@code /* lineward:key=K from=N rows=N
- * *}{@code /}.
- * A comment passes through every driver; query attributes would need a capability that not all of them have.
+ * *}{@code /}. A comment passes through every driver; query attributes would need a capability that not all
+ * of them have.
  *
  * @param key empty: the result has none
  * @param from first row wanted, from 0
--- a/src/main/java/lineward/spool/SpoolLimits.java
+++ b/src/main/java/lineward/spool/SpoolLimits.java
@@ -35,13 +35,6 @@
         }
     }
 
-    /** @return what holds where nothing is configured: memory alone, that much of it */
-    public static SpoolLimits inMemory(long memoryBytes) {
-        return new SpoolLimits(memoryBytes, 0, 0, 4096, memoryBytes / 2, memoryBytes / 2, memoryBytes / 8,
-                0.5,
-                60_000, 300_000);
-    }
-
     /** @return these bounds without files, for a folder that can't be used */
     public SpoolLimits withoutFiles() {
         return new SpoolLimits(memoryBytes, 0, 0, results, userBytes, resultBytes, holdBytes, holdPart,
--- a/src/main/java/lineward/spool/SpoolPolicy.java
+++ b/src/main/java/lineward/spool/SpoolPolicy.java
@@ -8,9 +8,8 @@
 import java.util.Map;
 
 /**
- * Decides on what the spool holds. Free of I/O; times are milliseconds of one monotonic clock. It books
- * bytes by
- * result, user and place, and every byte booked is given back by {@link #release} or {@link #consumed}.
+ * Decides on what the spool holds. Free of I/O; times are milliseconds of one monotonic clock. It books bytes
+ * by result, user and place, and every byte booked is given back by {@link #release} or {@link #consumed}.
  *
  * <p>Order under pressure: lapsed results first, then whole results with a key that nobody reads, the one
  * untouched longest first; what a reader is owed is never given back while it reads.
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -12,8 +12,7 @@
 /**
  * One result: blocks in the order in which they came, in memory or on file, that grows until it is whole. A
  * result without a key is read once and its blocks are given back as they are read; one with a key stays
- * until
- * its lease ends. Confined to the event loop.
+ * until its lease ends. Confined to the event loop.
  */
 public final class SpooledResult {
     /** Rows are gathered into blocks of about this size. */
@@ -112,11 +111,6 @@
         return statement;
     }
 
-    /** @return rows of the blocks that are closed */
-    public long rows() {
-        return rows;
-    }
-
     /** @return whether it has been given back */
     public boolean isGone() {
         return released;
--- a/src/main/java/lineward/spool/package-info.java
+++ b/src/main/java/lineward/spool/package-info.java
@@ -1,7 +1,6 @@
 /**
  * Spooled results: what an engine has answered is held here until its client has read it, so that the engine
- * is
- * free once its answer is complete.
+ * is free once its answer is complete.
  *
  * <p>{@link lineward.spool.SpoolPolicy} decides, free of I/O: what is held in memory and what goes to files,
  * when a result may no longer grow, who is admitted, how leases lapse and what is given back first. {@link
--- a/src/main/java/lineward/spool/store/BlockCodec.java
+++ b/src/main/java/lineward/spool/store/BlockCodec.java
@@ -7,8 +7,7 @@
 
 /**
  * Packs blocks by LZ4, in Java alone: no native library is unpacked and no memory is held beside the heap.
- * The
- * decompressor is the one that checks its bounds, as a file may hold anything.
+ * The decompressor is the one that checks its bounds, as a file may hold anything.
  */
 final class BlockCodec {
     /** Packed blocks must save one part in so many, or they stay as they are. */
--- a/src/main/java/lineward/spool/store/SegmentStore.java
+++ b/src/main/java/lineward/spool/store/SegmentStore.java
@@ -10,8 +10,7 @@
 
 /**
  * Reads and writes segments beside the event loop: one thread writes, in the order asked for, and two read.
- * What
- * waits is bounded by the caller, which counts the bytes under way; each call's end is told on the event
+ * What waits is bounded by the caller, which counts the bytes under way; each call's end is told on the event
  * loop.
  */
 public final class SegmentStore implements AutoCloseable {
--- a/src/main/java/lineward/spool/store/SpoolFolder.java
+++ b/src/main/java/lineward/spool/store/SpoolFolder.java
@@ -15,8 +15,7 @@
 
 /**
  * A folder of segments, held by one process at a time. Its lock is the file system's: a process that is
- * killed
- * lets go of it, and one that ends hands it to the next.
+ * killed lets go of it, and one that ends hands it to the next.
  */
 public final class SpoolFolder implements AutoCloseable {
     /** The ending of a segment's name; nothing else in the folder is ever touched. */
--- a/src/test/java/lineward/mysql/DriverTest.java
+++ b/src/test/java/lineward/mysql/DriverTest.java
@@ -46,8 +46,8 @@
 
     @DataProvider
     public Object[][] drivers() {
-        // Not here: Connector/J with prepared statements at the server and no fetch size; docs/ROADMAP.md says why.
-        return new Object[][] {{"jdbc:mysql", ""},
+        return new Object[][] {{"jdbc:mysql", ""}, {"jdbc:mysql", "useServerPrepStmts=true"},
+            {"jdbc:mysql", "useServerPrepStmts=true&useCursorFetch=true"},
             {"jdbc:mysql", "useCursorFetch=true&defaultFetchSize=100"},
             {"jdbc:mariadb", ""}, {"jdbc:mariadb", "useServerPrepStmts=true"}};
     }
