Start the platform's front ends without the command line's parser

`serve` and `rehearse`, which have no options, now go past it; all other commands and all bad use go through it.

--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -16,6 +16,7 @@
             Main.Adapter.class, Main.Rehearse.class, SpoolCommand.class})
 public final class Main implements Runnable {
     private static final Path MYSQL_FILE = Path.of("deploy", "mysql.toml");
+    private static final int BAD_USE = 2;
 
     @Spec
     private CommandSpec spec;
@@ -24,24 +25,48 @@
 
     /** @param args a command and its arguments */
     public static void main(String[] args) {
-        int status = new CommandLine(new Main()).setExecutionExceptionHandler((e, line, parsed) -> {
-            if (e instanceof ConfigException) {
-                System.err.println("lineward: " + e.getMessage());
-                return CommandLine.ExitCode.USAGE;
-            }
-            // The event loop would keep a process alive that serves nobody.
-            e.printStackTrace();
-            return CommandLine.ExitCode.SOFTWARE;
-        }).setParameterExceptionHandler((e, words) -> {
-            System.err.println("lineward: " + e.getMessage().lines().findFirst().orElse("bad use")
-                    + "; --help tells the usage");
-            return CommandLine.ExitCode.USAGE;
-        }).execute(args);
+        int status = isPlatforms(args) ? platform(args) : commandLine().execute(args);
         if (status != RUNS) {
             System.exit(status);
         }
     }
 
+    /**
+     * The platform starts front ends under load, on a part of a core, where the parser costs time and 9 MB:
+     * its own commands, which have no options, are spared it.
+     */
+    private static boolean isPlatforms(String[] args) {
+        return args.length == 1 && args[0].equals("serve") || args.length == 2 && args[0].equals("rehearse");
+    }
+
+    private static int platform(String[] args) {
+        try {
+            start(true, args.length == 1 ? System.getenv("RELAY_CONFIG") : args[1], MYSQL_FILE, false);
+            return args.length == 1 ? RUNS : 0;
+        } catch (RuntimeException e) {
+            return failed(e);
+        }
+    }
+
+    private static CommandLine commandLine() {
+        return new CommandLine(new Main()).setExecutionExceptionHandler((e, line, parsed) -> failed(e))
+                .setParameterExceptionHandler((e, words) -> {
+                    System.err.println("lineward: " + e.getMessage().lines().findFirst().orElse("bad use")
+                            + "; --help tells the usage");
+                    return BAD_USE;
+                });
+    }
+
+    private static int failed(Exception e) {
+        if (e instanceof ConfigException) {
+            System.err.println("lineward: " + e.getMessage());
+            return BAD_USE;
+        }
+        // The event loop would keep a process alive that serves nobody.
+        e.printStackTrace();
+        return 1;
+    }
+
     /** What a command returns whose fronts go on in threads of their own. */
     static final int RUNS = -1;
 
