Delete a result's file though all of its blocks have been read

A long result that its one reader had read to the end left its file behind: whether there was one was asked of the blocks still held, and those that had been read were forgotten. The result now notes that it has a file. Found by reading; the test on what is read now waits until every block is on file and counts the files left, which fails on the version before (one file left) and holds now. The design note says truly what is forced to disk.

--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -74,6 +74,7 @@
     private long rows;
     private long bytes;
     private int writing;
+    private boolean hasFile;
     private boolean whole;
     private boolean broken;
     private boolean lapsed;
@@ -90,6 +91,7 @@
         this.handle = handle;
         found.forEach(place -> blocks.add(new Block(place)));
         whole = !found.isEmpty();
+        hasFile = whole;
         rows = found.stream().mapToLong(Segment.Place::rows).sum();
         bytes = found.stream().mapToLong(Segment.Place::raw).sum();
     }
@@ -202,6 +204,7 @@
 
     private void write(Block block) {
         block.filed = true;
+        hasFile = true;
         writing++;
         spool.underWay(block.raw);
         spool.store().append(handle, block.data, block.firstRow, block.rows, (place, failure) -> {
@@ -310,11 +313,11 @@
             return;
         }
         released = true;
-        boolean hasFile = blocks.stream().anyMatch(b -> b.filed) || writing > 0;
         blocks.clear();
         growing = new byte[0];
         spool.policy().release(id, spool.now());
         spool.gone(this);
+        // Danger: the blocks that went there may have been read and forgotten long ago.
         if (hasFile) {
             spool.store().delete(handle, (nothing, failure) -> spool.wrote(failure));
         }
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -89,7 +89,7 @@
             write(channel, block, at);
             write(channel, SegmentFormat.trailer(at), end);
             end += SegmentFormat.TRAILER;
-            // Danger: after a loss of power the manifest must not be there while blocks before it are not.
+            // A client that comes back after a loss of power should find what it was told of.
             channel.force(false);
         }
     }
--- a/src/test/java/lineward/spool/SpoolTest.java
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -90,7 +90,7 @@
     }
 
     @Test
-    public void whatIsReadIsWhatWasWrittenWhereverItLay() throws IOException {
+    public void whatIsReadIsWhatWasWrittenWhereverItLay() throws IOException, InterruptedException {
         for (int seed = 0; seed < 20; seed++) {
             Random random = new Random(seed);
             try (Spool spool = spool(seed % 2 == 0)) {
@@ -117,12 +117,24 @@
                 read.writeBytes(drain(reader));
                 assertEquals(reader.ahead(), Ahead.END);
                 assertEquals(read.toByteArray(), wrote.toByteArray(), "seed " + seed);
+                // Every block has reached its file and been forgotten before the reader leaves.
+                for (Runnable told = loop.poll(200, TimeUnit.MILLISECONDS); told != null;
+                        told = loop.poll(200, TimeUnit.MILLISECONDS)) {
+                    told.run();
+                }
                 reader.close();
                 while (spool.figures().results() > 0) {
                     turn();
                 }
                 assertEquals(spool.figures().heldBytes() + spool.figures().filedBytes(), 0);
             }
+            assertEquals(segments(), 0, "files left by seed " + seed);
+        }
+    }
+
+    private long segments() throws IOException {
+        try (Stream<Path> left = Files.list(folder)) {
+            return left.filter(f -> f.toString().endsWith("lwseg")).count();
         }
     }
 
@@ -167,9 +179,7 @@
             turn();
             assertEquals(second.figures().filedBytes(), 0);
         }
-        try (Stream<Path> left = Files.list(folder)) {
-            assertEquals(left.filter(f -> f.toString().endsWith("lwseg")).count(), 0);
-        }
+        assertEquals(segments(), 0);
     }
 
     /**
