Hold what a front has out in all within its part of the fleet's room

Followed one front end (n3) with a line a second of what it has out:

16.650 out=50.0 held=0 slow=1.00 share*=1.30 ready=240.0 | reports out=16 oldest=56.5 units 17.676 out=52.0 held=0 slow=1.00 share*=1.30 ready=264.0 | reports out=16 oldest=64.3 units

Its part of 240 cores among 40 is 9 threads, 11.7 with the share of 1.3; it has 52 out, holds nothing and believes that nothing is slow. All the others do the same. At SIGTERM its reports are still out:

18.552 SIGTERM: serving on until all is answered 21.856 last word: 14 requests fail

The lines at fault: room() in Control rounds a front's part of an engine, 0.4 threads, up to one request, so 40 fronts may put 40 reports of 3 threads on each engine of 8 cores.

Change: fleetRoom() bounds a front's threads over all engines in use where its part of no engine holds a whole request. Reports do not close the door to look-ups, which are worth more for their work. From 2 to 4 fronts it never binds. FleetRoomTest (2 to 100 fronts) fails without it: 24,000 threads for 640 cores.

--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import lineward.front.SparseLog;
+import org.slf4j.LoggerFactory;
 import peatwick.Front;
 
 /** The connections to one engine. A new engine at an old address gets a pool of its own. */
@@ -19,6 +21,7 @@
     private static final int REPEATED = 4;
     /** Connections to one engine: more runs than that go to one engine only in a crowd. */
     private static final int MOST_LINKS = 16;
+    private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(EnginePool.class));
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
     private final int streams;
@@ -113,6 +116,7 @@
     @Override
     public void unsent(List<Run> runs, Throwable cause) {
         lost++;
+        LOG.info("no connection to engine", address, cause);
         boolean its = cause instanceof ConnectException || lost >= REPEATED;
         runs.forEach(run -> {
             if (its) {
--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -152,7 +152,7 @@
     private double lastLog = Double.NEGATIVE_INFINITY;
     /** Places of the load figures in a report, or -1. */
     private final int inHand, memoryUsed;
-    private double startedAt = Double.NaN, asked, threadsOut, perQuery = 1, crowding = UNSEEN;
+    private double startedAt = Double.NaN, asked, perQuery = 1, crowding = UNSEEN;
     private final Words words;
 
     /**
@@ -342,9 +342,7 @@
         }
         // Danger: a fault of our own eyes (or of all engines) would leave nobody to send to.
         boolean useAll = sound < FEW_SOUND * allowed;
-        // Danger: what all fronts hold would rush to the first engine that seems free.
-        if (pooled() && set.fronts() > FEW_FRONTS && threadsOut > 0
-                && threadsOut + r.c.spec.threads() > share * KNEE * readyCores) {
+        if (!fleetRoom(r, useAll)) {
             return null;
         }
         Engine best = null;
@@ -371,6 +369,34 @@
         return best;
     }
 
+    /**
+     * Room in this front's part of all engines. Danger: where its part of an engine holds no whole request it
+     * may still send one, and of a hundred fronts each would fill every engine. Runs of less worth for their
+     * work, which give way by priority, do not close the door to those of more.
+     */
+    private boolean fleetRoom(Request r, boolean useAll) {
+        if (pooled() && set.fronts() <= FEW_FRONTS) {
+            return true;
+        }
+        double open = 0, ahead = 0, threads = r.c.spec.threads();
+        for (Engine e : engines.values()) {
+            if (e.ready && (useAll || !e.suspected)) {
+                if (window(e) >= threads) {
+                    return true;
+                }
+                open += window(e);
+                ahead += e.attempts.stream().filter(a -> a.r.c.worthOfWork() >= r.c.worthOfWork())
+                        .mapToInt(a -> a.r.c.spec.threads()).sum();
+            }
+        }
+        return ahead == 0 || ahead + threads <= open;
+    }
+
+    /** Threads that this front may have at an engine. */
+    private double window(Engine e) {
+        return KNEE * e.cores * share * Math.min(1, e.speed());
+    }
+
     /** Expected crowding on the engine, in its own speed, and what clashes or is warm there. */
     private double score(Request r, Engine e) {
         if (e.cold() && set.fronts() > TURNS && now + r.expected() / set.rules().coldShare() < r.aimAt) {
@@ -412,10 +438,9 @@
         if (e.seen()) {
             return e.load() + r.c.spec.threads() <= KNEE * e.cores * Math.min(1, e.speed()) * e.bar;
         }
-        double window = Math.max(1, KNEE * e.cores * share * Math.min(1, e.speed()));
         boolean memory = e.memory <= 0 || e.attempts.isEmpty()
                 || e.held + r.grant(e) <= e.memory * Math.min(1, share * 1.2);
-        return e.threads < window && memory;
+        return e.threads < Math.max(1, window(e)) && memory;
     }
 
     // ---- what engines report
@@ -569,7 +594,6 @@
         r.sent = true;
         e.add(a, r.c.spec.threads(), a.grant);
         e.sends.add(now, Math.max(r.work(), r.c.usualWork()));
-        threadsOut += r.c.spec.threads();
     }
 
     /** Short work first, loads ahead of long reads as they hold their group, what is late last. */
@@ -686,7 +710,6 @@
         a.isOut = false;
         r.outCount--;
         a.e.remove(a, r.c.spec.threads(), a.grant);
-        threadsOut -= r.c.spec.threads();
         learn(r, a, v);
         boolean doubt = v.outcome() == Outcome.TIMEOUT || v.outcome() == Outcome.RESET
                 || v.outcome() == Outcome.CANCELLED;
@@ -1085,6 +1108,10 @@
             return works.mean(now, GUESS_WEIGHT, spec.deadline() * FIRST_GUESS * spec.threads());
         }
 
+        double worthOfWork() {
+            return spec.worth() / usualWork();
+        }
+
         double rerunRatio() {
             return reruns.count(now) >= RERUNS_ENOUGH ? reruns.mean(now, 0, 0)
                     : seen >= ENOUGH ? mean : typical();
--- /dev/null
+++ b/src/test/java/peatwick/FleetRoomTest.java
@@ -0,0 +1,93 @@
+package peatwick;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What all fronts together send, none of which sees the others, stays near what the engines can run. */
+public class FleetRoomTest {
+    private static final int CORES = 8;
+    private static final int THREADS = 3;
+    /** What a full fleet runs at: threads a core, and what a front may take over an even part. */
+    private static final double FULL = 1.5 * 1.3;
+
+    private static Front.RequestClass report() {
+        return new Front.RequestClass(3000, 2.5, 15000, 12, 0.4, Front.Effect.SAFE, Front.Scope.ALL, 0, false,
+                null, null, false, false, THREADS);
+    }
+
+    private static Scene front(int fronts, int ordinal, int engines) {
+        List<Front.Listed> list = new ArrayList<>();
+        for (int id = 1; id <= engines; id++) {
+            list.add(new Front.Listed(id, 0, 1, 0, Front.Condition.READY, 0, 0));
+        }
+        return new Scene(new Front.Settings(List.of(Scene.look(), report()), List.of(new Front.Kind(CORES,
+                16000)), 1, 0, fronts, ordinal, Scene.limits(6), Scene.rules(), List.of(), false, false, 0,
+                false, Scene.FREE, List.of(), 1)).tell(new Front.ListChange(true, list));
+    }
+
+    private static int threads(Scene s) {
+        return s.all(Front.Send.class).size() * THREADS;
+    }
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{2, 8}, {4, 10}, {20, 30}, {100, 37}, {100, 80}};
+    }
+
+    @DataProvider
+    public Object[][] large() {
+        return new Object[][] {{20, 30}, {100, 37}, {100, 80}};
+    }
+
+    /** Without one bound over all engines a hundred fronts put a report of each on every engine. */
+    @Test(dataProvider = "fleets")
+    public void aRushOfReportsFillsTheFleetOnceOver(int fronts, int engines) {
+        int out = 0;
+        for (int i = 0; i < fronts; i++) {
+            Scene s = front(fronts, i, engines);
+            for (int id = 1; id <= engines; id++) {
+                s.ask(id, 1, 0, 9000, 15000);
+            }
+            s.pass(200);
+            assertTrue(threads(s) >= THREADS, "each front sends something");
+            out += threads(s);
+        }
+        assertTrue(out <= FULL * CORES * engines + THREADS * fronts, out + " threads");
+        assertTrue(out >= CORES * engines / 2, "the fleet is used: " + out + " threads");
+    }
+
+    /** Reports that fill this front's part keep no look-ups waiting: those are worth more for their work. */
+    @Test(dataProvider = "large")
+    public void lookUpsPassAFullPart(int fronts, int engines) {
+        Scene s = front(fronts, 0, engines);
+        for (int id = 1; id <= 3 * engines; id++) {
+            s.ask(id, 1, 0, 9000, 15000);
+        }
+        int before = s.all(Front.Send.class).size();
+        s.ask(1000, 0, 0, 100, 5000);
+        assertEquals(s.all(Front.Send.class).size(), before + 1);
+    }
+
+    /** An engine that is left out takes its room with it. */
+    @Test
+    public void aPartShrinksWithTheEnginesInUse() {
+        int all = 0;
+        int half = 0;
+        for (int i = 0; i < 20; i++) {
+            Scene whole = front(20, i, 30);
+            Scene less = front(20, i, 15);
+            for (int id = 1; id <= 30; id++) {
+                whole.ask(id, 1, 0, 9000, 15000);
+                less.ask(id, 1, 0, 9000, 15000);
+            }
+            all += threads(whole);
+            half += threads(less);
+        }
+        assertTrue(half < all * 0.7, half + " of " + all);
+    }
+}
