Keep slowdown by class with runs still out, and let the share grow by the number of fronts

At fault: Control.learn and reckon took one middle over all answers. Look-ups are most of them, run at the highest priority and stay quick; reports that do not come back counted nothing.

Change: each class has its own slowdown, from its answers and the runs out that are older than usual.

FleetRoomTest.aPartDoesNotGrowWhileReportsStayOut fails without the change: 23 reports out, 11 at most. The module's tests are green; the whole suite was not run here after this change.

--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -127,6 +127,9 @@
     /** Least multiple of an even share. Danger: a false alarm of crowding would feed on itself. */
     private static final double SHARE_LEAST = 1.3;
 
+    /** With work held while all is calm a front has the whole fleet after this: the longest time judged. */
+    private static final double ALONE_AFTER = 10_000;
+
     private final Settings set;
     private final SplittableRandom random;
     private final TreeMap<Long, Engine> engines = new TreeMap<>();
@@ -282,7 +285,7 @@
 
     /** Worth per work, more as the slack goes; what is already late counts by its late share only. */
     private double rank(Request r) {
-        double slack = r.aimAt - now - r.expected() * fleetSlow;
+        double slack = r.aimAt - now - r.expected() * r.c.slow;
         double worth = r.c.spec.worth() * (slack < 0 ? r.c.spec.lateShare() : 1);
         double urgency = slack < 0 ? 1 : 1 + 2 * (now - r.taken) / Math.max(1, r.aimAt - r.taken);
         return worth * urgency * (r.rerun ? 2 : 1) / Math.max(1, r.work());
@@ -326,7 +329,7 @@
         if (now > r.deadline - ANSWER_MARGIN) {
             return true;
         }
-        double end = now + FIT * r.expected() * Math.min(fleetSlow, 2);
+        double end = now + FIT * r.expected() * Math.min(r.c.slow, 2);
         return end > (r.c.spec.lateShare() > 0 ? r.deadline : r.aimAt);
     }
 
@@ -616,8 +619,8 @@
                 || r.attempts.size() >= set.limits().maxAttempts()) {
             return false;
         }
-        double age = a.age(now) / fleetSlow;
-        double rerun = c.rerunRatio() * r.unit * fleetSlow;
+        double age = a.age(now) / c.slow;
+        double rerun = c.rerunRatio() * r.unit * c.slow;
         if (r.deadline - now < rerun) {
             return false;
         }
@@ -742,7 +745,7 @@
     }
 
     private void learn(Request r, Try a, Verdict v) {
-        double age = a.age(now) / fleetSlow / r.unit;
+        double age = a.age(now) / r.c.slow / r.unit;
         switch (v.outcome()) {
             case OK -> {
                 a.e.heardAt = now;
@@ -758,6 +761,7 @@
                     double log = Math.log(Math.max(1e-9, a.age(now) / r.unit));
                     double off = r.c.usual.add(log);
                     a.e.slowness.add(now, off);
+                    r.c.recent.add(now, off);
                     recent.add(now, off);
                 } else if (r.rerun) {
                     r.c.reruns.add(now, age);
@@ -858,13 +862,12 @@
         learners.forEach(c -> stillOut.put(c, new ArrayList<>()));
         for (Engine e : engines.values()) {
             for (Try a : e.attempts) {
-                double ratio = a.age(now) / fleetSlow / a.r.unit;
                 if (a.first && !a.cut) {
-                    stillOut.get(a.r.c).add(ratio);
+                    stillOut.get(a.r.c).add(a.age(now) / a.r.unit);
                 }
             }
         }
-        fleetSlow = Math.max(1, Math.exp(recent.middle(now, DOUBT)));
+        fleetSlow = Math.max(1, Math.exp(recent.middle(now, DOUBT, List.of())));
         learners.forEach(c -> c.reckon(stillOut.get(c)));
         double work = learners.stream().mapToDouble(c -> c.workTaken).sum();
         for (Learner c : learners) {
@@ -876,9 +879,11 @@
                 / learners.stream().mapToDouble(c -> c.workTaken / c.spec.threads()).sum();
         all.reckon(List.of());
         double least = Math.min(1, SHARE_LEAST / set.fronts());
-        boolean calm = pooled() ? crowding < KNEE * BAR_LOW : fleetSlow < CALM;
-        double growth = pooled() ? 1.3 : 1.05;
-        share = blocked && calm ? Math.min(1, share * growth) : Math.max(least, share * 0.95);
+        boolean calm = pooled() ? crowding < KNEE * BAR_LOW
+                : learners.stream().allMatch(c -> c.slow < CALM);
+        double growth = pooled() ? 1.3 : Math.pow(set.fronts(), RECKON_EVERY / ALONE_AFTER);
+        share = blocked && calm ? Math.min(1, share * growth)
+                : Math.max(least, share / (calm ? 1.05 : growth));
     }
 
     // ---- engines: list, health
@@ -925,7 +930,7 @@
             double missed = notes * NOTE_MISSED;
             boolean noNote = !a.waiting && notes > 0 && out > missed && silent > missed;
             boolean late = !a.waiting && e.attempts.size() > 1
-                    && out > OVERDUE * a.r.expected() * fleetSlow + SILENCE;
+                    && out > OVERDUE * a.r.expected() * a.r.c.slow + SILENCE;
             if (noNote || late && (notes == 0 || silent > notes)) {
                 suspect(e, "is silent");
                 return;
@@ -1086,6 +1091,9 @@
         final RequestClass spec;
         final Survival first = new Survival(BINS, LOWEST, PER_DOUBLING);
         final Fading reruns = new Fading(HALF_LIFE), works = new Fading(HALF_LIFE);
+        /** How much slower than usual its last runs were, those still out included. */
+        final Recent recent = new Recent(RECENT);
+        double slow = 1;
         double seen, tau = Double.POSITIVE_INFINITY, mean;
         double workTaken, workShare, openCores;
         double grantFactor = GRANT_START, decayedAt;
@@ -1137,7 +1145,10 @@
             first.decay(keep);
             seen *= keep;
             workTaken *= keep;
-            mean = first.reckon(stillOut);
+            // Danger: of a class that crowding holds up, answers come from the few that it spares.
+            slow = Math.max(1, Math.exp(recent.middle(now, DOUBT, stillOut.stream()
+                    .map(x -> Math.min(STRAGGLES, Math.log(x / typical()))).filter(x -> x > 0).toList())));
+            mean = first.reckon(stillOut.stream().map(x -> x / slow).toList());
             tau = Double.POSITIVE_INFINITY;
             double least = mean * (1 - GAIN);
             for (int i = 0; i < first.bins() && seen >= ENOUGH; i++) {
