Cut stragglers of a class that is too rare for a curve of its own

Of 3,793 s that reports were out at engines, 1,391 s went to 179 attempts that ended at the client's time. One of them, at the one front end that touched it:

A silent engine was ruled out (it answered others, none was suspected), as were lost connections (those end RESET after 1.2 s in the log). Fronts of small fleets see enough, so it showed in large ones only.

Until a class has those outcomes its tau is now the bound past which the module calls an outcome a straggler already (e to the power of STRAGGLES times its usual time), once five outcomes tell a usual time.

--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -1149,7 +1149,9 @@
             slow = Math.max(1, Math.exp(recent.middle(now, DOUBT, stillOut.stream()
                     .map(x -> Math.min(STRAGGLES, Math.log(x / typical()))).filter(x -> x > 0).toList())));
             mean = first.reckon(stillOut.stream().map(x -> x / slow).toList());
-            tau = Double.POSITIVE_INFINITY;
+            // Danger: of a rare class a front sees too few for a curve, and its stragglers fill the fleet.
+            tau = seen < ENOUGH && usual.count() >= RERUNS_ENOUGH ? typical() * Math.exp(STRAGGLES)
+                    : Double.POSITIVE_INFINITY;
             double least = mean * (1 - GAIN);
             for (int i = 0; i < first.bins() && seen >= ENOUGH; i++) {
                 double load = first.areaUpTo(i) + rerunRatio() * first.survivalPast(i);
--- a/src/test/java/peatwick/FleetRoomTest.java
+++ b/src/test/java/peatwick/FleetRoomTest.java
@@ -20,7 +20,7 @@
                 null, null, false, false, THREADS);
     }
 
-    private static Scene front(int fronts, int ordinal, int engines) {
+    static Scene front(int fronts, int ordinal, int engines) {
         List<Front.Listed> list = new ArrayList<>();
         for (int id = 1; id <= engines; id++) {
             list.add(new Front.Listed(id, 0, 1, 0, Front.Condition.READY, 0, 0));
