--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -297,6 +297,7 @@
         if (held.isEmpty()) {
             return;
         }
+        learners.forEach(c -> c.shut = false);
         for (Request r : held) {
             r.rank = rank(r);
         }
@@ -306,7 +307,7 @@
             if (r.over || r.sent) {
                 continue;
             }
-            Engine e = ordered(r) ? pick(r) : null;
+            Engine e = ordered(r) && !r.c.shut ? pick(r) : null;
             if (e == null) {
                 blocked |= ordered(r);
                 still.add(r);
@@ -345,7 +346,8 @@
         }
         // Danger: a fault of our own eyes (or of all engines) would leave nobody to send to.
         boolean useAll = sound < FEW_SOUND * allowed;
-        if (!fleetRoom(r, useAll)) {
+        r.c.shut = !fleetRoom(r, useAll); // until the next dispatch: what is sent meanwhile only takes room
+        if (r.c.shut) {
             return null;
         }
         Engine best = null;
@@ -1093,6 +1095,7 @@
         final Fading reruns = new Fading(HALF_LIFE), works = new Fading(HALF_LIFE);
         /** How much slower than usual its last runs were, those still out included. */
         final Recent recent = new Recent(RECENT);
+        boolean shut;
         double slow = 1;
         double seen, tau = Double.POSITIVE_INFINITY, mean;
         double workTaken, workShare, openCores;
