Let the connection that rested longest make room when engines outnumber connections

Seen: LargeFleetTest, the program before 300 engines with 128 descriptors: request 48 is refused (56 at 1,024 engines) although every engine rests. EnginePool.start ends a run as FULL when EngineFleet is at its bound of connections (0.35 of the descriptors), and resting connections stay for 0.7 of the engines' idle time: all engines without one are out of reach, six attempts go round and the request is refused. With 576 descriptors the bound is 201, so it takes some hundreds of engines; 80 never showed it.

The connection that has rested longest now closes for the one that is wanted.

--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -5,9 +5,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import lineward.core.EngineEntry;
 import peatwick.Front;
@@ -63,7 +65,7 @@
                     m.pool.closeAll();
                 }
                 m = new Member(new EnginePool(bootstrap, address, limits.streams(),
-                        () -> links() < limits.links(), sent));
+                        this::makeRoom, sent));
                 members.put(e.id(), m);
             }
             m.gone = e.condition() == Front.Condition.GONE;
@@ -123,8 +125,22 @@
         members.values().forEach(m -> m.pool.beat());
     }
 
-    private int links() {
-        return members.values().stream().mapToInt(m -> m.pool.size()).sum();
+    /**
+     * Danger: with more engines than connections allowed, those that rest would keep every other engine out
+     * of reach until their idle time is up. The one that has rested longest makes room.
+     *
+     * @return whether one more connection may be opened
+     */
+    private boolean makeRoom() {
+        if (members.values().stream().mapToInt(m -> m.pool.size()).sum() < limits.links()) {
+            return true;
+        }
+        Link rested = members.values().stream().map(m -> m.pool.longestIdle()).filter(Objects::nonNull)
+                .min(Comparator.comparingLong(Link::usedAt)).orElse(null);
+        if (rested != null) {
+            rested.letGo();
+        }
+        return rested != null;
     }
 
     private static InetSocketAddress parse(String address) {
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -139,6 +139,12 @@
         links.stream().filter(l -> l.idleSince(usedBeforeNanos)).toList().forEach(Link::close);
     }
 
+    /** @return the connection without runs that was used longest ago, or null */
+    Link longestIdle() {
+        return links.stream().filter(l -> l.idleSince(System.nanoTime()))
+                .min(Comparator.comparingLong(Link::usedAt)).orElse(null);
+    }
+
     /** Connections from before its engine's start lead to a process that is no more. */
     void startedAt(double unixMs) {
         links.stream().filter(l -> l.openedBefore(unixMs)).toList().forEach(Link::close);
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -84,6 +84,10 @@
         return runs.isEmpty() && usedAt < nanoTime;
     }
 
+    long usedAt() {
+        return usedAt;
+    }
+
     boolean openedBefore(double unixMs) {
         return openedAtUnixMs < unixMs;
     }
@@ -148,6 +152,12 @@
         }
     }
 
+    /** Without runs it makes room for another connection at once: the channel's own word comes later. */
+    void letGo() {
+        close();
+        end(none -> { });
+    }
+
     /** What waits for the connection to come up never goes out. */
     void recall() {
         if (!up) {
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -72,6 +72,18 @@
         return handle.isAlive();
     }
 
+    /** @return the descriptors that it holds */
+    public int descriptors() {
+        return Path.of("/proc/" + handle.pid() + "/fd").toFile().list().length;
+    }
+
+    /** @return the memory that it holds, in MB */
+    public int memoryMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + handle.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmRSS")).mapToInt(line -> Integer.parseInt(
+                        line.replaceAll("[^0-9]", "")) / 1024).findFirst().orElseThrow();
+    }
+
     /** Sends SIGTERM. */
     public void terminate() {
         handle.destroy();
--- /dev/null
+++ b/src/test/java/lineward/thrift/LargeFleetTest.java
@@ -0,0 +1,63 @@
+package lineward.thrift;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import lineward.Program;
+import lineward.operations.Operator;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The program with long lists of front ends and engines, within the limits of a small one. */
+public class LargeFleetTest {
+    private static final String LIMITS = "-Xmx64m -Xss512k -XX:MaxMetaspaceSize=48m";
+    private static final int SOCKETS = 128;
+    private static final int MEMORY_MB = 192;
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{120, 300}, {1024, 1024}};
+    }
+
+    /** Far more engines than connections allowed: those that rest make room for those that are wanted. */
+    @Test(dataProvider = "fleets")
+    public void aLongListIsTakenServedAndFollowed(int fronts, int engines) throws Exception {
+        try (Platform platform = new Platform(Map.of("JAVA_TOOL_OPTIONS", LIMITS), null, fronts, engines,
+                SOCKETS); StandInCaller caller = platform.caller();
+                StandInJournal next = new StandInJournal()) {
+            Program program = platform.program;
+            for (int i = 1; i <= 2 * SOCKETS; i++) {
+                assertEquals(caller.call(StandInCaller.fields(2000), "select 1").field(), 0, "request " + i);
+            }
+            int attempts = FiguresTest.figures(program).get("edge_relay_relayed_total");
+            assertTrue(attempts <= 2 * SOCKETS * 1.05, attempts + " attempts: a few are cut and run again");
+            assertTrue(program.descriptors() <= SOCKETS, program.descriptors() + " descriptors");
+            assertTrue(program.memoryMb() <= MEMORY_MB, program.memoryMb() + " MB");
+            platform.journal.tell(false, platform.engines(1, engines / 2, "gone"));
+            awaitEngines(program, engines - engines / 2);
+            for (int i = engines / 2 + 1; i <= engines; i++) {
+                assertEquals(new Operator(program).post("/ops/query-engines/down", "s-" + i).status(), 200);
+            }
+            assertEquals((int) FiguresTest.figures(program).get("edge_relay_out_of_rotation"),
+                    engines - engines / 2);
+            next.tell(true);
+            next.tell(true);
+            next.tell(true, platform.engines(engines + 1, 2 * engines, "ready"));
+            platform.configure(next);
+            program.hangUp();
+            awaitEngines(program, engines);
+            assertEquals(caller.call(StandInCaller.fields(2000), "select 1").field(), 0, "by the new list");
+        }
+    }
+
+    private static void awaitEngines(Program program, int count) {
+        Program.await(count + " engines on the list", () -> {
+            try {
+                return FiguresTest.figures(program).get("edge_relay_registry_entries") == count;
+            } catch (java.io.IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+}
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import lineward.Program;
 import lineward.SocketHolder;
@@ -27,6 +28,8 @@
     final StandInLines two = new StandInLines();
     final Program program;
     private final SocketHolder holder;
+    private final int sockets;
+    private final String settings;
     final Path shared = Files.createTempDirectory("shared");
     private final Path config = shared.resolve("config.json");
 
@@ -36,8 +39,16 @@
 
     /** @param holder holds the clients' socket; null: the program binds one itself */
     public Platform(Map<String, String> environment, SocketHolder holder) throws IOException {
+        this(environment, holder, 2, 2, 1024);
+    }
+
+    /** @param engines on the list: s-1, s-2 and so on, by turns the one stand-in and the other */
+    Platform(Map<String, String> environment, SocketHolder holder, int fronts, int engines, int sockets)
+            throws IOException {
         this.holder = holder;
-        journal.tell(true, "s-1", "" + one.port(), "ready", "s-2", "" + two.port(), "ready");
+        this.sockets = sockets;
+        this.settings = SETTINGS.replace("\"peers-total\":2", "\"peers-total\":" + fronts);
+        journal.tell(true, engines(1, engines, "ready"));
         configure(journal);
         Map<String, String> all = new HashMap<>(environment);
         all.put("RELAY_CONFIG", config.toString());
@@ -46,6 +57,12 @@
         program.port();
     }
 
+    /** @return the journal's words on engines that they all are in that state */
+    String[] engines(int first, int last, String state) {
+        return IntStream.rangeClosed(first, last).boxed().flatMap(i -> Stream.of("s-" + i,
+                "" + (i % 2 == 1 ? one : two).port(), state)).toArray(String[]::new);
+    }
+
     /** Starts the program anew on the same socket. */
     Program again() throws IOException {
         return new Program(holder, "RELAY_CONFIG=" + config + ";TMPDIR=" + shared);
@@ -54,9 +71,9 @@
     /** Writes the configuration, which names this journal. */
     void configure(StandInJournal service) throws IOException {
         configure("{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
-                + "{\"sockets\":1024},\"journal\":\"" + service.address()
+                + "{\"sockets\":" + sockets + "},\"journal\":\"" + service.address()
                 + "\",\"management\":\"127.0.0.1:0\",\"known\":" + service.after(0)
-                + ",\"settings\":" + SETTINGS + "}");
+                + ",\"settings\":" + settings + "}");
     }
 
     void configure(String text) throws IOException {
