--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run example measure-spool
+.PHONY: build test lint run example measure-spool measure-fleet
 
 build:
 	mvn -q -DskipTests package
@@ -23,3 +23,10 @@
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) lineward.mysql.MeasureSpool \
 		target/lineward.jar $(BEFORE)
+
+# Days of a whole fleet in simulated time, a zone lost and one cut off: served by class. FLEET="fronts engines zones
+# seeds load".
+FLEET ?= 93 37 4 3 0.65
+measure-fleet: build
+	mvn -q -B test-compile
+	java -cp target/test-classes:target/classes peatwick.FleetDay $(FLEET)
