Draw tau of a rare class from its few outcomes, within bounds of its usual time

Learner.reckon now takes the curve's tau once 5 outcomes tell a usual time and, until 20 are there, holds it between half a straggler and a whole one (e to the power of 0.75 and 1.5). A free curve from 5 outcomes on had cut too much.

--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -146,9 +146,8 @@
     private List<Request> held = new ArrayList<>();
     private List<Action> out = new ArrayList<>();
     private double now;
-    private boolean ask, waking, blocked;
+    private boolean ask, waking, blocked, succeeds;
     private double part = 1, partBefore = 1, partAt = Double.NEGATIVE_INFINITY;
-    private boolean succeeds;
     private double trials = TRIALS_SAVED, nextReckon, share, fleetSlow = 1, readyCores = 1;
     /** Part of an engine's load that this front does not see: 0 for few fronts, near 1 for hundreds. */
     private final double blind;
@@ -1096,10 +1095,8 @@
         /** How much slower than usual its last runs were, those still out included. */
         final Recent recent = new Recent(RECENT);
         boolean shut;
-        double slow = 1;
-        double seen, tau = Double.POSITIVE_INFINITY, mean;
-        double workTaken, workShare, openCores;
-        double grantFactor = GRANT_START, decayedAt;
+        double slow = 1, seen, tau = Double.POSITIVE_INFINITY, mean;
+        double workTaken, workShare, openCores, grantFactor = GRANT_START, decayedAt;
         final Level usual = new Level(STRAGGLES, USUAL_MOVES);
         /** How far what answers tell lies off the estimates. Danger: these may lie by class, and aims too. */
         final Level workOff = new Level(STRAGGLES, USUAL_MOVES);
@@ -1152,17 +1149,20 @@
             slow = Math.max(1, Math.exp(recent.middle(now, DOUBT, stillOut.stream()
                     .map(x -> Math.min(STRAGGLES, Math.log(x / typical()))).filter(x -> x > 0).toList())));
             mean = first.reckon(stillOut.stream().map(x -> x / slow).toList());
-            // Danger: of a rare class a front sees too few for a curve, and its stragglers fill the fleet.
-            tau = seen < ENOUGH && usual.count() >= RERUNS_ENOUGH ? typical() * Math.exp(STRAGGLES)
-                    : Double.POSITIVE_INFINITY;
+            tau = Double.POSITIVE_INFINITY;
             double least = mean * (1 - GAIN);
-            for (int i = 0; i < first.bins() && seen >= ENOUGH; i++) {
+            for (int i = 0; i < first.bins() && usual.count() >= RERUNS_ENOUGH; i++) {
                 double load = first.areaUpTo(i) + rerunRatio() * first.survivalPast(i);
                 if (load < least && first.survivalPast(i) > 0) {
                     least = load;
                     tau = first.edge(i);
                 }
             }
+            // Danger: a rare class has no curve of its own for long; few outcomes move tau within bounds.
+            if (seen < ENOUGH && usual.count() >= RERUNS_ENOUGH) {
+                tau = typical() * Math.exp(Math.max(STRAGGLES / 2, Math.min(STRAGGLES,
+                        Math.log(tau / typical()))));
+            }
         }
     }
 }
