Bound a front's part of the room for all classes together, and grant in full where engines page

From the planner's lines, threads out per core: 0.58 at 2 s, 1.92 at 8 s, 3.97 at 16 s and 4 from then on; on average a front held 3.8 look-ups and 2.5 reports, 11.3 threads, where its part was 6.2. Ruled out: growth of the share (its median stays at the least, 0.0119, up to 30 s), connections (277 of 26,500 attempts failed to connect).

At fault is Control.fleetRoom: `ahead` counted only attempts of classes worth at least as much, so look-ups filled the part once more on top of the reports there, and jammed the engines (their priority then starves the reports); and the other way round a report waited while any look-up was out in a part of few threads. Now all classes count; past a full part a class goes out within its share of the worth asked for, and one with nothing out after the time which that share takes.

Where engines page, memory in use is the lesser of grant and need, so all that an engine gives to one request is granted.

FleetRoomTest: lookUpsDoNotFillThePartASecondTime, noClassWaitsBehindAnotherForGood and whereEnginesPage... fail without the change.

--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -189,9 +189,7 @@
                 out.add(new After(random.nextDouble() * VIEW_EVERY, DUTY));
             }
         }
-        for (Event event : events) {
-            handle(event);
-        }
+        events.forEach(this::handle);
         // Danger: after a stall a wake comes ahead of answers long there; read all, then judge.
         if (events.stream().anyMatch(e -> e instanceof Wake)) {
             sweep();
@@ -219,8 +217,7 @@
 
     @Override
     public int avoided() {
-        return (int) engines.values().stream().filter(e -> !e.gone && (e.suspected || e.heldOut))
-                .count();
+        return (int) engines.values().stream().filter(e -> !e.gone && (e.suspected || e.heldOut)).count();
     }
 
     private void handle(Event event) {
@@ -271,6 +268,7 @@
         asked++;
         trials = Math.min(TRIALS_SAVED, trials + TRIAL_PART);
         c.workTaken += r.work();
+        c.taken++;
         if (c.spec.inOrder() && r.key != 0) {
             lines.add(r.key, r);
         }
@@ -363,8 +361,7 @@
             // Danger: a cold engine never looks best; what is called back must be used all the same.
             boolean first = trial && !useAll || e.recalled && e.attempts.isEmpty();
             double s = first ? Double.NEGATIVE_INFINITY
-                    : score(r, e) - (TIE + BLUR * blind)
-                            * (Math.log(capacityLeft(r.c, e)) + luck);
+                    : score(r, e) - (TIE + BLUR * blind) * (Math.log(capacityLeft(r.c, e)) + luck);
             if (s < bestScore) {
                 bestScore = s;
                 best = e;
@@ -375,25 +372,27 @@
 
     /**
      * Room in this front's part of all engines. Danger: where its part of an engine holds no whole request it
-     * may still send one, and of a hundred fronts each would fill every engine. Runs of less worth for their
-     * work, which give way by priority, do not close the door to those of more.
+     * may still send one, and of a hundred fronts each would fill every engine. Past a full part each class
+     * goes out within its share of the worth asked for: else what is worth more would fill the part a second
+     * time and jam the engines for all. A class with nothing out waits for the time that its share takes.
      */
     private boolean fleetRoom(Request r, boolean useAll) {
         if (pooled() && set.fronts() <= FEW_FRONTS) {
             return true;
         }
-        double open = 0, ahead = 0, threads = r.c.spec.threads();
+        double open = 0, there = 0, own = 0, threads = r.c.spec.threads();
         for (Engine e : engines.values()) {
             if (e.ready && (useAll || !e.suspected)) {
                 if (window(e) >= threads) {
                     return true;
                 }
                 open += window(e);
-                ahead += e.attempts.stream().filter(a -> a.r.c.worthOfWork() >= r.c.worthOfWork())
-                        .mapToInt(a -> a.r.c.spec.threads()).sum();
+                there += e.threads;
+                own += e.attempts.stream().filter(a -> a.r.c == r.c).count() * threads;
             }
         }
-        return ahead == 0 || ahead + threads <= open;
+        return there == 0 || there + threads <= open || own + threads <= open * r.c.askedShare
+                || own == 0 && now - r.c.sentAt >= r.expected() * threads / (open * r.c.askedShare);
     }
 
     /** Threads that this front may have at an engine. */
@@ -537,8 +536,7 @@
         if (r.key == 0 || !r.c.spec.inOrder()) {
             return true;
         }
-        return lines.isFirst(r.key, r)
-                && (!r.attempts.isEmpty() || now >= rests.getOrDefault(r.key, 0.0));
+        return lines.isFirst(r.key, r) && (!r.attempts.isEmpty() || now >= rests.getOrDefault(r.key, 0.0));
     }
 
     private double budgetLeft() {
@@ -586,7 +584,10 @@
             trials = Math.max(0, trials - 1);
         }
         if (set.limits().grants() || set.limits().priorities()) {
-            out.add(new SetLimits(r.id, set.limits().grants() ? r.grant(e) : 0, priority(r)));
+            // Where engines page, memory in use counts up to the need: a larger grant takes from nobody.
+            double grant = set.limits().whenShort() == WhenShort.PAGE ? e.memory * set.limits().mostGrant()
+                    : r.grant(e);
+            out.add(new SetLimits(r.id, set.limits().grants() ? grant : 0, priority(r)));
         }
         out.add(new Send(r.id, e.id, 0));
         if (!r.attempts.isEmpty()) {
@@ -594,6 +595,7 @@
         }
         a.grant = r.grant(e);
         r.attempts.add(a);
+        r.c.sentAt = now;
         r.outCount++;
         r.sent = true;
         e.add(a, r.c.spec.threads(), a.grant);
@@ -833,9 +835,7 @@
 
     private void sweep() {
         reckon();
-        for (Engine e : engines.values()) {
-            watch(e);
-        }
+        engines.values().forEach(this::watch);
         for (Engine e : engines.values()) {
             for (Try a : new ArrayList<>(e.attempts)) {
                 if (shouldCut(a)) {
@@ -871,8 +871,10 @@
         fleetSlow = Math.max(1, Math.exp(recent.middle(now, DOUBT, List.of())));
         learners.forEach(c -> c.reckon(stillOut.get(c)));
         double work = learners.stream().mapToDouble(c -> c.workTaken).sum();
+        double worth = learners.stream().mapToDouble(c -> c.taken * c.spec.worth()).sum();
         for (Learner c : learners) {
             c.workShare = c.workTaken / Math.max(1, work);
+            c.askedShare = c.taken * c.spec.worth() / Math.max(1e-9, worth);
             c.openCores = engines.values().stream().filter(e -> e.ready && placed(c.spec, e))
                     .mapToDouble(e -> e.cores).sum();
         }
@@ -880,8 +882,7 @@
                 / learners.stream().mapToDouble(c -> c.workTaken / c.spec.threads()).sum();
         all.reckon(List.of());
         double least = Math.min(1, SHARE_LEAST / set.fronts());
-        boolean calm = pooled() ? crowding < KNEE * BAR_LOW
-                : learners.stream().allMatch(c -> c.slow < CALM);
+        boolean calm = pooled() ? crowding < KNEE * BAR_LOW : learners.stream().allMatch(c -> c.slow < CALM);
         double growth = pooled() ? 1.3 : Math.pow(set.fronts(), RECKON_EVERY / ALONE_AFTER);
         share = blocked && calm ? Math.min(1, share * growth)
                 : Math.max(least, share / (calm ? 1.05 : growth));
@@ -1097,6 +1098,7 @@
         boolean shut;
         double slow = 1, seen, tau = Double.POSITIVE_INFINITY, mean;
         double workTaken, workShare, openCores, grantFactor = GRANT_START, decayedAt;
+        double taken, askedShare, sentAt = Double.NEGATIVE_INFINITY;
         final Level usual = new Level(STRAGGLES, USUAL_MOVES);
         /** How far what answers tell lies off the estimates. Danger: these may lie by class, and aims too. */
         final Level workOff = new Level(STRAGGLES, USUAL_MOVES);
@@ -1116,10 +1118,6 @@
             return works.mean(now, GUESS_WEIGHT, spec.deadline() * FIRST_GUESS * spec.threads());
         }
 
-        double worthOfWork() {
-            return spec.worth() / usualWork();
-        }
-
         double rerunRatio() {
             return reruns.count(now) >= RERUNS_ENOUGH ? reruns.mean(now, 0, 0)
                     : seen >= ENOUGH ? mean : typical();
@@ -1145,6 +1143,7 @@
             first.decay(keep);
             seen *= keep;
             workTaken *= keep;
+            taken *= keep;
             // Danger: of a class that crowding holds up, answers come from the few that it spares.
             slow = Math.max(1, Math.exp(recent.middle(now, DOUBT, stillOut.stream()
                     .map(x -> Math.min(STRAGGLES, Math.log(x / typical()))).filter(x -> x > 0).toList())));
--- a/src/test/java/peatwick/FleetRoomTest.java
+++ b/src/test/java/peatwick/FleetRoomTest.java
@@ -74,6 +74,55 @@
         assertEquals(s.all(Front.Send.class).size(), before + 1);
     }
 
+    /** Past a full part the class worth most goes on within its share; it does not fill the part again. */
+    @Test(dataProvider = "large")
+    public void lookUpsDoNotFillThePartASecondTime(int fronts, int engines) {
+        Scene s = front(fronts, 0, engines);
+        for (int id = 1; id <= 3 * engines; id++) {
+            s.ask(id, 1, 0, 9000, 15_000);
+        }
+        for (int id = 1; id <= 3 * engines; id++) {
+            s.ask(1000 + id, 0, 0, 100, 5000);
+        }
+        double part = FULL * CORES * engines / fronts;
+        long lookUps = s.all(Front.Send.class).stream().filter(x -> x.request() > 1000).count();
+        long reports = s.all(Front.Send.class).size() - lookUps;
+        assertTrue(lookUps >= 1 && reports >= 1, "both go out");
+        assertTrue(lookUps + reports * THREADS <= part * 1.3 + THREADS, lookUps + " and " + reports);
+    }
+
+    /** Look-ups that stay out hold the whole part, and more come: a report goes out all the same. */
+    @Test(dataProvider = "crowded")
+    public void noClassWaitsBehindAnotherForGood(int fronts, int engines) {
+        Scene s = front(fronts, 0, engines);
+        for (int id = 1; id <= 200; id++) {
+            s.ask(id, 0, 0, 100, 5000);
+        }
+        s.ask(1000, 1, 0, 900, 15_000);
+        for (int id = 201; id <= 300; id++) {
+            s.ask(id, 0, 0, 100, 5000).pass(25);
+        }
+        assertTrue(s.all(Front.Send.class).stream().anyMatch(x -> x.request() == 1000));
+    }
+
+    @DataProvider
+    public Object[][] crowded() {
+        return new Object[][] {{20, 30}, {100, 37}, {120, 12}, {1024, 40}};
+    }
+
+    /** Where engines page, memory counts as used up to the need alone, and a spill costs the most. */
+    @Test
+    public void whereEnginesPageAllThatAnEngineGivesIsGranted() {
+        for (Front.WhenShort when : Front.WhenShort.values()) {
+            Front.Limits limits = new Front.Limits(true, false, false, true, 500, 4, true, true, 0.4, when, 0,
+                    false);
+            Scene s = new Scene(Scene.settings(limits, Scene.rules(), report())).engines(1, 2);
+            s.ask(1, 0);
+            double granted = s.all(Front.SetLimits.class).get(0).grantMb();
+            assertEquals(granted, when == Front.WhenShort.PAGE ? 0.4 * 16_000 : 100 * 1.25, 1e-6, "" + when);
+        }
+    }
+
     /** Look-ups as quick as ever hide nothing: reports that stay out keep the part from growing. */
     @Test
     public void aPartDoesNotGrowWhileReportsStayOut() {
