Read notes, send probes and carry words between front ends; say in one table how runs end

In the fronts' logs, up to 107 times a second: "engine connection ...: MalformedReplyException: unknown word or length (107 lines like this passed over)". At fault are Reply.Word, which had no INFO, and ReplyDecoder.readHead, which ends the connection with all its runs at a word it does not know: with notes every second each run over a second was lost, and all that shared its connection.

Now INFO is read by engine.Notes and reaches the module as the event it had all along; unknown notes, figures out of range and notes on runs that are over are passed over. PONG and SICK answer probes (one an engine at most, timed by the planner's deadlines; `busy` where the settings name report fields). peers.PeerSocket carries the module's words as datagrams of 256 bytes at most, heard from listed senders only; no socket where the settings bar it. engine.End is the one table of how a run may end and what that proves; new in it: a connection that broke while a part of the request was still here proves that nothing ran.

--- a/src/main/java/lineward/app/Config.java
+++ b/src/main/java/lineward/app/Config.java
@@ -9,7 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import peatwick.Front;
@@ -22,10 +24,11 @@
  * @param journal address of the journal service
  * @param known the journal's events so far
  * @param management where operators call; null: nowhere
+ * @param peers where front ends talk; null: nowhere
  * @param raw the settings as they came, for what the module does not need
  */
 record Config(String name, InetSocketAddress listen, long seed, int memoryMb, int sockets, String journal,
-        InetSocketAddress management, JsonNode known, Front.Settings settings, JsonNode raw) {
+        InetSocketAddress management, Peers peers, JsonNode known, Front.Settings settings, JsonNode raw) {
     private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
     private static final int HIGHEST_PORT = 65535;
     private static final int HEX = 16;
@@ -51,7 +54,7 @@
                     address("listen", root.path("listen").asText("")), seed(root.path("seed").asText("0")),
                     limit(root, "memory_mb", 192), limit(root, "sockets", 1024), journal(root),
                     root.hasNonNull("management")
-                            ? address("management", root.get("management").asText()) : null,
+                            ? address("management", root.get("management").asText()) : null, peers(root),
                     root.path("known"), SettingsReader.read(root.path("settings").toString()),
                     root.path("settings"));
         } catch (WireException e) {
@@ -59,6 +62,26 @@
         }
     }
 
+    /**
+     * @param listen where the others' words arrive
+     * @param numbers of the front ends of the tier, by the address from which each sends
+     * @param all where a word to all others goes
+     */
+    record Peers(InetSocketAddress listen, Map<InetSocketAddress, Integer> numbers, InetSocketAddress all) { }
+
+    private static Peers peers(JsonNode root) {
+        if (!root.path("settings").path("limits").path("peer-messages").asBoolean(false)
+                || !root.hasNonNull("peer_listen")) {
+            return null;
+        }
+        Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+        for (JsonNode peer : root.path("peers")) {
+            numbers.put(address("peers", peer.asText()), numbers.size());
+        }
+        return new Peers(address("peer_listen", root.get("peer_listen").asText()), numbers,
+                address("peers_all", root.path("peers_all").asText("")));
+    }
+
     private static int limit(JsonNode root, String name, int fallback) {
         int limit = root.path("limits").path(name).asInt(fallback);
         if (limit <= 0) {
--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -32,6 +32,7 @@
 import lineward.operations.CountingTracer;
 import lineward.operations.Figures;
 import lineward.operations.OperationsServer;
+import lineward.peers.PeerSocket;
 import lineward.spool.Spool;
 import lineward.telemetry.Telemetry;
 import lineward.thrift.Call;
@@ -111,7 +112,8 @@
         EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
                 config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
                 config.limit("streams-per-conn").asInt(100),
-                (int) (config.sockets() * LINK_PART)), figures::relayed);
+                (int) (config.sockets() * LINK_PART), !config.settings().report().isEmpty()),
+                figures::relayed);
         figures.announce(config.names("classes"));
         News news = new News();
         ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
@@ -125,7 +127,7 @@
                     STOP_TAKES_MS, new LogTracer<>()), fleet, clock);
         });
         ThriftFront front = new ThriftFront(names, bounds, doorway(config), planner, fleet, clock, news,
-                figures);
+                figures, peers(config.peers(), planner, news));
         news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
             fleet.list(whole, entries);
@@ -152,6 +154,24 @@
         longestMs = names.deadlines().stream().mapToDouble(d -> d).max().orElse(LONGEST_RESTART_MS);
     }
 
+    /** @return where words for the other front ends go; nowhere, with no socket, where the settings bar it */
+    private Consumer<byte[]> peers(Config.Peers peers, Planner<Call> planner, News news) {
+        if (peers == null) {
+            return octets -> { };
+        }
+        PeerSocket socket = new PeerSocket(peers.numbers(), peers.all(), (from, octets) -> {
+            planner.heard(from, octets);
+            news.run();
+        });
+        starts.add(() -> {
+            ChannelFuture opening = socket.open(group, peers.listen()).awaitUninterruptibly();
+            if (!opening.isSuccess()) {
+                LOG.warn("serving without words of the other front ends: {}", opening.cause().toString());
+            }
+        });
+        return socket::announce;
+    }
+
     private Doorway doorway(Config config) {
         String descriptor = System.getenv().getOrDefault(INHERITED, "");
         if (descriptor.isBlank()) {
--- a/src/main/java/lineward/core/Command.java
+++ b/src/main/java/lineward/core/Command.java
@@ -6,9 +6,6 @@
  * @param <X> the front's own record of a request
  */
 public sealed interface Command<X> {
-    /** The front's record of the request concerned. */
-    X exchange();
-
     /**
      * Start an attempt and report its end to {@link Planner#ended}.
      *
@@ -25,6 +22,12 @@
     record Reprioritise<X>(X exchange, long request, int attempt, String engine, int priority)
             implements Command<X> { }
 
+    /** Ask an engine how it is; its answer goes to {@link Planner#probed}. */
+    record Probe<X>(String engine) implements Command<X> { }
+
+    /** Send these bytes to every other front end of the tier; they may be lost. */
+    record Announce<X>(byte[] octets) implements Command<X> { }
+
     /** Final answer: refused, harmless to try again after the time given (0: no advice). */
     record Refuse<X>(X exchange, long retryAfterMs) implements Command<X> { }
 
--- a/src/main/java/lineward/core/Forwarder.java
+++ b/src/main/java/lineward/core/Forwarder.java
@@ -15,6 +15,12 @@
     /** Tells the engine of a new priority. */
     void reprioritise(Command.Reprioritise<X> command);
 
+    /** Asks an engine how it is; its answer goes to {@link Planner#probed}, silence nowhere. */
+    void probe(Command.Probe<X> command);
+
+    /** Sends bytes to the other front ends; what they say goes to {@link Planner#heard}. */
+    void announce(Command.Announce<X> command);
+
     /** Gives the final answer 'refused'. */
     void refuse(Command.Refuse<X> command);
 
@@ -29,6 +35,10 @@
             stop(c);
         } else if (command instanceof Command.Reprioritise<X> c) {
             reprioritise(c);
+        } else if (command instanceof Command.Probe<X> c) {
+            probe(c);
+        } else if (command instanceof Command.Announce<X> c) {
+            announce(c);
         } else if (command instanceof Command.Refuse<X> c) {
             refuse(c);
         } else if (command instanceof Command.Fail<X> c) {
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -18,6 +18,9 @@
 public final class Planner<X> {
     /** Ahead of the client's deadline by this, so that the answer still finds it waiting. */
     private static final double ANSWER_AHEAD = 10;
+    /** A probe that has not come back by then is answered as timed out. */
+    private static final double PROBE_TAKES = 250;
+    private static final double[] NO_REPORT = new double[0];
     /** Seed of the hash that numbers engines, and its multiplier (FNV-1a). */
     private static final long FNV_SEED = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
@@ -50,11 +53,15 @@
         }
     }
 
+    private record Probe(double sentAt, Deadlines.Entry end) { }
+
     private final Front module;
     private final double stopTakesMs;
     private final Tracer<X> tracer;
     private final SlotTable<Request> requests;
     private final Deadlines deadlines = new Deadlines();
+    /** Probes that are out, one an engine at most: when each was sent, and the end of its time. */
+    private final Map<Long, Probe> probes = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
     /** Engines on the list, and those held out, which keep their numbers when they leave it. */
@@ -140,7 +147,7 @@
         } else if (r.streaming == a && !r.over) {
             close(r, Tracer.Ending.FAILED);
         }
-        events.add(new Front.Verdict(request, attempt, outcome, r.over, 0, 0, new double[0]));
+        events.add(new Front.Verdict(request, attempt, outcome, r.over, 0, 0, NO_REPORT));
         tidy(r);
         return served;
     }
@@ -161,6 +168,28 @@
         return true;
     }
 
+    /** Word on an attempt that is out; of one that has ended or is being given up it is nobody's. */
+    public void noted(long request, int attempt, Front.NoteKind kind, double amount) {
+        Request r = requests.get(request);
+        if (r != null && attempt < r.attempts.size() && r.attempts.get(attempt).isOut
+                && !r.attempts.get(attempt).stopped) {
+            events.add(new Front.Note(request, attempt, kind, amount));
+        }
+    }
+
+    /** An engine has answered a probe; late and uncalled-for answers are passed over. */
+    public void probed(double now, String engine, Front.Outcome outcome, double[] report) {
+        Long number = numbers.get(engine);
+        if (number != null && probes.containsKey(number)) {
+            probed(now, number, outcome, report);
+        }
+    }
+
+    /** Word of another front end of the tier. */
+    public void heard(int from, byte[] octets) {
+        events.add(new Front.PeerSays(from, octets));
+    }
+
     /** The list of engines: whole, or only what has changed. */
     public void list(boolean whole, List<EngineEntry> entries) {
         events.add(new Front.ListChange(whole, entries.stream().map(e -> new Front.Listed(number(e.id()),
@@ -263,11 +292,29 @@
             }
         } else if (action instanceof Front.After a) {
             deadlines.add(now + a.delay(), at -> events.add(new Front.Wake(a.token())));
+        } else if (action instanceof Front.Probe a && names.containsKey(a.engine())) {
+            probe(a.engine(), now);
+        } else if (action instanceof Front.Announce a) {
+            commands.add(new Command.Announce<>(a.octets()));
         } else if (action instanceof Front.Log a) {
             tracer.log(a.text());
         }
     }
 
+    private void probe(long engine, double now) {
+        if (!probes.containsKey(engine)) {
+            probes.put(engine, new Probe(now, deadlines.add(now + PROBE_TAKES,
+                    at -> probed(at, engine, Front.Outcome.TIMEOUT, NO_REPORT))));
+            commands.add(new Command.Probe<>(names.get(engine)));
+        }
+    }
+
+    private void probed(double now, long engine, Front.Outcome outcome, double[] report) {
+        Probe p = probes.remove(engine);
+        deadlines.cancel(p.end());
+        events.add(new Front.Probed(engine, outcome, now - p.sentAt(), report));
+    }
+
     private void send(Front.Send s, double now) {
         Request r = requests.get(s.request());
         if (r == null) {
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -32,8 +32,16 @@
     /**
      * @param streams runs that one connection carries
      * @param links most connections to all engines
+     * @param reports whether a probe asks for a report of the engine's load
      */
-    public record Limits(int connectTimeoutMs, double idleMs, int streams, int links) { }
+    public record Limits(int connectTimeoutMs, double idleMs, int streams, int links, boolean reports) { }
+
+    /** Hears what a probe brought back. */
+    @FunctionalInterface
+    public interface ProbeListener {
+        /** @param report the figures of the engine's load, empty where there are none */
+        void answered(Front.Outcome outcome, double[] report);
+    }
 
     private final Map<String, Member> members = new HashMap<>();
     private final Bootstrap bootstrap;
@@ -81,12 +89,22 @@
     public void start(String engine, Run run) {
         Member m = members.get(engine);
         if (m == null) {
-            run.end(Front.Outcome.CONNECT_FAILED);
+            run.end(End.UNREACHED);
         } else {
             m.pool.start(run);
         }
     }
 
+    /** Asks an engine how it is; one that says nothing, or can't be reached, has no answer. */
+    public void probe(String engine, ProbeListener heard) {
+        Member m = members.get(engine);
+        if (m != null) {
+            m.pool.probe(limits.reports() ? "busy" : "there", reply -> heard.answered(
+                    reply.word() == Reply.Word.SICK ? Front.Outcome.ERROR : Front.Outcome.OK,
+                    reply.figures("l")));
+        }
+    }
+
     /** Gives a run up; its listener hears nothing more. */
     public void stop(String engine, Run run) {
         Member m = members.get(engine);
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -11,9 +11,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import lineward.front.SparseLog;
 import org.slf4j.LoggerFactory;
-import peatwick.Front;
 
 /** The connections to one engine. A new engine at an old address gets a pool of its own. */
 final class EnginePool implements Link.Owner {
@@ -55,7 +55,7 @@
             best = connect();
         }
         if (best == null) {
-            run.end(Front.Outcome.FULL);
+            run.end(End.UNSENT);
         } else {
             best.start(run);
         }
@@ -104,7 +104,7 @@
             lost++;
             bootstrap.config().group().next().schedule(() -> {
                 boolean alive = lost < REPEATED && links.stream().anyMatch(Link::isUp);
-                runs.forEach(run -> run.end(alive ? Front.Outcome.CANCELLED : Front.Outcome.RESET));
+                runs.forEach(run -> run.end(!run.sentWhole ? End.CUT_SHORT : alive ? End.BROKEN : End.LOST));
             }, Link.CLOSE_TAKES_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -120,13 +120,25 @@
         boolean its = cause instanceof ConnectException || lost >= REPEATED;
         runs.forEach(run -> {
             if (its) {
-                run.end(Front.Outcome.CONNECT_FAILED);
+                run.end(End.UNREACHED);
             } else {
                 start(run);
             }
         });
     }
 
+    /** Asks the engine how it is, on a connection that stands or a new one; without room nothing goes out. */
+    void probe(String word, Consumer<Reply> heard) {
+        Link best = links.stream().filter(Link::takesProbe).min(Comparator.comparingInt(Link::load))
+                .orElse(null);
+        if (best == null && links.size() < MOST_LINKS && room.getAsBoolean()) {
+            best = connect();
+        }
+        if (best != null) {
+            best.probe(word, heard);
+        }
+    }
+
     void stop(Run run) {
         links.stream().filter(l -> l.holds(run)).findFirst().ifPresent(l -> l.stop(run));
     }
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -14,7 +14,6 @@
 import java.util.function.Consumer;
 import lineward.front.SparseLog;
 import org.slf4j.LoggerFactory;
-import peatwick.Front;
 
 /** One connection to an engine, with the runs that it carries. */
 final class Link extends SimpleChannelInboundHandler<Reply> {
@@ -36,6 +35,17 @@
         void unsent(List<Run> runs, Throwable cause);
     }
 
+    private record Probe(String word, String tag, Consumer<Reply> heard) {
+        String line() {
+            return word + ' ' + tag + "\r\n";
+        }
+
+        boolean isAnsweredBy(Reply reply) {
+            return reply.id().equals(tag)
+                    && (reply.word() == Reply.Word.PONG || reply.word() == Reply.Word.SICK);
+        }
+    }
+
     private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(Link.class));
     /** With runs out and no word for so long, the connection is asked whether it works. */
     private static final long QUIET = TimeUnit.MILLISECONDS.toNanos(400);
@@ -57,6 +67,8 @@
     private int beats;
     /** Its last run was given up unheard: it gets nothing new until it has spoken. */
     private boolean doubted;
+    /** The last probe here without an answer: a planner has one out at an engine at most. */
+    private Probe probe;
 
     Link(Owner owner) {
         super(false);
@@ -116,6 +128,20 @@
         run.drop();
     }
 
+    /** @return whether a probe may go out here */
+    boolean takesProbe() {
+        return isUp() && channel.isWritable();
+    }
+
+    /** Asks the engine how it is, once the connection is up; one that breaks gives no answer. */
+    void probe(String word, Consumer<Reply> heard) {
+        probe = new Probe(word, "p" + System.nanoTime(), heard);
+        usedAt = System.nanoTime();
+        if (up) {
+            say(probe.line());
+        }
+    }
+
     /** An answer may be lost with its connection, which stays open and silent: this word tells. */
     private void ask() {
         if (beats == 0) {
@@ -161,7 +187,7 @@
     /** What waits for the connection to come up never goes out. */
     void recall() {
         if (!up) {
-            end(all -> all.forEach(run -> run.end(Front.Outcome.FULL)));
+            end(all -> all.forEach(run -> run.end(End.UNSENT)));
             close();
         }
     }
@@ -172,6 +198,9 @@
         up = true;
         usedAt = System.nanoTime();
         runs.values().forEach(this::want);
+        if (probe != null) {
+            say(probe.line());
+        }
     }
 
     private void want(Run run) {
@@ -189,6 +218,7 @@
         channel.write(run.statement.retainedDuplicate());
         say("\r\n").addListener(done -> {
             if (done.isSuccess()) {
+                run.sentWhole = true;
                 owner.sent();
             }
         });
@@ -206,6 +236,11 @@
         beats = 0;
         doubted = false;
         owner.heard();
+        if (probe != null && probe.isAnsweredBy(reply)) {
+            Probe answered = probe;
+            probe = null;
+            answered.heard().accept(reply);
+        }
         // What comes behind an unreadable reply, a second copy, or under an id that is none of ours.
         Run run = closed ? null : runs.get(reply.id());
         if (run == null || run.has(reply)) {
@@ -224,8 +259,13 @@
                 run.put(reply.number("index", -1), reply.body());
                 finishIfWhole(run);
             }
-            case SHED, LATE -> endWithout(run, reply, Front.Outcome.FULL);
-            case FAULT -> endWithout(run, reply, Front.Outcome.ERROR);
+            case SHED -> endWithout(run, reply, End.SHED);
+            case LATE -> endWithout(run, reply, End.LATE);
+            case FAULT -> endWithout(run, reply, End.FAULT);
+            case INFO -> {
+                reply.body().release();
+                run.note(reply);
+            }
             default -> reply.body().release();
         }
     }
@@ -236,14 +276,14 @@
             if (run.total() > 1) {
                 say("shut " + run.id + "\r\n");
             }
-            run.end(Front.Outcome.OK);
+            run.end(End.SERVED);
         }
     }
 
-    private void endWithout(Run run, Reply reply, Front.Outcome outcome) {
+    private void endWithout(Run run, Reply reply, End end) {
         reply.body().release();
         runs.remove(run.id);
-        run.end(outcome);
+        run.end(end);
     }
 
     /** What follows a reply that can't be read can't be read either: all runs here are lost with it. */
@@ -252,7 +292,7 @@
         LOG.info("engine connection", ctx.channel().remoteAddress(), cause);
         if (cause instanceof MalformedReplyException || cause.getCause() instanceof MalformedReplyException) {
             // A rerun must not overtake the close.
-            end(all -> ctx.executor().schedule(() -> all.forEach(run -> run.end(Front.Outcome.ERROR)),
+            end(all -> ctx.executor().schedule(() -> all.forEach(run -> run.end(End.UNREADABLE)),
                     CLOSE_TAKES_MS, TimeUnit.MILLISECONDS));
         }
         ctx.close();
--- /dev/null
+++ b/src/main/java/lineward/engine/Notes.java
@@ -0,0 +1,35 @@
+package lineward.engine;
+
+import java.util.Map;
+import java.util.regex.Pattern;
+import lineward.engine.Run.Listener;
+import peatwick.Front.NoteKind;
+
+/** Reads what an engine notes of a run that is not over. What says nothing of use is passed over. */
+final class Notes {
+    /** Digits enough for any share or number of megabytes, and no more. */
+    private static final Pattern AMOUNT = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,18})?");
+    private static final int FOR_MEMORY = 1;
+    private static final int FOR_LOAD = 2;
+
+    private Notes() { }
+
+    /** Tells the listener what the note says, if it is one that is known and its figure makes sense. */
+    static void read(Map<String, String> fields, Listener listener) {
+        String amount = fields.getOrDefault("datum", "");
+        if (!AMOUNT.matcher(amount).matches()) {
+            return;
+        }
+        double figure = Double.parseDouble(amount);
+        NoteKind kind = switch (fields.getOrDefault("n", "")) {
+            case "done" -> figure <= 1 ? NoteKind.PROGRESS : null;
+            case "spills" -> NoteKind.SPILLS;
+            case "waits" -> figure == FOR_MEMORY ? NoteKind.WAITS_FOR_MEMORY
+                    : figure == FOR_LOAD ? NoteKind.WAITS_FOR_LOAD : null;
+            default -> null;
+        };
+        if (kind != null) {
+            listener.noted(kind, figure);
+        }
+    }
+}
--- a/src/main/java/lineward/engine/Run.java
+++ b/src/main/java/lineward/engine/Run.java
@@ -12,6 +12,9 @@
     public interface Listener {
         /** @param result all rows where the outcome is OK, else null; the listener's to release */
         void ended(Front.Outcome outcome, ByteBuf result);
+
+        /** Its engine tells how it stands; the amount is the share done or the megabytes missing. */
+        default void noted(Front.NoteKind kind, double amount) { }
     }
 
     /** Most bytes of one result, and of one page of it. */
@@ -28,6 +31,8 @@
     private final Listener listener;
     int priority;
     boolean written;
+    /** The socket has taken its last byte. */
+    boolean sentWhole;
     private boolean over;
     private ByteBuf[] pages;
     private int missing;
@@ -105,19 +110,26 @@
     }
 
     /** Ends the run; what comes after the first end is passed over. */
-    void end(Front.Outcome outcome) {
+    void end(End end) {
         if (!finish()) {
             return;
         }
         ByteBuf result = null;
-        if (outcome == Front.Outcome.OK) {
+        if (end == End.SERVED) {
             CompositeByteBuf all = Unpooled.compositeBuffer(pages.length);
             all.addComponents(true, pages);
             pages = null;
             result = all;
         }
         dropPages();
-        listener.ended(outcome, result);
+        listener.ended(end.outcome, result);
+    }
+
+    /** Takes a note on it in; behind its end it is nobody's. */
+    void note(Reply reply) {
+        if (!over) {
+            Notes.read(reply.fields(), listener);
+        }
     }
 
     /** Gives the run up without a word to anyone. */
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -300,6 +300,14 @@
     @Override
     public void reprioritise(Command.Reprioritise<Query> c) { }
 
+    /** The settings of this pool ask for no probes. */
+    @Override
+    public void probe(Command.Probe<Query> c) { }
+
+    /** Nor do its front ends talk to each other. */
+    @Override
+    public void announce(Command.Announce<Query> c) { }
+
     @Override
     public void refuse(Command.Refuse<Query> c) {
         c.exchange().client.refuse(c.exchange(), c.retryAfterMs());
--- a/src/main/java/lineward/thrift/Rehearsal.java
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -30,7 +30,7 @@
             EngineFleet fleet, DoubleSupplier clock) {
         planner.list(true, List.of(new EngineEntry("rehearsal", "", 0, 1, 0, Front.Condition.READY, 0, 0)));
         ThriftFront front = new ThriftFront(names, bounds, null, planner, fleet, clock, () -> { },
-                new Figures());
+                new Figures(), octets -> { });
         EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
         for (int i = 1; i <= ROUNDS; i++) {
             // What the planner holds back stays open, and a connection carries only so many.
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import lineward.core.Budget;
 import lineward.core.Command;
@@ -71,6 +72,7 @@
     private final DoubleSupplier clock;
     private final Runnable news;
     private final Figures figures;
+    private final Consumer<byte[]> peers;
     private final Budget statements;
     private final Budget answers;
     private final ClientTable<ClientHandler> clients;
@@ -83,9 +85,10 @@
     /**
      * @param news is called when the planner has something to decide on
      * @param figures count what ends here, before the planner has taken it
+     * @param peers sends words to the other front ends
      */
     public ThriftFront(Names names, Bounds bounds, Doorway doorway, Planner<Call> planner,
-            EngineFleet fleet, DoubleSupplier clock, Runnable news, Figures figures) {
+            EngineFleet fleet, DoubleSupplier clock, Runnable news, Figures figures, Consumer<byte[]> peers) {
         this.names = names;
         this.doorway = doorway;
         this.statements = new Budget(bounds.statements());
@@ -95,6 +98,7 @@
         this.clock = clock;
         this.news = news;
         this.figures = figures;
+        this.peers = peers;
         this.clients = new ClientTable<>(bounds.clients(), System::nanoTime, c -> c.channel().close());
     }
 
@@ -282,7 +286,18 @@
     public void start(Command.Start<Call> c) {
         Call call = c.exchange();
         call.run = new Run(call.id(), call.fields.op(), call.statement, c.patienceMs(), c.grantMb(),
-                c.priority(), (outcome, result) -> ended(call, c.attempt(), outcome, result));
+                c.priority(), new Run.Listener() {
+                    @Override
+                    public void ended(Front.Outcome outcome, ByteBuf result) {
+                        ThriftFront.this.ended(call, c.attempt(), outcome, result);
+                    }
+
+                    @Override
+                    public void noted(Front.NoteKind kind, double amount) {
+                        planner.noted(call.request, c.attempt(), kind, amount);
+                        news.run();
+                    }
+                });
         call.runOf = c.attempt();
         fleet.start(c.engine(), call.run);
     }
@@ -301,6 +316,19 @@
         }
     }
 
+    @Override
+    public void probe(Command.Probe<Call> c) {
+        fleet.probe(c.engine(), (outcome, report) -> {
+            planner.probed(clock.getAsDouble(), c.engine(), outcome, report);
+            news.run();
+        });
+    }
+
+    @Override
+    public void announce(Command.Announce<Call> c) {
+        peers.accept(c.octets());
+    }
+
     @Override
     public void refuse(Command.Refuse<Call> c) {
         Call call = c.exchange();
--- a/src/test/java/lineward/core/CoreTest.java
+++ b/src/test/java/lineward/core/CoreTest.java
@@ -164,6 +164,48 @@
         assertEquals(last(Front.Outcome.CANCELLED).request(), id);
     }
 
+    @Test
+    public void aNoteIsPassedOnOnlyWhileItsAttemptIsOut() {
+        long id = takeAndSend(4000, 5000);
+        planner.noted(id, 0, Front.NoteKind.PROGRESS, 0.5);
+        planner.noted(id, 1, Front.NoteKind.PROGRESS, 0.6);
+        planner.tick(4001);
+        assertEquals(module.last(Front.Note.class), new Front.Note(id, 0, Front.NoteKind.PROGRESS, 0.5));
+        module.next = List.of(new Front.Cancel(id, 0));
+        planner.list(false, List.of());
+        planner.tick(4002);
+        planner.noted(id, 0, Front.NoteKind.PROGRESS, 0.7);
+        planner.tick(4003);
+        assertEquals(module.last(Front.Note.class).amount(), 0.5, "none behind the word to give up");
+    }
+
+    /** One probe an engine at a time; the first answer counts, or its time is up. */
+    @Test
+    public void aProbeEndsOnceByItsAnswerOrByItsTime() {
+        planner.list(true, List.of(engine("s-1", Front.Condition.READY)));
+        planner.tick(1000);
+        long number = module.last(Front.ListChange.class).engines().get(0).engine();
+        List<Command<String>> asked = probe(1000, number, number);
+        assertEquals(asked, List.of(new Command.Probe<>("s-1")));
+        planner.probed(1040, "s-1", Front.Outcome.OK, new double[] {3});
+        planner.probed(1050, "s-1", Front.Outcome.ERROR, new double[0]);
+        planner.probed(1050, "s-2", Front.Outcome.ERROR, new double[0]);
+        planner.tick(2000);
+        Front.Probed first = module.last(Front.Probed.class);
+        assertEquals(first.outcome() + " " + first.latency() + " " + first.report()[0], "OK 40.0 3.0");
+        probe(3000, number);
+        planner.tick(3249);
+        assertEquals(module.last(Front.Probed.class), first);
+        planner.tick(3250);
+        assertEquals(module.last(Front.Probed.class).outcome(), Front.Outcome.TIMEOUT);
+    }
+
+    private List<Command<String>> probe(double now, long... engines) {
+        module.next = java.util.Arrays.stream(engines).<Front.Action>mapToObj(Front.Probe::new).toList();
+        planner.list(false, List.of());
+        return planner.tick(now);
+    }
+
     @Test
     public void enginesThatAreGoneAreForgotten() {
         for (int i = 0; i < 100; i++) {
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -68,6 +68,19 @@
         }
     }
 
+    /** Notes, also such as nobody knows, and a sick word amid service: the run goes on where it is. */
+    @Test
+    public void notesDisturbNoRun() throws IOException {
+        platform.both(Mode.NOTES);
+        try (StandInCaller caller = platform.caller()) {
+            for (int i = 0; i < 10; i++) {
+                StandInCaller.Answer answer = ask(caller, 2000);
+                assertEquals(answer.body(), String.join("", StandInLines.PAGES));
+            }
+            assertEquals(wants(), 10);
+        }
+    }
+
     @DataProvider
     public Object[][] troubles() {
         return new Object[][] {{Mode.FAULT}, {Mode.SHED}, {Mode.RESET}, {Mode.GARBAGE}, {Mode.LOSE_PAGES},
