Tell silence by two attempts out all through it, of which one is overdue

Seen, zone+vast: 39 suspicions 'is silent' from 14 s on, no engine hung; Control.watch took one straggler. A test for it is still to be written.

--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -927,18 +927,19 @@
 
     /** Suspects an engine that has work overdue and has said nothing for long: no answer, no note. */
     private void watch(Engine e) {
-        double notes = set.limits().notesEvery(), silent = now - e.heardAt;
+        double notes = set.limits().notesEvery(), silent = now - e.heardAt, waited = 0;
         if (e.suspected || silent < SILENCE) {
             return;
         }
+        // Danger: a front of many hears little from one engine; a single straggler there is no silence.
+        boolean late = false;
         for (Try a : e.attempts) {
-            double out = now - a.sentAt;
+            double out = now - a.sentAt, usual = a.r.expected() * a.r.c.slow;
             // Danger: what stands in line is told once and then says nothing; that is no silence.
-            double missed = notes * NOTE_MISSED;
-            boolean noNote = !a.waiting && notes > 0 && out > missed && silent > missed;
-            boolean late = !a.waiting && e.attempts.size() > 1
-                    && out > OVERDUE * a.r.expected() * a.r.c.slow + SILENCE;
-            if (noNote || late && (notes == 0 || silent > notes)) {
+            boolean noNote = !a.waiting && notes > 0 && Math.min(out, silent) > notes * NOTE_MISSED;
+            late |= !a.waiting && out > OVERDUE * usual + SILENCE;
+            waited += !a.waiting && out > Math.max(SILENCE, usual) ? 1 : 0;
+            if (noNote || late && waited > 1 && (notes == 0 || silent > notes)) {
                 suspect(e, "is silent");
                 return;
             }
