--- a/src/test/java/peatwick/KnowledgeTest.java
+++ b/src/test/java/peatwick/KnowledgeTest.java
@@ -106,6 +106,20 @@
         assertThat(s.last(Front.SetLimits.class).get(0).grantMb()).isBetween(300.0, 600.0);
     }
 
+    /** A front of many hears little from one engine: a straggler and what was just sent are no silence. */
+    @Test
+    void oneStragglerIsNoSilenceAndTwoOverdueAre() {
+        for (boolean second : new boolean[] {false, true}) {
+            Scene s = new Scene(Scene.settings(Scene.look())).engines(1);
+            s.ask(1, 0);
+            if (second) {
+                s.ask(2, 0);
+            }
+            s.pass(2500).ask(3, 0).pass(100);
+            assertThat(s.control.avoided()).isEqualTo(second ? 1 : 0);
+        }
+    }
+
     /** The first note of progress may take one and a half intervals: until then silence means nothing. */
     @Test
     void anEngineIsNotSilentBeforeTheFirstNoteIsDue() {
