Blame no engine for one slow connection, and let nothing go out to one that leaves

At fault: EnginePool.unsent took ConnectTimeoutException for a refusal.

- A late connection ends what waited as never run and stays open for others; two late in a row with no word between count against the engine.
What waits for a quarter of the time shares a connection that has just worked.
- What waits for a connection is taken back once its engine drains, is gone, or its address or start changes.
- The id of an attempt that ended takes no second answer on that connection; half a line on a resting one keeps it unused.
- A send carries until when it may begin: a keyed repeat could wait for a connection past the key's time.

--- a/src/main/java/lineward/core/Command.java
+++ b/src/main/java/lineward/core/Command.java
@@ -10,10 +10,11 @@
      * Start an attempt and report its end to {@link Planner#ended}.
      *
      * @param patienceMs how long the attempt may take
+     * @param beginWithinMs behind that it must not go out any more, and counts as never run
      * @param grantMb memory to grant; 0 leaves it to the engine
      */
-    record Start<X>(X exchange, long request, int attempt, String engine, long patienceMs, double grantMb,
-            int priority) implements Command<X> { }
+    record Start<X>(X exchange, long request, int attempt, String engine, long patienceMs,
+            long beginWithinMs, double grantMb, int priority) implements Command<X> { }
 
     /** Give an attempt up; the planner itself books its end. */
     record Stop<X>(X exchange, long request, int attempt, String engine) implements Command<X> { }
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -338,7 +338,8 @@
         });
         tracer.attemptStarted(r.exchange, number, a.engine);
         commands.add(new Command.Start<>(r.exchange, r.id, number, a.engine,
-                Math.max(1, Math.round(until - now)), r.grantMb, r.priority));
+                Math.max(1, Math.round(until - now)), (long) Math.min(until - now, s.beginWithin()),
+                r.grantMb, r.priority));
     }
 
     private void cancel(Front.Cancel c, double now) {
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -23,6 +23,8 @@
         final EnginePool pool;
         double startedAtMs;
         boolean gone;
+        /** Not draining nor gone: what still waits for a connection may go out. */
+        boolean takesNew = true;
 
         Member(EnginePool pool) {
             this.pool = pool;
@@ -30,6 +32,7 @@
     }
 
     /**
+     * @param connectTimeoutMs a connection that is not up by then is late
      * @param streams runs that one connection carries
      * @param links most connections to all engines
      * @param reports whether a probe asks for a report of the engine's load
@@ -57,13 +60,17 @@
         this.limits = limits;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        EnginePool.MAY_TAKE * limits.connectTimeoutMs());
     }
 
     /** Takes in the list of engines, or changes to it. */
     public void list(boolean whole, List<EngineEntry> entries) {
         if (whole) {
-            members.values().forEach(m -> m.gone = true);
+            members.values().forEach(m -> {
+                m.gone = true;
+                m.takesNew = false;
+            });
         }
         for (EngineEntry e : entries) {
             InetSocketAddress address = parse(e.address());
@@ -72,16 +79,18 @@
                 if (m != null) {
                     m.pool.closeAll();
                 }
-                m = new Member(new EnginePool(bootstrap, address, limits.streams(),
-                        this::makeRoom, sent));
+                m = new Member(new EnginePool(bootstrap, address, limits, this::makeRoom, sent));
                 members.put(e.id(), m);
             }
             m.gone = e.condition() == Front.Condition.GONE;
+            m.takesNew = e.condition() == Front.Condition.READY;
             if (e.startedAtMs() != m.startedAtMs) {
                 m.startedAtMs = e.startedAtMs();
                 m.pool.startedAt(e.startedAtMs());
             }
         }
+        // Danger: a connection may come up long after the word, when its address is another engine's.
+        List.copyOf(members.values()).stream().filter(m -> !m.takesNew).forEach(m -> m.pool.recall());
         closeIdle();
     }
 
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -21,25 +22,33 @@
     private static final int REPEATED = 4;
     /** Connections to one engine: more runs than that go to one engine only in a crowd. */
     private static final int MOST_LINKS = 16;
+    /** Connections in a row that are late, with no word between, by which the engine can't be reached. */
+    private static final int REPEATED_LATE = 2;
+    /** A connection that takes so long to come up, as a part of what the settings allow, is passed by. */
+    private static final int PASSED_BY = 4;
+    /** It may come up yet, and serve others, until this multiple of that time. */
+    static final int MAY_TAKE = 8;
     private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(EnginePool.class));
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
-    private final int streams;
+    private final EngineFleet.Limits limits;
     private final BooleanSupplier room;
     private final Runnable sent;
     private final List<Link> links = new ArrayList<>();
     private int lost;
+    /** Connections that were late, since one came up or the engine spoke. */
+    private int late;
 
     /**
      * @param room tells whether one more connection may be opened
      * @param sent is called when a run has been written whole
      */
-    EnginePool(Bootstrap bootstrap, InetSocketAddress address, int streams, BooleanSupplier room,
-            Runnable sent) {
+    EnginePool(Bootstrap bootstrap, InetSocketAddress address, EngineFleet.Limits limits,
+            BooleanSupplier room, Runnable sent) {
         this.sent = sent;
         this.bootstrap = bootstrap;
         this.address = address;
-        this.streams = streams;
+        this.limits = limits;
         this.room = room;
     }
 
@@ -49,8 +58,7 @@
 
     /** Each run gets a connection of its own while there are enough: with one that spoils, all there fail. */
     void start(Run run) {
-        Link best = links.stream().filter(l -> l.takes(run.id, streams))
-                .min(Comparator.comparingInt(Link::load)).orElse(null);
+        Link best = leastLoaded(run);
         if ((best == null || best.load() > 0) && links.size() < MOST_LINKS && room.getAsBoolean()) {
             best = connect();
         }
@@ -61,6 +69,11 @@
         }
     }
 
+    private Link leastLoaded(Run run) {
+        return links.stream().filter(l -> l.takes(run.id, limits.streams()))
+                .min(Comparator.comparingInt(Link::load)).orElse(null);
+    }
+
     private Link connect() {
         Link link = new Link(this);
         links.add(link);
@@ -76,9 +89,39 @@
                 link.failedToConnect(done.cause());
             }
         });
+        bootstrap.config().group().next().schedule(() -> passBy(link),
+                limits.connectTimeoutMs() / PASSED_BY, TimeUnit.MILLISECONDS);
+        bootstrap.config().group().next().schedule(() -> overdue(link), limits.connectTimeoutMs(),
+                TimeUnit.MILLISECONDS);
         return link;
     }
 
+    /** What waits for a slow connection shares one that works. */
+    private void passBy(Link slow) {
+        for (Run run : slow.release()) {
+            links.stream().filter(l -> l.isLively() && l.takes(run.id, limits.streams()))
+                    .min(Comparator.comparingInt(Link::load)).orElse(slow).start(run);
+        }
+    }
+
+    /**
+     * Danger: some connections come up late, or never, to engines that are well. One that is late proves that
+     * nothing ran and tells nothing of the engine, unless that repeats while nothing is heard of it.
+     */
+    private void overdue(Link link) {
+        if (link.turnsLate()) {
+            late++;
+            LOG.info("no connection yet to engine", address, late + " late");
+            boolean its = late >= REPEATED_LATE;
+            link.release().forEach(run -> run.end(its ? End.UNREACHED : End.UNSENT));
+        }
+    }
+
+    @Override
+    public void up(Link link) {
+        late = 0;
+    }
+
     @Override
     public void closed(Link link) {
         links.remove(link);
@@ -92,6 +135,7 @@
     @Override
     public void heard() {
         lost = 0;
+        late = 0;
     }
 
     /**
@@ -110,14 +154,18 @@
     }
 
     /**
-     * A refusal, or no word at all, is the engine's. A connection reset when new tells only that nothing ran:
-     * there another is opened, unless that repeats.
+     * A refusal is the engine's. A connection reset when new tells only that nothing ran: there another is
+     * opened, unless that repeats.
      */
     @Override
     public void unsent(List<Run> runs, Throwable cause) {
+        if (runs.isEmpty()) {
+            return;
+        }
         lost++;
         LOG.info("no connection to engine", address, cause);
-        boolean its = cause instanceof ConnectException || lost >= REPEATED;
+        boolean its = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
+                || lost >= REPEATED;
         runs.forEach(run -> {
             if (its) {
                 run.end(End.UNREACHED);
@@ -157,15 +205,22 @@
                 .min(Comparator.comparingLong(Link::usedAt)).orElse(null);
     }
 
-    /** Connections from before its engine's start lead to a process that is no more. */
+    /**
+     * Connections from before its engine's start lead to a process that is no more. What waits for one was
+     * meant for that process, not for a cold one.
+     */
     void startedAt(double unixMs) {
-        links.stream().filter(l -> l.openedBefore(unixMs)).toList().forEach(Link::close);
+        links.stream().filter(l -> l.openedBefore(unixMs)).toList().forEach(link -> {
+            link.recall();
+            link.close();
+        });
     }
 
     void beat() {
         List.copyOf(links).forEach(Link::beat);
     }
 
+    /** Nothing that has not gone out yet does so any more: it ends as never run. */
     void recall() {
         List.copyOf(links).forEach(Link::recall);
     }
@@ -175,6 +230,7 @@
     }
 
     void closeAll() {
+        recall();
         List.copyOf(links).forEach(Link::close);
     }
 }
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -25,6 +25,9 @@
         /** A run has been written whole. */
         void sent();
 
+        /** The connection is up. */
+        void up(Link link);
+
         /** An engine has spoken. */
         void heard();
 
@@ -49,20 +52,27 @@
     private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(Link.class));
     /** With runs out and no word for so long, the connection is asked whether it works. */
     private static final long QUIET = TimeUnit.MILLISECONDS.toNanos(400);
+    /** An engine that spoke so lately is there. */
+    private static final long LIVELY = TimeUnit.SECONDS.toNanos(1);
     /** Beats by which it has to say so: an engine may stand still for half a second. */
     private static final int MOST_BEATS = 7;
     /** A close reaches its engine within this. */
     static final int CLOSE_TAKES_MS = 6;
 
     private final Map<String, Run> runs = new LinkedHashMap<>();
-    /** Given up while an answer may be on its way: the same id may not go out here again. */
+    /** Ended while an answer may be on its way, a second one perhaps: the id may not go out here again. */
     private final Map<String, Run> spent = new LinkedHashMap<>();
     private final long openedAtUnixMs = System.currentTimeMillis();
     private final Owner owner;
     private Channel channel;
+    private ReplyDecoder decoder;
     private boolean up;
+    /** It should have come up by now: it may yet, but nobody waits for it. */
+    private boolean late;
     private boolean closed;
     private long usedAt = System.nanoTime();
+    /** When the engine last spoke here. */
+    private long heardAt = usedAt;
     /** Beats since it was asked whether it works; 0 where nothing is asked. */
     private int beats;
     /** Its last run was given up unheard: it gets nothing new until it has spoken. */
@@ -79,13 +89,24 @@
         return up && !closed;
     }
 
+    /** @return whether it is up and has shown so lately: one to a machine that vanished stays open */
+    boolean isLively() {
+        return isUp() && System.nanoTime() - heardAt < LIVELY;
+    }
+
     void connecting(Channel toBe) {
         channel = toBe;
     }
 
     boolean takes(String id, int most) {
-        return !closed && !doubted && runs.size() < most && !runs.containsKey(id)
-                && !spent.containsKey(id) && (!up || channel.isOpen() && channel.isWritable());
+        return !closed && !doubted && (up || !late) && !isAmidNothing() && runs.size() < most
+                && !runs.containsKey(id) && !spent.containsKey(id)
+                && (!up || channel.isOpen() && channel.isWritable());
+    }
+
+    /** Half a line that belongs to no run: whatever comes behind it can't be read. */
+    private boolean isAmidNothing() {
+        return runs.isEmpty() && decoder != null && decoder.holdsPart();
     }
 
     int load() {
@@ -160,7 +181,7 @@
                 channel.close();
                 end(owner::lost);
             }
-        } else if (up && !closed && !runs.isEmpty() && now - usedAt > QUIET) {
+        } else if (up && !closed && (isAmidNothing() || !runs.isEmpty() && now - usedAt > QUIET)) {
             ask();
         }
         spent.values().removeIf(run -> run.isPast(now));
@@ -184,6 +205,19 @@
         end(none -> { });
     }
 
+    /** @return what waits for a connection that is not up yet; its caller now looks after that */
+    List<Run> release() {
+        List<Run> waiting = up || closed ? List.of() : List.copyOf(runs.values());
+        waiting.forEach(run -> runs.remove(run.id));
+        return waiting;
+    }
+
+    /** @return whether the connection is not up yet: from now on nothing waits for it */
+    boolean turnsLate() {
+        late = !up && !closed;
+        return late;
+    }
+
     /** What waits for the connection to come up never goes out. */
     void recall() {
         if (!up) {
@@ -196,14 +230,22 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         up = true;
+        decoder = ctx.pipeline().get(ReplyDecoder.class);
         usedAt = System.nanoTime();
-        runs.values().forEach(this::want);
+        heardAt = usedAt;
+        List.copyOf(runs.values()).forEach(this::want);
+        owner.up(this);
         if (probe != null) {
             say(probe.line());
         }
     }
 
     private void want(Run run) {
+        if (run.isTooLate(System.nanoTime())) {
+            runs.remove(run.id);
+            run.end(End.UNSENT);
+            return;
+        }
         run.written = true;
         StringBuilder head = new StringBuilder("want ").append(run.id).append(" sort=").append(run.sort)
                 .append(",patience=").append(run.patienceMs());
@@ -233,6 +275,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Reply reply) {
         usedAt = System.nanoTime();
+        heardAt = usedAt;
         beats = 0;
         doubted = false;
         owner.heard();
@@ -283,6 +326,7 @@
     private void endWithout(Run run, Reply reply, End end) {
         reply.body().release();
         runs.remove(run.id);
+        spent.put(run.id, run);
         run.end(end);
     }
 
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -17,6 +17,9 @@
         @Override
         public void sent() { }
 
+        @Override
+        public void up(Link link) { }
+
         @Override
         public void heard() { }
 
@@ -37,7 +40,8 @@
         ByteBuf statement = Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII);
         for (int i = 0; i < ROUNDS; i++) {
             String id = String.format("%016x", i);
-            link.start(new Run(id, "rehearsal", statement, 1000, 1, 1, (outcome, result) -> {
+            Run.Times times = new Run.Times(1000, 1000);
+            link.start(new Run(id, "rehearsal", statement, times, 1, 1, (outcome, result) -> {
                 if (result != null) {
                     result.release();
                 }
--- a/src/main/java/lineward/engine/ReplyDecoder.java
+++ b/src/main/java/lineward/engine/ReplyDecoder.java
@@ -19,6 +19,11 @@
     private Reply head;
     private int length;
 
+    /** @return whether a part of a reply is here */
+    boolean holdsPart() {
+        return head != null || actualReadableBytes() > 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (head == null && !readHead(in)) {
--- a/src/main/java/lineward/engine/Run.java
+++ b/src/main/java/lineward/engine/Run.java
@@ -17,6 +17,13 @@
         default void noted(Front.NoteKind kind, double amount) { }
     }
 
+    /**
+     * @param patienceMs how long the attempt may take
+     * @param beginWithinMs behind that it must not go out any more
+     */
+    public record Times(long patienceMs, long beginWithinMs) { }
+
+    private static final long NANOS = 1_000_000;
     /** Most bytes of one result, and of one page of it. */
     private static final int LARGEST_RESULT = 48_000;
     private static final int LARGEST_PAGE = 6_000;
@@ -28,6 +35,7 @@
     final ByteBuf statement;
     final long grantMb;
     private final long until;
+    private final long beginBy;
     private final Listener listener;
     int priority;
     boolean written;
@@ -43,13 +51,16 @@
      * @param sort the class's name
      * @param statement the bytes to run. Held until the run is over: its request may end, and let go of them,
      *     in the turn in which the connection comes up that the run waits for
+     * @param times how long it may take, and by when it must have begun
      */
-    public Run(String id, String sort, ByteBuf statement, long patienceMs, double grantMb, int priority,
+    public Run(String id, String sort, ByteBuf statement, Times times, double grantMb, int priority,
             Listener listener) {
         this.id = id;
         this.sort = sort;
         this.statement = statement.retain();
-        this.until = System.nanoTime() + patienceMs * 1_000_000;
+        long now = System.nanoTime();
+        this.until = now + times.patienceMs() * NANOS;
+        this.beginBy = now + Math.min(times.beginWithinMs(), times.patienceMs()) * NANOS;
         this.grantMb = (long) Math.ceil(grantMb);
         this.priority = priority;
         this.listener = listener;
@@ -59,6 +70,11 @@
         return Math.max(1, (until - System.nanoTime()) / 1_000_000);
     }
 
+    /** @return whether it is too late to send it: it waited for a connection */
+    boolean isTooLate(long nanoTime) {
+        return beginBy - nanoTime < 0;
+    }
+
     /** @return whether its time is over, so that its id will not be used again */
     boolean isPast(long nanoTime) {
         return until - nanoTime < 0;
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -285,7 +285,8 @@
     @Override
     public void start(Command.Start<Call> c) {
         Call call = c.exchange();
-        call.run = new Run(call.id(), call.fields.op(), call.statement, c.patienceMs(), c.grantMb(),
+        call.run = new Run(call.id(), call.fields.op(), call.statement,
+                new Run.Times(c.patienceMs(), c.beginWithinMs()), c.grantMb(),
                 c.priority(), new Run.Listener() {
                     @Override
                     public void ended(Front.Outcome outcome, ByteBuf result) {
--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -520,14 +520,14 @@
                 && (c.onlyZones() == null || c.onlyZones().contains(e.at.zone()));
     }
 
-    /** Danger: an effect twice. What may have run goes again only if safe, or where repeats are dropped. */
-    private boolean mayRepeat(Request r) {
-        return r.ran == null || r.c.spec.effect() == Effect.SAFE
-                || r.c.spec.effect() == Effect.KEYED && now < r.firstRan + r.c.spec.keyTtl();
+    /** Time left to begin an attempt. Danger: an effect twice, also where a repeat waits for a connection. */
+    private double beginWithin(Request r) {
+        return r.ran == null || r.c.spec.effect() == Effect.SAFE ? Double.POSITIVE_INFINITY
+                : r.c.spec.effect() == Effect.KEYED ? r.firstRan + r.c.spec.keyTtl() - now : 0;
     }
 
     private boolean repeatable(Request r, Engine e) {
-        return mayRepeat(r) && (r.ran == null || r.c.spec.effect() == Effect.SAFE
+        return beginWithin(r) > 0 && (r.ran == null || r.c.spec.effect() == Effect.SAFE
                 || switch (r.c.spec.scope()) {
             case ALL -> true;
             case ZONE -> r.ran.at.zone() == e.at.zone();
@@ -593,7 +593,7 @@
                     : r.grant(e);
             out.add(new SetLimits(r.id, set.limits().grants() ? grant : 0, priority(r)));
         }
-        out.add(new Send(r.id, e.id, 0));
+        out.add(new Send(r.id, e.id, 0, beginWithin(r)));
         if (!r.attempts.isEmpty()) {
             further.add(now, 1);
         }
@@ -740,7 +740,7 @@
 
     /** A further attempt where the effect allows it and time is left; else the answer at once. */
     private void again(Request r, Try a, Outcome o) {
-        if (!mayRepeat(r) || r.attempts.size() >= set.limits().maxAttempts() || cannotMakeIt(r)
+        if (beginWithin(r) <= 0 || r.attempts.size() >= set.limits().maxAttempts() || cannotMakeIt(r)
                 || o == Outcome.MOOT || r.errors >= ERRORS) {
             finish(r);
             return;
--- a/src/main/java/peatwick/Front.java
+++ b/src/main/java/peatwick/Front.java
@@ -194,8 +194,17 @@
     sealed interface Action permits Send, Cancel, Refuse, Fail, SetLimits, Probe, Announce, After, Subscribe,
             Log { }
 
-    /** Starts an attempt; the host numbers the attempts of a request 0, 1, 2 in the order of their sends. */
-    record Send(long request, long engine, double maxWait) implements Action { }
+    /**
+     * Starts an attempt; the host numbers the attempts of a request 0, 1, 2 in the order of their sends.
+     *
+     * @param beginWithin behind that it must not go out any more: its repeat would be an effect twice
+     */
+    record Send(long request, long engine, double maxWait, double beginWithin) implements Action {
+        /** One that may go out at any time. */
+        public Send(long request, long engine, double maxWait) {
+            this(request, engine, maxWait, Double.POSITIVE_INFINITY);
+        }
+    }
 
     /** Stops an attempt. */
     record Cancel(long request, int attempt) implements Action { }
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -91,7 +91,12 @@
 
     /** Sends SIGHUP. */
     public void hangUp() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(handle.pid())).start().waitFor();
+        signal("HUP");
+    }
+
+    /** Sends that signal: STOP holds the process where it is, CONT lets it go on. */
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(handle.pid())).start().waitFor();
     }
 
     /** @return its exit status, once it has ended */
--- a/src/test/java/lineward/core/CoreTest.java
+++ b/src/test/java/lineward/core/CoreTest.java
@@ -121,7 +121,8 @@
         planner.list(false, List.of());
         List<Command<String>> commands = planner.tick(now);
         Command.Start<String> start = (Command.Start<String>) commands.get(0);
-        assertEquals(start, new Command.Start<>("r", id, 0, "s-1", Math.round(ttl - 10), 64, 2));
+        assertEquals(start, new Command.Start<>("r", id, 0, "s-1", Math.round(ttl - 10),
+                (long) (ttl - 10), 64, 2));
         return id;
     }
 
--- a/src/test/java/lineward/engine/EndTest.java
+++ b/src/test/java/lineward/engine/EndTest.java
@@ -130,7 +130,8 @@
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
-            EnginePool pool = new EnginePool(bootstrap, nobody, 10, () -> true, () -> { });
+            EnginePool pool = new EnginePool(bootstrap, nobody, new EngineFleet.Limits(250, 30_000, 10, 100,
+                    false), () -> true, () -> { });
             loop.execute(() -> act.accept(pool));
             Program.await("an end", () -> !heard.outcomes.isEmpty());
         } finally {
@@ -141,7 +142,7 @@
     private static final class Heard implements Run.Listener {
         final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
         final Run run = new Run("00aa", "look", Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII),
-                1000, 0, 1, this);
+                new Run.Times(1000, 1000), 0, 1, this);
 
         @Override
         public void ended(Outcome outcome, ByteBuf result) {
--- a/src/test/java/lineward/engine/LinkTest.java
+++ b/src/test/java/lineward/engine/LinkTest.java
@@ -62,8 +62,25 @@
         statement.release();
     }
 
+    /** Danger: engines forget keys; a repeat whose connection came up too late would run a second time. */
+    @Test
+    public void whatMayBeginNoLongerDoesNotGoOut() {
+        Link link = new Link(Rehearsal.NOBODY);
+        ByteBuf statement = statement("select 1");
+        List<Front.Outcome> outcomes = new ArrayList<>();
+        link.start(run(statement, outcomes, 0));
+        assertEquals(written(up(link)), "");
+        assertEquals(outcomes, List.of(Front.Outcome.FULL));
+        statement.release();
+    }
+
     private static Run run(ByteBuf statement, List<Front.Outcome> outcomes) {
-        return new Run("00aa", "look", statement, 1000, 0, 1, (outcome, result) -> outcomes.add(outcome));
+        return run(statement, outcomes, 1000);
+    }
+
+    private static Run run(ByteBuf statement, List<Front.Outcome> outcomes, long beginWithinMs) {
+        return new Run("00aa", "look", statement, new Run.Times(1000, beginWithinMs), 0, 1,
+                (outcome, result) -> outcomes.add(outcome));
     }
 
     private static EmbeddedChannel up(Link link) {
--- a/src/test/java/lineward/engine/NotesTest.java
+++ b/src/test/java/lineward/engine/NotesTest.java
@@ -43,7 +43,8 @@
     @Test
     public void aNoteOnARunThatIsOverIsNobodys() {
         Heard heard = new Heard();
-        Run run = new Run("00aa", "look", Unpooled.EMPTY_BUFFER, 1000, 0, 1, heard);
+        Run run = new Run("00aa", "look", Unpooled.EMPTY_BUFFER, new Run.Times(1000, 1000),
+                0, 1, heard);
         Reply note = new Reply("00aa", Reply.Word.INFO, Map.of("n", "done", "datum", "0.5"),
                 Unpooled.EMPTY_BUFFER);
         run.note(note);
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import lineward.Program;
@@ -42,12 +43,22 @@
         this(environment, holder, 2, 2, 1024);
     }
 
-    /** @param engines on the list: s-1, s-2 and so on, by turns the one stand-in and the other */
+    /** @param change of the settings */
+    Platform(UnaryOperator<String> change) throws IOException {
+        this(Map.of(), null, 2, 2, 1024, change);
+    }
+
     Platform(Map<String, String> environment, SocketHolder holder, int fronts, int engines, int sockets)
             throws IOException {
+        this(environment, holder, fronts, engines, sockets, text -> text);
+    }
+
+    /** @param engines on the list: s-1, s-2 and so on, by turns the one stand-in and the other */
+    private Platform(Map<String, String> environment, SocketHolder holder, int fronts, int engines,
+            int sockets, UnaryOperator<String> change) throws IOException {
         this.holder = holder;
         this.sockets = sockets;
-        this.settings = SETTINGS.replace("\"peers-total\":2", "\"peers-total\":" + fronts);
+        this.settings = change.apply(SETTINGS.replace("\"peers-total\":2", "\"peers-total\":" + fronts));
         journal.tell(true, engines(1, engines, "ready"));
         configure(journal);
         Map<String, String> all = new HashMap<>(environment);
@@ -68,6 +79,48 @@
         return new Program(holder, "RELAY_CONFIG=" + config + ";TMPDIR=" + shared);
     }
 
+    /** Settings in which connections to engines may take so long to come up. */
+    static String patient(String settings) {
+        return settings.replace("\"connect-timeout\":250", "\"connect-timeout\":8000")
+                .replace("\"deadline\":2500", "\"deadline\":20000")
+                .replace("\"aim\":500", "\"aim\":15000");
+    }
+
+    /** Settings with a class "load" beside, which must not run twice. */
+    static String unsafe(String settings) {
+        return settings.replace("\"classes\":[", "\"classes\":[{\"name\":\"load\",\"aim\":2000,"
+                + "\"aim-stretch\":2,\"deadline\":4000,\"value\":3,\"effect\":\"fragile\","
+                + "\"late-share\":0.5},")
+                .replace("\"threads-by-class\":[1]", "\"threads-by-class\":[1,1]");
+    }
+
+    /** @return requests that have come to the two engines */
+    long wants() {
+        return one.count("want") + two.count("want");
+    }
+
+    /** Tells the state of both engines, and waits until the program has heard. */
+    void tellBoth(String state) {
+        journal.tell(false, engines(1, 2, state));
+        awaitTold();
+    }
+
+    /** From now on this engine stands on the list alone. */
+    void tellOnly(String id, StandInLines engine) {
+        journal.tell(true, id, "" + engine.port(), "ready");
+        awaitTold();
+    }
+
+    /** Waits until the program has taken in all that the journal has told. */
+    void awaitTold() {
+        Program.await("the program is told", () -> journal.told() == journal.last());
+    }
+
+    /** Starts a second program by the configuration as it stands. */
+    Program another() throws IOException {
+        return new Program(Map.of("RELAY_CONFIG", config.toString()), "serve");
+    }
+
     /** Writes the configuration, which names this journal. */
     void configure(StandInJournal service) throws IOException {
         configure("{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":"
--- a/src/test/java/lineward/thrift/StandInCaller.java
+++ b/src/test/java/lineward/thrift/StandInCaller.java
@@ -4,9 +4,11 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -24,7 +26,16 @@
     private int seqid;
 
     StandInCaller(int port) throws IOException {
-        socket = new Socket("127.0.0.1", port);
+        this(port, 0);
+    }
+
+    /** @param receiveBuffer bytes that it takes unread, about; 0: as usual */
+    StandInCaller(int port, int receiveBuffer) throws IOException {
+        socket = new Socket();
+        if (receiveBuffer > 0) {
+            socket.setReceiveBufferSize(receiveBuffer);
+        }
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
         socket.setSoTimeout(20_000);
         socket.setTcpNoDelay(true);
         in = new DataInputStream(socket.getInputStream());
@@ -52,6 +63,22 @@
 
     /** @param behind bytes behind the message, in its frame */
     int send(Map<String, String> fields, String statement, byte[] behind) throws IOException {
+        frame(message(fields, statement, behind));
+        return seqid;
+    }
+
+    /** @return the next request, whole with its length */
+    byte[] bytes(Map<String, String> fields, String statement) throws IOException {
+        byte[] message = message(fields, statement, new byte[0]);
+        return framed(message);
+    }
+
+    private static byte[] framed(byte[] message) {
+        return ByteBuffer.allocate(Integer.BYTES + message.length).putInt(message.length).put(message)
+                .array();
+    }
+
+    private byte[] message(Map<String, String> fields, String statement, byte[] behind) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream message = begin(bytes, 1, "invoke", ++seqid);
         message.write(new byte[] {13, 0, 1, 11, 11});
@@ -64,8 +91,7 @@
         text(message, statement);
         message.write(0);
         message.write(behind);
-        frame(bytes.toByteArray());
-        return seqid;
+        return bytes.toByteArray();
     }
 
     Answer call(Map<String, String> fields, String statement) throws IOException {
@@ -105,11 +131,7 @@
     }
 
     void frame(byte[] bytes) throws IOException {
-        ByteArrayOutputStream whole = new ByteArrayOutputStream();
-        DataOutputStream head = new DataOutputStream(whole);
-        head.writeInt(bytes.length);
-        head.write(bytes);
-        out.write(whole.toByteArray());
+        out.write(framed(bytes));
     }
 
     private static DataOutputStream begin(ByteArrayOutputStream bytes, int kind, String method, int seqid)
--- a/src/test/java/lineward/thrift/StandInJournal.java
+++ b/src/test/java/lineward/thrift/StandInJournal.java
@@ -16,6 +16,8 @@
     private final HttpServer server;
     private final List<String> events = new ArrayList<>();
     volatile boolean broken;
+    /** Polls that come are never answered, nor is their connection closed. */
+    volatile boolean silent;
     private volatile int polls;
     private volatile int told;
 
@@ -44,6 +46,11 @@
         return told;
     }
 
+    /** @return the number of the last event */
+    synchronized int last() {
+        return events.size();
+    }
+
     /** Adds an event. Each instance is its id, its port and its state. */
     synchronized void tell(boolean whole, String... instances) {
         StringBuilder list = new StringBuilder();
@@ -75,6 +82,9 @@
         String[] query = exchange.getRequestURI().getQuery().split("[=&]");
         polls++;
         told = Integer.parseInt(query[1]);
+        if (silent) {
+            return;
+        }
         try (exchange) {
             String answer = broken ? "{" : waitFor(Integer.parseInt(query[1]), Integer.parseInt(query[3]));
             byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
@@ -85,8 +95,13 @@
         }
     }
 
+    /** Nobody is there any more. */
+    void stop() {
+        server.stop(0);
+    }
+
     @Override
     public void close() {
-        server.stop(0);
+        stop();
     }
 }
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -22,19 +22,28 @@
 final class StandInLines implements AutoCloseable {
     /** What it does with what it is sent. */
     enum Mode { SERVE, SILENT, FAULT, SHED, RESET, GARBAGE, GARBAGE_ONCE, LOSE_PAGES, DEAD, COPIES, NOISE,
-        NO_TOTAL, SHORT, RESET_SOME, NOTES }
+        NO_TOTAL, SHORT, RESET_SOME, NOTES, LARGE, LATE, RESET_AMID, CLOSE, SHED_TWICE, ENDLESS, CROSS }
 
     /** Pages of every result. */
     static final List<String> PAGES = List.of("a\tb\tc\n", "d\te\tf\n", "g\th\ti\n");
+    /** The longest result that there is. */
+    static final int LARGE_PAGES = 8;
+    private static final String LARGE_PAGE = ("a\tb\t" + "c".repeat(1195) + "\n").repeat(5);
+    /** More than any reply may hold. */
+    private static final int ENDLESS_BYTES = 200_000;
     /** Requests that run anywhere now, and those that ever ran twice at once. */
     private static final Set<String> RUNNING = ConcurrentHashMap.newKeySet();
     static final Set<String> TWICE = ConcurrentHashMap.newKeySet();
 
     final List<String> heard = new CopyOnWriteArrayList<>();
-    private final ServerSocket server = new ServerSocket();
+    private final ServerSocket server;
     private final Thread acceptor;
+    /** Runs when a request has come, before anything is said. */
+    volatile Runnable atWant = () -> { };
     private final Map<Socket, Set<String>> sockets = new ConcurrentHashMap<>();
     volatile Mode mode = Mode.SERVE;
+    /** Requests that have come and to which nothing has been said yet. */
+    private final AtomicInteger answering = new AtomicInteger();
     /** Connections still to be reset before it serves again. */
     final AtomicInteger resets = new AtomicInteger();
 
@@ -43,8 +52,19 @@
     }
 
     StandInLines(int port) throws IOException {
+        this(bound(port));
+    }
+
+    private static ServerSocket bound(int port) throws IOException {
+        ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
+        return server;
+    }
+
+    /** @param server on which connections may wait already */
+    StandInLines(ServerSocket server) {
+        this.server = server;
         acceptor = new Thread(this::accept, "engine");
         acceptor.setDaemon(true);
         acceptor.start();
@@ -54,6 +74,24 @@
         return server.getLocalPort();
     }
 
+    /** Writes these characters on every connection. */
+    void sayToAll(String text) throws IOException {
+        for (Socket socket : sockets.keySet()) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** @return whether nothing that has come is still to be answered by its mode */
+    boolean isQuiet() {
+        return answering.get() == 0;
+    }
+
+    /** @return the ids of the requests that have come, in their order */
+    List<String> ids() {
+        return heard.stream().filter(line -> line.startsWith("want ")).map(line -> line.split(" ")[1])
+                .toList();
+    }
+
     long count(String word) {
         return heard.stream().filter(line -> line.startsWith(word)).count();
     }
@@ -81,7 +119,9 @@
                 String line = line(in);
                 heard.add(line);
                 String[] words = line.split(" ");
-                if (words[0].equals("want")) {
+                if (words[0].equals("want") && mode == Mode.RESET_AMID) {
+                    reset(socket);
+                } else if (words[0].equals("want")) {
                     String body = new String(in.readNBytes(Integer.parseInt(words[3])),
                             StandardCharsets.UTF_8);
                     line(in);
@@ -90,8 +130,14 @@
                         TWICE.add(words[1]);
                     }
                     here.add(words[1]);
-                    dead = mode == Mode.DEAD || mode == Mode.SHORT;
-                    want(socket, words[1], here);
+                    answering.incrementAndGet();
+                    try {
+                        atWant.run();
+                        dead = mode == Mode.DEAD || mode == Mode.SHORT || mode == Mode.ENDLESS;
+                        want(socket, words[1], here);
+                    } finally {
+                        answering.decrementAndGet();
+                    }
                 } else if (words[0].equals("there") && !dead) {
                     say(socket, words[1] + " PONG -", "");
                 } else if (words[0].equals("turn")) {
@@ -99,13 +145,18 @@
                     if (mode == Mode.COPIES) {
                         say(socket, words[1] + " PART index=" + page, PAGES.get(page));
                     }
-                    if (mode == Mode.LOSE_PAGES) {
+                    if (mode == Mode.LARGE) {
+                        say(socket, words[1] + " PART index=" + page, LARGE_PAGE);
+                    } else if (mode == Mode.LOSE_PAGES) {
                         say(socket, words[1] + " FAULT -", "");
                     } else {
                         say(socket, words[1] + " PART index=" + page, PAGES.get(page));
                     }
                 } else if (words[0].equals("never_mind")) {
                     ended(words[1], here);
+                    if (mode == Mode.CROSS) {
+                        say(socket, words[1] + " HIT total=1", PAGES.get(0));
+                    }
                 }
             }
         } catch (IOException e) {
@@ -124,7 +175,7 @@
 
     private void want(Socket socket, String id, Set<String> here) throws IOException {
         Mode now = mode;
-        if (now == Mode.SILENT) {
+        if (now == Mode.SILENT || now == Mode.CROSS) {
             return;
         }
         ended(id, here);
@@ -148,14 +199,36 @@
             case NO_TOTAL -> say(socket, id + " HIT -", PAGES.get(0));
             case SHORT -> socket.getOutputStream().write((id + " HIT total=1 900\r\na\tb").getBytes(
                     StandardCharsets.US_ASCII));
+            case LARGE -> say(socket, id + " HIT total=" + LARGE_PAGES, LARGE_PAGE);
+            case LATE -> say(socket, id + " LATE -", "");
+            case CLOSE -> socket.close();
+            case SHED_TWICE -> {
+                // The second copy comes when the request is out again.
+                say(socket, id + " SHED -", "");
+                mode = Mode.SERVE;
+                atWant = () -> {
+                    atWant = () -> { };
+                    try {
+                        say(socket, id + " SHED -", "");
+                    } catch (IOException e) {
+                        throw new AssertionError(e);
+                    }
+                };
+            }
+            case ENDLESS -> {
+                OutputStream out = socket.getOutputStream();
+                out.write((id + " HIT total=1 900\r\n").getBytes(StandardCharsets.US_ASCII));
+                for (int i = 0; i < ENDLESS_BYTES; i++) {
+                    out.write('a');
+                }
+            }
             case FAULT -> say(socket, id + " FAULT why=test", "");
             case SHED -> say(socket, id + " SHED -", "");
             case RESET, RESET_SOME -> {
                 if (resets.decrementAndGet() == 0) {
                     mode = Mode.SERVE;
                 }
-                socket.setSoLinger(true, 0);
-                socket.close();
+                reset(socket);
             }
             case GARBAGE_ONCE -> {
                 mode = Mode.SERVE;
@@ -166,6 +239,11 @@
         }
     }
 
+    private static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     private static void say(Socket socket, String head, String body) throws IOException {
         OutputStream out = socket.getOutputStream();
         out.write((head + ' ' + body.length() + "\r\n" + body + "\r\n").getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/peatwick/RulesTest.java
+++ b/src/test/java/peatwick/RulesTest.java
@@ -62,6 +62,8 @@
         s.verdict(5, 0, Outcome.ERROR);
         assertThat(s.sentTo() % 2).isEqualTo(first % 2);
         assertThat(s.sentTo()).isNotEqualTo(first);
+        assertThat(s.last(Send.class).get(0).beginWithin()).as("it may wait for a connection")
+                .isEqualTo(3950);
         s.now += 4000;
         s.verdict(5, 1, Outcome.ERROR);
         assertThat(s.last(Send.class)).isEmpty();
