End clients' connections in order, hear them while they read nothing, take signals amid the start

Read for races, each forced by a test on real sockets and seen to fail without its mend: - ClientHandler.isIdle passed over half a frame: SIGTERM closed the connection under it. - A close over unread bytes resets: a request unread at the decision and an answer on its way were lost. LingeringClose reads once more, shuts the sending half and drops what comes until the peer closes, 0.5 s at most. - A client that reads no answers was not read from, so its close or abort was not heard and its held request went out. Answers not taken by the socket now count as open requests, which bounds them instead. - Such a client also held the process past its last word until SIGKILL. - SIGHUP before the configuration was read ended the virtual machine; SIGTERM amid the start dropped who had connected.

edge_relay_unread_answer_bytes shows how near the bound on unread answers is.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -81,6 +81,7 @@
     private final List<Runnable> starts = new ArrayList<>();
     private final List<AutoCloseable> closings = new ArrayList<>();
     private JournalPoll journal;
+    private boolean hungUp;
     private final Figures figures = new Figures();
     private InetSocketAddress management;
     private Lifecycle lifecycle;
@@ -142,7 +143,12 @@
             }
         });
         doors.add(front);
-        journal = new JournalPoll(loop, config.journal(), list, () -> Config.read(path).journal(), clock);
+        onLoop(() -> {
+            journal = new JournalPoll(loop, config.journal(), list, () -> Config.read(path).journal(), clock);
+            if (hungUp) {
+                journal.hangUp();
+            }
+        });
         figures.listAge(journal::ageMs);
         starts.add(() -> {
             // Danger: what the first poll loads must not fall into the first client's time.
@@ -218,15 +224,32 @@
 
     /**
      * SIGHUP: the platform's file is read anew and the journal followed to the address that then stands
-     * there; the rest of it holds from a start to the next.
+     * there; the rest of it holds from a start to the next. One that comes amid the start is heard too.
      */
     void hangUp() {
-        loop.execute(journal::hangUp);
+        loop.execute(() -> {
+            hungUp = true;
+            if (journal != null) {
+                journal.hangUp();
+            }
+        });
     }
 
     /** Starts all fronts; the process then runs until SIGTERM and the last answer after it. */
     void run() {
         lifecycle = lifecycle();
+        // Danger: clients may have come between the first listener and this.
+        Thread atEnd = new Thread(this::end, "end");
+        Runtime.getRuntime().addShutdownHook(atEnd);
+        try {
+            start();
+        } catch (RuntimeException e) {
+            Runtime.getRuntime().removeShutdownHook(atEnd);
+            throw e;
+        }
+    }
+
+    private void start() {
         onLoop(lifecycle::begin);
         ticker.every(Ticker.TICK_MS, () -> doors.forEach(FrontDoor::tick));
         ticker.every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilent));
@@ -244,7 +267,6 @@
             throw new ConfigException("nothing to serve: the MySQL file names no address to listen on");
         }
         onLoop(lifecycle::serve);
-        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
     }
 
     private Lifecycle lifecycle() {
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -126,9 +126,9 @@
     private static void start(boolean platform, String path, Path mysql, boolean required) {
         FrontEnd frontEnd = new FrontEnd();
         if (platform) {
-            frontEnd.addPlatform(Config.read(path), path);
-            // Without a handler the virtual machine ends on SIGHUP.
+            // Danger: without a handler the virtual machine ends on SIGHUP; it may come amid the start.
             Signals.register("HUP", frontEnd::hangUp);
+            frontEnd.addPlatform(Config.read(path), path);
         }
         if (required || Files.exists(mysql)) {
             frontEnd.addMysql(new MysqlFile(mysql));
--- a/src/main/java/lineward/core/Budget.java
+++ b/src/main/java/lineward/core/Budget.java
@@ -19,6 +19,11 @@
         return true;
     }
 
+    /** @return bytes held now */
+    public long held() {
+        return held;
+    }
+
     /** Gives bytes back. */
     public void release(long bytes) {
         held -= bytes;
--- a/src/main/java/lineward/front/ClientTable.java
+++ b/src/main/java/lineward/front/ClientTable.java
@@ -17,30 +17,44 @@
 public final class ClientTable<C> {
     /** Part of the table that may be taken by those that never spoke: a crowd of them evicts its own. */
     private static final int SILENT_PART = 4;
+    /** Part of the table that may leave in order where room is short: they hold descriptors beside it. */
+    private static final int LEAVING_PART = 16;
 
     private final int most;
     private final LongSupplier nanoClock;
     private final Consumer<C> closer;
+    private final Consumer<C> leaver;
     /** Each with the time since when; the longest there first. */
     private final Map<C, Long> silent = new LinkedHashMap<>();
     private final Map<C, Long> waiting = new LinkedHashMap<>();
     private final Map<C, Long> resting = new LinkedHashMap<>();
+    /** Told to leave: each is gone soon, or speaks and is among the others again. */
+    private final Map<C, Long> leaving = new LinkedHashMap<>();
 
     /**
      * @param most connections held at once
-     * @param closer closes a connection
+     * @param closer closes a connection at once
+     * @param leaver lets a connection end in order, unless it speaks first
      */
-    public ClientTable(int most, LongSupplier nanoClock, Consumer<C> closer) {
+    public ClientTable(int most, LongSupplier nanoClock, Consumer<C> closer, Consumer<C> leaver) {
         this.most = most;
         this.nanoClock = nanoClock;
         this.closer = closer;
+        this.leaver = leaver;
     }
 
     /** A connection has come; where there is no room, one closes: perhaps this one. */
     public void arrived(C client) {
         move(client, silent);
-        if (size() > most) {
-            close(first(silent.size() > most / SILENT_PART || resting.isEmpty() ? silent : resting));
+        if (size() - leaving.size() <= most) {
+            return;
+        }
+        if (silent.size() > most / SILENT_PART || resting.isEmpty()) {
+            close(first(silent));
+        } else if (leaving.size() < most / LEAVING_PART) {
+            leave(first(resting));
+        } else {
+            close(first(resting));
         }
     }
 
@@ -59,14 +73,21 @@
         silent.remove(client);
         waiting.remove(client);
         resting.remove(client);
+        leaving.remove(client);
     }
 
-    /** @return the connections held */
+    /** Lets a connection that waits for nothing end in order. */
+    public void leave(C client) {
+        move(client, leaving);
+        leaver.accept(client);
+    }
+
+    /** @return the connections held, those that are leaving included */
     public int size() {
-        return silent.size() + waiting.size() + resting.size();
+        return silent.size() + waiting.size() + resting.size() + leaving.size();
     }
 
-    /** @return all connections, those that wait included */
+    /** @return all connections but those that are leaving */
     public List<C> all() {
         List<C> all = new ArrayList<>(silent.keySet());
         all.addAll(waiting.keySet());
@@ -79,11 +100,11 @@
         resting.stream().filter(c -> ThreadLocalRandom.current().nextDouble() < chance).forEach(closer);
     }
 
-    /** Closes the connections that have come and said nothing in all that time. */
+    /** Lets the connections go that have come and said nothing in all that time. */
     public void closeSilent(long nanos) {
         long before = nanoClock.getAsLong() - nanos;
         while (!silent.isEmpty() && silent.values().iterator().next() <= before) {
-            close(first(silent));
+            leave(first(silent));
         }
     }
 
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -27,6 +27,7 @@
 import lineward.front.ClientTable;
 import lineward.front.Doorway;
 import lineward.front.FrontDoor;
+import lineward.front.LingeringClose;
 import lineward.operations.Figures;
 import lineward.spool.Spool;
 import lineward.spool.SpooledResult;
@@ -153,7 +154,9 @@
 
     @Override
     public void stopListening() {
-        doorway.shut(listener);
+        if (listener != null) {
+            doorway.shut(listener);
+        }
     }
 
     @Override
@@ -162,7 +165,7 @@
             List.copyOf(clients).forEach(ClientSession::endCursors);
         }
         ClientTable.closeSome(clients.stream().filter(ClientSession::isIdle).toList(), chance,
-                c -> c.channel().close());
+                c -> LingeringClose.begin(c.channel(), c::isIdle, () -> { }));
     }
 
     /** Who has not logged in yet is let go; who has may rest, as sessions do. */
--- a/src/main/java/lineward/operations/Figures.java
+++ b/src/main/java/lineward/operations/Figures.java
@@ -22,6 +22,7 @@
     private final Map<String, Map<End, Long>> ended = new TreeMap<>();
     private long relayed;
     private LongSupplier listAge;
+    private LongSupplier unread;
     private Supplier<SpoolPolicy.Figures> spool;
 
     /** The classes whose figures are there from the start, at 0. */
@@ -50,6 +51,11 @@
         listAge = ageMs;
     }
 
+    /** @param bytes tells how many bytes of answers clients have not taken yet */
+    public void unread(LongSupplier bytes) {
+        unread = bytes;
+    }
+
     /** @param now tells what the spool holds */
     public void spool(Supplier<SpoolPolicy.Figures> now) {
         spool = now;
@@ -73,6 +79,10 @@
             one(text, "list_age_ms", "gauge", "Milliseconds since the journal's last usable answer.",
                     listAge.getAsLong());
         }
+        if (unread != null) {
+            one(text, "unread_answer_bytes", "gauge", "Bytes of answers that clients have not taken yet.",
+                    unread.getAsLong());
+        }
         if (spool != null) {
             spool(text, spool.get());
         }
--- a/src/main/java/lineward/operations/OperationsServer.java
+++ b/src/main/java/lineward/operations/OperationsServer.java
@@ -24,7 +24,7 @@
 
     private final Operations operations;
     private final ClientTable<Channel> callers = new ClientTable<>(MOST_CALLERS, System::nanoTime,
-            Channel::close);
+            Channel::close, Channel::close);
 
     /** @param operations carries out what is asked */
     public OperationsServer(Operations operations) {
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
+import lineward.front.LingeringClose;
 import lineward.front.SparseLog;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +24,9 @@
     private final Map<Integer, Call> open = new HashMap<>();
     private Channel channel;
     private long unread;
+    /** Answers of which the socket has not taken the last byte: their requests are open to the client. */
+    private int unsent;
+    private boolean spoke;
     private int lastSeqid;
 
     /** @param decoder brings this handler its frames */
@@ -43,6 +47,11 @@
         if (!ctx.channel().isActive()) {
             return;
         }
+        spoke = true;
+        // Danger: who asks on and reads nothing would fill the memory; his close must be heard all the same.
+        if (unsent >= MOST_OPEN) {
+            throw new DecoderException("more than " + MOST_OPEN + " answers not read");
+        }
         ThriftReader.Head head = ThriftReader.head(frame);
         if (head.kind() == ThriftReader.ONEWAY && head.method().equals("abort")) {
             abort(ThriftReader.number(frame));
@@ -78,7 +87,7 @@
             throw new DecoderException("sequence number " + seqid + " does not rise");
         }
         lastSeqid = seqid;
-        if (open.size() >= MOST_OPEN) {
+        if (open.size() + unsent >= MOST_OPEN) {
             throw new DecoderException("more than " + MOST_OPEN + " open requests");
         }
         rest();
@@ -125,16 +134,33 @@
 
     /** @return whether it has sent half a frame and, for that long, not the rest */
     boolean isStuck(long nanos) {
-        return decoder.isStuck(nanos) && channel.config().isAutoRead();
+        return decoder.isStuck(nanos);
     }
 
-    /** @return whether nothing is open and all that was answered has been sent */
+    /** @return whether nothing is open or on its way here and all that was answered has been sent */
     boolean isIdle() {
-        return open.isEmpty() && unread == 0;
+        return open.isEmpty() && unsent == 0 && !decoder.holdsPart();
+    }
+
+    /** Ends the connection in order, unless a request comes first. */
+    void leave() {
+        if (spoke) {
+            LingeringClose.begin(channel, this::isIdle, this::rest);
+        } else {
+            LingeringClose.closeSilent(channel, this::isIdle, this::rest);
+        }
     }
 
-    void addUnread(long bytes) {
+    /** An answer goes out. */
+    void sending(long bytes) {
         unread += bytes;
+        unsent++;
+    }
+
+    /** The socket has taken an answer whole, or never will. */
+    void sent(long bytes) {
+        unread -= bytes;
+        unsent--;
     }
 
     /** @return bytes of answers that have not gone out yet */
@@ -146,13 +172,6 @@
         return channel;
     }
 
-    /** A client that does not read its answers is not read from, so that it can't fill the memory. */
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
-        ctx.fireChannelWritabilityChanged();
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOG.info("closed the connection of client", ctx.channel().remoteAddress(), cause);
--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.WriteBufferWaterMark;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
@@ -44,8 +43,8 @@
     private static final long SILENCE = TimeUnit.MILLISECONDS.toNanos(1500);
     /** An id is new with every request; one that comes again so soon after its end is none of ours. */
     private static final long ID_RESTS = TimeUnit.SECONDS.toNanos(5);
-    /** Pending bytes at which a client counts as slow. */
-    private static final int SLOW = 256 * 1024;
+    /** Behind the last word an answer gets so long to go out; then the process is about to be killed. */
+    private static final long LAST_ANSWERS = TimeUnit.MILLISECONDS.toNanos(150);
     /** Advice to a client that found this front end full. */
     private static final long BUSY_PUSHBACK_MS = 500;
 
@@ -81,6 +80,8 @@
     private final Deque<Ended> ended = new ArrayDeque<>();
     private Channel listener;
     private Intake intake = Intake.OPEN;
+    private boolean saidLastWord;
+    private long lastWordAt;
 
     /**
      * @param news is called when the planner has something to decide on
@@ -99,7 +100,9 @@
         this.news = news;
         this.figures = figures;
         this.peers = peers;
-        this.clients = new ClientTable<>(bounds.clients(), System::nanoTime, c -> c.channel().close());
+        figures.unread(answers::held);
+        this.clients = new ClientTable<>(bounds.clients(), System::nanoTime, c -> c.channel().close(),
+                ClientHandler::leave);
     }
 
     @Override
@@ -110,7 +113,6 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ,
                         FIRST_READ, MOST_READ).maxMessagesPerRead(1))
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(SLOW / 4, SLOW))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -140,6 +142,8 @@
     @Override
     public void lastWord() {
         planner.failAll();
+        saidLastWord = true;
+        lastWordAt = System.nanoTime();
         news.run();
     }
 
@@ -150,13 +154,18 @@
 
     @Override
     public void stopListening() {
-        doorway.shut(listener);
+        if (listener != null) {
+            doorway.shut(listener);
+        }
     }
 
     @Override
     public void closeResting(double chance) {
         ClientTable.closeSome(clients.all().stream().filter(ClientHandler::isIdle).toList(), chance,
-                c -> c.channel().close());
+                clients::leave);
+        if (saidLastWord && System.nanoTime() - lastWordAt > LAST_ANSWERS) {
+            clients.all().forEach(c -> c.channel().close());
+        }
     }
 
     @Override
@@ -270,10 +279,10 @@
                 return;
             }
         }
-        client.addUnread(size);
+        client.sending(size);
         channel.writeAndFlush(frame).addListener(done -> {
             answers.release(size);
-            client.addUnread(-size);
+            client.sent(size);
         });
     }
 
--- /dev/null
+++ b/src/test/java/lineward/thrift/ShutdownTest.java
@@ -0,0 +1,171 @@
+package lineward.thrift;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import lineward.Program;
+import lineward.operations.Operator;
+import lineward.thrift.StandInLines.Mode;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Signals and shutdowns that cross requests, each held at a point until the other side has acted. */
+public class ShutdownTest {
+    private static final int SERVED = 0;
+    private static final int FAILED = 2;
+    private Platform platform;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        platform = new Platform(Map.of());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        platform.close();
+    }
+
+    private boolean isListening() {
+        try (Socket socket = new Socket("127.0.0.1", platform.program.port())) {
+            return socket.isConnected();
+        } catch (ConnectException e) {
+            return false;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Half a frame is here as the listener closes and what rests is closed: the request still counts. */
+    @Test
+    public void sigtermAmidAFrameLosesNothing() throws IOException, InterruptedException {
+        try (StandInCaller caller = platform.caller()) {
+            byte[] frame = caller.bytes(StandInCaller.fields(2000), "select 1");
+            caller.raw(Arrays.copyOf(frame, frame.length / 2));
+            platform.program.terminate();
+            Program.await("it accepts nobody any more", () -> !isListening());
+            caller.raw(Arrays.copyOfRange(frame, frame.length / 2, frame.length));
+            assertEquals(caller.read().field(), SERVED);
+            assertEquals(platform.program.status(), 0);
+        }
+    }
+
+    /** Both signals come again and cross: what runs is answered once and the end is as after one. */
+    @Test
+    public void signalsThatRepeatAndCrossChangeNothing() throws IOException, InterruptedException {
+        platform.both(Mode.SILENT);
+        try (StandInCaller caller = platform.caller()) {
+            caller.send(StandInCaller.fields(9000), "select 1");
+            Program.await("it runs", () -> platform.wants() == 1);
+            platform.program.hangUp();
+            platform.program.terminate();
+            Program.await("it ends", () -> platform.program.log().contains("SIGTERM"));
+            platform.program.terminate();
+            platform.program.hangUp();
+            assertEquals(caller.read().field(), FAILED, "the last word");
+            assertTrue(caller.isClosed(), "and nothing behind it");
+            assertEquals(platform.program.status(), 0);
+        }
+    }
+
+    /** A client that never reads its answers must not hold the process until it is killed. */
+    @Test
+    public void whoReadsNothingHoldsNoEndUp() throws IOException, InterruptedException {
+        platform.both(Mode.LARGE);
+        try (StandInCaller deaf = new StandInCaller(platform.program.port(), 4096)) {
+            int asked = 0;
+            while (FiguresTest.figures(platform.program).get("edge_relay_unread_answer_bytes") < 100_000) {
+                deaf.send(StandInCaller.fields(2000), "select 1");
+                int most = ++asked;
+                assertTrue(most < 200, "all buffers take more than that");
+                Program.await("it runs", () -> platform.wants() >= most);
+            }
+            long start = System.nanoTime();
+            platform.program.terminate();
+            assertEquals(platform.program.status(), 0);
+            assertTrue(System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(3700), "before SIGKILL");
+        }
+    }
+
+    /**
+     * The process is held while a request comes on a resting connection and the time of its close passes:
+     * both are there in the turn in which it goes on.
+     */
+    @Test
+    public void aRequestInTheTurnOfItsConnectionsCloseIsAnswered() throws IOException, InterruptedException {
+        Operator operator = new Operator(platform.program);
+        try (StandInCaller caller = platform.caller()) {
+            assertTrue(caller.simple("ping").good());
+            assertEquals(operator.post("/ops/drain/start", "").status(), 200);
+            long drains = System.nanoTime();
+            platform.program.signal("STOP");
+            caller.send(StandInCaller.fields(5000), "select 1");
+            Program.await("its close is due", () -> System.nanoTime() - drains
+                    > TimeUnit.MILLISECONDS.toNanos(1550));
+            platform.program.signal("CONT");
+            assertEquals(caller.read().field(), SERVED);
+        }
+    }
+
+    @Test
+    public void aRequestBehindTheShutdownIsNotSentOn() throws IOException {
+        Operator operator = new Operator(platform.program);
+        try (StandInCaller caller = platform.caller(); StandInCaller other = platform.caller()) {
+            assertTrue(caller.simple("ping").good());
+            assertEquals(operator.post("/ops/drain/start", "").status(), 200);
+            assertThrows(EOFException.class, caller::read);
+            caller.send(StandInCaller.fields(2000), "select 1");
+            assertEquals(operator.post("/ops/drain/stop", "").status(), 200);
+            assertEquals(other.isClosed(), true, "it rested too");
+            try (StandInCaller next = platform.caller()) {
+                assertEquals(next.call(StandInCaller.fields(2000), "select 2").field(), SERVED);
+            }
+            assertEquals(platform.wants(), 1);
+        }
+    }
+
+    /** The start is held where it reads its configuration. */
+    @Test
+    public void signalsAmidTheStartAreTakenAsLater() throws Exception {
+        Path folder = Files.createTempDirectory("start");
+        Path pipe = folder.resolve("config.json");
+        assertEquals(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor(), 0);
+        String config = Files.readString(platform.shared.resolve("config.json"));
+        try (Program program = new Program(Map.of("RELAY_CONFIG", pipe.toString()), "serve")) {
+            // Opening the pipe returns once the program has come to reading it.
+            try (OutputStream out = Files.newOutputStream(pipe)) {
+                program.hangUp();
+                out.write(config.getBytes());
+            }
+            // SIGHUP has it read anew: that is served as well.
+            Files.writeString(pipe, config);
+            try (StandInCaller caller = new StandInCaller(program.port())) {
+                assertEquals(caller.call(StandInCaller.fields(2000), "select 1").field(), SERVED);
+            }
+            program.terminate();
+            assertEquals(program.status(), 0);
+        }
+        try (Program program = new Program(Map.of("RELAY_CONFIG", pipe.toString()), "serve")) {
+            try (OutputStream out = Files.newOutputStream(pipe)) {
+                program.terminate();
+                assertTrue(program.status() != 2, "the configuration is not at fault");
+                assertFalse(program.log().contains("listening"), program.log());
+                assertTrue(out != null);
+            }
+        }
+        Files.delete(pipe);
+        Files.delete(folder);
+    }
+}
