Keep what another test's program exported out of the telemetry test

In one of two whole runs requestsAndAttemptsBecomeSpansAndMetrics found no request span for its attempt: both tests of the class share one list, and the one before leaves spans of a program whose queue of 8 drops some. The lists are cleared at the start; what is asked of them is the same.

--- a/src/test/java/lineward/telemetry/TelemetryTest.java
+++ b/src/test/java/lineward/telemetry/TelemetryTest.java
@@ -67,6 +67,9 @@
     @Test
     public void requestsAndAttemptsBecomeSpansAndMetrics() throws IOException {
         HttpServer collector = collector(new CountDownLatch(0));
+        // What another test's program exported, whose queue drops spans, is none of this one's.
+        spans.clear();
+        metrics.clear();
         try (Platform platform = new Platform(variables(collector))) {
             platform.exercise(1);
             Program.await("three spans", () -> spans.size() >= 3);
