Bound the ids that a connection to an engine keeps of ended attempts

Read again: since every SHED, LATE and FAULT keeps its id until the attempt's time is past, an engine that turns all away let them pile up without bound. With 1,024 kept a connection takes nothing new.

--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -56,6 +56,8 @@
     private static final long LIVELY = TimeUnit.SECONDS.toNanos(1);
     /** Beats by which it has to say so: an engine may stand still for half a second. */
     private static final int MOST_BEATS = 7;
+    /** Ids kept of what ended here; with more of them it takes nothing, until the oldest are past. */
+    static final int MOST_SPENT = 1024;
     /** A close reaches its engine within this. */
     static final int CLOSE_TAKES_MS = 6;
 
@@ -100,7 +102,7 @@
 
     boolean takes(String id, int most) {
         return !closed && !doubted && (up || !late) && !isAmidNothing() && runs.size() < most
-                && !runs.containsKey(id) && !spent.containsKey(id)
+                && !runs.containsKey(id) && spent.size() < MOST_SPENT && !spent.containsKey(id)
                 && (!up || channel.isOpen() && channel.isWritable());
     }
 
--- a/src/test/java/lineward/engine/LinkTest.java
+++ b/src/test/java/lineward/engine/LinkTest.java
@@ -74,6 +74,23 @@
         statement.release();
     }
 
+    /** An engine that turns all away must not have ids pile up here. */
+    @Test
+    public void whatIsKeptOfEndedRunsIsBounded() {
+        Link link = new Link(Rehearsal.NOBODY);
+        EmbeddedChannel channel = up(link);
+        channel.pipeline().addFirst(new ReplyDecoder());
+        ByteBuf statement = statement("select 1");
+        for (int i = 0; i < Link.MOST_SPENT; i++) {
+            String id = String.format("%016x", i);
+            assertEquals(link.takes(id, 10), true, "run " + i);
+            link.start(new Run(id, "look", statement, new Run.Times(60_000, 60_000), 0, 1, (o, r) -> { }));
+            channel.writeInbound(statement(id + " SHED - 0\r\n\r\n"));
+        }
+        assertEquals(link.takes("ffff", 10), false);
+        statement.release();
+    }
+
     private static Run run(ByteBuf statement, List<Front.Outcome> outcomes) {
         return run(statement, outcomes, 1000);
     }
