--- /dev/null
+++ b/src/test/java/peatwick/ActionDigest.java
@@ -0,0 +1,74 @@
+package peatwick;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * A digest over a sequence of values. It sees numbers and fixed tags only, never names of types, so that it
+ * outlives a renaming.
+ */
+public final class ActionDigest {
+    private final MessageDigest sha256;
+    private final ByteBuffer eightBytes = ByteBuffer.allocate(Long.BYTES);
+
+    /** An empty digest. */
+    public ActionDigest() {
+        try {
+            sha256 = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    /** Takes in the tag of a kind of message and its numbers. */
+    public ActionDigest add(char tag, double... values) {
+        sha256.update((byte) tag);
+        for (double value : values) {
+            eightBytes.clear();
+            eightBytes.putDouble(value);
+            sha256.update(eightBytes.array());
+        }
+        return this;
+    }
+
+    /** Takes in bytes, their number first. */
+    public ActionDigest add(char tag, byte[] bytes) {
+        add(tag, bytes.length);
+        sha256.update(bytes);
+        return this;
+    }
+
+    /** Takes in one action of the decision module. */
+    public void add(Front.Action action) {
+        if (action instanceof Front.Send a) {
+            add('S', a.request(), a.engine(), a.maxWait(), a.beginWithin());
+        } else if (action instanceof Front.Cancel a) {
+            add('C', a.request(), a.attempt());
+        } else if (action instanceof Front.Refuse a) {
+            add('R', a.request(), a.retryAfter());
+        } else if (action instanceof Front.Fail a) {
+            add('F', a.request());
+        } else if (action instanceof Front.SetLimits a) {
+            add('L', a.request(), a.grantMb(), a.priority());
+        } else if (action instanceof Front.Announce a) {
+            add('A', a.octets());
+        } else if (action instanceof Front.Probe a) {
+            add('P', a.engine());
+        } else if (action instanceof Front.After a) {
+            add('T', a.delay(), a.token());
+        } else if (action instanceof Front.Subscribe) {
+            add('W');
+        } else if (action instanceof Front.Log) {
+            add('O');
+        } else {
+            throw new IllegalArgumentException("no tag for " + action);
+        }
+    }
+
+    /** The first 16 hexadecimal digits of the digest; nothing can be added after it. */
+    public String toHex() {
+        return HexFormat.of().formatHex(sha256.digest()).substring(0, 16);
+    }
+}
--- /dev/null
+++ b/src/test/java/peatwick/SeededDay.java
@@ -0,0 +1,232 @@
+package peatwick;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * A day of random but legal events for one decision module. Engines serve, straggle, fail, fall silent,
+ * drain and
+ * come back cold; clients leave; peers send gossip. The same seed and settings give the same events as
+ * long as the
+ * module gives the same actions.
+ */
+final class SeededDay {
+    private static final double START = 1_000;
+    private static final double ARRIVALS_UNTIL = 20_000;
+    private static final double DAY_ENDS = 40_000;
+    private static final double MEAN_SERVICE = 180;
+    private static final int REPORT_FIELDS = 3;
+
+    private record Due(double at, long order, Front.Event event) { }
+
+    private static final class Open {
+        final double deadline;
+        int attempts;
+
+        Open(double deadline) {
+            this.deadline = deadline;
+        }
+    }
+
+    private final Random random;
+    private final Front.Settings settings;
+    private final Front module;
+    private final int engineCount;
+    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final Map<Long, Open> requests = new HashMap<>();
+    private final Map<Long, Double> silentUntil = new HashMap<>();
+    private final ActionDigest digest = new ActionDigest();
+    private long order;
+    private int actions;
+
+    SeededDay(Front.Settings settings, int engineCount, long seed) {
+        this.settings = settings;
+        this.engineCount = engineCount;
+        this.random = new Random(seed);
+        this.module = new Control(settings, seed);
+    }
+
+    /** Plays the day to its end. */
+    SeededDay play() {
+        scheduleEndpoints();
+        scheduleArrivals();
+        schedulePeers();
+        while (!queue.isEmpty() && queue.peek().at() < DAY_ENDS) {
+            double now = queue.peek().at();
+            List<Front.Event> batch = new ArrayList<>();
+            while (!queue.isEmpty() && queue.peek().at() == now) {
+                takeIn(queue.poll().event(), now, batch);
+            }
+            for (Front.Action action : module.decide(now, batch)) {
+                actions++;
+                digest.add(action);
+                perform(action, now);
+            }
+            digest.add('N', now, module.avoided());
+        }
+        return this;
+    }
+
+    int actions() {
+        return actions;
+    }
+
+    String digest() {
+        return digest.toHex();
+    }
+
+    private void schedule(double at, Front.Event event) {
+        queue.add(new Due(at, order++, event));
+    }
+
+    private Front.Listed listed(long engine, Front.Condition condition, double upSince) {
+        int kind = (int) (engine % settings.kinds().size());
+        int zone = (int) (engine % Math.max(1, settings.zones()));
+        return new Front.Listed(engine, kind, 1, upSince, condition, zone, (int) (engine / 2 % 3));
+    }
+
+    private void scheduleEndpoints() {
+        List<Front.Listed> list = new ArrayList<>();
+        for (long engine = 1; engine <= engineCount; engine++) {
+            list.add(listed(engine, Front.Condition.READY, engine % 5 == 0 ? START - 500 : 0));
+        }
+        schedule(START, new Front.ListChange(true, list));
+        for (int i = 0; i < 24; i++) {
+            double at = START + random.nextDouble() * ARRIVALS_UNTIL;
+            long engine = 1 + random.nextInt(engineCount);
+            Front.Condition condition = Front.Condition.values()[random.nextInt(3)];
+            schedule(at, new Front.ListChange(false, List.of(listed(engine, condition, 0))));
+            schedule(at + 700, new Front.ListChange(false,
+                    List.of(listed(engine, Front.Condition.READY, at + 600))));
+        }
+        schedule(START + 9_000, new Front.ListChange(true, list));
+        schedule(START + 5_000, new Front.ListFailed());
+        schedule(START + 6_000, new Front.HeldOut(2, true, START + 6_000));
+        schedule(START + 9_500, new Front.HeldOut(2, false, START + 9_500));
+        schedule(START + 7_000, new Front.HeldOut(engineCount + 9, true, START + 7_000));
+        schedule(START + 11_000, new Front.Part(0.5));
+        schedule(START + 14_000, new Front.Part(1));
+        silentUntil.put(3L, START + 8_000);
+    }
+
+    private void scheduleArrivals() {
+        int count = 700;
+        for (int request = 1; request <= count; request++) {
+            double at = START + random.nextDouble() * ARRIVALS_UNTIL;
+            int type = random.nextInt(settings.classes().size());
+            long key = random.nextInt(3) == 0 ? 1 + random.nextInt(6) : 0;
+            double timeLeft = random.nextInt(25) == 0 ? 0 : 800 + random.nextInt(5_000);
+            double cost = random.nextInt(4) == 0 ? 0 : 50 + random.nextInt(700);
+            schedule(at, new Front.Arrival(request, type, key, timeLeft, cost, random.nextInt(1_500),
+                    random.nextInt(6), random.nextInt(9) == 0, random.nextInt(2)));
+            if (random.nextInt(20) == 0) {
+                schedule(at + random.nextInt(900), new Front.Aborted(request));
+            }
+        }
+    }
+
+    private void schedulePeers() {
+        for (int i = 0; i < 60 && settings.limits().peers(); i++) {
+            byte[] octets = new byte[random.nextInt(60)];
+            random.nextBytes(octets);
+            schedule(START + random.nextDouble() * ARRIVALS_UNTIL, new Front.PeerSays(i % 3, octets));
+        }
+    }
+
+    private void takeIn(Front.Event event, double now, List<Front.Event> batch) {
+        if (event instanceof Front.Arrival arrival) {
+            requests.put(arrival.request(), new Open(now + arrival.timeLeft()));
+        }
+        batch.add(event);
+    }
+
+    private void perform(Front.Action action, double now) {
+        if (action instanceof Front.Send send) {
+            start(send, now);
+        } else if (action instanceof Front.Cancel cancel) {
+            cancel(cancel, now);
+        } else if (action instanceof Front.Probe probe) {
+            answerProbe(probe, now);
+        } else if (action instanceof Front.After after) {
+            schedule(now + after.delay(), new Front.Wake(after.token()));
+        }
+    }
+
+    private void start(Front.Send send, double now) {
+        Open open = requests.get(send.request());
+        int attempt = open.attempts++;
+        double service = MEAN_SERVICE * -Math.log(1 - random.nextDouble());
+        service *= random.nextInt(12) == 0 ? 12 : 1;
+        double silence = silentUntil.getOrDefault(send.engine(), 0.0);
+        double end = Math.max(now + 5 + service, silence > now ? silence + service : 0);
+        scheduleNotes(send.request(), attempt, now, Math.min(end, open.deadline), silence > now);
+        Front.Outcome outcome = drawOutcome();
+        if (end >= open.deadline) {
+            end = Math.max(now, open.deadline);
+            outcome = Front.Outcome.TIMEOUT;
+        }
+        schedule(end, verdict(send.request(), attempt, outcome));
+    }
+
+    private void scheduleNotes(long request, int attempt, double from, double until, boolean silent) {
+        if (silent) {
+            return;
+        }
+        if (random.nextInt(6) == 0) {
+            Front.NoteKind kind = Front.NoteKind.values()[1 + random.nextInt(3)];
+            schedule(from + 3, new Front.Note(request, attempt, kind, random.nextInt(300)));
+        }
+        double every = settings.limits().notesEvery();
+        for (double at = from + every; every > 0 && at < until; at += every) {
+            double done = (at - from) / (until - from) * (0.6 + 0.4 * random.nextDouble());
+            schedule(at, new Front.Note(request, attempt, Front.NoteKind.PROGRESS, done));
+        }
+        if (random.nextInt(15) == 0) {
+            schedule(until - 1, new Front.Opened(request, attempt));
+        }
+    }
+
+    private Front.Outcome drawOutcome() {
+        return switch (random.nextInt(40)) {
+            case 0, 1 -> Front.Outcome.ERROR;
+            case 2, 3 -> Front.Outcome.FULL;
+            case 4 -> Front.Outcome.CONNECT_FAILED;
+            case 5, 6 -> Front.Outcome.RESET;
+            case 7 -> Front.Outcome.MOOT;
+            default -> Front.Outcome.OK;
+        };
+    }
+
+    private Front.Verdict verdict(long request, int attempt, Front.Outcome outcome) {
+        boolean tells = outcome == Front.Outcome.OK && random.nextBoolean();
+        double work = tells ? 40 + random.nextInt(900) : 0;
+        double memory = tells ? 20 + random.nextInt(1_800) : 0;
+        return new Front.Verdict(request, attempt, outcome, outcome == Front.Outcome.OK, work, memory,
+                new double[0]);
+    }
+
+    /** The word of a cancelled attempt's end may cross its own end; the module passes the second one over. */
+    private void cancel(Front.Cancel cancel, double now) {
+        Front.Outcome outcome = random.nextInt(10) == 0 ? Front.Outcome.OK : Front.Outcome.CANCELLED;
+        schedule(now + 1 + random.nextInt(40), verdict(cancel.request(), cancel.attempt(), outcome));
+    }
+
+    private void answerProbe(Front.Probe probe, double now) {
+        double[] report = new double[REPORT_FIELDS];
+        for (int i = 0; i < report.length; i++) {
+            report[i] = random.nextDouble() * (i == 0 ? 12 : 1);
+        }
+        Front.Outcome outcome = switch (random.nextInt(20)) {
+            case 0 -> Front.Outcome.TIMEOUT;
+            case 1 -> Front.Outcome.FULL;
+            default -> Front.Outcome.OK;
+        };
+        double takes = outcome == Front.Outcome.TIMEOUT ? 250 : 2 + random.nextInt(20);
+        schedule(now + takes, new Front.Probed(probe.engine(), outcome, takes, report));
+    }
+}
