--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -18,7 +18,7 @@
  * repeats it.
  */
 public final class ToyServer {
-    private ToyServer() { }
+    private ToyServer() {}
 
     /** @param args the port */
     public static void main(String[] args) throws IOException {
@@ -41,8 +41,31 @@
             // before.
             socket.setTcpNoDelay(true);
             OutputStream out = new BufferedOutputStream(socket.getOutputStream());
-            send(out, 0, 10, "toy", 0, 1, 0, 0, 0, "abcdefgh", 0, 0, 0xa2, 45, 2, 0, 8, 0, 21,
-                    new byte[10], "ijklmnopqrst", 0, "mysql_native_password", 0);
+            send(
+                    out,
+                    0,
+                    10,
+                    "toy",
+                    0,
+                    1,
+                    0,
+                    0,
+                    0,
+                    "abcdefgh",
+                    0,
+                    0,
+                    0xa2,
+                    45,
+                    2,
+                    0,
+                    8,
+                    0,
+                    21,
+                    new byte[10],
+                    "ijklmnopqrst",
+                    0,
+                    "mysql_native_password",
+                    0);
             out.flush();
             receive(in);
             send(out, 2, 0, 0, 0, 2, 0, 0, 0);
@@ -55,12 +78,11 @@
                     case 0x03 -> answer(out, text, false);
                     case 0x16 -> {
                         prepared.add(text);
-                        prepare(out, prepared.size(), (int) text.chars().filter(c -> c == '?').count());
+                        prepare(out, prepared.size(), (int)
+                                text.chars().filter(c -> c == '?').count());
                     }
-                    case 0x17 -> answer(out, prepared.get((command[1] & 0xff)
-                            + ((command[2] & 0xff) << 8) - 1),
-                            true);
-                    case 0x18, 0x19 -> { }
+                    case 0x17 -> answer(out, prepared.get((command[1] & 0xff) + ((command[2] & 0xff) << 8) - 1), true);
+                    case 0x18, 0x19 -> {}
                     default -> send(out, 1, 0, 0, 0, 2, 0, 0, 0);
                 }
             }
@@ -93,8 +115,7 @@
     }
 
     private static void column(OutputStream out, int sequence, String name) throws IOException {
-        send(out, sequence, 3, "def", 0, 0, 0, name.length(), name, 0, 12, 45, 0, 0, 4, 0, 0, 253, 0, 0, 0,
-                0, 0);
+        send(out, sequence, 3, "def", 0, 0, 0, name.length(), name, 0, 12, 45, 0, 0, 4, 0, 0, 253, 0, 0, 0, 0, 0);
     }
 
     private static byte[] receive(DataInputStream in) throws IOException {
@@ -113,8 +134,8 @@
             if (part instanceof Integer number) {
                 payload.write(number);
             } else {
-                payload.writeBytes(part instanceof byte[] bytes ? bytes
-                        : part.toString().getBytes(StandardCharsets.UTF_8));
+                payload.writeBytes(
+                        part instanceof byte[] bytes ? bytes : part.toString().getBytes(StandardCharsets.UTF_8));
             }
         }
         ByteArrayOutputStream frame = new ByteArrayOutputStream();
--- a/src/main/java/lineward/app/Config.java
+++ b/src/main/java/lineward/app/Config.java
@@ -27,8 +27,18 @@
  * @param peers where front ends talk; null: nowhere
  * @param raw the settings as they came, for what the module does not need
  */
-record Config(String name, InetSocketAddress listen, long seed, int memoryMb, int sockets, String journal,
-        InetSocketAddress management, Peers peers, JsonNode known, Front.Settings settings, JsonNode raw) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        long seed,
+        int memoryMb,
+        int sockets,
+        String journal,
+        InetSocketAddress management,
+        Peers peers,
+        JsonNode known,
+        Front.Settings settings,
+        JsonNode raw) {
     private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
     private static final int HIGHEST_PORT = 65535;
     private static final int HEX = 16;
@@ -50,12 +60,19 @@
             throw new ConfigException(path + " holds no settings");
         }
         try {
-            return new Config(root.path("name").asText("lineward"),
-                    address("listen", root.path("listen").asText("")), seed(root.path("seed").asText("0")),
-                    limit(root, "memory_mb", 192), limit(root, "sockets", 1024), journal(root),
+            return new Config(
+                    root.path("name").asText("lineward"),
+                    address("listen", root.path("listen").asText("")),
+                    seed(root.path("seed").asText("0")),
+                    limit(root, "memory_mb", 192),
+                    limit(root, "sockets", 1024),
+                    journal(root),
                     root.hasNonNull("management")
-                            ? address("management", root.get("management").asText()) : null, peers(root),
-                    root.path("known"), SettingsReader.read(root.path("settings").toString()),
+                            ? address("management", root.get("management").asText())
+                            : null,
+                    peers(root),
+                    root.path("known"),
+                    SettingsReader.read(root.path("settings").toString()),
                     root.path("settings"));
         } catch (WireException e) {
             throw new ConfigException("settings: " + e.getMessage());
@@ -67,7 +84,7 @@
      * @param numbers of the front ends of the tier, by the address from which each sends
      * @param all where a word to all others goes
      */
-    record Peers(InetSocketAddress listen, Map<InetSocketAddress, Integer> numbers, InetSocketAddress all) { }
+    record Peers(InetSocketAddress listen, Map<InetSocketAddress, Integer> numbers, InetSocketAddress all) {}
 
     private static Peers peers(JsonNode root) {
         if (!root.path("settings").path("limits").path("peer-messages").asBoolean(false)
@@ -78,7 +95,9 @@
         for (JsonNode peer : root.path("peers")) {
             numbers.put(address("peers", peer.asText()), numbers.size());
         }
-        return new Peers(address("peer_listen", root.get("peer_listen").asText()), numbers,
+        return new Peers(
+                address("peer_listen", root.get("peer_listen").asText()),
+                numbers,
                 address("peers_all", root.path("peers_all").asText("")));
     }
 
@@ -115,7 +134,9 @@
     /** @return the names in a list of the settings, whose members are texts or objects with a name */
     List<String> names(String list) {
         List<String> names = new ArrayList<>();
-        raw.path(list).forEach(n -> names.add(n.isTextual() ? n.asText() : n.path("name").asText()));
+        raw.path(list)
+                .forEach(n ->
+                        names.add(n.isTextual() ? n.asText() : n.path("name").asText()));
         return names;
     }
 
--- a/src/main/java/lineward/app/FileSchema.java
+++ b/src/main/java/lineward/app/FileSchema.java
@@ -12,7 +12,7 @@
 
 /** Checks a configuration file against its schema; the library is loaded only where a file says something. */
 final class FileSchema {
-    private FileSchema() { }
+    private FileSchema() {}
 
     /** @throws IllegalArgumentException with one plain line that names the first key at fault */
     static void check(String schema, JsonNode root) {
@@ -20,8 +20,10 @@
             return;
         }
         try (InputStream in = FileSchema.class.getResourceAsStream(schema)) {
-            JsonSchema rules = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
-            rules.validate(root).stream().min(Comparator.comparing(ValidationMessage::getMessage))
+            JsonSchema rules = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                    .getSchema(in);
+            rules.validate(root).stream()
+                    .min(Comparator.comparing(ValidationMessage::getMessage))
                     .ifPresent(message -> {
                         throw new IllegalArgumentException(message.getMessage());
                     });
--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -48,9 +48,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(FrontEnd.class);
     /** A word to give up crosses the floors well within this. */
     private static final double STOP_TAKES_MS = 6;
+
     private static final int MOST_REQUESTS = 8192;
     /** Open requests for each megabyte of the memory, and the parts of it for what is held of them. */
     private static final int REQUESTS_PER_MB = 64;
+
     private static final int STATEMENT_PART = 16;
     private static final int ANSWER_PART = 12;
     /** Clients may take a third of the descriptors; the rest is for those that stay and for bad ones. */
@@ -62,6 +64,7 @@
      * upgrade: who waits must have heard by then.
      */
     private static final int LONGEST_RESTART_MS = 3000;
+
     private static final int LONGEST_UPGRADE_MS = 5000;
     private static final int LAST_WORD_BEHIND_MS = 300;
     private static final String INHERITED = "RELAY_ACCEPT_FD";
@@ -72,8 +75,8 @@
     /** How often the MySQL file is looked at: a drain must be known well within a second. */
     private static final int FILE_SWEEP_MS = 200;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
-            NioIoHandler.newFactory());
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Ticker ticker = new Ticker(loop);
     private final FrontClock clock = new FrontClock();
@@ -93,8 +96,9 @@
     FrontEnd() {
         Map<String, String> environment = System.getenv();
         try {
-            telemetry = Telemetry.isOn(environment) ? Telemetry.start(environment,
-                    environment.getOrDefault("RELAY_NAME", "lineward")) : null;
+            telemetry = Telemetry.isOn(environment)
+                    ? Telemetry.start(environment, environment.getOrDefault("RELAY_NAME", "lineward"))
+                    : null;
         } catch (IllegalArgumentException e) {
             throw new ConfigException(e.getMessage());
         }
@@ -108,27 +112,47 @@
     /** Adds the platform's front; the configuration came from that path and is read there again. */
     void addPlatform(Config config, String path) {
         int mostRequests = Math.min(MOST_REQUESTS, config.memoryMb() * REQUESTS_PER_MB);
-        Planner<Call> planner = new Planner<>(new Control(config.settings(), config.seed()), mostRequests,
-                STOP_TAKES_MS, tracer(Call::op));
-        EngineFleet fleet = new EngineFleet(group, new EngineFleet.Limits(
-                config.limit("connect-timeout").asInt(250), config.limit("conn-idle").asDouble(30_000),
-                config.limit("streams-per-conn").asInt(100),
-                (int) (config.sockets() * LINK_PART), !config.settings().report().isEmpty()),
+        Planner<Call> planner = new Planner<>(
+                new Control(config.settings(), config.seed()), mostRequests, STOP_TAKES_MS, tracer(Call::op));
+        EngineFleet fleet = new EngineFleet(
+                group,
+                new EngineFleet.Limits(
+                        config.limit("connect-timeout").asInt(250),
+                        config.limit("conn-idle").asDouble(30_000),
+                        config.limit("streams-per-conn").asInt(100),
+                        (int) (config.sockets() * LINK_PART),
+                        !config.settings().report().isEmpty()),
                 figures::relayed);
         figures.announce(config.names("classes"));
         News news = new News();
-        ThriftFront.Names names = new ThriftFront.Names(config.names("classes"), config.names("tenants"),
-                config.settings().classes().stream().map(Front.RequestClass::deadline).toList());
+        ThriftFront.Names names = new ThriftFront.Names(
+                config.names("classes"),
+                config.names("tenants"),
+                config.settings().classes().stream()
+                        .map(Front.RequestClass::deadline)
+                        .toList());
         long memory = (long) config.memoryMb() << 20;
-        ThriftFront.Bounds bounds = new ThriftFront.Bounds((int) (config.sockets() * CLIENT_PART),
-                memory / STATEMENT_PART, memory / ANSWER_PART);
+        ThriftFront.Bounds bounds = new ThriftFront.Bounds(
+                (int) (config.sockets() * CLIENT_PART), memory / STATEMENT_PART, memory / ANSWER_PART);
         onLoop(() -> {
             lineward.engine.Rehearsal.play();
-            Rehearsal.play(names, bounds, new Planner<>(new Control(config.settings(), 0), mostRequests,
-                    STOP_TAKES_MS, new LogTracer<>()), fleet, clock);
+            Rehearsal.play(
+                    names,
+                    bounds,
+                    new Planner<>(new Control(config.settings(), 0), mostRequests, STOP_TAKES_MS, new LogTracer<>()),
+                    fleet,
+                    clock);
         });
-        ThriftFront front = new ThriftFront(names, bounds, doorway(config), planner, fleet, clock, news,
-                figures, peers(config.peers(), planner, news));
+        ThriftFront front = new ThriftFront(
+                names,
+                bounds,
+                doorway(config),
+                planner,
+                fleet,
+                clock,
+                news,
+                figures,
+                peers(config.peers(), planner, news));
         news.door = front;
         EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
             fleet.list(whole, entries);
@@ -144,7 +168,8 @@
         });
         doors.add(front);
         onLoop(() -> {
-            journal = new JournalPoll(loop, config.journal(), list, () -> Config.read(path).journal(), clock);
+            journal = new JournalPoll(
+                    loop, config.journal(), list, () -> Config.read(path).journal(), clock);
             if (hungUp) {
                 journal.hangUp();
             }
@@ -163,7 +188,7 @@
     /** @return where words for the other front ends go; nowhere, with no socket, where the settings bar it */
     private Consumer<byte[]> peers(Config.Peers peers, Planner<Call> planner, News news) {
         if (peers == null) {
-            return octets -> { };
+            return octets -> {};
         }
         PeerSocket socket = new PeerSocket(peers.numbers(), peers.all(), (from, octets) -> {
             planner.heard(from, octets);
@@ -172,7 +197,9 @@
         starts.add(() -> {
             ChannelFuture opening = socket.open(group, peers.listen()).awaitUninterruptibly();
             if (!opening.isSuccess()) {
-                LOG.warn("serving without words of the other front ends: {}", opening.cause().toString());
+                LOG.warn(
+                        "serving without words of the other front ends: {}",
+                        opening.cause().toString());
             }
         });
         return socket::announce;
@@ -197,15 +224,18 @@
         if (config.listen() == null) {
             return;
         }
-        Planner<Query> planner = new Planner<>(new Control(MysqlSettings.of(config), System.nanoTime()),
-                MOST_REQUESTS, MysqlFront.STOP_TAKES_MS,
+        Planner<Query> planner = new Planner<>(
+                new Control(MysqlSettings.of(config), System.nanoTime()),
+                MOST_REQUESTS,
+                MysqlFront.STOP_TAKES_MS,
                 tracer(query -> config.classes().get(query.place()).name()));
         News news = new News();
         Spool spool = Spools.open(config.spool(), loop, clock);
         closings.add(spool);
         figures.spool(spool::figures);
         MysqlFront front = new MysqlFront(group, config, planner, clock, news, figures, spool);
-        figures.announce(config.classes().stream().map(MysqlConfig.QueryClass::name).toList());
+        figures.announce(
+                config.classes().stream().map(MysqlConfig.QueryClass::name).toList());
         news.door = front;
         onLoop(() -> front.engines(config.engines()));
         doors.add(front);
@@ -271,8 +301,8 @@
 
     private Lifecycle lifecycle() {
         String shared = System.getenv().getOrDefault("TMPDIR", "");
-        HandOver handOver = new HandOver(shared.isBlank() ? null : Path.of(shared), name, clock,
-                new HandOver.Listener() {
+        HandOver handOver =
+                new HandOver(shared.isBlank() ? null : Path.of(shared), name, clock, new HandOver.Listener() {
                     @Override
                     public void heldOut(String engine, boolean out, double since) {
                         doors.forEach(d -> d.holdOut(engine, out, since));
@@ -283,9 +313,16 @@
                         doors.forEach(d -> d.planner().part(part));
                     }
                 });
-        return new Lifecycle(loop, ticker, doors, figures, handOver, new Lifecycle.Ending(inherited,
-                (int) Math.min(longestMs, inherited ? LONGEST_UPGRADE_MS : LONGEST_RESTART_MS)
-                        + LAST_WORD_BEHIND_MS));
+        return new Lifecycle(
+                loop,
+                ticker,
+                doors,
+                figures,
+                handOver,
+                new Lifecycle.Ending(
+                        inherited,
+                        (int) Math.min(longestMs, inherited ? LONGEST_UPGRADE_MS : LONGEST_RESTART_MS)
+                                + LAST_WORD_BEHIND_MS));
     }
 
     private static SocketAddress bound(ChannelFuture listening) {
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -11,9 +11,12 @@
 import picocli.CommandLine.Spec;
 
 /** The command line; {@code --help} tells its commands. Bad use ends with status 2. */
-@Command(name = "lineward", mixinStandardHelpOptions = true, version = "lineward 0.1.0",
-        description = "A front end for query engines.", subcommands = {Main.Serve.class, Main.Mysql.class,
-            Main.Adapter.class, Main.Rehearse.class, SpoolCommand.class})
+@Command(
+        name = "lineward",
+        mixinStandardHelpOptions = true,
+        version = "lineward 0.1.0",
+        description = "A front end for query engines.",
+        subcommands = {Main.Serve.class, Main.Mysql.class, Main.Adapter.class, Main.Rehearse.class, SpoolCommand.class})
 public final class Main implements Runnable {
     private static final Path MYSQL_FILE = Path.of("deploy", "mysql.toml");
     private static final int BAD_USE = 2;
@@ -21,7 +24,7 @@
     @Spec
     private CommandSpec spec;
 
-    private Main() { }
+    private Main() {}
 
     /** @param args a command and its arguments */
     public static void main(String[] args) {
@@ -49,10 +52,11 @@
     }
 
     private static CommandLine commandLine() {
-        return new CommandLine(new Main()).setExecutionExceptionHandler((e, line, parsed) -> failed(e))
+        return new CommandLine(new Main())
+                .setExecutionExceptionHandler((e, line, parsed) -> failed(e))
                 .setParameterExceptionHandler((e, words) -> {
-                    System.err.println("lineward: " + e.getMessage().lines().findFirst().orElse("bad use")
-                            + "; --help tells the usage");
+                    System.err.println("lineward: "
+                            + e.getMessage().lines().findFirst().orElse("bad use") + "; --help tells the usage");
                     return BAD_USE;
                 });
     }
@@ -75,8 +79,10 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    @Command(name = "serve", description = "Runs a front end for the platform; RELAY_CONFIG names its"
-            + " configuration. The MySQL front runs with it where its file says so.")
+    @Command(
+            name = "serve",
+            description = "Runs a front end for the platform; RELAY_CONFIG names its"
+                    + " configuration. The MySQL front runs with it where its file says so.")
     static final class Serve implements Callable<Integer> {
         @Parameters(index = "0", arity = "0..1", paramLabel = "MYSQL-FILE")
         private Path mysql;
@@ -109,9 +115,10 @@
         }
     }
 
-    @Command(name = "rehearse",
+    @Command(
+            name = "rehearse",
             description = "Starts as a front end with that configuration and ends at once,"
-            + " so that the build can keep the classes of a start in an archive.")
+                    + " so that the build can keep the classes of a start in an archive.")
     static final class Rehearse implements Callable<Integer> {
         @Parameters(index = "0", paramLabel = "CONFIG")
         private String config;
--- a/src/main/java/lineward/app/MysqlFile.java
+++ b/src/main/java/lineward/app/MysqlFile.java
@@ -50,8 +50,8 @@
             FileSchema.check("mysql.schema.json", root);
             return translate(root);
         } catch (JsonProcessingException e) {
-            throw new ConfigException(path + " is not TOML: line " + (e.getLocation() == null ? "?"
-                    : e.getLocation().getLineNr()));
+            throw new ConfigException(path + " is not TOML: line "
+                    + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()));
         } catch (IOException e) {
             throw new ConfigException(path + " can't be read");
         } catch (IllegalArgumentException e) {
@@ -61,26 +61,36 @@
 
     private static MysqlConfig translate(JsonNode root) {
         InetSocketAddress listen = root.hasNonNull("listen")
-                ? Config.address("listen", root.get("listen").asText()) : null;
+                ? Config.address("listen", root.get("listen").asText())
+                : null;
         JsonNode limits = root.path("limits");
-        MysqlConfig.Bounds bounds = new MysqlConfig.Bounds(positive(limits, "clients", 200),
-                positive(limits, "packet", 1 << 20), positive(limits, "statements", 256),
+        MysqlConfig.Bounds bounds = new MysqlConfig.Bounds(
+                positive(limits, "clients", 200),
+                positive(limits, "packet", 1 << 20),
+                positive(limits, "statements", 256),
                 positive(limits, "connections-per-engine", 16),
-                positive(limits, "connect-timeout-ms", 1000), positive(limits, "idle-ms", 60_000),
+                positive(limits, "connect-timeout-ms", 1000),
+                positive(limits, "idle-ms", 60_000),
                 positive(limits, "attempts", 3));
         Map<String, String> users = new HashMap<>();
-        root.path("user").forEach(u -> users.put(text(u, "name"), u.path("password").asText("")));
+        root.path("user")
+                .forEach(u -> users.put(text(u, "name"), u.path("password").asText("")));
         List<MysqlConfig.Engine> engines = new ArrayList<>();
         for (JsonNode e : root.path("engine")) {
             String name = text(e, "name");
             require(engines.stream().noneMatch(other -> other.name().equals(name)), "two engines " + name);
-            engines.add(new MysqlConfig.Engine(name, Config.address("engine " + name, text(e, "address")),
-                    text(e, "user"), e.path("password").asText(""), positive(e, "cores", 8),
+            engines.add(new MysqlConfig.Engine(
+                    name,
+                    Config.address("engine " + name, text(e, "address")),
+                    text(e, "user"),
+                    e.path("password").asText(""),
+                    positive(e, "cores", 8),
                     condition(e.path("state").asText("ready"))));
         }
         List<MysqlConfig.QueryClass> classes = new ArrayList<>();
         root.path("class").forEach(c -> classes.add(queryClass(c)));
-        require(listen == null || !users.isEmpty() && !engines.isEmpty() && !classes.isEmpty(),
+        require(
+                listen == null || !users.isEmpty() && !engines.isEmpty() && !classes.isEmpty(),
                 "a front that listens needs a user, an engine and a class");
         return new MysqlConfig(listen, bounds, users, engines, classes, spooling(root.path("spool")));
     }
@@ -92,20 +102,30 @@
         long file = folder.isEmpty() ? 0 : MB * positive(spool, "file-mb", 1024);
         long all = memory + file;
         require(memory < MB * heapMb, "memory-mb of the spool is more than the heap");
-        return new MysqlConfig.Spooling(new SpoolLimits(memory, file,
-                folder.isEmpty() ? 0 : positive(spool, "files", 1000), positive(spool, "results", 10_000),
-                MB * positive(spool, "user-mb", (int) Math.max(1, all / MB / 2)),
-                MB * positive(spool, "result-mb", (int) Math.max(1, all / MB / 2)),
-                MB * positive(spool, "hold-mb", (int) Math.max(1, memory / MB / 4)), HOLD_PART,
-                1000.0 * positive(spool, "lease-s", 60), 1000.0 * positive(spool, "key-lease-s", 300)),
+        return new MysqlConfig.Spooling(
+                new SpoolLimits(
+                        memory,
+                        file,
+                        folder.isEmpty() ? 0 : positive(spool, "files", 1000),
+                        positive(spool, "results", 10_000),
+                        MB * positive(spool, "user-mb", (int) Math.max(1, all / MB / 2)),
+                        MB * positive(spool, "result-mb", (int) Math.max(1, all / MB / 2)),
+                        MB * positive(spool, "hold-mb", (int) Math.max(1, memory / MB / 4)),
+                        HOLD_PART,
+                        1000.0 * positive(spool, "lease-s", 60),
+                        1000.0 * positive(spool, "key-lease-s", 300)),
                 folder.isEmpty() ? null : Path.of(folder));
     }
 
     private static MysqlConfig.QueryClass queryClass(JsonNode c) {
         try {
-            return new MysqlConfig.QueryClass(text(c, "name"), Pattern.compile(c.path("match").asText(""),
-                    Pattern.CASE_INSENSITIVE | Pattern.DOTALL), positive(c, "aim-ms", 500),
-                    positive(c, "deadline-ms", 2500), positive(c, "worth", 1), positive(c, "threads", 1));
+            return new MysqlConfig.QueryClass(
+                    text(c, "name"),
+                    Pattern.compile(c.path("match").asText(""), Pattern.CASE_INSENSITIVE | Pattern.DOTALL),
+                    positive(c, "aim-ms", 500),
+                    positive(c, "deadline-ms", 2500),
+                    positive(c, "worth", 1),
+                    positive(c, "threads", 1));
         } catch (PatternSyntaxException e) {
             throw new IllegalArgumentException("match of a class is no regular expression");
         }
--- a/src/main/java/lineward/app/SpoolCommand.java
+++ b/src/main/java/lineward/app/SpoolCommand.java
@@ -17,16 +17,14 @@
 import picocli.CommandLine.Spec;
 
 /** Looks into a spool folder, while a process uses it or not, and drops results from one that none uses. */
-@Command(name = "spool", description = "Works on a folder of spooled results.",
-        mixinStandardHelpOptions = true)
+@Command(name = "spool", description = "Works on a folder of spooled results.", mixinStandardHelpOptions = true)
 final class SpoolCommand implements Runnable {
     @Spec
     private CommandSpec spec;
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(),
-                "a command is missing: ls, verify or drop");
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: ls, verify or drop");
     }
 
     private PrintWriter out() {
@@ -46,9 +44,16 @@
         SpoolFolder.Recovered seen = look(folder);
         for (Segment.Found f : seen.whole()) {
             Manifest m = f.manifest();
-            out().printf("%s user=%s key=%s rows=%d bytes=%d stored=%d blocks=%d created=%s%n",
-                    f.segment().path().getFileName(), m.user(), m.key(), m.rows(), m.rawBytes(), f.bytes(),
-                    f.blocks().size(), Instant.ofEpochMilli(m.createdMs()));
+            out().printf(
+                            "%s user=%s key=%s rows=%d bytes=%d stored=%d blocks=%d created=%s%n",
+                            f.segment().path().getFileName(),
+                            m.user(),
+                            m.key(),
+                            m.rows(),
+                            m.rawBytes(),
+                            f.bytes(),
+                            f.blocks().size(),
+                            Instant.ofEpochMilli(m.createdMs()));
         }
         seen.dropped().forEach(d -> out().printf("%s unusable: %s%n", d.path().getFileName(), d.why()));
         return 0;
@@ -62,8 +67,7 @@
         for (Segment.Found f : seen.whole()) {
             String fault = fault(f);
             spoilt += fault == null ? 0 : 1;
-            out().printf("%s %s%n", f.segment().path().getFileName(), fault == null ? "good" : "spoilt: "
-                    + fault);
+            out().printf("%s %s%n", f.segment().path().getFileName(), fault == null ? "good" : "spoilt: " + fault);
         }
         out().printf("%d good, %d not%n", seen.whole().size() + seen.dropped().size() - spoilt, spoilt);
         return spoilt == 0 ? 0 : 1;
@@ -81,7 +85,8 @@
     }
 
     @Command(name = "drop", description = "Deletes results from a folder that no process holds.")
-    int drop(@Parameters(paramLabel = "FOLDER") Path folder,
+    int drop(
+            @Parameters(paramLabel = "FOLDER") Path folder,
             @Option(names = "--user", description = "only this user's") String user,
             @Option(names = "--key", description = "only under this key") String key) {
         if (!Files.isDirectory(folder)) {
@@ -90,7 +95,8 @@
         try (SpoolFolder held = SpoolFolder.take(folder)) {
             List<Segment.Found> some = SpoolFolder.look(folder).whole().stream()
                     .filter(f -> user == null || f.manifest().user().equals(user))
-                    .filter(f -> key == null || f.manifest().key().equals(key)).toList();
+                    .filter(f -> key == null || f.manifest().key().equals(key))
+                    .toList();
             for (Segment.Found f : some) {
                 Files.deleteIfExists(f.segment().path());
             }
--- a/src/main/java/lineward/app/Spools.java
+++ b/src/main/java/lineward/app/Spools.java
@@ -14,7 +14,7 @@
 final class Spools {
     private static final Logger LOG = LoggerFactory.getLogger(Spools.class);
 
-    private Spools() { }
+    private Spools() {}
 
     /**
      * Opens a spool. A folder that can't be used costs the files, not the front: results then stay in memory.
--- a/src/main/java/lineward/core/Deadlines.java
+++ b/src/main/java/lineward/core/Deadlines.java
@@ -19,8 +19,8 @@
         }
     }
 
-    private final TreeSet<Entry> entries = new TreeSet<>(
-            Comparator.<Entry>comparingDouble(e -> e.at).thenComparingLong(e -> e.turn));
+    private final TreeSet<Entry> entries =
+            new TreeSet<>(Comparator.<Entry>comparingDouble(e -> e.at).thenComparingLong(e -> e.turn));
     private long turns;
 
     /** @return the handle by which {@link #cancel} finds it */
--- a/src/main/java/lineward/core/Demand.java
+++ b/src/main/java/lineward/core/Demand.java
@@ -11,5 +11,5 @@
  * @param group the group of tables; 0: none
  * @param repeat whether the client marks it as its retry
  */
-public record Demand(int type, int customer, double timeLeftMs, double cost, double memoryMb, int group,
-        boolean repeat) { }
+public record Demand(
+        int type, int customer, double timeLeftMs, double cost, double memoryMb, int group, boolean repeat) {}
--- a/src/main/java/lineward/core/EngineEntry.java
+++ b/src/main/java/lineward/core/EngineEntry.java
@@ -9,5 +9,12 @@
  * @param address where it listens, {@code host:port}
  * @param startedAtMs Unix time of a late start; 0: long ago
  */
-public record EngineEntry(String id, String address, int kind, double weight, double startedAtMs,
-        Front.Condition condition, int zone, int cell) { }
+public record EngineEntry(
+        String id,
+        String address,
+        int kind,
+        double weight,
+        double startedAtMs,
+        Front.Condition condition,
+        int zone,
+        int cell) {}
--- a/src/main/java/lineward/core/Planner.java
+++ b/src/main/java/lineward/core/Planner.java
@@ -20,9 +20,11 @@
     private static final double ANSWER_AHEAD = 10;
     /** A probe that has not come back by then is answered as timed out. */
     private static final double PROBE_TAKES = 250;
+
     private static final double[] NO_REPORT = new double[0];
     /** Seed of the hash that numbers engines, and its multiplier (FNV-1a). */
     private static final long FNV_SEED = 0xcbf29ce484222325L;
+
     private static final long FNV_PRIME = 0x100000001b3L;
 
     private final class Request {
@@ -53,7 +55,7 @@
         }
     }
 
-    private record Probe(double sentAt, Deadlines.Entry end) { }
+    private record Probe(double sentAt, Deadlines.Entry end) {}
 
     private final Front module;
     private final double stopTakesMs;
@@ -62,10 +64,12 @@
     private final Deadlines deadlines = new Deadlines();
     /** Probes that are out, one an engine at most: when each was sent, and the end of its time. */
     private final Map<Long, Probe> probes = new HashMap<>();
+
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
     /** Engines on the list, and those held out, which keep their numbers when they leave it. */
     private final Set<String> listed = new HashSet<>();
+
     private final Set<String> heldOut = new HashSet<>();
     private List<Front.Event> events = new ArrayList<>();
     private List<Command<X>> commands = new ArrayList<>();
@@ -93,8 +97,8 @@
         if (r.id != SlotTable.FULL) {
             open++;
             tracer.requestTaken(exchange);
-            events.add(new Front.Arrival(r.id, d.type(), 0, left, d.cost(), d.memoryMb(),
-                    d.group(), d.repeat(), d.customer()));
+            events.add(new Front.Arrival(
+                    r.id, d.type(), 0, left, d.cost(), d.memoryMb(), d.group(), d.repeat(), d.customer()));
         }
         return r.id;
     }
@@ -171,7 +175,9 @@
     /** Word on an attempt that is out; of one that has ended or is being given up it is nobody's. */
     public void noted(long request, int attempt, Front.NoteKind kind, double amount) {
         Request r = requests.get(request);
-        if (r != null && attempt < r.attempts.size() && r.attempts.get(attempt).isOut
+        if (r != null
+                && attempt < r.attempts.size()
+                && r.attempts.get(attempt).isOut
                 && !r.attempts.get(attempt).stopped) {
             events.add(new Front.Note(request, attempt, kind, amount));
         }
@@ -192,8 +198,18 @@
 
     /** The list of engines: whole, or only what has changed. */
     public void list(boolean whole, List<EngineEntry> entries) {
-        events.add(new Front.ListChange(whole, entries.stream().map(e -> new Front.Listed(number(e.id()),
-                e.kind(), e.weight(), e.startedAtMs(), e.condition(), e.zone(), e.cell())).toList()));
+        events.add(new Front.ListChange(
+                whole,
+                entries.stream()
+                        .map(e -> new Front.Listed(
+                                number(e.id()),
+                                e.kind(),
+                                e.weight(),
+                                e.startedAtMs(),
+                                e.condition(),
+                                e.zone(),
+                                e.cell()))
+                        .toList()));
         if (whole) {
             listed.clear();
         }
@@ -303,8 +319,12 @@
 
     private void probe(long engine, double now) {
         if (!probes.containsKey(engine)) {
-            probes.put(engine, new Probe(now, deadlines.add(now + PROBE_TAKES,
-                    at -> probed(at, engine, Front.Outcome.TIMEOUT, NO_REPORT))));
+            probes.put(
+                    engine,
+                    new Probe(
+                            now,
+                            deadlines.add(
+                                    now + PROBE_TAKES, at -> probed(at, engine, Front.Outcome.TIMEOUT, NO_REPORT))));
             commands.add(new Command.Probe<>(names.get(engine)));
         }
     }
@@ -337,9 +357,15 @@
             ended(r.id, number, Front.Outcome.TIMEOUT);
         });
         tracer.attemptStarted(r.exchange, number, a.engine);
-        commands.add(new Command.Start<>(r.exchange, r.id, number, a.engine,
-                Math.max(1, Math.round(until - now)), (long) Math.min(until - now, s.beginWithin()),
-                r.grantMb, r.priority));
+        commands.add(new Command.Start<>(
+                r.exchange,
+                r.id,
+                number,
+                a.engine,
+                Math.max(1, Math.round(until - now)),
+                (long) Math.min(until - now, s.beginWithin()),
+                r.grantMb,
+                r.priority));
     }
 
     private void cancel(Front.Cancel c, double now) {
@@ -352,8 +378,7 @@
             a.stopped = true;
             commands.add(new Command.Stop<>(r.exchange, r.id, c.attempt(), a.engine));
             deadlines.cancel(a.end);
-            a.end = deadlines.add(now + stopTakesMs,
-                    at -> ended(r.id, c.attempt(), Front.Outcome.CANCELLED));
+            a.end = deadlines.add(now + stopTakesMs, at -> ended(r.id, c.attempt(), Front.Outcome.CANCELLED));
         }
     }
 
--- a/src/main/java/lineward/core/SlotTable.java
+++ b/src/main/java/lineward/core/SlotTable.java
@@ -13,7 +13,7 @@
  * @param <T> what the slots hold
  */
 public final class SlotTable<T> {
-    private record Slot<T>(int generation, T value) { }
+    private record Slot<T>(int generation, T value) {}
 
     /** What {@link #add} answers when the table is full; never an id. */
     public static final long FULL = -1;
--- a/src/main/java/lineward/core/SqlTokens.java
+++ b/src/main/java/lineward/core/SqlTokens.java
@@ -3,7 +3,14 @@
 /** Walks over the tokens of an SQL text. Comments are passed over, strings are told apart from names. */
 public final class SqlTokens {
     /** What a token is. An executable comment runs as if its text stood there bare. */
-    public enum Kind { WORD, NAME, STRING, NUMBER, SYMBOL, EXECUTABLE_COMMENT }
+    public enum Kind {
+        WORD,
+        NAME,
+        STRING,
+        NUMBER,
+        SYMBOL,
+        EXECUTABLE_COMMENT
+    }
 
     private final String text;
     private int at;
--- a/src/main/java/lineward/core/TableGroups.java
+++ b/src/main/java/lineward/core/TableGroups.java
@@ -8,7 +8,7 @@
     private static final Set<String> BEFORE_TABLES = Set.of("from", "join", "into", "update", "table", ",");
     private static final int MOST_DIGITS = 6;
 
-    private TableGroups() { }
+    private TableGroups() {}
 
     /**
      * @return the number behind the underscore of the first schema named where tables stand, else of the
@@ -39,8 +39,10 @@
 
     private static int number(String schema) {
         String digits = schema.substring(schema.lastIndexOf('_') + 1);
-        boolean numbered = digits.length() < schema.length() && !digits.isEmpty()
-                && digits.length() <= MOST_DIGITS && digits.chars().allMatch(c -> c >= '0' && c <= '9');
+        boolean numbered = digits.length() < schema.length()
+                && !digits.isEmpty()
+                && digits.length() <= MOST_DIGITS
+                && digits.chars().allMatch(c -> c >= '0' && c <= '9');
         return numbered ? Integer.parseInt(digits) : 0;
     }
 }
--- a/src/main/java/lineward/core/Tracer.java
+++ b/src/main/java/lineward/core/Tracer.java
@@ -9,7 +9,12 @@
  */
 public interface Tracer<X> {
     /** How a request ended. */
-    enum Ending { SERVED, REFUSED, FAILED, ABORTED }
+    enum Ending {
+        SERVED,
+        REFUSED,
+        FAILED,
+        ABORTED
+    }
 
     /** A request was taken. */
     void requestTaken(X exchange);
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineFleet.java
@@ -37,7 +37,7 @@
      * @param links most connections to all engines
      * @param reports whether a probe asks for a report of the engine's load
      */
-    public record Limits(int connectTimeoutMs, double idleMs, int streams, int links, boolean reports) { }
+    public record Limits(int connectTimeoutMs, double idleMs, int streams, int links, boolean reports) {}
 
     /** Hears what a probe brought back. */
     @FunctionalInterface
@@ -58,10 +58,11 @@
     public EngineFleet(EventLoopGroup loop, Limits limits, Runnable sent) {
         this.sent = sent;
         this.limits = limits;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        EnginePool.MAY_TAKE * limits.connectTimeoutMs());
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, EnginePool.MAY_TAKE * limits.connectTimeoutMs());
     }
 
     /** Takes in the list of engines, or changes to it. */
@@ -108,9 +109,11 @@
     public void probe(String engine, ProbeListener heard) {
         Member m = members.get(engine);
         if (m != null) {
-            m.pool.probe(limits.reports() ? "busy" : "there", reply -> heard.answered(
-                    reply.word() == Reply.Word.SICK ? Front.Outcome.ERROR : Front.Outcome.OK,
-                    reply.figures("l")));
+            m.pool.probe(
+                    limits.reports() ? "busy" : "there",
+                    reply -> heard.answered(
+                            reply.word() == Reply.Word.SICK ? Front.Outcome.ERROR : Front.Outcome.OK,
+                            reply.figures("l")));
         }
     }
 
@@ -162,8 +165,11 @@
         if (members.values().stream().mapToInt(m -> m.pool.size()).sum() < limits.links()) {
             return true;
         }
-        Link rested = members.values().stream().map(m -> m.pool.longestIdle()).filter(Objects::nonNull)
-                .min(Comparator.comparingLong(Link::usedAt)).orElse(null);
+        Link rested = members.values().stream()
+                .map(m -> m.pool.longestIdle())
+                .filter(Objects::nonNull)
+                .min(Comparator.comparingLong(Link::usedAt))
+                .orElse(null);
         if (rested != null) {
             rested.letGo();
         }
@@ -172,7 +178,6 @@
 
     private static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1)));
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 }
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -28,6 +28,7 @@
     private static final int PASSED_BY = 4;
     /** It may come up yet, and serve others, until this multiple of that time. */
     static final int MAY_TAKE = 8;
+
     private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(EnginePool.class));
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
@@ -43,8 +44,12 @@
      * @param room tells whether one more connection may be opened
      * @param sent is called when a run has been written whole
      */
-    EnginePool(Bootstrap bootstrap, InetSocketAddress address, EngineFleet.Limits limits,
-            BooleanSupplier room, Runnable sent) {
+    EnginePool(
+            Bootstrap bootstrap,
+            InetSocketAddress address,
+            EngineFleet.Limits limits,
+            BooleanSupplier room,
+            Runnable sent) {
         this.sent = sent;
         this.bootstrap = bootstrap;
         this.address = address;
@@ -70,37 +75,51 @@
     }
 
     private Link leastLoaded(Run run) {
-        return links.stream().filter(l -> l.takes(run.id, limits.streams()))
-                .min(Comparator.comparingInt(Link::load)).orElse(null);
+        return links.stream()
+                .filter(l -> l.takes(run.id, limits.streams()))
+                .min(Comparator.comparingInt(Link::load))
+                .orElse(null);
     }
 
     private Link connect() {
         Link link = new Link(this);
         links.add(link);
-        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new ReplyDecoder(), link);
-            }
-        }).connect(address);
+        ChannelFuture opening = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new ReplyDecoder(), link);
+                    }
+                })
+                .connect(address);
         link.connecting(opening.channel());
         opening.addListener(done -> {
             if (!done.isSuccess()) {
                 link.failedToConnect(done.cause());
             }
         });
-        bootstrap.config().group().next().schedule(() -> passBy(link),
-                limits.connectTimeoutMs() / PASSED_BY, TimeUnit.MILLISECONDS);
-        bootstrap.config().group().next().schedule(() -> overdue(link), limits.connectTimeoutMs(),
-                TimeUnit.MILLISECONDS);
+        bootstrap
+                .config()
+                .group()
+                .next()
+                .schedule(() -> passBy(link), limits.connectTimeoutMs() / PASSED_BY, TimeUnit.MILLISECONDS);
+        bootstrap
+                .config()
+                .group()
+                .next()
+                .schedule(() -> overdue(link), limits.connectTimeoutMs(), TimeUnit.MILLISECONDS);
         return link;
     }
 
     /** What waits for a slow connection shares one that works. */
     private void passBy(Link slow) {
         for (Run run : slow.release()) {
-            links.stream().filter(l -> l.isLively() && l.takes(run.id, limits.streams()))
-                    .min(Comparator.comparingInt(Link::load)).orElse(slow).start(run);
+            links.stream()
+                    .filter(l -> l.isLively() && l.takes(run.id, limits.streams()))
+                    .min(Comparator.comparingInt(Link::load))
+                    .orElse(slow)
+                    .start(run);
         }
     }
 
@@ -146,10 +165,19 @@
     public void lost(List<Run> runs) {
         if (!runs.isEmpty()) {
             lost++;
-            bootstrap.config().group().next().schedule(() -> {
-                boolean alive = lost < REPEATED && links.stream().anyMatch(Link::isUp);
-                runs.forEach(run -> run.end(!run.sentWhole ? End.CUT_SHORT : alive ? End.BROKEN : End.LOST));
-            }, Link.CLOSE_TAKES_MS, TimeUnit.MILLISECONDS);
+            bootstrap
+                    .config()
+                    .group()
+                    .next()
+                    .schedule(
+                            () -> {
+                                boolean alive =
+                                        lost < REPEATED && links.stream().anyMatch(Link::isUp);
+                                runs.forEach(
+                                        run -> run.end(!run.sentWhole ? End.CUT_SHORT : alive ? End.BROKEN : End.LOST));
+                            },
+                            Link.CLOSE_TAKES_MS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -164,8 +192,8 @@
         }
         lost++;
         LOG.info("no connection to engine", address, cause);
-        boolean its = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
-                || lost >= REPEATED;
+        boolean its =
+                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException) || lost >= REPEATED;
         runs.forEach(run -> {
             if (its) {
                 run.end(End.UNREACHED);
@@ -177,7 +205,9 @@
 
     /** Asks the engine how it is, on a connection that stands or a new one; without room nothing goes out. */
     void probe(String word, Consumer<Reply> heard) {
-        Link best = links.stream().filter(Link::takesProbe).min(Comparator.comparingInt(Link::load))
+        Link best = links.stream()
+                .filter(Link::takesProbe)
+                .min(Comparator.comparingInt(Link::load))
                 .orElse(null);
         if (best == null && links.size() < MOST_LINKS && room.getAsBoolean()) {
             best = connect();
@@ -201,8 +231,10 @@
 
     /** @return the connection without runs that was used longest ago, or null */
     Link longestIdle() {
-        return links.stream().filter(l -> l.idleSince(System.nanoTime()))
-                .min(Comparator.comparingLong(Link::usedAt)).orElse(null);
+        return links.stream()
+                .filter(l -> l.idleSince(System.nanoTime()))
+                .min(Comparator.comparingLong(Link::usedAt))
+                .orElse(null);
     }
 
     /**
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/Link.java
@@ -44,8 +44,7 @@
         }
 
         boolean isAnsweredBy(Reply reply) {
-            return reply.id().equals(tag)
-                    && (reply.word() == Reply.Word.PONG || reply.word() == Reply.Word.SICK);
+            return reply.id().equals(tag) && (reply.word() == Reply.Word.PONG || reply.word() == Reply.Word.SICK);
         }
     }
 
@@ -64,6 +63,7 @@
     private final Map<String, Run> runs = new LinkedHashMap<>();
     /** Ended while an answer may be on its way, a second one perhaps: the id may not go out here again. */
     private final Map<String, Run> spent = new LinkedHashMap<>();
+
     private final long openedAtUnixMs = System.currentTimeMillis();
     private final Owner owner;
     private Channel channel;
@@ -71,6 +71,7 @@
     private boolean up;
     /** It should have come up by now: it may yet, but nobody waits for it. */
     private boolean late;
+
     private boolean closed;
     private long usedAt = System.nanoTime();
     /** When the engine last spoke here. */
@@ -101,8 +102,14 @@
     }
 
     boolean takes(String id, int most) {
-        return !closed && !doubted && (up || !late) && !isAmidNothing() && runs.size() < most
-                && !runs.containsKey(id) && spent.size() < MOST_SPENT && !spent.containsKey(id)
+        return !closed
+                && !doubted
+                && (up || !late)
+                && !isAmidNothing()
+                && runs.size() < most
+                && !runs.containsKey(id)
+                && spent.size() < MOST_SPENT
+                && !spent.containsKey(id)
                 && (!up || channel.isOpen() && channel.isWritable());
     }
 
@@ -204,7 +211,7 @@
     /** Without runs it makes room for another connection at once: the channel's own word comes later. */
     void letGo() {
         close();
-        end(none -> { });
+        end(none -> {});
     }
 
     /** @return what waits for a connection that is not up yet; its caller now looks after that */
@@ -249,12 +256,19 @@
             return;
         }
         run.written = true;
-        StringBuilder head = new StringBuilder("want ").append(run.id).append(" sort=").append(run.sort)
-                .append(",patience=").append(run.patienceMs());
+        StringBuilder head = new StringBuilder("want ")
+                .append(run.id)
+                .append(" sort=")
+                .append(run.sort)
+                .append(",patience=")
+                .append(run.patienceMs());
         if (run.grantMb > 0) {
             head.append(",pool=").append(run.grantMb);
         }
-        head.append(",band=").append(run.priority).append(' ').append(run.statement.readableBytes())
+        head.append(",band=")
+                .append(run.priority)
+                .append(' ')
+                .append(run.statement.readableBytes())
                 .append("\r\n");
         ByteBuf line = channel.alloc().buffer(head.length());
         line.writeCharSequence(head, StandardCharsets.US_ASCII);
@@ -338,8 +352,9 @@
         LOG.info("engine connection", ctx.channel().remoteAddress(), cause);
         if (cause instanceof MalformedReplyException || cause.getCause() instanceof MalformedReplyException) {
             // A rerun must not overtake the close.
-            end(all -> ctx.executor().schedule(() -> all.forEach(run -> run.end(End.UNREADABLE)),
-                    CLOSE_TAKES_MS, TimeUnit.MILLISECONDS));
+            end(all -> ctx.executor()
+                    .schedule(
+                            () -> all.forEach(run -> run.end(End.UNREADABLE)), CLOSE_TAKES_MS, TimeUnit.MILLISECONDS));
         }
         ctx.close();
     }
--- a/src/main/java/lineward/engine/Notes.java
+++ b/src/main/java/lineward/engine/Notes.java
@@ -9,10 +9,11 @@
 final class Notes {
     /** Digits enough for any share or number of megabytes, and no more. */
     private static final Pattern AMOUNT = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,18})?");
+
     private static final int FOR_MEMORY = 1;
     private static final int FOR_LOAD = 2;
 
-    private Notes() { }
+    private Notes() {}
 
     /** Tells the listener what the note says, if it is one that is known and its figure makes sense. */
     static void read(Map<String, String> fields, Listener listener) {
@@ -24,8 +25,8 @@
         NoteKind kind = switch (fields.getOrDefault("n", "")) {
             case "done" -> figure <= 1 ? NoteKind.PROGRESS : null;
             case "spills" -> NoteKind.SPILLS;
-            case "waits" -> figure == FOR_MEMORY ? NoteKind.WAITS_FOR_MEMORY
-                    : figure == FOR_LOAD ? NoteKind.WAITS_FOR_LOAD : null;
+            case "waits" ->
+                figure == FOR_MEMORY ? NoteKind.WAITS_FOR_MEMORY : figure == FOR_LOAD ? NoteKind.WAITS_FOR_LOAD : null;
             default -> null;
         };
         if (kind != null) {
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/Rehearsal.java
@@ -12,25 +12,25 @@
 
     static final Link.Owner NOBODY = new Link.Owner() {
         @Override
-        public void closed(Link link) { }
+        public void closed(Link link) {}
 
         @Override
-        public void sent() { }
+        public void sent() {}
 
         @Override
-        public void up(Link link) { }
+        public void up(Link link) {}
 
         @Override
-        public void heard() { }
+        public void heard() {}
 
         @Override
-        public void lost(List<Run> runs) { }
+        public void lost(List<Run> runs) {}
 
         @Override
-        public void unsent(List<Run> runs, Throwable cause) { }
+        public void unsent(List<Run> runs, Throwable cause) {}
     };
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Plays some runs of two pages each. */
     public static void play() {
@@ -46,8 +46,7 @@
                     result.release();
                 }
             }));
-            for (String reply : new String[] {" HIT total=2 6\r\na\tb\tc\n\r\n",
-                " PART index=1 6\r\nd\te\tf\n\r\n"}) {
+            for (String reply : new String[] {" HIT total=2 6\r\na\tb\tc\n\r\n", " PART index=1 6\r\nd\te\tf\n\r\n"}) {
                 channel.writeInbound(Unpooled.copiedBuffer(id + reply, StandardCharsets.US_ASCII));
             }
             for (ByteBuf said = channel.readOutbound(); said != null; said = channel.readOutbound()) {
--- a/src/main/java/lineward/engine/Reply.java
+++ b/src/main/java/lineward/engine/Reply.java
@@ -6,17 +6,31 @@
 
 /** One answer of an engine; the body is the receiver's to release. */
 record Reply(String id, Word word, Map<String, String> fields, ByteBuf body) {
-    private static final Pattern FIGURES = Pattern.compile(
-            "[0-9]{1,9}(\\.[0-9]{1,9})?([;:|/][0-9]{1,9}(\\.[0-9]{1,9})?){0,15}");
+    private static final Pattern FIGURES =
+            Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?([;:|/][0-9]{1,9}(\\.[0-9]{1,9})?){0,15}");
 
     /** What an engine can say. */
-    enum Word { HIT, SHED, FAULT, LATE, INFO, PART, PONG, SICK }
+    enum Word {
+        HIT,
+        SHED,
+        FAULT,
+        LATE,
+        INFO,
+        PART,
+        PONG,
+        SICK
+    }
 
     /** @return the numbers that stand in that field, whatever parts them; none where one is no number */
     double[] figures(String field) {
         String text = fields.getOrDefault(field, "");
-        return FIGURES.matcher(text).matches() ? Pattern.compile("[^0-9.]+").splitAsStream(text)
-                .filter(s -> !s.isEmpty()).mapToDouble(Double::parseDouble).toArray() : new double[0];
+        return FIGURES.matcher(text).matches()
+                ? Pattern.compile("[^0-9.]+")
+                        .splitAsStream(text)
+                        .filter(s -> !s.isEmpty())
+                        .mapToDouble(Double::parseDouble)
+                        .toArray()
+                : new double[0];
     }
 
     /** @return the whole number of that name, or the fallback where it is absent */
--- a/src/main/java/lineward/engine/ReplyDecoder.java
+++ b/src/main/java/lineward/engine/ReplyDecoder.java
@@ -14,6 +14,7 @@
     private static final int LONGEST_LINE = 1024;
     /** Largest body: a page has 6,000 bytes at most, an error's text may be longer. */
     private static final int LARGEST_BODY = 64 * 1024;
+
     private static final int END = 2;
 
     private Reply head;
--- a/src/main/java/lineward/engine/Rows.java
+++ b/src/main/java/lineward/engine/Rows.java
@@ -8,12 +8,13 @@
     private static final int TABS = 2;
     /** Bytes that stand nowhere in UTF-8. */
     private static final int OVERLONG = 0xc0;
+
     private static final int OVERLONG_ASCII = 0xc1;
     private static final int PAST_UNICODE = 0xf5;
     private int tabs;
     private boolean inRow;
 
-    private Rows() { }
+    private Rows() {}
 
     static boolean areWhole(ByteBuf page) {
         Rows rows = new Rows();
--- a/src/main/java/lineward/engine/Run.java
+++ b/src/main/java/lineward/engine/Run.java
@@ -14,18 +14,19 @@
         void ended(Front.Outcome outcome, ByteBuf result);
 
         /** Its engine tells how it stands; the amount is the share done or the megabytes missing. */
-        default void noted(Front.NoteKind kind, double amount) { }
+        default void noted(Front.NoteKind kind, double amount) {}
     }
 
     /**
      * @param patienceMs how long the attempt may take
      * @param beginWithinMs behind that it must not go out any more
      */
-    public record Times(long patienceMs, long beginWithinMs) { }
+    public record Times(long patienceMs, long beginWithinMs) {}
 
     private static final long NANOS = 1_000_000;
     /** Most bytes of one result, and of one page of it. */
     private static final int LARGEST_RESULT = 48_000;
+
     private static final int LARGEST_PAGE = 6_000;
     /** Most pages of one result: short rows, each on a page of its own. */
     private static final int MOST_PAGES = 1024;
@@ -41,6 +42,7 @@
     boolean written;
     /** The socket has taken its last byte. */
     boolean sentWhole;
+
     private boolean over;
     private ByteBuf[] pages;
     private int missing;
@@ -53,8 +55,8 @@
      *     in the turn in which the connection comes up that the run waits for
      * @param times how long it may take, and by when it must have begun
      */
-    public Run(String id, String sort, ByteBuf statement, Times times, double grantMb, int priority,
-            Listener listener) {
+    public Run(
+            String id, String sort, ByteBuf statement, Times times, double grantMb, int priority, Listener listener) {
         this.id = id;
         this.sort = sort;
         this.statement = statement.retain();
@@ -107,8 +109,12 @@
 
     /** Takes a page in. */
     void put(int index, ByteBuf page) {
-        if (pages == null || index < 0 || index >= pages.length || page.readableBytes() > LARGEST_PAGE
-                || bytes + page.readableBytes() > LARGEST_RESULT || !Rows.areWhole(page)) {
+        if (pages == null
+                || index < 0
+                || index >= pages.length
+                || page.readableBytes() > LARGEST_PAGE
+                || bytes + page.readableBytes() > LARGEST_RESULT
+                || !Rows.areWhole(page)) {
             page.release();
             throw new MalformedReplyException("page " + index + " was not asked for or holds no rows");
         }
--- a/src/main/java/lineward/front/ClientTable.java
+++ b/src/main/java/lineward/front/ClientTable.java
@@ -26,6 +26,7 @@
     private final Consumer<C> leaver;
     /** Each with the time since when; the longest there first. */
     private final Map<C, Long> silent = new LinkedHashMap<>();
+
     private final Map<C, Long> waiting = new LinkedHashMap<>();
     private final Map<C, Long> resting = new LinkedHashMap<>();
     /** Told to leave: each is gone soon, or speaks and is among the others again. */
@@ -97,7 +98,9 @@
 
     /** Closes each of these connections with that chance, so that few close at a time; 1 closes all. */
     public static <C> void closeSome(List<C> resting, double chance, Consumer<C> closer) {
-        resting.stream().filter(c -> ThreadLocalRandom.current().nextDouble() < chance).forEach(closer);
+        resting.stream()
+                .filter(c -> ThreadLocalRandom.current().nextDouble() < chance)
+                .forEach(closer);
     }
 
     /** Lets the connections go that have come and said nothing in all that time. */
--- a/src/main/java/lineward/front/LingeringClose.java
+++ b/src/main/java/lineward/front/LingeringClose.java
@@ -20,7 +20,7 @@
     /** A peer that listens closes within a round trip; one that does not must not hold a descriptor long. */
     private static final int LASTS_MS = 500;
 
-    private LingeringClose() { }
+    private LingeringClose() {}
 
     /**
      * Ends the connection, unless something comes first; one that is ending already is passed over.
@@ -45,14 +45,17 @@
         afterReading(channel, rests, staysOpen, channel::close);
     }
 
-    private static void afterReading(Channel channel, BooleanSupplier rests, Runnable staysOpen,
-            Runnable end) {
-        channel.eventLoop().schedule(() -> {
-            if (!channel.isActive() || channel.pipeline().get(NAME) != null) {
-                return;
-            }
-            (rests.getAsBoolean() ? end : staysOpen).run();
-        }, READ_AHEAD_MS, TimeUnit.MILLISECONDS);
+    private static void afterReading(Channel channel, BooleanSupplier rests, Runnable staysOpen, Runnable end) {
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (!channel.isActive() || channel.pipeline().get(NAME) != null) {
+                                return;
+                            }
+                            (rests.getAsBoolean() ? end : staysOpen).run();
+                        },
+                        READ_AHEAD_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/lineward/journal/EngineList.java
+++ b/src/main/java/lineward/journal/EngineList.java
@@ -98,8 +98,14 @@
             case "gone" -> Front.Condition.GONE;
             default -> throw new IllegalArgumentException("journal: unknown state of " + id);
         };
-        return new EngineEntry(id, address, Math.max(0, kinds.indexOf(entry.path("machineType").asText())),
-                entry.path("weight").asDouble(1), entry.path("startedAtMs").asDouble(0), condition,
-                Math.max(0, zones.indexOf(entry.path("zone").asText())), entry.path("cell").asInt(0));
+        return new EngineEntry(
+                id,
+                address,
+                Math.max(0, kinds.indexOf(entry.path("machineType").asText())),
+                entry.path("weight").asDouble(1),
+                entry.path("startedAtMs").asDouble(0),
+                condition,
+                Math.max(0, zones.indexOf(entry.path("zone").asText())),
+                entry.path("cell").asInt(0));
     }
 }
--- a/src/main/java/lineward/journal/JournalPoll.java
+++ b/src/main/java/lineward/journal/JournalPoll.java
@@ -51,8 +51,8 @@
     private final DoubleSupplier clock;
     private final PollPolicy policy;
     private final Map<Integer, Channel> calls = new HashMap<>();
-    private final ThreadPoolExecutor reader = new ThreadPoolExecutor(1, 1, READER_LIVES_S, TimeUnit.SECONDS,
-            new LinkedBlockingQueue<>(), task -> {
+    private final ThreadPoolExecutor reader =
+            new ThreadPoolExecutor(1, 1, READER_LIVES_S, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), task -> {
                 Thread thread = new Thread(task, "configuration");
                 thread.setDaemon(true);
                 return thread;
@@ -66,8 +66,7 @@
      *     plain line if the file can't be used; called on a thread of its own
      * @param clock in milliseconds, never going back
      */
-    public JournalPoll(EventLoop loop, String address, EngineList list, Supplier<String> file,
-            DoubleSupplier clock) {
+    public JournalPoll(EventLoop loop, String address, EngineList list, Supplier<String> file, DoubleSupplier clock) {
         this.loop = loop;
         this.list = list;
         this.file = file;
@@ -103,8 +102,11 @@
             } else if (step instanceof PollPolicy.Look) {
                 reader.execute(this::look);
             } else if (step instanceof PollPolicy.Complain s) {
-                LOG.warn("journal at {}: nothing heard for {} ms ({})", s.address(),
-                        Math.round(s.silentMs()), s.trouble());
+                LOG.warn(
+                        "journal at {}: nothing heard for {} ms ({})",
+                        s.address(),
+                        Math.round(s.silentMs()),
+                        s.trouble());
             }
         }
     }
@@ -136,17 +138,19 @@
     private void connect(int call, String address) {
         int colon = address.lastIndexOf(':');
         Poller poller = new Poller(call, address);
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
-                                poller);
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER), poller);
                     }
-                }).connect(new InetSocketAddress(address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1))));
+                })
+                .connect(new InetSocketAddress(
+                        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
         calls.put(call, connecting.channel());
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
@@ -158,7 +162,9 @@
     private void ask(int call) {
         Channel channel = calls.get(call);
         if (channel != null) {
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.GET,
                     "/journal?tail=" + list.position() + "&max_wait=" + PollPolicy.MAX_WAIT_MS);
             request.headers().set(HttpHeaderNames.HOST, channel.pipeline().get(Poller.class).address);
             channel.writeAndFlush(request);
@@ -204,8 +210,7 @@
             try (InputStream in = new ByteBufInputStream(answer.content())) {
                 list.take(JSON.readTree(in));
             }
-            List<PollPolicy.Step> steps = policy.answered(call, list.position() != before,
-                    clock.getAsDouble());
+            List<PollPolicy.Step> steps = policy.answered(call, list.position() != before, clock.getAsDouble());
             if (HttpUtil.isKeepAlive(answer)) {
                 perform(steps);
             } else {
--- a/src/main/java/lineward/journal/PollPolicy.java
+++ b/src/main/java/lineward/journal/PollPolicy.java
@@ -29,34 +29,37 @@
     static final double LOOK_MS = 250;
     /** After SIGHUP a file that can't be read is read again as often, for so long; then as trouble has it. */
     static final double READ_AGAIN_MS = 50;
+
     static final double EAGER_MS = 4000;
     static final double SELDOM_MS = 1000;
     /** Silence from which on a line is logged, and the pause between two such lines. */
     static final double SILENCE_MS = 2000;
+
     static final double COMPLAIN_MS = 1000;
 
     /** What the caller is to do. */
-    sealed interface Step { }
+    sealed interface Step {}
 
     /** Open a connection; it is known by that number from now on. */
-    record Connect(int call, String address) implements Step { }
+    record Connect(int call, String address) implements Step {}
 
     /** Send a poll on a connection. */
-    record Ask(int call) implements Step { }
+    record Ask(int call) implements Step {}
 
     /** Close a connection and forget it. */
-    record Drop(int call) implements Step { }
+    record Drop(int call) implements Step {}
 
     /** Read the file and report {@link #fileRead} or {@link #fileUnreadable}; never two looks at once. */
-    record Look() implements Step { }
+    record Look() implements Step {}
 
     /** Tell people that nothing has been heard for so long, and what went wrong last. */
-    record Complain(String address, double silentMs, String trouble) implements Step { }
+    record Complain(String address, double silentMs, String trouble) implements Step {}
 
     private static final class Call {
         final int number;
         /** Since when the present wait, for the connection or for an answer, lasts. */
         double since;
+
         boolean up;
         /** When to ask next; not a number while an answer is awaited. */
         double askAt = Double.NaN;
@@ -236,7 +239,8 @@
 
     /** The first look that trouble asks for; those after it follow from {@link #looked}. */
     private double lookInTrouble() {
-        return Double.isNaN(troubledSince) || lookAt < Double.POSITIVE_INFINITY ? Double.POSITIVE_INFINITY
+        return Double.isNaN(troubledSince) || lookAt < Double.POSITIVE_INFINITY
+                ? Double.POSITIVE_INFINITY
                 : troubledSince + LOOK_MS;
     }
 
--- a/src/main/java/lineward/lifecycle/HandOver.java
+++ b/src/main/java/lineward/lifecycle/HandOver.java
@@ -30,7 +30,7 @@
         void part(double part);
     }
 
-    private record Word(boolean out, double since) { }
+    private record Word(boolean out, double since) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(HandOver.class);
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -45,6 +45,7 @@
     private static final double FORGET_MS = 60_000;
     /** Clocks of two processes lie so far apart at most. */
     private static final double SKEW_MS = 1_000;
+
     private static final int LARGEST = 256 * 1024;
 
     private final Path directory;
@@ -65,8 +66,10 @@
     public HandOver(Path directory, String name, DoubleSupplier clock, Listener listener) {
         this.directory = directory;
         this.prefix = "lineward-" + name.replaceAll("[^A-Za-z0-9._-]", "_") + '-';
-        this.own = directory == null ? null : directory.resolve(prefix + ProcessHandle.current().pid() + '-'
-                + Math.round(clock.getAsDouble()) + ENDING);
+        this.own = directory == null
+                ? null
+                : directory.resolve(
+                        prefix + ProcessHandle.current().pid() + '-' + Math.round(clock.getAsDouble()) + ENDING);
         this.clock = clock;
         this.listener = listener;
     }
@@ -102,7 +105,8 @@
         words.values().removeIf(w -> !w.out() && w.since() < now - FORGET_MS);
         ObjectNode root = JSON.createObjectNode().put("at", now);
         ObjectNode engines = root.putObject("engines");
-        words.forEach((engine, w) -> engines.putObject(engine).put("out", w.out()).put("since", w.since()));
+        words.forEach(
+                (engine, w) -> engines.putObject(engine).put("out", w.out()).put("since", w.since()));
         Path draft = own.resolveSibling(own.getFileName() + ".new");
         try {
             Files.writeString(draft, root.toString());
@@ -143,7 +147,8 @@
     private boolean read(Path file) {
         try {
             JsonNode root = Files.size(file) > LARGEST ? null : JSON.readTree(Files.readString(file));
-            double age = Math.abs(clock.getAsDouble() - (root == null ? 0 : root.path("at").asDouble(0)));
+            double age = Math.abs(
+                    clock.getAsDouble() - (root == null ? 0 : root.path("at").asDouble(0)));
             if (age > LEFT_MS) {
                 Files.deleteIfExists(file);
                 return false;
@@ -151,9 +156,14 @@
             for (Map.Entry<String, JsonNode> e : root.path("engines").properties()) {
                 JsonNode word = e.getValue();
                 // A word from the future would hold against every later one.
-                if (word.path("out").isBoolean() && word.path("since").isNumber()
+                if (word.path("out").isBoolean()
+                        && word.path("since").isNumber()
                         && word.get("since").asDouble() < clock.getAsDouble() + SKEW_MS) {
-                    hear(e.getKey(), new Word(word.get("out").asBoolean(), word.get("since").asDouble()));
+                    hear(
+                            e.getKey(),
+                            new Word(
+                                    word.get("out").asBoolean(),
+                                    word.get("since").asDouble()));
                 }
             }
             return age < ALIVE_MS;
@@ -167,7 +177,8 @@
     public void leave() {
         left = true;
         if (own != null) {
-            List.of(own, own.resolveSibling(own.getFileName() + ".new")).forEach(f -> f.toFile().delete());
+            List.of(own, own.resolveSibling(own.getFileName() + ".new"))
+                    .forEach(f -> f.toFile().delete());
         }
     }
 
--- a/src/main/java/lineward/lifecycle/InheritedDoorway.java
+++ b/src/main/java/lineward/lifecycle/InheritedDoorway.java
@@ -44,12 +44,12 @@
 
     @Override
     public ChannelFuture open(ServerBootstrap clients, EventLoopGroup loop) {
-        EventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true),
-                NioIoHandler.newFactory());
+        EventLoopGroup acceptor =
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
         // One a turn: an accept that waits must not have a connection in hand that nobody serves yet.
-        return clients.group(acceptor, loop).channelFactory(() -> new NioServerSocketChannel(socket))
-                .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
+        return clients.group(acceptor, loop)
+                .channelFactory(() -> new NioServerSocketChannel(socket))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
                 .register();
     }
 
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -23,17 +23,19 @@
      * @param inherited whether others accept on the clients' socket: none is accepted here any more then
      * @param lastWordMs when who still waits has to hear
      */
-    public record Ending(boolean inherited, int lastWordMs) { }
+    public record Ending(boolean inherited, int lastWordMs) {}
 
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
     private static final int STILL_COMING_MS = 900;
     /** A drain: new connections come for 0.3 s yet; then the resting ones close one by one. */
     private static final double FIRST_CLOSE_MS = 300;
+
     private static final double ALL_CLOSE_MS = 1500;
     /** At an upgrade they come back to the same socket: the sooner, the shorter two share the work. */
     private static final double ALL_HANDED_MS = 400;
     /** From then on requests are refused: at 4 s a connection may carry none of the last 2 s. */
     private static final double REFUSE_MS = 1800;
+
     private static final double NANOS = 1e6;
     /** Another process's word on an engine has to hold here well within a second. */
     private static final int LOOK_MS = 100;
@@ -54,8 +56,8 @@
      * @param doors all fronts
      * @param how this process will end
      */
-    public Lifecycle(EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures, HandOver handOver,
-            Ending how) {
+    public Lifecycle(
+            EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures, HandOver handOver, Ending how) {
         this.figures = figures;
         this.handOver = handOver;
         this.how = how;
@@ -153,8 +155,10 @@
             } else {
                 admit(Intake.LEAVING);
             }
-            loop.schedule(() -> ticker.every(Ticker.TICK_MS, this::finish),
-                    how.inherited() ? 0 : STILL_COMING_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> ticker.every(Ticker.TICK_MS, this::finish),
+                    how.inherited() ? 0 : STILL_COMING_MS,
+                    TimeUnit.MILLISECONDS);
             loop.schedule(this::lastWord, how.lastWordMs(), TimeUnit.MILLISECONDS);
         });
         try {
@@ -167,7 +171,9 @@
     }
 
     private void lastWord() {
-        LOG.info("last word: {} requests fail", doors.stream().mapToInt(d -> d.planner().open()).sum());
+        LOG.info(
+                "last word: {} requests fail",
+                doors.stream().mapToInt(d -> d.planner().open()).sum());
         admit(Intake.REFUSING);
         doors.forEach(FrontDoor::lastWord);
     }
--- a/src/main/java/lineward/mysql/Auth.java
+++ b/src/main/java/lineward/mysql/Auth.java
@@ -18,7 +18,7 @@
     static final int NONCE = 20;
     private static final SecureRandom RANDOM = new SecureRandom();
 
-    private Auth() { }
+    private Auth() {}
 
     /** @return a nonce without zero bytes, which would end it early on the wire */
     static byte[] nonce() {
@@ -54,8 +54,8 @@
     /** @return the password for a server that has to see it whole, under the key that the server sent */
     static byte[] sealed(String password, byte[] nonce, String pem) throws GeneralSecurityException {
         String base64 = pem.replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
-        PublicKey key = KeyFactory.getInstance("RSA").generatePublic(
-                new X509EncodedKeySpec(Base64.getDecoder().decode(base64)));
+        PublicKey key = KeyFactory.getInstance("RSA")
+                .generatePublic(new X509EncodedKeySpec(Base64.getDecoder().decode(base64)));
         byte[] text = (password + '\0').getBytes(CharsetUtil.UTF_8);
         for (int i = 0; i < text.length; i++) {
             text[i] ^= nonce[i % nonce.length];
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -22,6 +22,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientSession.class);
     /** Commands that may wait behind the one that runs; past them nothing more is read. */
     private static final int MOST_WAITING = 8;
+
     private static final int MOST_LONG_DATA = 1 << 20;
     private static final int ID = 4;
     private static final SpoolHint NO_HINT = SpoolHint.of("");
@@ -41,6 +42,7 @@
     private Query running;
     /** What is being sent from the spool; no further command is taken up meanwhile. */
     private Outflow outflow;
+
     private final SessionSettings settings = new SessionSettings();
     private String schema = "";
     private int sequence;
@@ -178,8 +180,7 @@
             case Commands.EXECUTE -> execute(in);
             case Commands.LONG_DATA -> longData(in);
             case Commands.CLOSE -> {
-                ClientStatement closed = in.readableBytes() < ID ? null
-                        : statements.remove(in.readUnsignedIntLE());
+                ClientStatement closed = in.readableBytes() < ID ? null : statements.remove(in.readUnsignedIntLE());
                 if (closed != null) {
                     closed.closeCursor();
                     front.forget(closed.kept);
@@ -231,8 +232,10 @@
             settings.take(text);
             sendOk();
         } catch (SessionSettings.UnkeepableException e) {
-            sendError(e.getMessage().startsWith("autocommit") ? Failure.noTransaction("SET " + e.getMessage())
-                    : Failure.unsupported(e.getMessage()));
+            sendError(
+                    e.getMessage().startsWith("autocommit")
+                            ? Failure.noTransaction("SET " + e.getMessage())
+                            : Failure.unsupported(e.getMessage()));
         }
     }
 
@@ -263,9 +266,14 @@
 
     private void flowOut(SpooledResult result, SpoolHint hint, ClientStatement cursor) {
         if (cursor != null || hint.isPart()) {
-            OpenCursor rows = new OpenCursor(channel, result, dialect, hint.from(),
-                    cursor != null ? -1 : hint.rows() < 0 ? Long.MAX_VALUE : hint.rows(), this::send,
-                            this::flowed);
+            OpenCursor rows = new OpenCursor(
+                    channel,
+                    result,
+                    dialect,
+                    hint.from(),
+                    cursor != null ? -1 : hint.rows() < 0 ? Long.MAX_VALUE : hint.rows(),
+                    this::send,
+                    this::flowed);
             if (cursor != null) {
                 cursor.closeCursor();
                 cursor.cursor = rows;
@@ -313,7 +321,8 @@
         StatementKind kind = StatementKind.of(text);
         if (kind instanceof StatementKind.Refused refused) {
             sendError(refused.failure());
-        } else if (kind instanceof StatementKind.Use || kind instanceof StatementKind.Setting
+        } else if (kind instanceof StatementKind.Use
+                || kind instanceof StatementKind.Setting
                 || kind instanceof StatementKind.Warnings) {
             sendError(new Failure(1295, "HY000", "USE, SET and SHOW WARNINGS can't be prepared"));
         } else if (statements.size() >= front.maxStatements() || !front.keep(in.readableBytes())) {
@@ -405,7 +414,8 @@
             if (good) {
                 int params = reply.getUnsignedShortLE(reply.readerIndex() + Packets.HEAD + 7);
                 SpoolHint hint = SpoolHint.of(w.text());
-                statements.put(++lastStatement,
+                statements.put(
+                        ++lastStatement,
                         new ClientStatement(w.schema(), hint, params, w.text().length()));
                 reply.setIntLE(reply.readerIndex() + Packets.HEAD + 1, (int) lastStatement);
             } else {
@@ -474,8 +484,7 @@
 
     private void endWith(Failure failure) {
         ending = true;
-        send(Packets.error(channel.alloc(), sequence + 1, failure))
-                .addListener(done -> channel.close());
+        send(Packets.error(channel.alloc(), sequence + 1, failure)).addListener(done -> channel.close());
     }
 
     @Override
--- a/src/main/java/lineward/mysql/ClientStatement.java
+++ b/src/main/java/lineward/mysql/ClientStatement.java
@@ -12,11 +12,13 @@
     final String schema;
     /** Without the hint. */
     final String text;
+
     final SpoolHint hint;
     final int params;
     final int kept;
     /** Null: none was ever opened. */
     OpenCursor cursor;
+
     private final List<Work.LongData> longData = new ArrayList<>();
     private byte[] types;
 
--- a/src/main/java/lineward/mysql/Commands.java
+++ b/src/main/java/lineward/mysql/Commands.java
@@ -15,5 +15,5 @@
     static final int FETCH = 0x1c;
     static final int RESET_CONNECTION = 0x1f;
 
-    private Commands() { }
+    private Commands() {}
 }
--- a/src/main/java/lineward/mysql/Dialect.java
+++ b/src/main/java/lineward/mysql/Dialect.java
@@ -24,13 +24,18 @@
 
     /** @return the packet behind the rows, or behind the columns where a cursor is open */
     ByteBuf end(ByteBufAllocator alloc, int sequence, int status) {
-        return this == PLAIN ? Packets.eof(alloc, sequence, status)
+        return this == PLAIN
+                ? Packets.eof(alloc, sequence, status)
                 : end(alloc.buffer(Packets.HEAD + ROW_END), sequence, 0, Packets.AUTOCOMMIT | status);
     }
 
     private static ByteBuf end(ByteBuf out, int sequence, int warnings, int status) {
-        return out.writeMediumLE(ROW_END).writeByte(sequence).writeByte(Packets.EOF).writeShortLE(0)
-                .writeShortLE(status).writeShortLE(warnings);
+        return out.writeMediumLE(ROW_END)
+                .writeByte(sequence)
+                .writeByte(Packets.EOF)
+                .writeShortLE(0)
+                .writeShortLE(status)
+                .writeShortLE(warnings);
     }
 
     /** @return a whole held reply as the client wants it; takes the reply over */
@@ -49,7 +54,8 @@
                 // Behind the columns EOF can only be the one behind the rows.
                 boolean end = Packets.isEof(frame);
                 if (!end) {
-                    out.writeMediumLE(length - Packets.HEAD).writeByte(sequence++)
+                    out.writeMediumLE(length - Packets.HEAD)
+                            .writeByte(sequence++)
                             .writeBytes(frame, frame.readerIndex() + Packets.HEAD, length - Packets.HEAD);
                 } else if (++ends == 2 && !prepared) {
                     ByteBuf eof = Packets.payload(frame).skipBytes(1);
@@ -71,8 +77,8 @@
     /** @return columns as they stand in the spool, as the client wants them where a cursor is open */
     ByteBuf cursor(ByteBufAllocator alloc, byte[] head) {
         int sequence = head[head.length - EOF_FRAME + Packets.HEAD - 1] & 0xff;
-        return Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(head, 0, head.length - EOF_FRAME),
-                end(alloc, sequence, Packets.CURSOR_EXISTS));
+        return Unpooled.wrappedBuffer(
+                Unpooled.wrappedBuffer(head, 0, head.length - EOF_FRAME), end(alloc, sequence, Packets.CURSOR_EXISTS));
     }
 
     /**
--- a/src/main/java/lineward/mysql/EngineLink.java
+++ b/src/main/java/lineward/mysql/EngineLink.java
@@ -24,6 +24,7 @@
     private static final int MOST_PREPARED = 64;
     /** What a killed statement gets to say its last word, before its connection is closed. */
     private static final int KILL_TAKES_MS = 300;
+
     private static final int FAST_AUTH_DONE = 3;
     private static final int MORE_DATA = 1;
     private static final int ASK_KEY = 2;
@@ -32,9 +33,18 @@
     /** Errors by which an engine says that it is going down: no answer to what was asked. */
     private static final Set<Integer> GOING_DOWN = Set.of(1053, 1077, 1079, 1927);
 
-    private enum State { CONNECTING, LOGIN, IDLE, SETTINGS, SCHEMA, PREPARING, MAIN, KILLED }
+    private enum State {
+        CONNECTING,
+        LOGIN,
+        IDLE,
+        SETTINGS,
+        SCHEMA,
+        PREPARING,
+        MAIN,
+        KILLED
+    }
 
-    private record Prepared(long id, int params) { }
+    private record Prepared(long id, int params) {}
 
     private final EngineLinks pool;
     private final Map<String, Prepared> prepared = new LinkedHashMap<>(16, 0.75f, true);
@@ -47,6 +57,7 @@
     private String schema = "";
     /** Settings of the session that are not the engine's own, as they stand at this connection. */
     private Map<String, String> settings = Map.of();
+
     private long usedAt = System.nanoTime();
     private Prepared fresh;
     private boolean closed;
@@ -111,8 +122,7 @@
         if (!settings.equals(run.settings)) {
             state = State.SETTINGS;
             send(Commands.QUERY, Texts.latin1(SessionSettings.change(settings, run.settings)));
-        } else if (!work.schema().isEmpty() && !work.schema().equals(schema)
-                && !(work instanceof Work.UseSchema)) {
+        } else if (!work.schema().isEmpty() && !work.schema().equals(schema) && !(work instanceof Work.UseSchema)) {
             state = State.SCHEMA;
             send(Commands.INIT_DB, work.schema());
         } else if (work instanceof Work.Execute w && !prepared.containsKey(key(w.schema(), w.text()))) {
@@ -146,15 +156,20 @@
     private void execute(Work.Execute w) {
         Prepared statement = prepared.get(key(w.schema(), w.text()));
         if (statement.params() != w.params()) {
-            ByteBuf error = Packets.error(channel.alloc(), 1, Failure.wrongArguments(
-                    "the statement's parameters have changed since it was prepared"));
+            ByteBuf error = Packets.error(
+                    channel.alloc(),
+                    1,
+                    Failure.wrongArguments("the statement's parameters have changed since it was prepared"));
             run.take(channel.alloc(), error, ReplyTracker.Place.LAST_ERROR);
             finish(Front.Outcome.OK);
             return;
         }
         for (Work.LongData data : w.longData()) {
-            ByteBuf rest = channel.alloc().buffer().writeIntLE((int) statement.id())
-                    .writeShortLE(data.param()).writeBytes(data.bytes());
+            ByteBuf rest = channel.alloc()
+                    .buffer()
+                    .writeIntLE((int) statement.id())
+                    .writeShortLE(data.param())
+                    .writeBytes(data.bytes());
             write(Packets.command(channel.alloc(), Commands.LONG_DATA, rest));
             rest.release();
         }
@@ -253,9 +268,15 @@
         thread = greeting.thread();
         nonce = greeting.nonce();
         String plugin = Auth.known(greeting.plugin()) ? greeting.plugin() : Auth.SHA2;
-        write(Handshake.login(channel.alloc(), sequence, new Handshake.Login(
-                Handshake.CAPABILITIES & ~Handshake.WITH_DB, pool.user(),
-                Auth.proof(plugin, pool.password(), nonce), "", plugin)));
+        write(Handshake.login(
+                channel.alloc(),
+                sequence,
+                new Handshake.Login(
+                        Handshake.CAPABILITIES & ~Handshake.WITH_DB,
+                        pool.user(),
+                        Auth.proof(plugin, pool.password(), nonce),
+                        "",
+                        plugin)));
     }
 
     private static void requireKnown(String plugin) {
@@ -273,7 +294,9 @@
             return;
         }
         try {
-            write(Handshake.bytes(channel.alloc(), sequence,
+            write(Handshake.bytes(
+                    channel.alloc(),
+                    sequence,
                     Auth.sealed(pool.password(), nonce, in.toString(StandardCharsets.US_ASCII))));
         } catch (GeneralSecurityException | IllegalArgumentException e) {
             throw new DecoderException("engine's key can't be used", e);
@@ -289,13 +312,11 @@
         if (state == State.SETTINGS) {
             return set(frame, place);
         }
-        boolean preparing = state == State.PREPARING || run.work instanceof Work.Prepare
-                && state != State.SCHEMA;
+        boolean preparing = state == State.PREPARING || run.work instanceof Work.Prepare && state != State.SCHEMA;
         if (preparing && place != ReplyTracker.Place.LAST_ERROR) {
             remember(frame, place);
         }
-        if ((state == State.SCHEMA || state == State.PREPARING)
-                && place != ReplyTracker.Place.LAST_ERROR) {
+        if ((state == State.SCHEMA || state == State.PREPARING) && place != ReplyTracker.Place.LAST_ERROR) {
             if (place == ReplyTracker.Place.LAST_OK) {
                 schema = run.work.schema().isEmpty() ? schema : run.work.schema();
                 step();
@@ -307,8 +328,10 @@
             if (run.work instanceof Work.UseSchema && place == ReplyTracker.Place.LAST_OK) {
                 schema = run.work.schema();
             }
-            finish(state == State.KILLED && place == ReplyTracker.Place.LAST_ERROR
-                    ? Front.Outcome.CANCELLED : Front.Outcome.OK);
+            finish(
+                    state == State.KILLED && place == ReplyTracker.Place.LAST_ERROR
+                            ? Front.Outcome.CANCELLED
+                            : Front.Outcome.OK);
         }
         return true;
     }
@@ -357,8 +380,7 @@
         if (FULL.contains(code)) {
             fail(Front.Outcome.FULL);
         } else if (GOING_DOWN.contains(code)) {
-            fail(state == State.MAIN || state == State.KILLED ? Front.Outcome.ERROR
-                    : Front.Outcome.CONNECT_FAILED);
+            fail(state == State.MAIN || state == State.KILLED ? Front.Outcome.ERROR : Front.Outcome.CONNECT_FAILED);
         } else {
             return false;
         }
@@ -394,8 +416,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOG.warn("engine {}: {}", pool.name(), cause.toString());
-        fail(state == State.MAIN || state == State.KILLED ? Front.Outcome.ERROR
-                : Front.Outcome.CONNECT_FAILED);
+        fail(state == State.MAIN || state == State.KILLED ? Front.Outcome.ERROR : Front.Outcome.CONNECT_FAILED);
     }
 
     @Override
@@ -413,10 +434,11 @@
         }
         closed = true;
         pool.closed(this);
-        fail(switch (state) {
-            case MAIN -> Front.Outcome.RESET;
-            case KILLED -> Front.Outcome.CANCELLED;
-            default -> Front.Outcome.CONNECT_FAILED;
-        });
+        fail(
+                switch (state) {
+                    case MAIN -> Front.Outcome.RESET;
+                    case KILLED -> Front.Outcome.CANCELLED;
+                    default -> Front.Outcome.CONNECT_FAILED;
+                });
     }
 }
--- a/src/main/java/lineward/mysql/EngineLinks.java
+++ b/src/main/java/lineward/mysql/EngineLinks.java
@@ -47,8 +47,11 @@
     }
 
     void start(MysqlRun run) {
-        EngineLink free = idle.stream().filter(l -> l.suits(run) && l.isSetFor(run)).findFirst()
-                .or(() -> idle.stream().filter(l -> l.suits(run)).findFirst()).orElse(null);
+        EngineLink free = idle.stream()
+                .filter(l -> l.suits(run) && l.isSetFor(run))
+                .findFirst()
+                .or(() -> idle.stream().filter(l -> l.suits(run)).findFirst())
+                .orElse(null);
         if (free != null) {
             idle.remove(free);
             free.start(run);
@@ -68,8 +71,7 @@
 
     /** Kills what runs on another connection, through one of its own. */
     void kill(long thread) {
-        MysqlRun kill = new MysqlRun(new Work.Query("", "KILL QUERY " + thread), Map.of(), 0,
-                new MysqlRun.Listener() {
+        MysqlRun kill = new MysqlRun(new Work.Query("", "KILL QUERY " + thread), Map.of(), 0, new MysqlRun.Listener() {
             @Override
             public SpooledResult spool() {
                 return null;
@@ -94,19 +96,27 @@
     private EngineLink connect() {
         EngineLink link = new EngineLink(this);
         links.add(link);
-        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new PacketDecoder(Packets.LONGEST), link);
-            }
-        }).connect(engine.address());
+        ChannelFuture opening = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new PacketDecoder(Packets.LONGEST), link);
+                    }
+                })
+                .connect(engine.address());
         link.connecting(opening.channel());
         // An engine that accepts but never greets holds nobody longer than one that does not accept.
-        ScheduledFuture<?> overdue = opening.channel().eventLoop().schedule(() -> {
-            if (!link.isReady()) {
-                link.close();
-            }
-        }, bounds.connectTimeoutMs(), TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> overdue = opening.channel()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (!link.isReady()) {
+                                link.close();
+                            }
+                        },
+                        bounds.connectTimeoutMs(),
+                        TimeUnit.MILLISECONDS);
         opening.addListener(done -> {
             if (!done.isSuccess()) {
                 overdue.cancel(false);
--- a/src/main/java/lineward/mysql/Failure.java
+++ b/src/main/java/lineward/mysql/Failure.java
@@ -4,8 +4,11 @@
 record Failure(int code, String state, String message) {
     /** The final answer of what the module refused: nothing was changed, trying again is harmless. */
     static Failure refused(long retryAfterMs) {
-        return new Failure(1637, "HY000", "refused: nothing was changed, trying again is harmless"
-                + (retryAfterMs > 0 ? "; come back in " + retryAfterMs + " ms" : ""));
+        return new Failure(
+                1637,
+                "HY000",
+                "refused: nothing was changed, trying again is harmless"
+                        + (retryAfterMs > 0 ? "; come back in " + retryAfterMs + " ms" : ""));
     }
 
     /** The final answer of what may have run and is not known to have ended. */
--- a/src/main/java/lineward/mysql/Handshake.java
+++ b/src/main/java/lineward/mysql/Handshake.java
@@ -20,24 +20,24 @@
      * What the front and its engines agree on: no shortened EOF, no session tracking, no query attributes,
      * one statement and one result at a time. With clients that agree on the same a result passes as it came.
      */
-    static final int CAPABILITIES = LONG_PASSWORD | WITH_DB | PROTOCOL_41 | TRANSACTIONS | SECURE
-            | PLUGIN_AUTH;
+    static final int CAPABILITIES = LONG_PASSWORD | WITH_DB | PROTOCOL_41 | TRANSACTIONS | SECURE | PLUGIN_AUTH;
     /** Results without the packet behind their columns, and with another one behind their rows. */
     static final int DEPRECATE_EOF = 0x1000000;
     /** What clients are offered: the front writes their replies anew where they differ from the engine's. */
     static final int OFFERED = CAPABILITIES | DEPRECATE_EOF;
+
     static final int UTF8MB4 = 45;
     private static final int VERSION = 10;
     private static final int NONCE_HEAD = 8;
     private static final int RESERVED = 23;
 
     /** What an engine says first. */
-    record Greeting(long thread, byte[] nonce, String plugin) { }
+    record Greeting(long thread, byte[] nonce, String plugin) {}
 
     /** What a client answers; the schema is empty if none was asked for. */
-    record Login(int capabilities, String user, byte[] proof, String schema, String plugin) { }
+    record Login(int capabilities, String user, byte[] proof, String schema, String plugin) {}
 
-    private Handshake() { }
+    private Handshake() {}
 
     static ByteBuf greeting(ByteBufAllocator alloc, String version, int thread, byte[] nonce) {
         ByteBuf out = Packets.begin(alloc, 0).writeByte(VERSION);
@@ -76,8 +76,11 @@
     }
 
     static ByteBuf login(ByteBufAllocator alloc, int sequence, Login login) {
-        ByteBuf out = Packets.begin(alloc, sequence).writeIntLE(login.capabilities()).writeIntLE(1 << 24)
-                .writeByte(UTF8MB4).writeZero(RESERVED);
+        ByteBuf out = Packets.begin(alloc, sequence)
+                .writeIntLE(login.capabilities())
+                .writeIntLE(1 << 24)
+                .writeByte(UTF8MB4)
+                .writeZero(RESERVED);
         text(out, login.user());
         out.writeByte(login.proof().length).writeBytes(login.proof());
         if ((login.capabilities() & WITH_DB) != 0) {
@@ -95,8 +98,7 @@
             }
             in.skipBytes(4 + 1 + RESERVED);
             String user = Packets.zeroEnded(in);
-            int length = (capabilities & PLUGIN_DATA) != 0 ? (int) Packets.lengthEncoded(in)
-                    : in.readUnsignedByte();
+            int length = (capabilities & PLUGIN_DATA) != 0 ? (int) Packets.lengthEncoded(in) : in.readUnsignedByte();
             if (length < 0 || length > in.readableBytes()) {
                 throw new DecoderException("proof of " + length + " bytes");
             }
--- a/src/main/java/lineward/mysql/LocalResult.java
+++ b/src/main/java/lineward/mysql/LocalResult.java
@@ -9,20 +9,26 @@
     private static final int VAR_STRING = 253;
     private static final int WIDEST = 1024;
 
-    private LocalResult() { }
+    private LocalResult() {}
 
     static ByteBuf of(ByteBufAllocator alloc, int first, Dialect dialect, SessionSettings.Reading reading) {
         int sequence = first;
         ByteBuf out = alloc.buffer();
-        ByteBuf count = Packets.begin(alloc, sequence++).writeByte(reading.labels().size());
+        ByteBuf count =
+                Packets.begin(alloc, sequence++).writeByte(reading.labels().size());
         add(out, count);
         for (String label : reading.labels()) {
             ByteBuf column = Packets.begin(alloc, sequence++);
             for (String text : new String[] {"def", "", "", "", label, ""}) {
                 text(column, text);
             }
-            column.writeByte(12).writeShortLE(Handshake.UTF8MB4).writeIntLE(WIDEST).writeByte(VAR_STRING)
-                    .writeShortLE(0).writeByte(0).writeShortLE(0);
+            column.writeByte(12)
+                    .writeShortLE(Handshake.UTF8MB4)
+                    .writeIntLE(WIDEST)
+                    .writeByte(VAR_STRING)
+                    .writeShortLE(0)
+                    .writeByte(0)
+                    .writeShortLE(0);
             add(out, column);
         }
         if (dialect == Dialect.PLAIN) {
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -15,33 +15,48 @@
  * @param users passwords by name
  * @param spool where results are spooled
  */
-public record MysqlConfig(InetSocketAddress listen, Bounds bounds, Map<String, String> users,
-        List<Engine> engines, List<QueryClass> classes, Spooling spool) {
+public record MysqlConfig(
+        InetSocketAddress listen,
+        Bounds bounds,
+        Map<String, String> users,
+        List<Engine> engines,
+        List<QueryClass> classes,
+        Spooling spool) {
 
     /**
      * Where results are spooled.
      *
      * @param folder null: memory alone
      */
-    public record Spooling(SpoolLimits limits, Path folder) { }
+    public record Spooling(SpoolLimits limits, Path folder) {}
 
     /**
      * @param maxPacket largest packet of a client
      */
-    public record Bounds(int maxClients, int maxPacket, int maxStatements, int linksPerEngine,
-            int connectTimeoutMs, int idleMs, int maxAttempts) { }
+    public record Bounds(
+            int maxClients,
+            int maxPacket,
+            int maxStatements,
+            int linksPerEngine,
+            int connectTimeoutMs,
+            int idleMs,
+            int maxAttempts) {}
 
     /** One engine. */
-    public record Engine(String name, InetSocketAddress address, String user, String password,
-            int cores, Front.Condition condition) { }
+    public record Engine(
+            String name,
+            InetSocketAddress address,
+            String user,
+            String password,
+            int cores,
+            Front.Condition condition) {}
 
     /**
      * A class of statements.
      *
      * @param match finds the statements of this class; the first class that matches is taken
      */
-    public record QueryClass(String name, Pattern match, double aimMs, double deadlineMs, double worth,
-            int threads) { }
+    public record QueryClass(String name, Pattern match, double aimMs, double deadlineMs, double worth, int threads) {}
 
     /** @return the place of the class of a statement */
     int classOf(String text) {
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlFront.java
@@ -39,6 +39,7 @@
 public final class MysqlFront implements Forwarder<Query>, FrontDoor {
     /** Longest a word to give up takes: an engine gets to confirm the kill, then its connection is closed. */
     public static final double STOP_TAKES_MS = 500;
+
     private static final Logger LOG = LoggerFactory.getLogger(MysqlFront.class);
     /** What clients are told that the server is. */
     static final String VERSION = "8.0.36-lineward";
@@ -72,8 +73,14 @@
      * @param figures count what ends here, before the planner has taken it
      * @param spool takes results that are long, paged or named
      */
-    public MysqlFront(EventLoopGroup loop, MysqlConfig config, Planner<Query> planner, DoubleSupplier clock,
-            Runnable news, Figures figures, Spool spool) {
+    public MysqlFront(
+            EventLoopGroup loop,
+            MysqlConfig config,
+            Planner<Query> planner,
+            DoubleSupplier clock,
+            Runnable news,
+            Figures figures,
+            Spool spool) {
         this.spool = spool;
         this.config = config;
         this.doorway = Doorway.at(config.listen());
@@ -81,23 +88,29 @@
         this.clock = clock;
         this.news = news;
         this.figures = figures;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, config.bounds().connectTimeoutMs());
     }
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        ChannelFuture open = doorway.open(new ServerBootstrap()
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new PacketDecoder(maxPacket()),
-                                new ClientSession(MysqlFront.this, ++lastClient));
-                    }
-                }), loop);
+        ChannelFuture open = doorway.open(
+                new ServerBootstrap()
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new PacketDecoder(maxPacket()),
+                                                new ClientSession(MysqlFront.this, ++lastClient));
+                            }
+                        }),
+                loop);
         listener = open.channel();
         return open;
     }
@@ -121,16 +134,20 @@
             }
             entries.add(new EngineEntry(e.name(), e.address().toString(), 0, 1, 0, e.condition(), 0, 0));
         }
-        engines.values().stream().filter(l -> named.stream().noneMatch(e -> e.name().equals(l.name())))
+        engines.values().stream()
+                .filter(l -> named.stream().noneMatch(e -> e.name().equals(l.name())))
                 .forEach(EngineLinks::drain);
-        LOG.info("engines: {}", entries.stream().map(e -> e.id() + ' ' + e.condition()).toList());
+        LOG.info(
+                "engines: {}",
+                entries.stream().map(e -> e.id() + ' ' + e.condition()).toList());
         planner.list(true, entries);
         news.run();
     }
 
     @Override
     public void closeIdleEngines() {
-        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(config.bounds().idleMs());
+        long before = System.nanoTime()
+                - TimeUnit.MILLISECONDS.toNanos(config.bounds().idleMs());
         engines.values().forEach(l -> l.closeIdle(before));
         engines.values().removeIf(l -> l.isDrained());
     }
@@ -146,11 +163,11 @@
 
     /** Nobody kills a front by the clock that serves MySQL: its statements run to their deadlines. */
     @Override
-    public void endIn(int ms) { }
+    public void endIn(int ms) {}
 
     /** See {@link #endIn}. */
     @Override
-    public void lastWord() { }
+    public void lastWord() {}
 
     @Override
     public void stopListening() {
@@ -164,15 +181,20 @@
         if (System.nanoTime() - leavingSince > CURSORS_LAST) {
             List.copyOf(clients).forEach(ClientSession::endCursors);
         }
-        ClientTable.closeSome(clients.stream().filter(ClientSession::isIdle).toList(), chance,
-                c -> LingeringClose.begin(c.channel(), c::isIdle, () -> { }));
+        ClientTable.closeSome(
+                clients.stream().filter(ClientSession::isIdle).toList(),
+                chance,
+                c -> LingeringClose.begin(c.channel(), c::isIdle, () -> {}));
     }
 
     /** Who has not logged in yet is let go; who has may rest, as sessions do. */
     @Override
     public void closeSilent() {
         long before = System.nanoTime() - LOGIN_TAKES;
-        clients.stream().filter(c -> c.isStrangerSince(before)).toList().forEach(c -> c.channel().close());
+        clients.stream()
+                .filter(c -> c.isStrangerSince(before))
+                .toList()
+                .forEach(c -> c.channel().close());
         spool.tick();
     }
 
@@ -266,8 +288,7 @@
 
     private boolean hasRoom(Query query) {
         double deadline = config.classes().get(query.place()).deadlineMs();
-        query.request = planner.take(clock.getAsDouble(),
-                new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
+        query.request = planner.take(clock.getAsDouble(), new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
         news.run();
         return query.request != SlotTable.FULL;
     }
@@ -301,15 +322,15 @@
 
     /** The protocol has no priorities. */
     @Override
-    public void reprioritise(Command.Reprioritise<Query> c) { }
+    public void reprioritise(Command.Reprioritise<Query> c) {}
 
     /** The settings of this pool ask for no probes. */
     @Override
-    public void probe(Command.Probe<Query> c) { }
+    public void probe(Command.Probe<Query> c) {}
 
     /** Nor do its front ends talk to each other. */
     @Override
-    public void announce(Command.Announce<Query> c) { }
+    public void announce(Command.Announce<Query> c) {}
 
     @Override
     public void refuse(Command.Refuse<Query> c) {
--- a/src/main/java/lineward/mysql/MysqlRun.java
+++ b/src/main/java/lineward/mysql/MysqlRun.java
@@ -14,7 +14,7 @@
     /** Hears of a reply that is too long to be held whole, and of the end. */
     interface Listener {
         /** The work has been written whole to the engine. */
-        default void written() { }
+        default void written() {}
 
         /** @return where a result goes that is too long to be held here; null: it is not wanted */
         SpooledResult spool();
@@ -37,11 +37,13 @@
 
     /** Bytes of a reply that are held in one piece. */
     private static final int MOST_HELD = 64 * 1024;
+
     private static final double NANOS = 1e6;
 
     final Work work;
     /** Settings of the client's session that must hold at the engine. */
     final Map<String, String> settings;
+
     private final long patienceMs;
     private final Listener listener;
     private final long startedAt = System.nanoTime();
@@ -115,8 +117,14 @@
             while (begun.isReadable()) {
                 int length = Packets.HEAD + begun.getUnsignedMediumLE(begun.readerIndex());
                 boolean isLast = length == begun.readableBytes();
-                spool(begun, length, isLast ? last : length == Packets.HEAD + Packets.LONGEST
-                        ? ReplyTracker.Place.ROW_PART : ReplyTracker.Place.ROW);
+                spool(
+                        begun,
+                        length,
+                        isLast
+                                ? last
+                                : length == Packets.HEAD + Packets.LONGEST
+                                        ? ReplyTracker.Place.ROW_PART
+                                        : ReplyTracker.Place.ROW);
             }
         } finally {
             begun.release();
@@ -162,8 +170,7 @@
         }
         over = true;
         // Given up amid a long reply: its end comes, but nobody holds the whole of it.
-        Front.Outcome outcome = unwanted || spooled != null && spooled.isGone() ? Front.Outcome.CANCELLED
-                : as;
+        Front.Outcome outcome = unwanted || spooled != null && spooled.isGone() ? Front.Outcome.CANCELLED : as;
         ByteBuf reply = held;
         held = null;
         if (outcome != Front.Outcome.OK && reply != null) {
--- a/src/main/java/lineward/mysql/OpenCursor.java
+++ b/src/main/java/lineward/mysql/OpenCursor.java
@@ -35,8 +35,14 @@
      * @param page rows of the one reply that is wanted; negative: a cursor
      * @param ending hears that a fetch, or the cursor's opening, is over; more may follow while it ended well
      */
-    OpenCursor(Channel channel, SpooledResult result, Dialect dialect, long from, long page,
-            Consumer<ByteBuf> out, Ending ending) {
+    OpenCursor(
+            Channel channel,
+            SpooledResult result,
+            Dialect dialect,
+            long from,
+            long page,
+            Consumer<ByteBuf> out,
+            Ending ending) {
         this.dialect = dialect;
         this.from = from;
         this.page = page;
@@ -120,8 +126,8 @@
                 nextBlock();
             }
             fetching = false;
-            out.accept(dialect.end(channel.alloc(), sequence, page >= 0 ? 0
-                    : done ? Packets.LAST_ROW_SENT : Packets.CURSOR_EXISTS));
+            out.accept(dialect.end(
+                    channel.alloc(), sequence, page >= 0 ? 0 : done ? Packets.LAST_ROW_SENT : Packets.CURSOR_EXISTS));
             done |= page >= 0;
             if (done) {
                 close();
--- a/src/main/java/lineward/mysql/Packets.java
+++ b/src/main/java/lineward/mysql/Packets.java
@@ -17,11 +17,12 @@
     static final int LONGEST = 0xffffff;
     /** An EOF packet is shorter than this; a row that begins with the same byte is longer. */
     private static final int EOF_LESS_THAN = 9;
+
     private static final int LENGTH_2 = 0xfc;
     private static final int LENGTH_3 = 0xfd;
     private static final int LENGTH_8 = 0xfe;
 
-    private Packets() { }
+    private Packets() {}
 
     /** @return a frame whose length is set by {@link #done} */
     static ByteBuf begin(ByteBufAllocator alloc, int sequence) {
@@ -33,7 +34,11 @@
     }
 
     static ByteBuf ok(ByteBufAllocator alloc, int sequence) {
-        return done(begin(alloc, sequence).writeByte(OK).writeByte(0).writeByte(0).writeShortLE(AUTOCOMMIT)
+        return done(begin(alloc, sequence)
+                .writeByte(OK)
+                .writeByte(0)
+                .writeByte(0)
+                .writeShortLE(AUTOCOMMIT)
                 .writeShortLE(0));
     }
 
@@ -54,8 +59,7 @@
 
     /** @return a frame of one command with its bytes, to be released by the caller */
     static ByteBuf command(ByteBufAllocator alloc, int command, ByteBuf rest) {
-        return done(begin(alloc, 0).writeByte(command).writeBytes(rest, rest.readerIndex(),
-                rest.readableBytes()));
+        return done(begin(alloc, 0).writeByte(command).writeBytes(rest, rest.readerIndex(), rest.readableBytes()));
     }
 
     static ByteBuf command(ByteBufAllocator alloc, int command, String text) {
--- a/src/main/java/lineward/mysql/ReplyPump.java
+++ b/src/main/java/lineward/mysql/ReplyPump.java
@@ -43,13 +43,16 @@
                 break;
             }
             last = piece.bytes();
-            out.accept(piece.rows() > 0 ? dialect.rows(last) : inRows ? dialect.tail(channel.alloc(), last)
-                    : dialect.columns(last));
+            out.accept(
+                    piece.rows() > 0
+                            ? dialect.rows(last)
+                            : inRows ? dialect.tail(channel.alloc(), last) : dialect.columns(last));
             inRows = true;
         }
         moving = false;
         SpooledResult.Ahead ahead = reader.ahead();
-        if (ahead == SpooledResult.Ahead.LAPSED || piece == null && ahead == SpooledResult.Ahead.END
+        if (ahead == SpooledResult.Ahead.LAPSED
+                || piece == null && ahead == SpooledResult.Ahead.END
                 || piece == null && ahead == SpooledResult.Ahead.BROKEN && channel.isWritable()) {
             close();
             ending.over(ahead, last == null ? 1 : dialect.behindColumns(last));
--- a/src/main/java/lineward/mysql/ReplyTracker.java
+++ b/src/main/java/lineward/mysql/ReplyTracker.java
@@ -23,7 +23,12 @@
         }
     }
 
-    private enum State { FIRST, PREPARED, COLUMNS, ROWS }
+    private enum State {
+        FIRST,
+        PREPARED,
+        COLUMNS,
+        ROWS
+    }
 
     private static final int LOCAL_FILE = 0xfb;
     private static final int MORE_RESULTS = 0x0008;
--- a/src/main/java/lineward/mysql/SessionSettings.java
+++ b/src/main/java/lineward/mysql/SessionSettings.java
@@ -16,31 +16,62 @@
  */
 final class SessionSettings {
     /** What can be kept for a session and put on any engine's connection. */
-    private static final Set<String> KEPT = Set.of("sql_mode", "time_zone", "sql_select_limit",
-            "max_execution_time", "group_concat_max_len", "net_write_timeout", "net_read_timeout",
-            "lock_wait_timeout", "innodb_lock_wait_timeout", "sql_safe_updates", "foreign_key_checks",
-            "unique_checks", "sql_auto_is_null", "sql_notes", "optimizer_switch", "long_query_time",
-            "max_join_size", "sql_big_selects", "lc_time_names", "div_precision_increment",
-            "default_storage_engine", "collation_connection", "character_set_client",
-            "character_set_connection", "character_set_results", "transaction_isolation", "tx_isolation",
-            "sql_quote_show_create", "max_sort_length", "tmp_table_size", "max_heap_table_size");
+    private static final Set<String> KEPT = Set.of(
+            "sql_mode",
+            "time_zone",
+            "sql_select_limit",
+            "max_execution_time",
+            "group_concat_max_len",
+            "net_write_timeout",
+            "net_read_timeout",
+            "lock_wait_timeout",
+            "innodb_lock_wait_timeout",
+            "sql_safe_updates",
+            "foreign_key_checks",
+            "unique_checks",
+            "sql_auto_is_null",
+            "sql_notes",
+            "optimizer_switch",
+            "long_query_time",
+            "max_join_size",
+            "sql_big_selects",
+            "lc_time_names",
+            "div_precision_increment",
+            "default_storage_engine",
+            "collation_connection",
+            "character_set_client",
+            "character_set_connection",
+            "character_set_results",
+            "transaction_isolation",
+            "tx_isolation",
+            "sql_quote_show_create",
+            "max_sort_length",
+            "tmp_table_size",
+            "max_heap_table_size");
     /**
      * What concerns the front's own connection with its client, or is reported by it: an engine need not
      * know.
      */
-    private static final Set<String> OURS = Set.of("wait_timeout", "interactive_timeout",
-            "session_track_schema", "session_track_system_variables", "session_track_state_change",
-            "session_track_gtids", "session_track_transaction_info", "net_buffer_length");
+    private static final Set<String> OURS = Set.of(
+            "wait_timeout",
+            "interactive_timeout",
+            "session_track_schema",
+            "session_track_system_variables",
+            "session_track_state_change",
+            "session_track_gtids",
+            "session_track_transaction_info",
+            "net_buffer_length");
     /** Said where nothing was set; engines behind the front are expected to have the usual ones. */
     private static final Map<String, String> USUAL = usual();
+
     private static final int MOST_KEPT = 32;
     private static final int LONGEST_VALUE = 1024;
 
     /** One assignment; the value as it stands in a statement, quoted where it is a text. */
-    record Assignment(String name, String value) { }
+    record Assignment(String name, String value) {}
 
     /** What a client asks to be told. @param columns labels and values, in order; null value: NULL */
-    record Reading(List<String> labels, List<String> values) { }
+    record Reading(List<String> labels, List<String> values) {}
 
     /** What a client is told that asks for warnings: the engine's connection has had others since. */
     static final Reading NO_WARNINGS = new Reading(List.of("Level", "Code", "Message"), List.of());
@@ -59,26 +90,117 @@
 
     private static Map<String, String> usual() {
         Map<String, String> all = new HashMap<>();
-        String[] pairs = {"auto_increment_increment", "1", "auto_increment_offset", "1", "autocommit", "1",
-            "character_set_client", "utf8mb4", "character_set_connection", "utf8mb4", "character_set_results",
-            "utf8mb4", "character_set_server", "utf8mb4", "character_set_database", "utf8mb4",
-            "collation_server", "utf8mb4_0900_ai_ci", "collation_connection", "utf8mb4_0900_ai_ci",
-            "collation_database", "utf8mb4_0900_ai_ci", "init_connect", "", "interactive_timeout", "28800",
-            "license", "GPL", "lower_case_table_names", "0", "max_allowed_packet", "67108864",
-            "net_write_timeout", "60", "net_read_timeout", "30", "net_buffer_length", "16384",
-            "performance_schema", "0", "have_query_cache", "NO", "query_cache_size", "0", "query_cache_type",
-            "OFF", "sql_mode", "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,NO_ZERO_IN_DATE,NO_ZERO_DATE,"
-                + "ERROR_FOR_DIVISION_BY_ZERO,NO_ENGINE_SUBSTITUTION", "system_time_zone", "UTC", "time_zone",
-            "SYSTEM", "transaction_isolation", "REPEATABLE-READ", "tx_isolation", "REPEATABLE-READ",
-            "transaction_read_only", "0", "tx_read_only", "0", "wait_timeout", "28800", "version",
-            MysqlFront.VERSION, "version_comment", "lineward", "lc_time_names", "en_US", "sql_select_limit",
-            "18446744073709551615", "innodb_lock_wait_timeout", "50", "lock_wait_timeout", "31536000",
-            "foreign_key_checks", "1", "unique_checks", "1", "sql_auto_is_null", "0", "sql_safe_updates", "0",
-            "sql_notes", "1", "default_storage_engine", "InnoDB", "session_track_schema", "1",
-            "session_track_system_variables", "", "session_track_state_change", "0", "session_track_gtids",
-            "OFF", "session_track_transaction_info", "OFF", "max_execution_time", "0", "read_only", "0",
-            "super_read_only", "0", "innodb_read_only", "0", "have_ssl", "DISABLED", "have_openssl",
-                    "DISABLED"};
+        String[] pairs = {
+            "auto_increment_increment",
+            "1",
+            "auto_increment_offset",
+            "1",
+            "autocommit",
+            "1",
+            "character_set_client",
+            "utf8mb4",
+            "character_set_connection",
+            "utf8mb4",
+            "character_set_results",
+            "utf8mb4",
+            "character_set_server",
+            "utf8mb4",
+            "character_set_database",
+            "utf8mb4",
+            "collation_server",
+            "utf8mb4_0900_ai_ci",
+            "collation_connection",
+            "utf8mb4_0900_ai_ci",
+            "collation_database",
+            "utf8mb4_0900_ai_ci",
+            "init_connect",
+            "",
+            "interactive_timeout",
+            "28800",
+            "license",
+            "GPL",
+            "lower_case_table_names",
+            "0",
+            "max_allowed_packet",
+            "67108864",
+            "net_write_timeout",
+            "60",
+            "net_read_timeout",
+            "30",
+            "net_buffer_length",
+            "16384",
+            "performance_schema",
+            "0",
+            "have_query_cache",
+            "NO",
+            "query_cache_size",
+            "0",
+            "query_cache_type",
+            "OFF",
+            "sql_mode",
+            "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,NO_ZERO_IN_DATE,NO_ZERO_DATE,"
+                    + "ERROR_FOR_DIVISION_BY_ZERO,NO_ENGINE_SUBSTITUTION",
+            "system_time_zone",
+            "UTC",
+            "time_zone",
+            "SYSTEM",
+            "transaction_isolation",
+            "REPEATABLE-READ",
+            "tx_isolation",
+            "REPEATABLE-READ",
+            "transaction_read_only",
+            "0",
+            "tx_read_only",
+            "0",
+            "wait_timeout",
+            "28800",
+            "version",
+            MysqlFront.VERSION,
+            "version_comment",
+            "lineward",
+            "lc_time_names",
+            "en_US",
+            "sql_select_limit",
+            "18446744073709551615",
+            "innodb_lock_wait_timeout",
+            "50",
+            "lock_wait_timeout",
+            "31536000",
+            "foreign_key_checks",
+            "1",
+            "unique_checks",
+            "1",
+            "sql_auto_is_null",
+            "0",
+            "sql_safe_updates",
+            "0",
+            "sql_notes",
+            "1",
+            "default_storage_engine",
+            "InnoDB",
+            "session_track_schema",
+            "1",
+            "session_track_system_variables",
+            "",
+            "session_track_state_change",
+            "0",
+            "session_track_gtids",
+            "OFF",
+            "session_track_transaction_info",
+            "OFF",
+            "max_execution_time",
+            "0",
+            "read_only",
+            "0",
+            "super_read_only",
+            "0",
+            "innodb_read_only",
+            "0",
+            "have_ssl",
+            "DISABLED",
+            "have_openssl",
+            "DISABLED"
+        };
         for (int i = 0; i < pairs.length; i += 2) {
             all.put(pairs[i], pairs[i + 1]);
         }
@@ -99,7 +221,9 @@
     /** @return the statement that takes a connection from the one to the other */
     static String change(Map<String, String> from, Map<String, String> to) {
         List<String> parts = new ArrayList<>();
-        from.keySet().stream().filter(name -> !to.containsKey(name)).sorted()
+        from.keySet().stream()
+                .filter(name -> !to.containsKey(name))
+                .sorted()
                 .forEach(name -> parts.add("SESSION " + name + "=DEFAULT"));
         to.forEach((name, value) -> {
             if (!value.equals(from.get(name))) {
@@ -187,7 +311,8 @@
 
     private static String bare(String value) {
         return value.length() > 1 && (value.startsWith("'") || value.startsWith("\""))
-                ? value.substring(1, value.length() - 1) : value;
+                ? value.substring(1, value.length() - 1)
+                : value;
     }
 
     /** @return what a client is told of a variable, or null where only an engine knows it */
--- a/src/main/java/lineward/mysql/SetReader.java
+++ b/src/main/java/lineward/mysql/SetReader.java
@@ -87,8 +87,13 @@
         } else if (isScope()) {
             advance();
         }
-        require(!tokens.is("global") && !tokens.is("persist") && !tokens.is("persist_only")
-                && !tokens.is("password") && !tokens.is("role"), "SET " + tokens.text());
+        require(
+                !tokens.is("global")
+                        && !tokens.is("persist")
+                        && !tokens.is("persist_only")
+                        && !tokens.is("password")
+                        && !tokens.is("role"),
+                "SET " + tokens.text());
     }
 
     private boolean isScope() {
@@ -101,8 +106,10 @@
         while (advance() && tokens.kind() == SqlTokens.Kind.WORD) {
             level.append(level.isEmpty() ? "" : "-").append(tokens.text().toUpperCase(Locale.ROOT));
         }
-        require(Set.of("REPEATABLE-READ", "READ-COMMITTED", "READ-UNCOMMITTED", "SERIALIZABLE")
-                .contains(level.toString()), "this isolation level");
+        require(
+                Set.of("REPEATABLE-READ", "READ-COMMITTED", "READ-UNCOMMITTED", "SERIALIZABLE")
+                        .contains(level.toString()),
+                "this isolation level");
         return new SessionSettings.Assignment("transaction_isolation", "'" + level + "'");
     }
 
@@ -120,8 +127,7 @@
         do {
             advance();
             String part = value();
-            joined.append(part.startsWith("'") || part.startsWith("\"") ? part.substring(1,
-                    part.length() - 1) : part);
+            joined.append(part.startsWith("'") || part.startsWith("\"") ? part.substring(1, part.length() - 1) : part);
         } while (more && tokens.is(","));
         require(more && tokens.is(")"), "this form of SET");
         advance();
@@ -147,8 +153,9 @@
             value.append('-');
             advance();
         }
-        require(more && tokens.kind() != SqlTokens.Kind.SYMBOL
-                && tokens.kind() != SqlTokens.Kind.EXECUTABLE_COMMENT, "this value");
+        require(
+                more && tokens.kind() != SqlTokens.Kind.SYMBOL && tokens.kind() != SqlTokens.Kind.EXECUTABLE_COMMENT,
+                "this value");
         value.append(text, tokens.start(), tokens.end());
         advance();
         // A number with a point is three tokens.
--- a/src/main/java/lineward/mysql/SpoolHint.java
+++ b/src/main/java/lineward/mysql/SpoolHint.java
@@ -14,8 +14,7 @@
  * @param statement the statement without the hint
  */
 record SpoolHint(String key, long from, long rows, String statement) {
-    private static final Pattern HINT = Pattern.compile(
-            "/\\*\\s*lineward:key=([A-Za-z0-9_.-]{1,64})"
+    private static final Pattern HINT = Pattern.compile("/\\*\\s*lineward:key=([A-Za-z0-9_.-]{1,64})"
             + "(?:\\s+from=(\\d{1,12}))?(?:\\s+rows=(\\d{1,12}))?\\s*\\*/");
 
     /** @return what the text asks for; the first hint counts */
@@ -27,7 +26,9 @@
         if (!hint.find()) {
             return new SpoolHint("", 0, -1, text);
         }
-        return new SpoolHint(hint.group(1), hint.group(2) == null ? 0 : Long.parseLong(hint.group(2)),
+        return new SpoolHint(
+                hint.group(1),
+                hint.group(2) == null ? 0 : Long.parseLong(hint.group(2)),
                 hint.group(3) == null ? -1 : Long.parseLong(hint.group(3)),
                 text.substring(0, hint.start()) + text.substring(hint.end()));
     }
--- a/src/main/java/lineward/mysql/Texts.java
+++ b/src/main/java/lineward/mysql/Texts.java
@@ -4,7 +4,7 @@
 
 /** Texts of clients travel as Latin-1 strings of their bytes; these take them there and back. */
 final class Texts {
-    private Texts() { }
+    private Texts() {}
 
     /** @return the text's UTF-8 bytes, each as one character */
     static String latin1(String text) {
--- a/src/main/java/lineward/mysql/Work.java
+++ b/src/main/java/lineward/mysql/Work.java
@@ -36,7 +36,7 @@
     }
 
     /** Prepares a text, for what the client is to know of it. */
-    record Prepare(String schema, String text) implements Work { }
+    record Prepare(String schema, String text) implements Work {}
 
     /**
      * Prepares a text anew, unless this engine's connection has it, and runs it.
@@ -44,8 +44,7 @@
      * @param params how many parameters the client was told of
      * @param arguments what follows the statement's id, with the types always in place
      */
-    record Execute(String schema, String text, int params, byte[] arguments, List<LongData> longData)
-            implements Work {
+    record Execute(String schema, String text, int params, byte[] arguments, List<LongData> longData) implements Work {
         @Override
         public boolean leavesTraces() {
             return Work.leavesTraces(text);
@@ -67,7 +66,7 @@
     }
 
     /** Chooses the schema. */
-    record UseSchema(String schema) implements Work { }
+    record UseSchema(String schema) implements Work {}
 
     private static byte[] bytes(String latin1) {
         return latin1.getBytes(StandardCharsets.ISO_8859_1);
@@ -77,7 +76,8 @@
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             for (byte[] part : parts) {
-                digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
+                digest.update(
+                        ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
                 digest.update(part);
             }
             return HexFormat.of().formatHex(digest.digest());
@@ -87,5 +87,5 @@
     }
 
     /** A piece of a parameter sent ahead of the execution. */
-    record LongData(int param, byte[] bytes) { }
+    record LongData(int param, byte[] bytes) {}
 }
--- a/src/main/java/lineward/operations/CallAggregator.java
+++ b/src/main/java/lineward/operations/CallAggregator.java
@@ -8,6 +8,7 @@
 final class CallAggregator extends HttpObjectAggregator {
     /** Handed on in the place of a call whose body is too large. */
     static final Object TOO_LARGE = new Object();
+
     private static final int LARGEST_BODY = 1024;
 
     CallAggregator() {
--- a/src/main/java/lineward/operations/CallHandler.java
+++ b/src/main/java/lineward/operations/CallHandler.java
@@ -30,24 +30,33 @@
     }
 
     /** What can be asked at a path; the answer may depend on the body. */
-    private record Call(HttpMethod method, BiFunction<Operations, String, Reply> answer) { }
+    private record Call(HttpMethod method, BiFunction<Operations, String, Reply> answer) {}
 
     private static final Map<String, Call> CALLS = Map.of(
-            "/ops/readiness", new Call(HttpMethod.GET, (ops, body) -> ops.isReady() ? Reply.yes("ready\n")
-                    : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n")),
+            "/ops/readiness",
+                    new Call(
+                            HttpMethod.GET,
+                            (ops, body) -> ops.isReady()
+                                    ? Reply.yes("ready\n")
+                                    : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n")),
             "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> Reply.yes(ops.figures())),
             "/ops/query-engines/down", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, true)),
             "/ops/query-engines/up", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, false)),
-            "/ops/drain/start", new Call(HttpMethod.POST, (ops, body) -> {
-                ops.startDrain();
-                return Reply.yes("draining\n");
-            }),
-            "/ops/drain/stop", new Call(HttpMethod.POST, (ops, body) -> ops.stopDrain()
-                    ? Reply.yes("serving\n")
-                    : new Reply(HttpResponseStatus.CONFLICT, "the process is ending\n")));
+            "/ops/drain/start",
+                    new Call(HttpMethod.POST, (ops, body) -> {
+                        ops.startDrain();
+                        return Reply.yes("draining\n");
+                    }),
+            "/ops/drain/stop",
+                    new Call(
+                            HttpMethod.POST,
+                            (ops, body) -> ops.stopDrain()
+                                    ? Reply.yes("serving\n")
+                                    : new Reply(HttpResponseStatus.CONFLICT, "the process is ending\n")));
 
     private static Reply hold(Operations ops, String engine, boolean out) {
-        return ops.holdOut(engine, out) ? Reply.yes(engine + (out ? " is left out\n" : " is used\n"))
+        return ops.holdOut(engine, out)
+                ? Reply.yes(engine + (out ? " is left out\n" : " is used\n"))
                 : new Reply(HttpResponseStatus.NOT_FOUND, "no query engine " + engine + " is known\n");
     }
 
@@ -82,18 +91,24 @@
             return;
         }
         FullHttpRequest request = (FullHttpRequest) message;
-        Call call = request.decoderResult().isSuccess()
-                ? CALLS.get(new QueryStringDecoder(request.uri()).path()) : null;
+        Call call =
+                request.decoderResult().isSuccess() ? CALLS.get(new QueryStringDecoder(request.uri()).path()) : null;
         if (!request.decoderResult().isSuccess()) {
             send(ctx, new Reply(HttpResponseStatus.BAD_REQUEST, "no call that can be read\n"), null);
         } else if (call == null) {
             send(ctx, new Reply(HttpResponseStatus.NOT_FOUND, "no such path\n"), null);
         } else if (!call.method().equals(request.method())) {
-            send(ctx, new Reply(HttpResponseStatus.METHOD_NOT_ALLOWED, "not by that method\n"),
-                    call.method());
+            send(ctx, new Reply(HttpResponseStatus.METHOD_NOT_ALLOWED, "not by that method\n"), call.method());
         } else {
-            send(ctx, call.answer().apply(operations,
-                    request.content().toString(StandardCharsets.UTF_8).strip()), null);
+            send(
+                    ctx,
+                    call.answer()
+                            .apply(
+                                    operations,
+                                    request.content()
+                                            .toString(StandardCharsets.UTF_8)
+                                            .strip()),
+                    null);
         }
     }
 
@@ -104,7 +119,8 @@
     private static void send(ChannelHandlerContext ctx, Reply reply, HttpMethod allowed) {
         ByteBuf text = ByteBufUtil.writeUtf8(ctx.alloc(), reply.text());
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(), text);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
                 .set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         if (allowed != null) {
--- a/src/main/java/lineward/operations/CountingTracer.java
+++ b/src/main/java/lineward/operations/CountingTracer.java
@@ -45,7 +45,7 @@
             case SERVED -> figures.ended(classOf.apply(exchange), Figures.End.FULFILLED);
             case REFUSED -> figures.ended(classOf.apply(exchange), Figures.End.THROTTLED);
             case FAILED -> figures.ended(classOf.apply(exchange), Figures.End.FAULTED);
-            case ABORTED -> { }
+            case ABORTED -> {}
         }
         next.requestEnded(exchange, ending);
     }
--- a/src/main/java/lineward/operations/Figures.java
+++ b/src/main/java/lineward/operations/Figures.java
@@ -16,7 +16,11 @@
 /** What this process has done since its start, in the text format of Prometheus. */
 public final class Figures {
     /** How a request ended. */
-    public enum End { FULFILLED, THROTTLED, FAULTED }
+    public enum End {
+        FULFILLED,
+        THROTTLED,
+        FAULTED
+    }
 
     private static final String PREFIX = "edge_relay_";
     private final Map<String, Map<End, Long>> ended = new TreeMap<>();
@@ -66,21 +70,36 @@
         StringBuilder text = new StringBuilder();
         head(text, "operations_total", "counter", "Requests that have ended, by class and end.");
         ended.forEach((type, row) -> row.forEach((end, count) -> text.append(PREFIX)
-                .append("operations_total{priority=\"").append(escaped(type)).append("\",status=\"")
-                .append(end.name().toLowerCase(Locale.ROOT)).append("\"} ").append(count).append('\n')));
+                .append("operations_total{priority=\"")
+                .append(escaped(type))
+                .append("\",status=\"")
+                .append(end.name().toLowerCase(Locale.ROOT))
+                .append("\"} ")
+                .append(count)
+                .append('\n')));
         one(text, "relayed_total", "counter", "Attempts written whole to query engines.", relayed);
-        one(text, "open_requests", "gauge", "Requests taken and not yet ended.",
-                sum(doors, Planner::open));
-        one(text, "registry_entries", "gauge", "Query engines on the list.",
-                sum(doors, Planner::engines));
-        one(text, "out_of_rotation", "gauge", "Query engines on the list that get nothing now.",
+        one(text, "open_requests", "gauge", "Requests taken and not yet ended.", sum(doors, Planner::open));
+        one(text, "registry_entries", "gauge", "Query engines on the list.", sum(doors, Planner::engines));
+        one(
+                text,
+                "out_of_rotation",
+                "gauge",
+                "Query engines on the list that get nothing now.",
                 sum(doors, Planner::avoided));
         if (listAge != null) {
-            one(text, "list_age_ms", "gauge", "Milliseconds since the journal's last usable answer.",
+            one(
+                    text,
+                    "list_age_ms",
+                    "gauge",
+                    "Milliseconds since the journal's last usable answer.",
                     listAge.getAsLong());
         }
         if (unread != null) {
-            one(text, "unread_answer_bytes", "gauge", "Bytes of answers that clients have not taken yet.",
+            one(
+                    text,
+                    "unread_answer_bytes",
+                    "gauge",
+                    "Bytes of answers that clients have not taken yet.",
                     unread.getAsLong());
         }
         if (spool != null) {
@@ -96,10 +115,8 @@
         one(text, "spool_readers", "gauge", "Clients and cursors that read results.", now.readers());
         one(text, "spool_returned_total", "counter", "Results given back.", now.returned());
         one(text, "spool_lapsed_total", "counter", "Results given back because nobody read.", now.lapsed());
-        one(text, "spool_refused_total", "counter", "Statements refused because the spool was full.",
-                now.refused());
-        one(text, "spool_slowed_total", "counter", "Results whose engine had to wait for the reader.",
-                now.slowed());
+        one(text, "spool_refused_total", "counter", "Statements refused because the spool was full.", now.refused());
+        one(text, "spool_slowed_total", "counter", "Results whose engine had to wait for the reader.", now.slowed());
     }
 
     private static int sum(Collection<FrontDoor> doors, ToIntFunction<Planner<?>> figure) {
@@ -112,8 +129,18 @@
     }
 
     private static void head(StringBuilder text, String name, String type, String help) {
-        text.append("# HELP ").append(PREFIX).append(name).append(' ').append(help).append('\n')
-                .append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
+        text.append("# HELP ")
+                .append(PREFIX)
+                .append(name)
+                .append(' ')
+                .append(help)
+                .append('\n')
+                .append("# TYPE ")
+                .append(PREFIX)
+                .append(name)
+                .append(' ')
+                .append(type)
+                .append('\n');
     }
 
     private static String escaped(String label) {
--- a/src/main/java/lineward/operations/OperationsServer.java
+++ b/src/main/java/lineward/operations/OperationsServer.java
@@ -19,12 +19,13 @@
     private static final int MOST_CALLERS = 32;
     /** A call is due whole within this, and its answer taken. */
     private static final long PATIENCE = TimeUnit.MILLISECONDS.toNanos(900);
+
     private static final int LONGEST_LINE = 1024;
     private static final int LARGEST_HEADER = 4096;
 
     private final Operations operations;
-    private final ClientTable<Channel> callers = new ClientTable<>(MOST_CALLERS, System::nanoTime,
-            Channel::close, Channel::close);
+    private final ClientTable<Channel> callers =
+            new ClientTable<>(MOST_CALLERS, System::nanoTime, Channel::close, Channel::close);
 
     /** @param operations carries out what is asked */
     public OperationsServer(Operations operations) {
@@ -33,18 +34,24 @@
 
     /** Starts to listen. */
     public ChannelFuture listen(EventLoopGroup loop, InetSocketAddress address) {
-        HttpDecoderConfig bounds = new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE)
-                .setMaxHeaderSize(LARGEST_HEADER);
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        HttpDecoderConfig bounds =
+                new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LARGEST_HEADER);
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(bounds), new CallAggregator(),
-                                new CallHandler(operations, callers));
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(bounds),
+                                        new CallAggregator(),
+                                        new CallHandler(operations, callers));
                     }
-                }).bind(address);
+                })
+                .bind(address);
     }
 
     /** Closes the connections of callers that have not asked, or not left, in time. */
--- a/src/main/java/lineward/peers/PeerSocket.java
+++ b/src/main/java/lineward/peers/PeerSocket.java
@@ -47,11 +47,15 @@
     /** Opens the socket at that address; at an upgrade the process that came last hears there. */
     public ChannelFuture open(EventLoopGroup loop, InetSocketAddress at) {
         // One byte more than a word may have tells those that are too long.
-        ChannelFuture opening = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+        ChannelFuture opening = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST + 1)
-                        .maxMessagesPerRead(MOST_A_TURN))
-                .handler(this).bind(at);
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(LONGEST + 1).maxMessagesPerRead(MOST_A_TURN))
+                .handler(this)
+                .bind(at);
         channel = opening.channel();
         return opening;
     }
@@ -73,5 +77,5 @@
 
     /** A neighbour that is down answers with an error now and then; the next word may find it up. */
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
 }
--- a/src/main/java/lineward/spool/Spool.java
+++ b/src/main/java/lineward/spool/Spool.java
@@ -18,11 +18,12 @@
     /** Blocks on their way to files, for all results together: past it engines wait for the disk. */
     private static final long MOST_UNDER_WAY = 4L << 20;
 
-    private record Name(String user, String key) { }
+    private record Name(String user, String key) {}
 
     private final SpoolPolicy policy;
     /** Null: there are no files. */
     private final SegmentStore store;
+
     private final DoubleSupplier clock;
     private final Map<Long, SpooledResult> results = new HashMap<>();
     private final Map<Name, SpooledResult> named = new HashMap<>();
@@ -41,20 +42,25 @@
 
     /** Takes in what an earlier process left whole; of two with one name the later holds. */
     public void restore(SpoolFolder.Recovered recovered) {
-        recovered.whole().stream().sorted((a, b) -> Long.compare(a.manifest().createdMs(),
-                b.manifest().createdMs()))
+        recovered.whole().stream()
+                .sorted((a, b) ->
+                        Long.compare(a.manifest().createdMs(), b.manifest().createdMs()))
                 .forEach(this::restore);
-        LOG.info("spool: {} whole results taken in again, {} dropped", named.size(),
+        LOG.info(
+                "spool: {} whole results taken in again, {} dropped",
+                named.size(),
                 recovered.dropped().size());
-        recovered.dropped().forEach(d -> LOG.info("spool: {} dropped: {}", d.path().getFileName(), d.why()));
+        recovered
+                .dropped()
+                .forEach(d -> LOG.info("spool: {} dropped: {}", d.path().getFileName(), d.why()));
     }
 
     private void restore(Segment.Found found) {
         Manifest m = found.manifest();
         forget(m.user(), m.key());
         long id = policy.restore(m.user(), found.bytes(), clock.getAsDouble());
-        SpooledResult result = new SpooledResult(this, id, m.user(), m.key(), m.statement(),
-                new SegmentStore.Handle(found.segment()), found.blocks());
+        SpooledResult result = new SpooledResult(
+                this, id, m.user(), m.key(), m.statement(), new SegmentStore.Handle(found.segment()), found.blocks());
         results.put(id, result);
         named.put(new Name(m.user(), m.key()), result);
     }
@@ -73,8 +79,7 @@
     public SpooledResult begin(String user, String key, String statement) {
         makeRoom(user);
         long id = policy.begin(user, !key.isEmpty(), now());
-        SpooledResult result = new SpooledResult(this, id, user, key, statement, new SegmentStore.Handle(),
-                List.of());
+        SpooledResult result = new SpooledResult(this, id, user, key, statement, new SegmentStore.Handle(), List.of());
         results.put(id, result);
         if (!key.isEmpty()) {
             // Whoever asks under the same key from now on reads along, and nothing is run again.
--- a/src/main/java/lineward/spool/SpoolLimits.java
+++ b/src/main/java/lineward/spool/SpoolLimits.java
@@ -16,8 +16,17 @@
  * @param leaseMs a result whose reader has taken nothing for so long is given back
  * @param keyLeaseMs a result with a key, which no reader has touched for so long, is given back
  */
-public record SpoolLimits(long memoryBytes, long fileBytes, int files, int results, long userBytes,
-        long resultBytes, long holdBytes, double holdPart, double leaseMs, double keyLeaseMs) {
+public record SpoolLimits(
+        long memoryBytes,
+        long fileBytes,
+        int files,
+        int results,
+        long userBytes,
+        long resultBytes,
+        long holdBytes,
+        double holdPart,
+        double leaseMs,
+        double keyLeaseMs) {
     private static final long MB = 1 << 20;
 
     /** @throws IllegalArgumentException with one plain line if the bounds contradict each other */
@@ -37,8 +46,7 @@
 
     /** @return these bounds without files, for a folder that can't be used */
     public SpoolLimits withoutFiles() {
-        return new SpoolLimits(memoryBytes, 0, 0, results, userBytes, resultBytes, holdBytes, holdPart,
-                leaseMs,
-                keyLeaseMs);
+        return new SpoolLimits(
+                memoryBytes, 0, 0, results, userBytes, resultBytes, holdBytes, holdPart, leaseMs, keyLeaseMs);
     }
 }
--- a/src/main/java/lineward/spool/SpoolPolicy.java
+++ b/src/main/java/lineward/spool/SpoolPolicy.java
@@ -23,6 +23,7 @@
     static final double FILE_PAUSE_MS = 5000;
     /** A result of which the engine has to be slowed down for so long without a byte read is ended. */
     static final double STALL_MS = 20_000;
+
     private static final long SHORTEST_RETURN_MS = 100;
     private static final long LONGEST_RETURN_MS = 2000;
     private static final double WORD_PER_MB_MS = 20;
@@ -38,18 +39,24 @@
     }
 
     /** Whether a statement whose result may be spooled is let in. */
-    public sealed interface Admission { }
+    public sealed interface Admission {}
 
     /** It is let in. */
-    public record Admitted() implements Admission { }
+    public record Admitted() implements Admission {}
 
     /** Refused before it runs. @param retryAfterMs when there should be room again */
-    public record Turned(long retryAfterMs) implements Admission { }
+    public record Turned(long retryAfterMs) implements Admission {}
 
     /** What the figures show. */
-    public record Figures(long heldBytes, long filedBytes, int results, int readers, long returned,
+    public record Figures(
+            long heldBytes,
+            long filedBytes,
+            int results,
+            int readers,
+            long returned,
             long lapsed,
-            long refused, long slowed) { }
+            long refused,
+            long slowed) {}
 
     private static final class Entry {
         final String user;
@@ -87,6 +94,7 @@
     private long slowed;
     /** Bytes a millisecond that have lately been given back, for the advice on when to return. */
     private double returnRate;
+
     private double ratedAt = Double.NaN;
 
     /** @param limits the bounds */
@@ -143,9 +151,12 @@
         boolean grows = e.bytes() + bytes <= limits.resultBytes()
                 && byUser.getOrDefault(e.user, 0L) + bytes <= limits.userBytes();
         // Without files a result may have all of the memory that is free.
-        boolean fits = grows && memory + bytes <= limits.memoryBytes()
+        boolean fits = grows
+                && memory + bytes <= limits.memoryBytes()
                 && (limits.fileBytes() == 0 || e.memory + bytes <= MEMORY_PART * limits.memoryBytes());
-        boolean onFile = grows && now >= filesAgainAt && filed + bytes <= limits.fileBytes()
+        boolean onFile = grows
+                && now >= filesAgainAt
+                && filed + bytes <= limits.fileBytes()
                 && (e.file || files < limits.files());
         // What has a key is to outlive the process.
         if (onFile && (e.keyed || !fits)) {
@@ -190,9 +201,12 @@
     /** @return whether the engine may be read on: what is held of this result leaves room for more */
     public boolean mayGrow(long id) {
         Entry e = entries.get(id);
-        return e != null && (Double.isNaN(e.slowSince) || e.memory == 0
-                || memory <= limits.memoryBytes() / 2 && e.bytes() <= limits.resultBytes() / 2
-                && byUser.getOrDefault(e.user, 0L) <= limits.userBytes() / 2);
+        return e != null
+                && (Double.isNaN(e.slowSince)
+                        || e.memory == 0
+                        || memory <= limits.memoryBytes() / 2
+                                && e.bytes() <= limits.resultBytes() / 2
+                                && byUser.getOrDefault(e.user, 0L) <= limits.userBytes() / 2);
     }
 
     /**
@@ -203,7 +217,8 @@
      */
     public boolean opens(long id, long bytes, double ageMs, double patienceMs) {
         Entry e = entries.get(id);
-        return bytes > limits.holdBytes() || ageMs > limits.holdPart() * patienceMs
+        return bytes > limits.holdBytes()
+                || ageMs > limits.holdPart() * patienceMs
                 || e != null && !Double.isNaN(e.slowSince);
     }
 
@@ -269,8 +284,7 @@
     public List<Long> lapsed(double now) {
         List<Long> due = new ArrayList<>();
         entries.forEach((id, e) -> {
-            boolean idle = now - e.touched > (e.keyed && e.readers == 0 ? limits.keyLeaseMs()
-                    : limits.leaseMs());
+            boolean idle = now - e.touched > (e.keyed && e.readers == 0 ? limits.keyLeaseMs() : limits.leaseMs());
             boolean stalled = !Double.isNaN(e.slowSince) && now - e.slowSince > STALL_MS;
             if (idle && (e.complete || e.readers > 0) || stalled) {
                 due.add(id);
@@ -283,7 +297,8 @@
     /** @return results to be given back now because room is short, least missed first */
     public List<Long> pressed(String user) {
         boolean all = memory + filed > ADMIT_BELOW * (limits.memoryBytes() + limits.fileBytes())
-                || files >= limits.files() && limits.files() > 0 || entries.size() >= limits.results();
+                || files >= limits.files() && limits.files() > 0
+                || entries.size() >= limits.results();
         boolean own = byUser.getOrDefault(user, 0L) > ADMIT_BELOW * limits.userBytes();
         if (!all && !own) {
             return List.of();
@@ -291,13 +306,21 @@
         return entries.entrySet().stream()
                 .filter(e -> isSpare(e.getValue()) && (all || e.getValue().user.equals(user)))
                 .min(Comparator.comparingDouble(e -> e.getValue().touched))
-                .map(e -> List.of(e.getKey())).orElse(List.of());
+                .map(e -> List.of(e.getKey()))
+                .orElse(List.of());
     }
 
     /** @return the figures as they stand */
     public Figures figures() {
-        return new Figures(memory, filed, entries.size(),
-                entries.values().stream().mapToInt(e -> e.readers).sum(), returned, lapsed, refused, slowed);
+        return new Figures(
+                memory,
+                filed,
+                entries.size(),
+                entries.values().stream().mapToInt(e -> e.readers).sum(),
+                returned,
+                lapsed,
+                refused,
+                slowed);
     }
 
     private void held(Entry e, long bytes) {
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -31,7 +31,7 @@
     }
 
     /** A piece of a result. @param rows whole rows in it; 0: what stands before or behind the rows */
-    public record Piece(byte[] bytes, int rows) { }
+    public record Piece(byte[] bytes, int rows) {}
 
     private static final class Block {
         final long firstRow;
@@ -39,6 +39,7 @@
         final int raw;
         /** Null once it is on file alone. */
         byte[] data;
+
         boolean filed;
         Segment.Place place;
 
@@ -68,6 +69,7 @@
     private final List<Reader> readers = new ArrayList<>();
     /** Blocks that have been read and given back before the first of {@link #blocks}. */
     private int dropped;
+
     private byte[] growing = new byte[0];
     private int grown;
     private int growingRows;
@@ -79,9 +81,15 @@
     private boolean broken;
     private boolean lapsed;
     private boolean released;
-    private Runnable flow = () -> { };
-
-    SpooledResult(Spool spool, long id, String user, String key, String statement, SegmentStore.Handle handle,
+    private Runnable flow = () -> {};
+
+    SpooledResult(
+            Spool spool,
+            long id,
+            String user,
+            String key,
+            String statement,
+            SegmentStore.Handle handle,
             List<Segment.Place> found) {
         this.spool = spool;
         this.id = id;
@@ -189,8 +197,7 @@
         if (grown == 0 || released) {
             return;
         }
-        Block block = new Block(rows, growingRows, grown == growing.length ? growing
-                : Arrays.copyOf(growing, grown));
+        Block block = new Block(rows, growingRows, grown == growing.length ? growing : Arrays.copyOf(growing, grown));
         rows += growingRows;
         growing = new byte[0];
         grown = 0;
@@ -256,19 +263,28 @@
     }
 
     private void finish() {
-        if (whole && !key.isEmpty() && writing == 0 && !broken && !blocks.isEmpty()
+        if (whole
+                && !key.isEmpty()
+                && writing == 0
+                && !broken
+                && !blocks.isEmpty()
                 && blocks.stream().allMatch(b -> b.place != null)) {
             List<Segment.Place> places = blocks.stream().map(b -> b.place).toList();
             writing++;
-            spool.store().complete(handle, new Manifest(user, key, statement, System.currentTimeMillis(),
-                    rows,
-                    bytes), places, (length, failure) -> {
-                        spool.wrote(failure);
-                        if (failure == null && !released) {
-                            long had = places.stream().mapToLong(Segment.Place::bytes).sum();
-                            spool.policy().stored(id, had, length);
-                        }
-                    });
+            spool.store()
+                    .complete(
+                            handle,
+                            new Manifest(user, key, statement, System.currentTimeMillis(), rows, bytes),
+                            places,
+                            (length, failure) -> {
+                                spool.wrote(failure);
+                                if (failure == null && !released) {
+                                    long had = places.stream()
+                                            .mapToLong(Segment.Place::bytes)
+                                            .sum();
+                                    spool.policy().stored(id, had, length);
+                                }
+                            });
         }
     }
 
--- a/src/main/java/lineward/spool/store/BlockCodec.java
+++ b/src/main/java/lineward/spool/store/BlockCodec.java
@@ -12,13 +12,15 @@
 final class BlockCodec {
     /** Packed blocks must save one part in so many, or they stay as they are. */
     private static final int LEAST_SAVING = 8;
+
     private static final LZ4Compressor COMPRESSOR = LZ4Factory.safeInstance().fastCompressor();
-    private static final LZ4SafeDecompressor DECOMPRESSOR = LZ4Factory.safeInstance().safeDecompressor();
+    private static final LZ4SafeDecompressor DECOMPRESSOR =
+            LZ4Factory.safeInstance().safeDecompressor();
 
     /** @param length bytes of the array that count */
-    record Packed(SegmentFormat.Kind kind, byte[] bytes, int length) { }
+    record Packed(SegmentFormat.Kind kind, byte[] bytes, int length) {}
 
-    private BlockCodec() { }
+    private BlockCodec() {}
 
     static Packed pack(byte[] raw) {
         byte[] out = new byte[COMPRESSOR.maxCompressedLength(raw.length)];
--- a/src/main/java/lineward/spool/store/Manifest.java
+++ b/src/main/java/lineward/spool/store/Manifest.java
@@ -10,5 +10,4 @@
  * @param rows of all blocks together
  * @param rawBytes of all blocks together, unpacked
  */
-public record Manifest(String user, String key, String statement, long createdMs, long rows,
-        long rawBytes) { }
+public record Manifest(String user, String key, String statement, long createdMs, long rows, long rawBytes) {}
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -22,14 +22,14 @@
      * @param at its first byte in the file
      * @param bytes in the file, head included
      */
-    public record Place(long at, int bytes, long firstRow, int rows, int raw) { }
+    public record Place(long at, int bytes, long firstRow, int rows, int raw) {}
 
     /**
      * A whole result as it was found on file.
      *
      * @param bytes of the file
      */
-    public record Found(Segment segment, Manifest manifest, List<Place> blocks, long bytes) { }
+    public record Found(Segment segment, Manifest manifest, List<Place> blocks, long bytes) {}
 
     private final Path path;
     private long end;
@@ -50,8 +50,7 @@
 
     /** Makes the file; one of that name must not be there. */
     void create(long createdMs) throws IOException {
-        try (FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE_NEW,
-                StandardOpenOption.WRITE)) {
+        try (FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)) {
             write(channel, SegmentFormat.head(createdMs), 0);
         }
         end = SegmentFormat.HEAD;
@@ -60,9 +59,8 @@
     /** Appends a block of rows, packed where that helps. */
     Place append(byte[] raw, long firstRow, int rows) throws IOException {
         BlockCodec.Packed packed = BlockCodec.pack(raw);
-        ByteBuffer block = SegmentFormat.block(packed.kind(), packed.bytes(), packed.length(), raw.length,
-                firstRow,
-                rows);
+        ByteBuffer block =
+                SegmentFormat.block(packed.kind(), packed.bytes(), packed.length(), raw.length, firstRow, rows);
         Place place = new Place(end, block.remaining(), firstRow, rows, raw.length);
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
             write(channel, block, end);
@@ -76,14 +74,16 @@
         byte[] json = JSON.writeValueAsBytes(manifest);
         ByteBuffer footer = ByteBuffer.allocate(8 + json.length + blocks.size() * INDEX_ENTRY);
         footer.putInt(json.length).put(json).putInt(blocks.size());
-        blocks.forEach(b -> footer.putLong(b.at()).putInt(b.bytes()).putLong(b.firstRow()).putInt(b.rows())
+        blocks.forEach(b -> footer.putLong(b.at())
+                .putInt(b.bytes())
+                .putLong(b.firstRow())
+                .putInt(b.rows())
                 .putInt(b.raw()));
-        BlockCodec.Packed packed = new BlockCodec.Packed(SegmentFormat.Kind.MANIFEST, footer.array(),
-                footer.capacity());
+        BlockCodec.Packed packed =
+                new BlockCodec.Packed(SegmentFormat.Kind.MANIFEST, footer.array(), footer.capacity());
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
-            ByteBuffer block = SegmentFormat.block(packed.kind(), packed.bytes(), packed.length(),
-                    packed.length(),
-                    manifest.rows(), 0);
+            ByteBuffer block = SegmentFormat.block(
+                    packed.kind(), packed.bytes(), packed.length(), packed.length(), manifest.rows(), 0);
             long at = end;
             end += block.remaining();
             write(channel, block, at);
@@ -109,11 +109,13 @@
     private static byte[] unpack(ByteBuffer block, Place place) throws CorruptSegmentException {
         SegmentFormat.BlockHead head = SegmentFormat.readBlockHead(block);
         SegmentFormat.verify(block, head);
-        SegmentFormat.check(head.kind() != SegmentFormat.Kind.MANIFEST && head.firstRow() == place.firstRow()
-                && head.rows() == place.rows() && head.raw() == place.raw(),
-                        "a block stands at another's place");
-        return BlockCodec.unpack(head.kind(), block.array(), SegmentFormat.BLOCK_HEAD, head.stored(),
-                head.raw());
+        SegmentFormat.check(
+                head.kind() != SegmentFormat.Kind.MANIFEST
+                        && head.firstRow() == place.firstRow()
+                        && head.rows() == place.rows()
+                        && head.raw() == place.raw(),
+                "a block stands at another's place");
+        return BlockCodec.unpack(head.kind(), block.array(), SegmentFormat.BLOCK_HEAD, head.stored(), head.raw());
     }
 
     /**
@@ -129,14 +131,17 @@
             ByteBuffer head = ByteBuffer.allocate(SegmentFormat.HEAD);
             readFully(channel, head, 0);
             SegmentFormat.readHead(head.flip());
-            SegmentFormat.check(size >= SegmentFormat.HEAD + SegmentFormat.BLOCK_HEAD + SegmentFormat.TRAILER,
+            SegmentFormat.check(
+                    size >= SegmentFormat.HEAD + SegmentFormat.BLOCK_HEAD + SegmentFormat.TRAILER,
                     "it was never completed");
             ByteBuffer trailer = ByteBuffer.allocate(SegmentFormat.TRAILER);
             readFully(channel, trailer, size - SegmentFormat.TRAILER);
             long at = SegmentFormat.readTrailer(trailer.flip());
-            SegmentFormat.check(at >= SegmentFormat.HEAD && at <= size - SegmentFormat.TRAILER
-                    - SegmentFormat.BLOCK_HEAD && size - at <= SegmentFormat.LARGEST,
-                            "its trailer is spoilt");
+            SegmentFormat.check(
+                    at >= SegmentFormat.HEAD
+                            && at <= size - SegmentFormat.TRAILER - SegmentFormat.BLOCK_HEAD
+                            && size - at <= SegmentFormat.LARGEST,
+                    "its trailer is spoilt");
             ByteBuffer footer = ByteBuffer.allocate((int) (size - SegmentFormat.TRAILER - at));
             readFully(channel, footer, at);
             SegmentFormat.BlockHead block = SegmentFormat.readBlockHead(footer.flip());
--- a/src/main/java/lineward/spool/store/SegmentFormat.java
+++ b/src/main/java/lineward/spool/store/SegmentFormat.java
@@ -20,12 +20,17 @@
     static final int TRAILER = 16;
     /** Of a block, raw or stored: a block is 64 KB and one row at most. */
     static final int LARGEST = 64 << 20;
+
     private static final long MAGIC =
             ByteBuffer.wrap("LWSPOOL\n".getBytes(StandardCharsets.US_ASCII)).getLong();
     private static final int TRAILER_MAGIC = 0x4c57454e;
 
     /** What a block holds. */
-    enum Kind { RAW, LZ4, MANIFEST }
+    enum Kind {
+        RAW,
+        LZ4,
+        MANIFEST
+    }
 
     /**
      * A block's head.
@@ -33,12 +38,13 @@
      * @param stored bytes of the payload in the file
      * @param raw bytes of it once it is unpacked
      */
-    record BlockHead(Kind kind, int stored, int raw, long firstRow, int rows, int crc) { }
+    record BlockHead(Kind kind, int stored, int raw, long firstRow, int rows, int crc) {}
 
-    private SegmentFormat() { }
+    private SegmentFormat() {}
 
     static ByteBuffer head(long createdMs) {
-        ByteBuffer out = ByteBuffer.allocate(HEAD).putLong(MAGIC).putInt(VERSION).putLong(createdMs);
+        ByteBuffer out =
+                ByteBuffer.allocate(HEAD).putLong(MAGIC).putInt(VERSION).putLong(createdMs);
         return out.putInt(crc(out.array(), 0, HEAD - 4)).flip();
     }
 
@@ -56,8 +62,14 @@
     /** @return head and payload of a block, ready to be written */
     static ByteBuffer block(Kind kind, byte[] payload, int stored, int raw, long firstRow, int rows) {
         ByteBuffer out = ByteBuffer.allocate(BLOCK_HEAD + stored);
-        out.put((byte) kind.ordinal()).put(new byte[3]).putInt(stored).putInt(raw).putLong(firstRow)
-                .putInt(rows).putInt(0).put(payload, 0, stored);
+        out.put((byte) kind.ordinal())
+                .put(new byte[3])
+                .putInt(stored)
+                .putInt(raw)
+                .putLong(firstRow)
+                .putInt(rows)
+                .putInt(0)
+                .put(payload, 0, stored);
         CRC32C crc = new CRC32C();
         crc.update(out.array(), 0, BLOCK_HEAD - 4);
         crc.update(out.array(), BLOCK_HEAD, stored);
@@ -69,11 +81,21 @@
         int at = in.position();
         int kind = in.get(at);
         check(kind >= 0 && kind < Kind.values().length, "a block of an unknown kind");
-        BlockHead head = new BlockHead(Kind.values()[kind], in.getInt(at + 4), in.getInt(at + 8),
+        BlockHead head = new BlockHead(
+                Kind.values()[kind],
+                in.getInt(at + 4),
+                in.getInt(at + 8),
                 in.getLong(at + 12),
-                in.getInt(at + 20), in.getInt(at + 24));
-        check(head.stored >= 0 && head.stored <= LARGEST && head.raw >= 0 && head.raw <= LARGEST
-                && head.firstRow >= 0 && head.rows >= 0, "a block's head is spoilt");
+                in.getInt(at + 20),
+                in.getInt(at + 24));
+        check(
+                head.stored >= 0
+                        && head.stored <= LARGEST
+                        && head.raw >= 0
+                        && head.raw <= LARGEST
+                        && head.firstRow >= 0
+                        && head.rows >= 0,
+                "a block's head is spoilt");
         return head;
     }
 
@@ -93,8 +115,11 @@
 
     /** @return where the manifest's block begins */
     static long readTrailer(ByteBuffer in) throws CorruptSegmentException {
-        check(in.remaining() == TRAILER && in.getInt(8) == TRAILER_MAGIC
-                && in.getInt(12) == crc(bytes(in, TRAILER - 4), 0, TRAILER - 4), "it was never completed");
+        check(
+                in.remaining() == TRAILER
+                        && in.getInt(8) == TRAILER_MAGIC
+                        && in.getInt(12) == crc(bytes(in, TRAILER - 4), 0, TRAILER - 4),
+                "it was never completed");
         return in.getLong(0);
     }
 
--- a/src/main/java/lineward/spool/store/SegmentStore.java
+++ b/src/main/java/lineward/spool/store/SegmentStore.java
@@ -34,7 +34,7 @@
         private boolean deleted;
 
         /** A result that has no file yet. */
-        public Handle() { }
+        public Handle() {}
 
         /** A result that was found on file. */
         public Handle(Segment segment) {
@@ -59,8 +59,8 @@
     }
 
     private static ThreadPoolExecutor threads(String name, int most) {
-        ThreadPoolExecutor threads = new ThreadPoolExecutor(most, most, THREADS_LIVE_S, TimeUnit.SECONDS,
-                new LinkedBlockingQueue<>(), task -> {
+        ThreadPoolExecutor threads = new ThreadPoolExecutor(
+                most, most, THREADS_LIVE_S, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), task -> {
                     Thread thread = new Thread(task, name);
                     thread.setDaemon(true);
                     return thread;
@@ -91,26 +91,32 @@
 
     /** Appends a block to a result's file, which its first block makes. */
     public void append(Handle handle, byte[] raw, long firstRow, int rows, Done<Segment.Place> then) {
-        on(writer, () -> {
-            if (handle.deleted) {
-                throw new IOException("the result is gone");
-            }
-            if (handle.segment == null) {
-                handle.segment = folder.create(System.currentTimeMillis());
-            }
-            return handle.segment.append(raw, firstRow, rows);
-        }, then);
+        on(
+                writer,
+                () -> {
+                    if (handle.deleted) {
+                        throw new IOException("the result is gone");
+                    }
+                    if (handle.segment == null) {
+                        handle.segment = folder.create(System.currentTimeMillis());
+                    }
+                    return handle.segment.append(raw, firstRow, rows);
+                },
+                then);
     }
 
     /** Makes a result on file whole; tells the bytes of its file. */
     public void complete(Handle handle, Manifest manifest, List<Segment.Place> blocks, Done<Long> then) {
-        on(writer, () -> {
-            if (handle.deleted || handle.segment == null) {
-                throw new IOException("the result is gone");
-            }
-            handle.segment.complete(manifest, blocks);
-            return handle.segment.length();
-        }, then);
+        on(
+                writer,
+                () -> {
+                    if (handle.deleted || handle.segment == null) {
+                        throw new IOException("the result is gone");
+                    }
+                    handle.segment.complete(manifest, blocks);
+                    return handle.segment.length();
+                },
+                then);
     }
 
     /** Reads a block, unpacked and checked. */
@@ -120,13 +126,16 @@
 
     /** Deletes a result's file, behind all that was asked of it before. */
     public void delete(Handle handle, Done<Void> then) {
-        on(writer, () -> {
-            handle.deleted = true;
-            if (handle.segment != null) {
-                handle.segment.delete();
-            }
-            return null;
-        }, then);
+        on(
+                writer,
+                () -> {
+                    handle.deleted = true;
+                    if (handle.segment != null) {
+                        handle.segment.delete();
+                    }
+                    return null;
+                },
+                then);
     }
 
     /** Ends the workers once what was asked has been done, 5 s at most, and lets go of the folder. */
--- a/src/main/java/lineward/spool/store/SpoolFolder.java
+++ b/src/main/java/lineward/spool/store/SpoolFolder.java
@@ -20,13 +20,14 @@
 public final class SpoolFolder implements AutoCloseable {
     /** The ending of a segment's name; nothing else in the folder is ever touched. */
     static final String ENDING = ".lwseg";
+
     private static final String LOCK = "lineward-spool.lock";
 
     /** What became of the folder's files at the start. */
-    public record Recovered(List<Segment.Found> whole, List<Spoilt> dropped) { }
+    public record Recovered(List<Segment.Found> whole, List<Spoilt> dropped) {}
 
     /** A segment that can't be used, and why. */
-    public record Spoilt(Path path, String why) { }
+    public record Spoilt(Path path, String why) {}
 
     /** Another process holds the folder. */
     public static final class HeldException extends IOException {
@@ -58,8 +59,7 @@
         }
         FileChannel channel;
         try {
-            channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
-                    StandardOpenOption.WRITE);
+            channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         } catch (IOException e) {
             throw new IOException("spool folder " + folder + " can't be written", e);
         }
@@ -98,8 +98,8 @@
                     whole.add(Segment.open(file));
                 } catch (IOException | RuntimeException e) {
                     // Whatever the bytes are, they end neither the start nor another result.
-                    dropped.add(new Spoilt(file, e instanceof CorruptSegmentException ? e.getMessage()
-                            : "it can't be read: " + e));
+                    dropped.add(new Spoilt(
+                            file, e instanceof CorruptSegmentException ? e.getMessage() : "it can't be read: " + e));
                 }
             }
         } catch (NotDirectoryException e) {
--- a/src/main/java/lineward/telemetry/OtlpTracer.java
+++ b/src/main/java/lineward/telemetry/OtlpTracer.java
@@ -49,26 +49,38 @@
     private final Tracer<X> next;
     private final Map<X, Live> live = new IdentityHashMap<>();
 
-    OtlpTracer(OpenTelemetry telemetry, Function<X, String> classOf, Function<X, String> idOf,
-            Tracer<X> next) {
+    OtlpTracer(OpenTelemetry telemetry, Function<X, String> classOf, Function<X, String> idOf, Tracer<X> next) {
         this.classOf = classOf;
         this.idOf = idOf;
         this.next = next;
         spans = telemetry.getTracer("lineward");
         Meter meter = telemetry.getMeter("lineward");
-        requests = meter.counterBuilder("lineward.requests").setUnit("{request}")
-                .setDescription("Requests that are over").build();
-        attempts = meter.counterBuilder("lineward.attempts").setUnit("{attempt}")
-                .setDescription("Attempts that have ended").build();
-        duration = meter.histogramBuilder("lineward.request.duration").setUnit("s")
-                .setDescription("From the taking of a request to its end").build();
+        requests = meter.counterBuilder("lineward.requests")
+                .setUnit("{request}")
+                .setDescription("Requests that are over")
+                .build();
+        attempts = meter.counterBuilder("lineward.attempts")
+                .setUnit("{attempt}")
+                .setDescription("Attempts that have ended")
+                .build();
+        duration = meter.histogramBuilder("lineward.request.duration")
+                .setUnit("s")
+                .setDescription("From the taking of a request to its end")
+                .build();
     }
 
     @Override
     public void requestTaken(X exchange) {
         String type = classOf.apply(exchange);
-        live.put(exchange, new Live(spans.spanBuilder("request").setSpanKind(SpanKind.SERVER)
-                .setAttribute(CLASS, type).setAttribute(REQUEST, idOf.apply(exchange)).startSpan(), type));
+        live.put(
+                exchange,
+                new Live(
+                        spans.spanBuilder("request")
+                                .setSpanKind(SpanKind.SERVER)
+                                .setAttribute(CLASS, type)
+                                .setAttribute(REQUEST, idOf.apply(exchange))
+                                .startSpan(),
+                        type));
         next.requestTaken(exchange);
     }
 
@@ -76,9 +88,15 @@
     public void attemptStarted(X exchange, int attempt, String engine) {
         Live request = live.get(exchange);
         if (request != null) {
-            request.attempts.put(attempt, spans.spanBuilder("attempt").setSpanKind(SpanKind.CLIENT)
-                    .setParent(Context.root().with(request.span)).setAttribute(ENGINE, engine)
-                    .setAttribute(CLASS, request.type).setAttribute(ATTEMPT, (long) attempt).startSpan());
+            request.attempts.put(
+                    attempt,
+                    spans.spanBuilder("attempt")
+                            .setSpanKind(SpanKind.CLIENT)
+                            .setParent(Context.root().with(request.span))
+                            .setAttribute(ENGINE, engine)
+                            .setAttribute(CLASS, request.type)
+                            .setAttribute(ATTEMPT, (long) attempt)
+                            .startSpan());
         }
         next.attemptStarted(exchange, attempt, engine);
     }
--- a/src/main/java/lineward/telemetry/Telemetry.java
+++ b/src/main/java/lineward/telemetry/Telemetry.java
@@ -42,15 +42,23 @@
         boolean metrics = all || !environment.getOrDefault(METRICS_ENDPOINT, "").isBlank();
         try {
             // Only what the environment leaves open: the variables go before these.
-            return new Telemetry(AutoConfiguredOpenTelemetrySdk.builder().disableShutdownHook()
+            return new Telemetry(AutoConfiguredOpenTelemetrySdk.builder()
+                    .disableShutdownHook()
                     .addPropertiesSupplier(() -> Map.of(
-                            "otel.service.name", "lineward",
-                            "otel.resource.attributes", "service.instance.id=" + name,
-                            "otel.exporter.otlp.protocol", "http/protobuf",
-                            "otel.traces.exporter", traces ? "otlp" : "none",
-                            "otel.metrics.exporter", metrics ? "otlp" : "none",
-                            "otel.logs.exporter", "none"))
-                    .build().getOpenTelemetrySdk());
+                            "otel.service.name",
+                            "lineward",
+                            "otel.resource.attributes",
+                            "service.instance.id=" + name,
+                            "otel.exporter.otlp.protocol",
+                            "http/protobuf",
+                            "otel.traces.exporter",
+                            traces ? "otlp" : "none",
+                            "otel.metrics.exporter",
+                            metrics ? "otlp" : "none",
+                            "otel.logs.exporter",
+                            "none"))
+                    .build()
+                    .getOpenTelemetrySdk());
         } catch (ConfigurationException e) {
             throw new IllegalArgumentException("OTLP: " + e.getMessage(), e);
         }
--- a/src/main/java/lineward/thrift/CallFields.java
+++ b/src/main/java/lineward/thrift/CallFields.java
@@ -10,9 +10,11 @@
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
     /** A wait or a work past this multiple of its class's deadline is no figure of a client of ours. */
     private static final double WAIT_RANGE = 4;
+
     private static final double WORK_RANGE = 1000;
     /** A terabyte: no engine has as much. */
     private static final double MOST_MEMORY_MB = 1 << 20;
+
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
 
     /**
@@ -25,16 +27,23 @@
         int type = names.classes().indexOf(op);
         require(type >= 0, "op");
         double deadline = names.deadlines().get(type);
-        int customer = names.tenants().isEmpty() ? 0
-                : names.tenants().indexOf(fields.getOrDefault("org", ""));
+        int customer = names.tenants().isEmpty() ? 0 : names.tenants().indexOf(fields.getOrDefault("org", ""));
         require(customer >= 0, "org");
         int ttl = Integer.parseInt(matching(fields, "ttl", WHOLE));
         require(ttl > 0 && ttl <= deadline * WAIT_RANGE, "ttl");
         String repeat = fields.get("rep");
         require(repeat == null || repeat.equals("1") || repeat.equals("0"), "rep");
-        return new CallFields(id, op, new Demand(type, customer, ttl,
-                decimal(fields, "work", deadline * WORK_RANGE), decimal(fields, "mem", MOST_MEMORY_MB),
-                group, "1".equals(repeat)));
+        return new CallFields(
+                id,
+                op,
+                new Demand(
+                        type,
+                        customer,
+                        ttl,
+                        decimal(fields, "work", deadline * WORK_RANGE),
+                        decimal(fields, "mem", MOST_MEMORY_MB),
+                        group,
+                        "1".equals(repeat)));
     }
 
     private static double decimal(Map<String, String> fields, String name, double most) {
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -26,6 +26,7 @@
     private long unread;
     /** Answers of which the socket has not taken the last byte: their requests are open to the client. */
     private int unsent;
+
     private boolean spoke;
     private int lastSeqid;
 
@@ -64,8 +65,8 @@
             send(ThriftWriter.pong(ctx.alloc(), head.seqid(), front.wantsClients()));
         } else {
             rest();
-            send(ThriftWriter.exception(ctx.alloc(), head.method(), head.seqid(),
-                    ThriftWriter.UNKNOWN_METHOD, "no such method"));
+            send(ThriftWriter.exception(
+                    ctx.alloc(), head.method(), head.seqid(), ThriftWriter.UNKNOWN_METHOD, "no such method"));
         }
     }
 
@@ -99,8 +100,7 @@
             fields = front.read(asked.fields(), asked.body().toString(StandardCharsets.UTF_8));
         } catch (IllegalArgumentException e) {
             front.unusable(asked.fields().get("op"));
-            send(ThriftWriter.exception(channel.alloc(), "invoke", seqid, ThriftWriter.PROTOCOL_ERROR,
-                    e.getMessage()));
+            send(ThriftWriter.exception(channel.alloc(), "invoke", seqid, ThriftWriter.PROTOCOL_ERROR, e.getMessage()));
             return;
         }
         Call call = new Call(this, seqid, fields, asked.body());
--- a/src/main/java/lineward/thrift/FrameDecoder.java
+++ b/src/main/java/lineward/thrift/FrameDecoder.java
@@ -8,6 +8,7 @@
 final class FrameDecoder extends LengthFieldBasedFrameDecoder {
     /** Largest frame of a client: a statement and its fields. */
     private static final int LARGEST_FRAME = 64 * 1024;
+
     private static final int LENGTH = 4;
     private long begunAt;
     private boolean begun;
--- a/src/main/java/lineward/thrift/Rehearsal.java
+++ b/src/main/java/lineward/thrift/Rehearsal.java
@@ -20,17 +20,21 @@
     private static final int CALLS = 25;
     private static final int TTL_MS = 2_000;
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /**
      * @param planner of the rehearsal alone
      * @param fleet with no engine in it: attempts end at once
      */
-    public static void play(ThriftFront.Names names, ThriftFront.Bounds bounds, Planner<Call> planner,
-            EngineFleet fleet, DoubleSupplier clock) {
+    public static void play(
+            ThriftFront.Names names,
+            ThriftFront.Bounds bounds,
+            Planner<Call> planner,
+            EngineFleet fleet,
+            DoubleSupplier clock) {
         planner.list(true, List.of(new EngineEntry("rehearsal", "", 0, 1, 0, Front.Condition.READY, 0, 0)));
-        ThriftFront front = new ThriftFront(names, bounds, null, planner, fleet, clock, () -> { },
-                new Figures(), octets -> { });
+        ThriftFront front =
+                new ThriftFront(names, bounds, null, planner, fleet, clock, () -> {}, new Figures(), octets -> {});
         EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
         for (int i = 1; i <= ROUNDS; i++) {
             // What the planner holds back stays open, and a connection carries only so many.
@@ -38,10 +42,19 @@
                 channel.close();
                 channel = new EmbeddedChannel(front.handlers());
             }
-            channel.writeInbound(ThriftWriter.invocation(channel.alloc(), i, Map.of("op",
-                    names.classes().get(i % names.classes().size()), "call", String.format("%016x", i),
-                    "ttl", Integer.toString(TTL_MS), "org", names.tenants().isEmpty() ? ""
-                    : names.tenants().get(0)), "select a from rehearsal_1.t where b = 'c'"));
+            channel.writeInbound(ThriftWriter.invocation(
+                    channel.alloc(),
+                    i,
+                    Map.of(
+                            "op",
+                            names.classes().get(i % names.classes().size()),
+                            "call",
+                            String.format("%016x", i),
+                            "ttl",
+                            Integer.toString(TTL_MS),
+                            "org",
+                            names.tenants().isEmpty() ? "" : names.tenants().get(0)),
+                    "select a from rehearsal_1.t where b = 'c'"));
             front.tick();
             front.tick();
             for (ByteBuf answer = channel.readOutbound(); answer != null; answer = channel.readOutbound()) {
