--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftFront.java
@@ -37,6 +37,7 @@
 public final class ThriftFront implements Forwarder<Call>, FrontDoor {
     /** Bytes read from one connection in a turn of the loop: who sends at full speed waits for the others. */
     private static final int LEAST_READ = 512;
+
     private static final int FIRST_READ = 2 * 1024;
     private static final int MOST_READ = 16 * 1024;
     /** Who has connected, or begun a frame, and then says nothing for so long is let go. */
@@ -53,16 +54,16 @@
      * @param tenants names of the tenants, in the order of the settings
      * @param deadlines of the classes in milliseconds, in the order of the settings
      */
-    public record Names(List<String> classes, List<String> tenants, List<Double> deadlines) { }
+    public record Names(List<String> classes, List<String> tenants, List<Double> deadlines) {}
 
     /**
      * @param clients connections of clients held at once
      * @param statements bytes of statements held at once; requests beyond are refused
      * @param answers bytes of answers that clients have not read yet; past it the slowest client is let go
      */
-    public record Bounds(int clients, long statements, long answers) { }
+    public record Bounds(int clients, long statements, long answers) {}
 
-    private record Ended(String id, long atNanos) { }
+    private record Ended(String id, long atNanos) {}
 
     private final Names names;
     private final Doorway doorway;
@@ -77,6 +78,7 @@
     private final ClientTable<ClientHandler> clients;
     /** Ids that are open or were a moment ago. */
     private final Set<String> ids = new HashSet<>();
+
     private final Deque<Ended> ended = new ArrayDeque<>();
     private Channel listener;
     private Intake intake = Intake.OPEN;
@@ -88,8 +90,16 @@
      * @param figures count what ends here, before the planner has taken it
      * @param peers sends words to the other front ends
      */
-    public ThriftFront(Names names, Bounds bounds, Doorway doorway, Planner<Call> planner,
-            EngineFleet fleet, DoubleSupplier clock, Runnable news, Figures figures, Consumer<byte[]> peers) {
+    public ThriftFront(
+            Names names,
+            Bounds bounds,
+            Doorway doorway,
+            Planner<Call> planner,
+            EngineFleet fleet,
+            DoubleSupplier clock,
+            Runnable news,
+            Figures figures,
+            Consumer<byte[]> peers) {
         this.names = names;
         this.doorway = doorway;
         this.statements = new Budget(bounds.statements());
@@ -101,24 +111,28 @@
         this.figures = figures;
         this.peers = peers;
         figures.unread(answers::held);
-        this.clients = new ClientTable<>(bounds.clients(), System::nanoTime, c -> c.channel().close(),
-                ClientHandler::leave);
+        this.clients = new ClientTable<>(
+                bounds.clients(), System::nanoTime, c -> c.channel().close(), ClientHandler::leave);
     }
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        ChannelFuture open = doorway.open(new ServerBootstrap()
-                .option(ChannelOption.SO_BACKLOG, 1024)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ,
-                        FIRST_READ, MOST_READ).maxMessagesPerRead(1))
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(handlers());
-                    }
-                }), loop);
+        ChannelFuture open = doorway.open(
+                new ServerBootstrap()
+                        .option(ChannelOption.SO_BACKLOG, 1024)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ)
+                                        .maxMessagesPerRead(1))
+                        .childHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline().addLast(handlers());
+                            }
+                        }),
+                loop);
         listener = open.channel();
         return open;
     }
@@ -161,8 +175,8 @@
 
     @Override
     public void closeResting(double chance) {
-        ClientTable.closeSome(clients.all().stream().filter(ClientHandler::isIdle).toList(), chance,
-                clients::leave);
+        ClientTable.closeSome(
+                clients.all().stream().filter(ClientHandler::isIdle).toList(), chance, clients::leave);
         if (saidLastWord && System.nanoTime() - lastWordAt > LAST_ANSWERS) {
             clients.all().forEach(c -> c.channel().close());
         }
@@ -172,7 +186,9 @@
     public void closeSilent() {
         fleet.beat();
         clients.closeSilent(SILENCE);
-        clients.all().stream().filter(c -> c.isStuck(SILENCE)).forEach(c -> c.channel().close());
+        clients.all().stream()
+                .filter(c -> c.isStuck(SILENCE))
+                .forEach(c -> c.channel().close());
         long before = System.nanoTime() - ID_RESTS;
         while (!ended.isEmpty() && ended.peek().atNanos() <= before) {
             ids.remove(ended.poll().id());
@@ -271,7 +287,8 @@
         int size = frame.readableBytes();
         Channel channel = client.channel();
         if (!answers.reserve(size)) {
-            clients.all().stream().max(Comparator.comparingLong(ClientHandler::unread))
+            clients.all().stream()
+                    .max(Comparator.comparingLong(ClientHandler::unread))
                     .ifPresent(c -> c.channel().close());
             if (!channel.isActive() || !answers.reserve(size)) {
                 frame.release();
@@ -294,9 +311,14 @@
     @Override
     public void start(Command.Start<Call> c) {
         Call call = c.exchange();
-        call.run = new Run(call.id(), call.fields.op(), call.statement,
-                new Run.Times(c.patienceMs(), c.beginWithinMs()), c.grantMb(),
-                c.priority(), new Run.Listener() {
+        call.run = new Run(
+                call.id(),
+                call.fields.op(),
+                call.statement,
+                new Run.Times(c.patienceMs(), c.beginWithinMs()),
+                c.grantMb(),
+                c.priority(),
+                new Run.Listener() {
                     @Override
                     public void ended(Front.Outcome outcome, ByteBuf result) {
                         ThriftFront.this.ended(call, c.attempt(), outcome, result);
@@ -342,8 +364,7 @@
     @Override
     public void refuse(Command.Refuse<Call> c) {
         Call call = c.exchange();
-        call.client.answer(call, ThriftWriter.overloaded(call.client.channel().alloc(), call.seqid,
-                c.retryAfterMs()));
+        call.client.answer(call, ThriftWriter.overloaded(call.client.channel().alloc(), call.seqid, c.retryAfterMs()));
         release(call);
     }
 
@@ -356,8 +377,7 @@
 
     private void ended(Call call, int attempt, Front.Outcome outcome, ByteBuf result) {
         if (planner.ended(call.request, attempt, outcome)) {
-            call.client.answer(call, ThriftWriter.served(call.client.channel().alloc(), "invoke",
-                    call.seqid, result));
+            call.client.answer(call, ThriftWriter.served(call.client.channel().alloc(), "invoke", call.seqid, result));
             release(call);
         } else if (result != null) {
             result.release();
--- a/src/main/java/lineward/thrift/ThriftReader.java
+++ b/src/main/java/lineward/thrift/ThriftReader.java
@@ -10,9 +10,11 @@
 final class ThriftReader {
     /** Kinds of message. */
     static final int CALL = 1;
+
     static final int ONEWAY = 4;
     /** Kinds of value on the wire. */
     static final byte STOP = 0;
+
     static final byte BOOL = 2;
     static final byte I32 = 8;
     static final byte STRING = 11;
@@ -26,12 +28,12 @@
     private static final int LONGEST_NAME = 128;
 
     /** The head of a message. */
-    record Head(int kind, String method, int seqid) { }
+    record Head(int kind, String method, int seqid) {}
 
     /** The arguments of an invocation; the body is a slice of the frame. */
-    record Invocation(Map<String, String> fields, ByteBuf body) { }
+    record Invocation(Map<String, String> fields, ByteBuf body) {}
 
-    private ThriftReader() { }
+    private ThriftReader() {}
 
     static Head head(ByteBuf in) {
         try {
--- a/src/main/java/lineward/thrift/ThriftWriter.java
+++ b/src/main/java/lineward/thrift/ThriftWriter.java
@@ -11,6 +11,7 @@
 final class ThriftWriter {
     /** Codes of an application exception. */
     static final int UNKNOWN_METHOD = 1;
+
     static final int INTERNAL_ERROR = 6;
     static final int PROTOCOL_ERROR = 7;
 
@@ -18,7 +19,7 @@
     private static final int EXCEPTION = 3;
     private static final int FRAME_HEAD = 4;
 
-    private ThriftWriter() { }
+    private ThriftWriter() {}
 
     /** The result's bytes go out as they came; the frame takes them over. */
     static ByteBuf served(ByteBufAllocator alloc, String method, int seqid, ByteBuf result) {
@@ -56,16 +57,14 @@
     }
 
     static ByteBuf overloaded(ByteBufAllocator alloc, int seqid, long pushbackMs) {
-        return declared(alloc, seqid, 1,
-                pushbackMs > 0 ? Map.of("pushback", Long.toString(pushbackMs)) : Map.of());
+        return declared(alloc, seqid, 1, pushbackMs > 0 ? Map.of("pushback", Long.toString(pushbackMs)) : Map.of());
     }
 
     static ByteBuf internal(ByteBufAllocator alloc, int seqid) {
         return declared(alloc, seqid, 2, Map.of());
     }
 
-    private static ByteBuf declared(ByteBufAllocator alloc, int seqid, int which,
-            Map<String, String> fields) {
+    private static ByteBuf declared(ByteBufAllocator alloc, int seqid, int which, Map<String, String> fields) {
         ByteBuf out = begin(alloc, REPLY, "invoke", seqid);
         field(out, ThriftReader.STRUCT, which);
         map(out, 1, fields);
--- a/src/main/java/peatwick/Control.java
+++ b/src/main/java/peatwick/Control.java
@@ -35,6 +35,7 @@
     private static final double RECKON_EVERY = 500;
     /** Bins of a histogram of run time by estimate: from a sixteenth up, finer than tau needs to be. */
     private static final int BINS = 130;
+
     private static final double LOWEST = -4;
     private static final double PER_DOUBLING = 5;
     /** A report of progress older than this many note intervals says nothing any more. */
@@ -65,6 +66,7 @@
     private static final int DUTY = 1;
     /** Trials for each request taken, and how many are saved up. Danger: those of all fronts add up. */
     private static final double TRIAL_PART = 0.1;
+
     private static final double TRIALS_SAVED = 2;
     /** Bad outcomes in a row that make an engine suspected. */
     private static final int BAD_IN_A_ROW = 3;
@@ -100,6 +102,7 @@
     private static final double WARMS = 0.75;
     /** Run time of a class assumed at first, as a part of its give-up time, and the weight of that guess. */
     private static final double FIRST_GUESS = 0.125;
+
     private static final double GUESS_WEIGHT = 1;
     /** Fronts that use a cold engine at once: enough to fill it, few enough for a request each. */
     private static final int TURNS = 4;
@@ -109,6 +112,7 @@
     private static final int MOVES = 2;
     /** Memory granted over the estimate at first, and the quantile of need it is moved towards. */
     private static final double GRANT_START = 1.25;
+
     private static final double GRANT_QUANTILE = 0.98;
     /** An outcome further off the usual (as a logarithm) is a straggler, and no sign of crowding. */
     private static final double STRAGGLES = 1.5;
@@ -144,9 +148,11 @@
     private final List<Try> stuck = new ArrayList<>();
     /** All classes together, in units of the estimate: stands in for a class with too little of its own. */
     private final Learner all = new Learner(null);
+
     private final Window taken, further;
     /** How much slower than usual the last answers were, whatever engine gave them. */
     private final Recent recent = new Recent(RECENT);
+
     private List<Request> held = new ArrayList<>();
     private List<Action> out = new ArrayList<>();
     private double now;
@@ -155,9 +161,11 @@
     private double trials = TRIALS_SAVED, nextReckon, share, fleetSlow = 1, readyCores = 1;
     /** Part of an engine's load that this front does not see: 0 for few fronts, near 1 for hundreds. */
     private final double blind;
+
     private double lastLog = Double.NEGATIVE_INFINITY;
     /** Places of the load figures in a report, or -1. */
     private final int inHand, memoryUsed;
+
     private double startedAt = Double.NaN, asked, perQuery = 1, crowding = UNSEEN;
     private final Words words;
 
@@ -221,7 +229,9 @@
 
     @Override
     public int avoided() {
-        return (int) engines.values().stream().filter(e -> !e.gone && (e.suspected || e.heldOut)).count();
+        return (int) engines.values().stream()
+                .filter(e -> !e.gone && (e.suspected || e.heldOut))
+                .count();
     }
 
     private void handle(Event event) {
@@ -323,8 +333,8 @@
     private boolean worthless(Try a) {
         Request r = a.r;
         boolean lineTooLong = a.waiting && a.share == 0 && now + FIT * r.expected() > r.aimAt;
-        return r.c.spec.effect() == Effect.SAFE && (lineTooLong || r.c.spec.lateShare() == 0
-                && now > r.aimAt + HOPE * r.c.spec.aim());
+        return r.c.spec.effect() == Effect.SAFE
+                && (lineTooLong || r.c.spec.lateShare() == 0 && now > r.aimAt + HOPE * r.c.spec.aim());
     }
 
     private boolean cannotMakeIt(Request r) {
@@ -354,17 +364,24 @@
         Engine best = null;
         double bestScore = Double.POSITIVE_INFINITY;
         for (Engine e : engines.values()) {
-            boolean trial = e.suspected && now >= e.nextTrial && trials >= 1 && !r.rerun
-                    && r.c.spec.effect() == Effect.SAFE && r.aimAt - now > 3 * r.expected();
+            boolean trial = e.suspected
+                    && now >= e.nextTrial
+                    && trials >= 1
+                    && !r.rerun
+                    && r.c.spec.effect() == Effect.SAFE
+                    && r.aimAt - now > 3 * r.expected();
             if (e.suspected && !trial && !(useAll && now >= e.nextTrial)
                     || e.probedAt > 0 && now - e.probedAt >= TICK
-                    || r.avoid.contains(e) && allowed > r.avoid.size() || !room(r, e) || !gate(r, e)) {
+                    || r.avoid.contains(e) && allowed > r.avoid.size()
+                    || !room(r, e)
+                    || !gate(r, e)) {
                 continue;
             }
             double luck = -Math.log(-Math.log(1 - random.nextDouble() * 0.999999 - 5e-7));
             // Danger: a cold engine never looks best; what is called back must be used all the same.
             boolean first = trial && !useAll || e.recalled && e.attempts.isEmpty();
-            double s = first ? Double.NEGATIVE_INFINITY
+            double s = first
+                    ? Double.NEGATIVE_INFINITY
                     : score(r, e) - (TIE + BLUR * blind) * (Math.log(capacityLeft(r.c, e)) + luck);
             if (s < bestScore) {
                 bestScore = s;
@@ -395,7 +412,9 @@
                 own += e.attempts.stream().filter(a -> a.r.c == r.c).count() * threads;
             }
         }
-        return there == 0 || there + threads <= open || own + threads <= open * r.c.askedShare
+        return there == 0
+                || there + threads <= open
+                || own + threads <= open * r.c.askedShare
                 || own == 0 && now - r.c.sentAt >= r.expected() * threads / (open * r.c.askedShare);
     }
 
@@ -417,8 +436,9 @@
             s = Math.max(s, 1.2 * (e.held + r.grant(e)) / (e.memory * Math.max(share, 1 / FEW_FRONTS)));
         }
         for (Try a : e.attempts) {
-            if (a.r.group == r.group && (a.r.c.spec.load() && (r.c.spec.waitsForLoads() || r.c.spec.load())
-                    || r.c.spec.load() && a.r.c.spec.waitsForLoads())) {
+            if (a.r.group == r.group
+                    && (a.r.c.spec.load() && (r.c.spec.waitsForLoads() || r.c.spec.load())
+                            || r.c.spec.load() && a.r.c.spec.waitsForLoads())) {
                 s += CLASH;
                 break;
             }
@@ -445,8 +465,8 @@
         if (e.seen()) {
             return e.load() + r.c.spec.threads() <= KNEE * e.cores * Math.min(1, e.speed()) * e.bar;
         }
-        boolean memory = e.memory <= 0 || e.attempts.isEmpty()
-                || e.held + r.grant(e) <= e.memory * Math.min(1, share * 1.2);
+        boolean memory =
+                e.memory <= 0 || e.attempts.isEmpty() || e.held + r.grant(e) <= e.memory * Math.min(1, share * 1.2);
         return e.threads < Math.max(1, window(e)) && memory;
     }
 
@@ -467,8 +487,7 @@
         }
         oldest.sort((a, b) -> Double.compare(a.turn, b.turn));
         oldest.stream().limit(AT_ONCE).forEach(this::probe);
-        double cost = set.prices().probe()
-                + set.prices().peer() * words.size() * (set.fronts() - 1) / Words.LONGEST;
+        double cost = set.prices().probe() + set.prices().peer() * words.size() * (set.fronts() - 1) / Words.LONGEST;
         double perMs = Math.max(1, asked) / Math.max(1000, now - startedAt);
         double every = Math.max(VIEW_EVERY * set.fronts() / (oldest.size() + 1), cost / VIEW_COST / perMs);
         out.add(new After(Math.min(10_000, AT_ONCE * every) * (0.5 + random.nextDouble()), DUTY));
@@ -509,9 +528,15 @@
     // ---- the gate: every send passes here
 
     private boolean gate(Request r, Engine e) {
-        return e.ready && placed(r.c.spec, e) && !r.over && now < r.deadline
-                && r.attempts.size() < set.limits().maxAttempts() && r.outCount == 0 && ordered(r)
-                && repeatable(r, e) && coldAllows(r, e)
+        return e.ready
+                && placed(r.c.spec, e)
+                && !r.over
+                && now < r.deadline
+                && r.attempts.size() < set.limits().maxAttempts()
+                && r.outCount == 0
+                && ordered(r)
+                && repeatable(r, e)
+                && coldAllows(r, e)
                 && (r.attempts.isEmpty() || budgetLeft() >= 1);
     }
 
@@ -522,17 +547,20 @@
 
     /** Time left to begin an attempt. Danger: an effect twice, also where a repeat waits for a connection. */
     private double beginWithin(Request r) {
-        return r.ran == null || r.c.spec.effect() == Effect.SAFE ? Double.POSITIVE_INFINITY
+        return r.ran == null || r.c.spec.effect() == Effect.SAFE
+                ? Double.POSITIVE_INFINITY
                 : r.c.spec.effect() == Effect.KEYED ? r.firstRan + r.c.spec.keyTtl() - now : 0;
     }
 
     private boolean repeatable(Request r, Engine e) {
-        return beginWithin(r) > 0 && (r.ran == null || r.c.spec.effect() == Effect.SAFE
-                || switch (r.c.spec.scope()) {
-            case ALL -> true;
-            case ZONE -> r.ran.at.zone() == e.at.zone();
-            case CELL -> r.ran.at.cell() == e.at.cell();
-        });
+        return beginWithin(r) > 0
+                && (r.ran == null
+                        || r.c.spec.effect() == Effect.SAFE
+                        || switch (r.c.spec.scope()) {
+                            case ALL -> true;
+                            case ZONE -> r.ran.at.zone() == e.at.zone();
+                            case CELL -> r.ran.at.cell() == e.at.cell();
+                        });
     }
 
     /** Danger: two of one key at once, or out of turn; a key rests after an outcome that leaves doubt. */
@@ -544,8 +572,9 @@
     }
 
     private double budgetLeft() {
-        return set.rules().extraWindow() <= 0 ? Double.POSITIVE_INFINITY : set.rules().extraFree()
-                + set.rules().extraPerRequest() * taken.sum(now) - further.sum(now);
+        return set.rules().extraWindow() <= 0
+                ? Double.POSITIVE_INFINITY
+                : set.rules().extraFree() + set.rules().extraPerRequest() * taken.sum(now) - further.sum(now);
     }
 
     /**
@@ -561,8 +590,12 @@
         // from another process has its half of the budget, and the whole of it one window later.
         double sent = e.sends.sum(now) + Math.max(r.work(), r.c.usualWork());
         boolean forgot = !succeeds && now - startedAt < set.rules().fallMs() && startedAt > e.coldFrom();
-        double budget = COLD_PART * set.rules().overloadFactor() * e.sureOf() * e.cores
-                * set.rules().fallMs() * coldPart();
+        double budget = COLD_PART
+                * set.rules().overloadFactor()
+                * e.sureOf()
+                * e.cores
+                * set.rules().fallMs()
+                * coldPart();
         if (set.fronts() <= TURNS) {
             return !forgot && sent <= budget / set.fronts();
         }
@@ -589,7 +622,8 @@
         }
         if (set.limits().grants() || set.limits().priorities()) {
             // Where engines page, memory in use counts up to the need: a larger grant takes from nobody.
-            double grant = set.limits().whenShort() == WhenShort.PAGE ? e.memory * set.limits().mostGrant()
+            double grant = set.limits().whenShort() == WhenShort.PAGE
+                    ? e.memory * set.limits().mostGrant()
                     : r.grant(e);
             out.add(new SetLimits(r.id, set.limits().grants() ? grant : 0, priority(r)));
         }
@@ -611,7 +645,10 @@
         if (now + r.expected() > r.aimAt) {
             return 0;
         }
-        double most = learners.stream().mapToDouble(c -> c.works.mean(now, 1e-9, 0)).max().orElse(0);
+        double most = learners.stream()
+                .mapToDouble(c -> c.works.mean(now, 1e-9, 0))
+                .max()
+                .orElse(0);
         return r.work() < most * 0.3 ? 3 : r.c.spec.load() || r.rerun ? 2 : 1;
     }
 
@@ -621,7 +658,11 @@
     private boolean shouldCut(Try a) {
         Request r = a.r;
         Learner c = r.c;
-        if (!set.limits().cancel() || r.over || r.streaming || a.cut || c.spec.effect() == Effect.UNSAFE
+        if (!set.limits().cancel()
+                || r.over
+                || r.streaming
+                || a.cut
+                || c.spec.effect() == Effect.UNSAFE
                 || c.spec.effect() == Effect.KEYED && c.spec.scope() != Scope.ALL
                 || r.attempts.size() >= set.limits().maxAttempts()) {
             return false;
@@ -634,13 +675,17 @@
         if (a.e.suspected && (!a.trial || now - a.sentAt > 2 * r.expected() + 300)) {
             return spare(r, a.e);
         }
-        boolean fresh = a.share > 0 && now - a.shareAt < NOTE_STALE * set.limits().notesEvery();
+        boolean fresh =
+                a.share > 0 && now - a.shareAt < NOTE_STALE * set.limits().notesEvery();
         double remaining = fresh ? a.age(a.shareAt) * (1 - a.share) / a.share : 0;
         // Danger: an engine that stands still but sends notes is not silent; its reruns would never end.
         if (r.rerun && !a.waiting && remaining > STANDSTILL * rerun) {
             return spare(r, a.e);
         }
-        if (r.rerun || r.uncut || a.waiting || all.seen < ENOUGH
+        if (r.rerun
+                || r.uncut
+                || a.waiting
+                || all.seen < ENOUGH
                 || c.seen >= ENOUGH && c.tau == Double.POSITIVE_INFINITY) {
             return false;
         }
@@ -657,21 +702,36 @@
     /** Danger: where all engines are full it would only go round, so the last attempt stays for a rerun. */
     private boolean mayMove(Try a) {
         Request r = a.r;
-        return set.limits().cancel() && r.c.spec.effect() == Effect.SAFE && !r.over && !r.streaming && !a.cut
-                && r.attempts.size() <= MOVES && r.attempts.size() < set.limits().maxAttempts() - 1
-                && a.share == 0 && now + r.expected() < r.aimAt && spare(r, a.e);
+        return set.limits().cancel()
+                && r.c.spec.effect() == Effect.SAFE
+                && !r.over
+                && !r.streaming
+                && !a.cut
+                && r.attempts.size() <= MOVES
+                && r.attempts.size() < set.limits().maxAttempts() - 1
+                && a.share == 0
+                && now + r.expected() < r.aimAt
+                && spare(r, a.e);
     }
 
     /** Whether another sound engine could take the rerun now: else relaunches heap up on busy engines. */
     private boolean spare(Request r, Engine from) {
-        long cutting = engines.values().stream().flatMap(e -> e.attempts.stream()).filter(a -> a.cut).count();
-        if (budgetLeft() < 1 + cutting || r.c.spec.effect() == Effect.KEYED
-                && now + SILENCE > r.attempts.get(0).sentAt + r.c.spec.keyTtl()) {
+        long cutting = engines.values().stream()
+                .flatMap(e -> e.attempts.stream())
+                .filter(a -> a.cut)
+                .count();
+        if (budgetLeft() < 1 + cutting
+                || r.c.spec.effect() == Effect.KEYED && now + SILENCE > r.attempts.get(0).sentAt + r.c.spec.keyTtl()) {
             return false;
         }
         for (Engine e : engines.values()) {
-            if (e != from && e.ready && !e.suspected && placed(r.c.spec, e) && !r.avoid.contains(e)
-                    && room(r, e) && coldAllows(r, e)) {
+            if (e != from
+                    && e.ready
+                    && !e.suspected
+                    && placed(r.c.spec, e)
+                    && !r.avoid.contains(e)
+                    && room(r, e)
+                    && coldAllows(r, e)) {
                 return true;
             }
         }
@@ -721,8 +781,8 @@
         r.outCount--;
         a.e.remove(a, r.c.spec.threads(), a.grant);
         learn(r, a, v);
-        boolean doubt = v.outcome() == Outcome.TIMEOUT || v.outcome() == Outcome.RESET
-                || v.outcome() == Outcome.CANCELLED;
+        boolean doubt =
+                v.outcome() == Outcome.TIMEOUT || v.outcome() == Outcome.RESET || v.outcome() == Outcome.CANCELLED;
         if (doubt && r.key != 0 && r.c.spec.inOrder()) {
             rests.merge(r.key, now + set.rules().settleMs(), Math::max);
         }
@@ -740,8 +800,11 @@
 
     /** A further attempt where the effect allows it and time is left; else the answer at once. */
     private void again(Request r, Try a, Outcome o) {
-        if (beginWithin(r) <= 0 || r.attempts.size() >= set.limits().maxAttempts() || cannotMakeIt(r)
-                || o == Outcome.MOOT || r.errors >= ERRORS) {
+        if (beginWithin(r) <= 0
+                || r.attempts.size() >= set.limits().maxAttempts()
+                || cannotMakeIt(r)
+                || o == Outcome.MOOT
+                || r.errors >= ERRORS) {
             finish(r);
             return;
         }
@@ -801,7 +864,7 @@
                 bad(a.e, "refuses connections");
             }
             case ERROR -> blame(r, a.e);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -876,21 +939,27 @@
         fleetSlow = Math.max(1, Math.exp(recent.middle(now, DOUBT, List.of())));
         learners.forEach(c -> c.reckon(stillOut.get(c)));
         double work = learners.stream().mapToDouble(c -> c.workTaken).sum();
-        double worth = learners.stream().mapToDouble(c -> c.taken * c.spec.worth()).sum();
+        double worth =
+                learners.stream().mapToDouble(c -> c.taken * c.spec.worth()).sum();
         for (Learner c : learners) {
             c.workShare = c.workTaken / Math.max(1, work);
             c.askedShare = c.taken * c.spec.worth() / Math.max(1e-9, worth);
-            c.openCores = engines.values().stream().filter(e -> e.ready && placed(c.spec, e))
-                    .mapToDouble(e -> e.cores).sum();
-        }
-        perQuery = work <= 0 ? 1 : work
-                / learners.stream().mapToDouble(c -> c.workTaken / c.spec.threads()).sum();
+            c.openCores = engines.values().stream()
+                    .filter(e -> e.ready && placed(c.spec, e))
+                    .mapToDouble(e -> e.cores)
+                    .sum();
+        }
+        perQuery = work <= 0
+                ? 1
+                : work
+                        / learners.stream()
+                                .mapToDouble(c -> c.workTaken / c.spec.threads())
+                                .sum();
         all.reckon(List.of());
         double least = Math.min(1, SHARE_LEAST / set.fronts());
         boolean calm = pooled() ? crowding < KNEE * BAR_LOW : learners.stream().allMatch(c -> c.slow < CALM);
         double growth = pooled() ? 1.3 : Math.pow(set.fronts(), RECKON_EVERY / ALONE_AFTER);
-        share = blocked && calm ? Math.min(1, share * growth)
-                : Math.max(least, share / (calm ? 1.05 : growth));
+        share = blocked && calm ? Math.min(1, share * growth) : Math.max(least, share / (calm ? 1.05 : growth));
     }
 
     // ---- engines: list, health
@@ -922,7 +991,10 @@
     }
 
     private void countCores() {
-        readyCores = engines.values().stream().filter(e -> e.ready).mapToDouble(e -> e.cores).sum();
+        readyCores = engines.values().stream()
+                .filter(e -> e.ready)
+                .mapToDouble(e -> e.cores)
+                .sum();
     }
 
     /** Suspects an engine that has work overdue and has said nothing for long: no answer, no note. */
@@ -1006,8 +1078,7 @@
         }
 
         double grant(Engine e) {
-            double want = need * Math.exp(c.memoryOff.value())
-                    * (set.limits().grants() ? c.grantFactor : GRANT_START);
+            double want = need * Math.exp(c.memoryOff.value()) * (set.limits().grants() ? c.grantFactor : GRANT_START);
             return e.memory > 0 ? Math.min(want, e.memory * set.limits().mostGrant()) : want;
         }
     }
@@ -1066,8 +1137,7 @@
 
         /** Speed against the fleet; a cold engine counts as what it is known to do at least. */
         double speed() {
-            return Math.max(0.1, Math.min(1.3, fleetSlow / slow()) * (1 - faults.mean(now, DOUBT_ONE, 0)))
-                    * warm(0);
+            return Math.max(0.1, Math.min(1.3, fleetSlow / slow()) * (1 - faults.mean(now, DOUBT_ONE, 0))) * warm(0);
         }
 
         /**
@@ -1076,7 +1146,9 @@
          */
         double sureOf() {
             double least = set.rules().coldShare();
-            return downAt > startTold() ? least : least + WARMS * (warm(set.rules().fallMs()) - least);
+            return downAt > startTold()
+                    ? least
+                    : least + WARMS * (warm(set.rules().fallMs()) - least);
         }
 
         /** Part of its capacity that it had so long ago. */
@@ -1093,6 +1165,7 @@
         final Fading reruns = new Fading(HALF_LIFE), works = new Fading(HALF_LIFE);
         /** How much slower than usual its last runs were, those still out included. */
         final Recent recent = new Recent(RECENT);
+
         boolean shut;
         double slow = 1, seen, tau = Double.POSITIVE_INFINITY, mean;
         double workTaken, workShare, openCores, grantFactor = GRANT_START, decayedAt;
@@ -1100,6 +1173,7 @@
         final Level usual = new Level(STRAGGLES, USUAL_MOVES);
         /** How far what answers tell lies off the estimates. Danger: these may lie by class, and aims too. */
         final Level workOff = new Level(STRAGGLES, USUAL_MOVES);
+
         final Level memoryOff = new Level(STRAGGLES, USUAL_MOVES);
 
         Learner(RequestClass spec) {
@@ -1117,8 +1191,7 @@
         }
 
         double rerunRatio() {
-            return reruns.count(now) >= RERUNS_ENOUGH ? reruns.mean(now, 0, 0)
-                    : seen >= ENOUGH ? mean : typical();
+            return reruns.count(now) >= RERUNS_ENOUGH ? reruns.mean(now, 0, 0) : seen >= ENOUGH ? mean : typical();
         }
 
         void ran(double ratio, boolean finished) {
@@ -1143,8 +1216,15 @@
             workTaken *= keep;
             taken *= keep;
             // Danger: of a class that crowding holds up, answers come from the few that it spares.
-            slow = Math.max(1, Math.exp(recent.middle(now, DOUBT, stillOut.stream()
-                    .map(x -> Math.min(STRAGGLES, Math.log(x / typical()))).filter(x -> x > 0).toList())));
+            slow = Math.max(
+                    1,
+                    Math.exp(recent.middle(
+                            now,
+                            DOUBT,
+                            stillOut.stream()
+                                    .map(x -> Math.min(STRAGGLES, Math.log(x / typical())))
+                                    .filter(x -> x > 0)
+                                    .toList())));
             mean = first.reckon(stillOut.stream().map(x -> x / slow).toList());
             tau = Double.POSITIVE_INFINITY;
             double least = mean * (1 - GAIN);
@@ -1157,8 +1237,7 @@
             }
             // Danger: a rare class has no curve of its own for long; few outcomes move tau within bounds.
             if (seen < ENOUGH && usual.count() >= RERUNS_ENOUGH) {
-                tau = typical() * Math.exp(Math.max(STRAGGLES / 2, Math.min(STRAGGLES,
-                        Math.log(tau / typical()))));
+                tau = typical() * Math.exp(Math.max(STRAGGLES / 2, Math.min(STRAGGLES, Math.log(tau / typical()))));
             }
         }
     }
--- a/src/main/java/peatwick/EngineState.java
+++ b/src/main/java/peatwick/EngineState.java
@@ -9,6 +9,7 @@
     final Set<A> attempts = new LinkedHashSet<>();
     /** Work sent, by any attempt, however it ended. */
     final Window sends;
+
     Front.Listed at;
     int cores = 1;
     double memory;
@@ -16,6 +17,7 @@
     double downAt;
     /** When it was called back: cold at the most since then. */
     double backAt;
+
     boolean ready;
     boolean gone;
     boolean suspected;
@@ -23,6 +25,7 @@
     boolean heldOut;
     /** Called back and not heard of since. */
     boolean recalled;
+
     int badInARow;
     double nextTrial;
     double heardAt;
@@ -30,6 +33,7 @@
     double held;
     /** When a probe went out that has not come back; 0 if none. */
     double probedAt;
+
     double turn;
     double viewAt = Double.NEGATIVE_INFINITY;
     double[] view = {};
--- a/src/main/java/peatwick/Front.java
+++ b/src/main/java/peatwick/Front.java
@@ -22,21 +22,42 @@
     int avoided();
 
     /** Whether a request may run more than once: always, by key within a group of engines, or never. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which engines drop the repeats of a keyed request: all, those of its zone, or those of its cell. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** What becomes of a query whose grant does not fit: it waits, gets less, or all engines' work slows. */
-    enum WhenShort { WAIT, SHRINK, PAGE }
+    enum WhenShort {
+        WAIT,
+        SHRINK,
+        PAGE
+    }
 
     /** State of an engine in the list. */
-    enum Condition { READY, DRAINING, GONE }
+    enum Condition {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** How an attempt or a probe ended. */
     enum Outcome {
-        OK(true), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
-                CANCELLED(true),
+        OK(true),
+        ERROR(true),
+        FULL(false),
+        TIMEOUT(true),
+        CONNECT_FAILED(false),
+        RESET(true),
+        CANCELLED(true),
         MOOT(false);
 
         /** False where the outcome proves that the attempt never ran. */
@@ -48,15 +69,42 @@
     }
 
     /** What a note on a running attempt says. */
-    enum NoteKind { PROGRESS, SPILLS, WAITS_FOR_MEMORY, WAITS_FOR_LOAD }
+    enum NoteKind {
+        PROGRESS,
+        SPILLS,
+        WAITS_FOR_MEMORY,
+        WAITS_FOR_LOAD
+    }
 
     /** What a value in a load report stands for. */
-    enum ReportField { IN_HAND, WAITING, UTILISATION, LATENCY, THROUGHPUT, ERRORS, MEMORY, DISKS, OTHER }
+    enum ReportField {
+        IN_HAND,
+        WAITING,
+        UTILISATION,
+        LATENCY,
+        THROUGHPUT,
+        ERRORS,
+        MEMORY,
+        DISKS,
+        OTHER
+    }
 
     /** One class of requests. Null lists of kinds or zones bind nothing. */
-    record RequestClass(double aim, double aimStretch, double deadline, double worth, double lateShare,
-            Effect effect, Scope scope, double keyTtl, boolean inOrder, List<Integer> onlyKinds,
-            List<Integer> onlyZones, boolean load, boolean waitsForLoads, int threads) {
+    record RequestClass(
+            double aim,
+            double aimStretch,
+            double deadline,
+            double worth,
+            double lateShare,
+            Effect effect,
+            Scope scope,
+            double keyTtl,
+            boolean inOrder,
+            List<Integer> onlyKinds,
+            List<Integer> onlyZones,
+            boolean load,
+            boolean waitsForLoads,
+            int threads) {
         public RequestClass {
             require(aim >= 0 && deadline > 0 && aimStretch >= 0, "classes: aim, aim stretch, deadline");
             require(worth >= 0 && lateShare >= 0 && lateShare <= 1, "classes: worth, late share");
@@ -75,10 +123,19 @@
     }
 
     /** What the site permits. */
-    record Limits(boolean cancel, boolean probes, boolean secondCopies, boolean retryAfter,
+    record Limits(
+            boolean cancel,
+            boolean probes,
+            boolean secondCopies,
+            boolean retryAfter,
             double maxRetryAfter,
-            int maxAttempts, boolean grants, boolean priorities, double mostGrant, WhenShort whenShort,
-            double notesEvery, boolean peers) {
+            int maxAttempts,
+            boolean grants,
+            boolean priorities,
+            double mostGrant,
+            WhenShort whenShort,
+            double notesEvery,
+            boolean peers) {
         public Limits {
             require(maxAttempts >= 1, "limits: attempts");
             require(maxRetryAfter >= 0 && notesEvery >= 0, "limits: times");
@@ -87,8 +144,16 @@
     }
 
     /** Figures of the rules. An extraWindow of 0 means that no budget of further attempts is set. */
-    record Rules(double drainGrace, double coldMs, double coldShare, double overloadFactor, double fallMs,
-            double settleMs, double extraWindow, double extraFree, double extraPerRequest) {
+    record Rules(
+            double drainGrace,
+            double coldMs,
+            double coldShare,
+            double overloadFactor,
+            double fallMs,
+            double settleMs,
+            double extraWindow,
+            double extraFree,
+            double extraPerRequest) {
         public Rules {
             require(drainGrace >= 0 && coldMs >= 0 && fallMs >= 0 && settleMs >= 0, "rules: times");
             require(coldShare >= 0 && coldShare <= 1 && overloadFactor >= 0, "rules: cold share, factor");
@@ -111,10 +176,22 @@
     }
 
     /** All that a front is told at its start. askForList: the list comes only to those that ask for it. */
-    record Settings(List<RequestClass> classes, List<Kind> kinds, int zones, int zone, int fronts,
+    record Settings(
+            List<RequestClass> classes,
+            List<Kind> kinds,
+            int zones,
+            int zone,
+            int fronts,
             int ordinal,
-            Limits limits, Rules rules, List<ReportField> report, boolean reportInAnswers, boolean askForList,
-            double askWithin, boolean weightsTell, Prices prices, List<Tenant> tenants,
+            Limits limits,
+            Rules rules,
+            List<ReportField> report,
+            boolean reportInAnswers,
+            boolean askForList,
+            double askWithin,
+            boolean weightsTell,
+            Prices prices,
+            List<Tenant> tenants,
             double overShareWorth) {
         public Settings {
             require(!classes.isEmpty(), "classes: none");
@@ -137,62 +214,79 @@
     }
 
     /** An engine as the list has it; upSince 0 is long ago. */
-    record Listed(long engine, int kind, double weight, double upSince, Condition condition, int zone,
-            int cell) { }
+    record Listed(long engine, int kind, double weight, double upSince, Condition condition, int zone, int cell) {}
 
     /** What happened. */
-    sealed interface Event permits ListChange, ListFailed, HeldOut,
-            Part, Arrival, Opened, Note, Verdict, Aborted, Probed,
-            Wake,
-            PeerSays { }
+    sealed interface Event
+            permits ListChange,
+                    ListFailed,
+                    HeldOut,
+                    Part,
+                    Arrival,
+                    Opened,
+                    Note,
+                    Verdict,
+                    Aborted,
+                    Probed,
+                    Wake,
+                    PeerSays {}
 
     /** The list of engines: whole (what is missing is gone) or only the entries that changed. */
-    record ListChange(boolean whole, List<Listed> engines) implements Event { }
+    record ListChange(boolean whole, List<Listed> engines) implements Event {}
 
     /** A call to the list failed; the old list stays. */
-    record ListFailed() implements Event { }
+    record ListFailed() implements Event {}
 
     /**
      * By order, an engine gets nothing from now on, whatever the list says, or is used again; at tells when
      * that was said. It may be an engine that the list has not, or no longer.
      */
-    record HeldOut(long engine, boolean out, double at) implements Event { }
+    record HeldOut(long engine, boolean out, double at) implements Event {}
 
     /**
      * The part of this front's work that falls to this process: 1 alone, half while another serves beside it
      * at an upgrade.
      */
-    record Part(double part) implements Event { }
+    record Part(double part) implements Event {}
 
     /** A request was taken. Key 0 is none, a cost or memory of 0 is not known. */
-    record Arrival(long request, int type, long key, double timeLeft, double cost, double memoryMb, int group,
-            boolean repeat, int customer) implements Event { }
+    record Arrival(
+            long request,
+            int type,
+            long key,
+            double timeLeft,
+            double cost,
+            double memoryMb,
+            int group,
+            boolean repeat,
+            int customer)
+            implements Event {}
 
     /** The answer of an attempt has started; it belongs to the client from now on. */
-    record Opened(long request, int attempt) implements Event { }
+    record Opened(long request, int attempt) implements Event {}
 
     /** Word on an attempt that is out; amount is the share done or the megabytes missing. */
-    record Note(long request, int attempt, NoteKind kind, double amount) implements Event { }
+    record Note(long request, int attempt, NoteKind kind, double amount) implements Event {}
 
     /** How an attempt ended. ended: the request is over. Work and memory needed are 0 where not told. */
-    record Verdict(long request, int attempt, Outcome outcome, boolean ended, double work, double memoryMb,
-            double[] report) implements Event { }
+    record Verdict(
+            long request, int attempt, Outcome outcome, boolean ended, double work, double memoryMb, double[] report)
+            implements Event {}
 
     /** The client has gone; nothing is owed any more. */
-    record Aborted(long request) implements Event { }
+    record Aborted(long request) implements Event {}
 
     /** What a probe brought back. An empty report came with nothing. */
-    record Probed(long engine, Outcome outcome, double latency, double[] report) implements Event { }
+    record Probed(long engine, Outcome outcome, double latency, double[] report) implements Event {}
 
     /** A timer is due. */
-    record Wake(int token) implements Event { }
+    record Wake(int token) implements Event {}
 
     /** Word from another front; it may be lost, late or from a front that is no more. */
-    record PeerSays(int from, byte[] octets) implements Event { }
+    record PeerSays(int from, byte[] octets) implements Event {}
 
     /** What to do. */
-    sealed interface Action permits Send, Cancel, Refuse, Fail, SetLimits, Probe, Announce, After, Subscribe,
-            Log { }
+    sealed interface Action permits Send, Cancel, Refuse, Fail, SetLimits, Probe, Announce, After, Subscribe, Log {}
 
     /**
      * Starts an attempt; the host numbers the attempts of a request 0, 1, 2 in the order of their sends.
@@ -207,31 +301,31 @@
     }
 
     /** Stops an attempt. */
-    record Cancel(long request, int attempt) implements Action { }
+    record Cancel(long request, int attempt) implements Action {}
 
     /** Final answer: turned away, harmless to try again; retryAfter 0 gives no advice. */
-    record Refuse(long request, double retryAfter) implements Action { }
+    record Refuse(long request, double retryAfter) implements Action {}
 
     /** Final answer: failed, with no promise. */
-    record Fail(long request) implements Action { }
+    record Fail(long request) implements Action {}
 
     /** Memory (0: the engine's choice) and priority of the request's further sends. */
-    record SetLimits(long request, double grantMb, int priority) implements Action { }
+    record SetLimits(long request, double grantMb, int priority) implements Action {}
 
     /** Sends bytes to every other front; they may be lost. */
-    record Announce(byte[] octets) implements Action { }
+    record Announce(byte[] octets) implements Action {}
 
     /** Asks an engine how it is. */
-    record Probe(long engine) implements Action { }
+    record Probe(long engine) implements Action {}
 
     /** Asks for a wake event with this token. */
-    record After(double delay, int token) implements Action { }
+    record After(double delay, int token) implements Action {}
 
     /** Asks for changes of the list from now on. */
-    record Subscribe() implements Action { }
+    record Subscribe() implements Action {}
 
     /** One line for those on call. */
-    record Log(String text) implements Action { }
+    record Log(String text) implements Action {}
 
     private static void require(boolean holds, String setting) {
         if (!holds) {
--- a/src/main/java/peatwick/Recent.java
+++ b/src/main/java/peatwick/Recent.java
@@ -6,7 +6,7 @@
 
 /** The values of the last while, and their middle. */
 final class Recent {
-    private record Entry(double at, double value) { }
+    private record Entry(double at, double value) {}
 
     private final ArrayDeque<Entry> entries = new ArrayDeque<>();
     private final double length;
@@ -28,8 +28,11 @@
         while (!entries.isEmpty() && now - entries.peek().at() > length) {
             entries.poll();
         }
-        double[] sorted = DoubleStream.concat(entries.stream().mapToDouble(Entry::value),
-                beside.stream().mapToDouble(x -> x)).sorted().toArray();
+        double[] sorted = DoubleStream.concat(
+                        entries.stream().mapToDouble(Entry::value),
+                        beside.stream().mapToDouble(x -> x))
+                .sorted()
+                .toArray();
         return sorted.length == 0 ? 0 : sorted[sorted.length / 2] * sorted.length / (sorted.length + zeros);
     }
 }
--- a/src/main/java/peatwick/RequestState.java
+++ b/src/main/java/peatwick/RequestState.java
@@ -24,10 +24,12 @@
     boolean streaming;
     /** The engine where it may first have run, and when it went there. */
     E ran;
+
     double firstRan;
     double rank;
     /** Errors that it met, and the engine that gave the first. */
     int errors;
+
     E erred;
 
     RequestState(Front.Arrival e, double now) {
--- a/src/main/java/peatwick/Window.java
+++ b/src/main/java/peatwick/Window.java
@@ -4,7 +4,7 @@
 
 /** Amounts of the recent past, summed over a sliding window of fixed length. */
 final class Window {
-    private record Entry(double at, double amount) { }
+    private record Entry(double at, double amount) {}
 
     private final ArrayDeque<Entry> entries = new ArrayDeque<>();
     private final double length;
--- a/src/main/java/peatwick/Words.java
+++ b/src/main/java/peatwick/Words.java
@@ -7,20 +7,23 @@
 /** The bytes of what fronts tell of engines: a mark of two bytes, its figures in a byte each. */
 final class Words {
     /** One word on one engine; the figures are as the report has them. */
-    record Word(int mark, double[] figures) { }
+    record Word(int mark, double[] figures) {}
 
     /** Bytes of the longest message that the interface takes. */
     static final int LONGEST = 256;
+
     private static final int HEAD = 2;
     private final double[] scales;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
     /** Shares are told in hundredths, counts as they are. */
     Words(List<Front.ReportField> fields) {
-        scales = fields.stream().mapToDouble(f -> switch (f) {
-            case UTILISATION, MEMORY, DISKS -> 100;
-            default -> 1;
-        }).toArray();
+        scales = fields.stream()
+                .mapToDouble(f -> switch (f) {
+                    case UTILISATION, MEMORY, DISKS -> 100;
+                    default -> 1;
+                })
+                .toArray();
     }
 
     int size() {
--- a/src/main/java/peatwick/adapter/BatchReader.java
+++ b/src/main/java/peatwick/adapter/BatchReader.java
@@ -58,26 +58,43 @@
 
     private void record(int code, ByteBuffer r, ByteBuffer tail, Sink sink) {
         switch (code) {
-            case 0x13 -> sink.open(r.getLong(1), StandardCharsets.UTF_8.decode(
-                    part(tail, r.getInt(9), r.getInt(13), 1)).toString());
+            case 0x13 ->
+                sink.open(
+                        r.getLong(1),
+                        StandardCharsets.UTF_8
+                                .decode(part(tail, r.getInt(9), r.getInt(13), 1))
+                                .toString());
             case 0x14 -> sink.killed();
             case 0x16 -> sink.event(targets(r));
             case 0x12 -> {
                 int bits = r.get(42);
-                sink.event(new Front.Arrival(id(r, 1), r.get(5) & 0xff, r.getLong(10), r.getDouble(18),
-                        (bits & 1) != 0 ? r.getDouble(26) : 0, r.getFloat(34), (int) r.getFloat(38),
-                        (bits & 2) != 0, r.getInt(6)));
+                sink.event(new Front.Arrival(
+                        id(r, 1),
+                        r.get(5) & 0xff,
+                        r.getLong(10),
+                        r.getDouble(18),
+                        (bits & 1) != 0 ? r.getDouble(26) : 0,
+                        r.getFloat(34),
+                        (int) r.getFloat(38),
+                        (bits & 2) != 0,
+                        r.getInt(6)));
             }
             case 0x19 -> sink.event(new Front.Opened(id(r, 1), r.getShort(19) & 0xffff));
             case 0x15 -> note(r, sink);
             case 0x11 -> {
                 long told = r.getInt(24) & 0xffffffffL;
-                sink.event(new Front.Verdict(id(r, 1), r.getShort(5) & 0xffff, outcome(r.getShort(13)),
-                        r.get(23) != 0, told >>> 12, (told & 0xfff) * 4.0, report(r, 28)));
+                sink.event(new Front.Verdict(
+                        id(r, 1),
+                        r.getShort(5) & 0xffff,
+                        outcome(r.getShort(13)),
+                        r.get(23) != 0,
+                        told >>> 12,
+                        (told & 0xfff) * 4.0,
+                        report(r, 28)));
             }
             case 0x10 -> sink.event(new Front.Aborted(id(r, 1)));
-            case 0x17 -> sink.event(new Front.Probed(engine(r, 1), outcome(r.getShort(7)), r.getDouble(9),
-                    report(r, 17)));
+            case 0x17 ->
+                sink.event(new Front.Probed(engine(r, 1), outcome(r.getShort(7)), r.getDouble(9), report(r, 17)));
             case 0x1a -> sink.event(new Front.Wake(r.getInt(1)));
             case 0x1c -> {
                 ByteBuffer told = part(tail, r.getInt(5), r.getInt(9), 1);
@@ -133,8 +150,14 @@
                 case 0 -> Front.Condition.GONE;
                 default -> throw new WireException("unknown condition of an engine: " + b.get(at + 20));
             };
-            list.add(new Front.Listed(engine(b, at + 6), b.getShort(at) & 0xffff, b.getFloat(at + 2),
-                    b.getDouble(at + 12), condition, b.get(at + 21) & 0xff, b.getShort(at + 22) & 0xffff));
+            list.add(new Front.Listed(
+                    engine(b, at + 6),
+                    b.getShort(at) & 0xffff,
+                    b.getFloat(at + 2),
+                    b.getDouble(at + 12),
+                    condition,
+                    b.get(at + 21) & 0xff,
+                    b.getShort(at + 22) & 0xffff));
         }
         sheets.set(place, List.copyOf(list));
     }
--- a/src/main/java/peatwick/adapter/Main.java
+++ b/src/main/java/peatwick/adapter/Main.java
@@ -15,7 +15,7 @@
 public final class Main {
     private static final int LARGEST_FRAME = 1 << 30;
 
-    private Main() { }
+    private Main() {}
 
     /** @param args one word, {@code adapter} */
     public static void main(String[] args) {
@@ -36,7 +36,8 @@
                 if (rest.length < 7) {
                     throw new EOFException();
                 }
-                ByteBuffer head = ByteBuffer.allocate(8).put((byte) first).put(rest).flip();
+                ByteBuffer head =
+                        ByteBuffer.allocate(8).put((byte) first).put(rest).flip();
                 int count = head.getInt();
                 int length = head.getInt();
                 if (length < 0 || length > LARGEST_FRAME) {
--- a/src/main/java/peatwick/adapter/ReplyWriter.java
+++ b/src/main/java/peatwick/adapter/ReplyWriter.java
@@ -45,7 +45,10 @@
         } else if (action instanceof Front.Fail a) {
             end(start(0x12).putInt((int) a.request()));
         } else if (action instanceof Front.SetLimits a) {
-            end(start(0x1c).putInt((int) a.request()).putFloat((float) a.grantMb()).put((byte) a.priority()));
+            end(start(0x1c)
+                    .putInt((int) a.request())
+                    .putFloat((float) a.grantMb())
+                    .put((byte) a.priority()));
         } else if (action instanceof Front.Probe a) {
             end(start(0x15).putInt((int) (a.engine() >>> 16)).putShort((short) a.engine()));
         } else if (action instanceof Front.Announce a) {
@@ -64,7 +67,10 @@
     byte[] frame() {
         int body = count * RECORD;
         ByteBuffer frame = ByteBuffer.allocate(8 + body + tail.size());
-        frame.putInt(count).putInt(body + tail.size()).put(records.array(), 0, body).put(tail.toByteArray());
+        frame.putInt(count)
+                .putInt(body + tail.size())
+                .put(records.array(), 0, body)
+                .put(tail.toByteArray());
         return frame.array();
     }
 
--- a/src/main/java/peatwick/adapter/SettingsReader.java
+++ b/src/main/java/peatwick/adapter/SettingsReader.java
@@ -11,7 +11,7 @@
 public final class SettingsReader {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     /**
      * @param text the settings as JSON
@@ -40,33 +40,50 @@
         List<String> zoneNames = names(root.path("zones"));
         List<Front.Kind> kinds = new ArrayList<>();
         for (int i = 0; i < Math.max(1, kindNames.size()); i++) {
-            kinds.add(new Front.Kind(special.path("cpu-of-kind").path(i).asInt(1),
+            kinds.add(new Front.Kind(
+                    special.path("cpu-of-kind").path(i).asInt(1),
                     special.path("ram-of-kind-mb").path(i).asDouble(0)));
         }
         List<Front.RequestClass> classes = new ArrayList<>();
         for (JsonNode c : root.path("classes")) {
             int place = classes.size();
-            classes.add(new Front.RequestClass(c.path("aim").asDouble(), c.path("aim-stretch").asDouble(0),
-                    c.path("deadline").asDouble(), c.path("value").asDouble(1),
+            classes.add(new Front.RequestClass(
+                    c.path("aim").asDouble(),
+                    c.path("aim-stretch").asDouble(0),
+                    c.path("deadline").asDouble(),
+                    c.path("value").asDouble(1),
                     c.path("late-share").asDouble(0),
-                    effect(c.path("effect").asText("fragile")), scope(c.path("dedup-scope").asText("cell")),
-                    c.path("key-ttl").asDouble(0), c.path("keep-order").asBoolean(false),
-                    places(c.get("runs-on"), kindNames), places(c.get("zones-only"), zoneNames),
+                    effect(c.path("effect").asText("fragile")),
+                    scope(c.path("dedup-scope").asText("cell")),
+                    c.path("key-ttl").asDouble(0),
+                    c.path("keep-order").asBoolean(false),
+                    places(c.get("runs-on"), kindNames),
+                    places(c.get("zones-only"), zoneNames),
                     special.path("writes-tables").path(place).asBoolean(false),
                     special.path("yields-to-loads").path(place).asBoolean(false),
                     special.path("threads-by-class").path(place).asInt(1)));
         }
         List<Front.Tenant> tenants = new ArrayList<>();
-        root.path("tenants").forEach(t -> tenants.add(new Front.Tenant(t.path("quota-rps").asDouble(0))));
-        return new Front.Settings(classes, kinds, Math.max(1, zoneNames.size()), root.path("az").asInt(0),
-                root.path("peers-total").asInt(1), root.path("ordinal").asInt(0),
-                limits(root.path("limits"), special), rules(root.path("obligations")),
-                report(root.path("report")), "piggyback".equals(root.path("report").path("how").asText()),
+        root.path("tenants")
+                .forEach(t -> tenants.add(new Front.Tenant(t.path("quota-rps").asDouble(0))));
+        return new Front.Settings(
+                classes,
+                kinds,
+                Math.max(1, zoneNames.size()),
+                root.path("az").asInt(0),
+                root.path("peers-total").asInt(1),
+                root.path("ordinal").asInt(0),
+                limits(root.path("limits"), special),
+                rules(root.path("obligations")),
+                report(root.path("report")),
+                "piggyback".equals(root.path("report").path("how").asText()),
                 "subscribe".equals(root.path("discovery").asText()),
                 root.path("obligations").path("ask-within").asDouble(0),
                 !"silent".equals(root.path("weights").asText("silent")),
-                new Front.Prices(root.path("prices").path("probe").asDouble(0),
-                        root.path("prices").path("peer").asDouble(0)), tenants,
+                new Front.Prices(
+                        root.path("prices").path("probe").asDouble(0),
+                        root.path("prices").path("peer").asDouble(0)),
+                tenants,
                 root.path("over-share-worth").asDouble(1));
     }
 
@@ -76,37 +93,49 @@
             case "page" -> Front.WhenShort.PAGE;
             default -> Front.WhenShort.WAIT;
         };
-        return new Front.Limits(limits.path("cancel").asBoolean(false),
+        return new Front.Limits(
+                limits.path("cancel").asBoolean(false),
                 limits.path("probes").asBoolean(false),
-                limits.path("second-copies").asBoolean(false), limits.path("retry-after").asBoolean(false),
-                limits.path("max-retry-after").asDouble(0), limits.path("max-attempts").asInt(1),
-                special.path("grants").asBoolean(false), special.path("lanes-count").asBoolean(false),
-                special.path("most-grant").asDouble(1), whenShort, special.path("tells-every").asDouble(0),
+                limits.path("second-copies").asBoolean(false),
+                limits.path("retry-after").asBoolean(false),
+                limits.path("max-retry-after").asDouble(0),
+                limits.path("max-attempts").asInt(1),
+                special.path("grants").asBoolean(false),
+                special.path("lanes-count").asBoolean(false),
+                special.path("most-grant").asDouble(1),
+                whenShort,
+                special.path("tells-every").asDouble(0),
                 limits.path("peer-messages").asBoolean(false));
     }
 
     private static Front.Rules rules(JsonNode rules) {
-        return new Front.Rules(rules.path("drain-grace").asDouble(0), rules.path("cold").asDouble(0),
-                rules.path("cold-share").asDouble(1), rules.path("overload-factor").asDouble(0),
-                rules.path("fall").asDouble(0), rules.path("settle-after-doubt").asDouble(0),
-                rules.path("extra-window").asDouble(0), rules.path("extra-free").asDouble(0),
+        return new Front.Rules(
+                rules.path("drain-grace").asDouble(0),
+                rules.path("cold").asDouble(0),
+                rules.path("cold-share").asDouble(1),
+                rules.path("overload-factor").asDouble(0),
+                rules.path("fall").asDouble(0),
+                rules.path("settle-after-doubt").asDouble(0),
+                rules.path("extra-window").asDouble(0),
+                rules.path("extra-free").asDouble(0),
                 rules.path("extra-per-request").asDouble(0));
     }
 
     private static List<Front.ReportField> report(JsonNode report) {
         List<Front.ReportField> fields = new ArrayList<>();
         for (JsonNode field : report.path("fields")) {
-            fields.add(switch (field.asText()) {
-                case "outstanding" -> Front.ReportField.IN_HAND;
-                case "backlog" -> Front.ReportField.WAITING;
-                case "utilization" -> Front.ReportField.UTILISATION;
-                case "recent_ms" -> Front.ReportField.LATENCY;
-                case "throughput" -> Front.ReportField.THROUGHPUT;
-                case "errors_per_s" -> Front.ReportField.ERRORS;
-                case "x0" -> Front.ReportField.MEMORY;
-                case "x1" -> Front.ReportField.DISKS;
-                default -> Front.ReportField.OTHER;
-            });
+            fields.add(
+                    switch (field.asText()) {
+                        case "outstanding" -> Front.ReportField.IN_HAND;
+                        case "backlog" -> Front.ReportField.WAITING;
+                        case "utilization" -> Front.ReportField.UTILISATION;
+                        case "recent_ms" -> Front.ReportField.LATENCY;
+                        case "throughput" -> Front.ReportField.THROUGHPUT;
+                        case "errors_per_s" -> Front.ReportField.ERRORS;
+                        case "x0" -> Front.ReportField.MEMORY;
+                        case "x1" -> Front.ReportField.DISKS;
+                        default -> Front.ReportField.OTHER;
+                    });
         }
         return fields;
     }
--- a/src/measure/java/lineward/mysql/MeasureSpool.java
+++ b/src/measure/java/lineward/mysql/MeasureSpool.java
@@ -10,8 +10,8 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import lineward.spool.store.SpoolFolder;
 import lineward.spool.store.SpoolFixture;
+import lineward.spool.store.SpoolFolder;
 
 /**
  * Measures spooled results and prints a line a figure. Arguments: the jar, and where it is to be compared an
@@ -22,7 +22,7 @@
     private static final int PAIRS = 5;
     private static final double MS = 1e6;
 
-    private MeasureSpool() { }
+    private MeasureSpool() {}
 
     /** @param args the jar to measure; an earlier one */
     public static void main(String[] args) throws Exception {
@@ -51,24 +51,38 @@
 
         Rig(String jar, int links, int heapMb, String spool) throws IOException {
             Path file = folder.resolve("mysql.toml");
-            Files.writeString(file,
+            Files.writeString(
+                    file,
                     "listen = \"127.0.0.1:0\"\n[limits]\nclients = 1000\nconnections-per-engine = "
-                    + links + "\n" + spool.replace("FOLDER", folder.resolve("spool").toString())
-                    + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
-                    + "[[class]]\nname = \"all\"\naim-ms = 5000\ndeadline-ms = 30000\n"
-                    + "[[engine]]\nname = \"one\"\naddress = \"" + engine.address()
+                            + links + "\n"
+                            + spool.replace("FOLDER", folder.resolve("spool").toString())
+                            + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
+                            + "[[class]]\nname = \"all\"\naim-ms = 5000\ndeadline-ms = 30000\n"
+                            + "[[engine]]\nname = \"one\"\naddress = \"" + engine.address()
                             + "\"\nuser = \"front\"\n");
             Path log = folder.resolve("log");
-            process = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx" + heapMb + "m",
-                    "-Xlog:gc:file=" + folder.resolve("gc"), "-Dio.netty.maxDirectMemory=25165824", "-jar",
+            process = new ProcessBuilder(
+                            "java",
+                            "-XX:+UseSerialGC",
+                            "-Xmx" + heapMb + "m",
+                            "-Xlog:gc:file=" + folder.resolve("gc"),
+                            "-Dio.netty.maxDirectMemory=25165824",
+                            "-jar",
                             jar,
-                    "mysql", file.toString()).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+                            "mysql",
+                            file.toString())
+                    .redirectErrorStream(true)
+                    .redirectOutput(log.toFile())
+                    .start();
             String text = "";
             for (int i = 0; i < 200 && !text.contains("listening on "); i++) {
                 pause(50);
                 text = Files.readString(log);
             }
-            String line = text.substring(text.indexOf("listening on ")).lines().findFirst().orElseThrow();
+            String line = text.substring(text.indexOf("listening on "))
+                    .lines()
+                    .findFirst()
+                    .orElseThrow();
             port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
         }
 
@@ -101,8 +115,7 @@
     private static void release(String suffix, String jar, int readers) throws Exception {
         List<StandInClient> slow = new ArrayList<>();
         double[] took = new double[readers];
-        try (Rig rig = new Rig(jar, 1, 512, suffix.isEmpty() ? "[spool]\nmemory-mb = 250\nresults = 1000\n"
-                : "");
+        try (Rig rig = new Rig(jar, 1, 512, suffix.isEmpty() ? "[spool]\nmemory-mb = 250\nresults = 1000\n" : "");
                 StandInClient next = new StandInClient(rig.port)) {
             for (int i = 0; i < readers; i++) {
                 StandInClient client = new StandInClient(rig.port);
@@ -132,14 +145,20 @@
     private static void drip(List<StandInClient> readers) throws IOException {
         for (StandInClient reader : readers) {
             if (reader.wire.socket.getInputStream().available() > 0) {
-                reader.wire.socket.getInputStream().readNBytes(
-                        Math.min(20, reader.wire.socket.getInputStream().available()));
+                reader.wire
+                        .socket
+                        .getInputStream()
+                        .readNBytes(
+                                Math.min(20, reader.wire.socket.getInputStream().available()));
             }
         }
     }
 
     private static void memory(String jar) throws Exception {
-        try (Rig rig = new Rig(jar, 8, 64,
+        try (Rig rig = new Rig(
+                jar,
+                8,
+                64,
                 "[spool]\nmemory-mb = 16\nfolder = \"FOLDER\"\nfile-mb = 4096\nresult-mb = 64\n"
                         + "user-mb = 4096\n")) {
             List<StandInClient> clients = new ArrayList<>();
@@ -160,11 +179,18 @@
                 lost += isWhole(clients.get(i)) ? 0 : 1;
             }
             String status = Files.readString(Path.of("/proc/" + rig.process.pid() + "/status"));
-            double rss = Double.parseDouble(status.lines().filter(l -> l.startsWith("VmHWM")).findFirst()
-                    .orElseThrow().replaceAll("[^0-9]", "")) / 1024;
-            double heap = Files.readString(rig.folder.resolve("gc")).lines().filter(l -> l.contains("->"))
-                    .mapToDouble(l -> Double.parseDouble(l.replaceAll(".* (\\d+)M->.*",
-                            "$1"))).max().orElse(0);
+            double rss = Double.parseDouble(status.lines()
+                            .filter(l -> l.startsWith("VmHWM"))
+                            .findFirst()
+                            .orElseThrow()
+                            .replaceAll("[^0-9]", ""))
+                    / 1024;
+            double heap = Files.readString(rig.folder.resolve("gc"))
+                    .lines()
+                    .filter(l -> l.contains("->"))
+                    .mapToDouble(l -> Double.parseDouble(l.replaceAll(".* (\\d+)M->.*", "$1")))
+                    .max()
+                    .orElse(0);
             figure("heap-peak-mb", heap, "MB");
             figure("rss-peak-mb", rss, "MB");
             figure("lost-results", lost, "of 50 read");
@@ -200,8 +226,10 @@
         long start = System.nanoTime();
         try (SpoolFolder held = SpoolFolder.take(folder)) {
             int whole = held.recover().whole().size();
-            figure("recover-ms", (System.nanoTime() - start) / MS, "ms for " + whole + " results, "
-                    + SpoolFixture.megabytes(folder) + " MB on file");
+            figure(
+                    "recover-ms",
+                    (System.nanoTime() - start) / MS,
+                    "ms for " + whole + " results, " + SpoolFixture.megabytes(folder) + " MB on file");
         }
         figure("wrong-bytes", SpoolFixture.wrongBytes(folder, new Random(1), 1000), "in 1000 crash points");
         try (Stream<Path> files = Files.walk(folder)) {
@@ -212,7 +240,8 @@
     private static void paths(String now, String before) throws Exception {
         double[] shorts = new double[PAIRS];
         double[] longs = new double[PAIRS];
-        try (Rig a = new Rig(now, 16, 256, ""); Rig b = new Rig(before, 16, 256, "")) {
+        try (Rig a = new Rig(now, 16, 256, "");
+                Rig b = new Rig(before, 16, 256, "")) {
             cpu(a, "select rows=10", 3000);
             cpu(b, "select rows=10", 3000);
             seconds(a);
--- a/src/measure/java/lineward/spool/store/SpoolFixture.java
+++ b/src/measure/java/lineward/spool/store/SpoolFixture.java
@@ -13,7 +13,7 @@
 public final class SpoolFixture {
     private static final int BLOCK = 64 << 10;
 
-    private SpoolFixture() { }
+    private SpoolFixture() {}
 
     private static byte[] block(int result, int index) {
         byte[] block = new byte[BLOCK];
@@ -57,8 +57,7 @@
         segment.complete(new Manifest("u", "k", "d", 1, 30, 0), places);
         byte[] good = Files.readAllBytes(file);
         for (int t = 0; t < times; t++) {
-            byte[] spoilt = random.nextBoolean() ? Arrays.copyOf(good, random.nextInt(good.length))
-                    : good.clone();
+            byte[] spoilt = random.nextBoolean() ? Arrays.copyOf(good, random.nextInt(good.length)) : good.clone();
             if (spoilt.length > 0 && random.nextBoolean()) {
                 spoilt[random.nextInt(spoilt.length)] ^= (byte) (1 << random.nextInt(8));
             }
@@ -66,8 +65,7 @@
             try {
                 Segment.Found found = Segment.open(file);
                 for (int i = 0; i < found.blocks().size(); i++) {
-                    wrong += Arrays.equals(found.segment().read(found.blocks().get(i)), blocks.get(i)) ? 0
-                            : 1;
+                    wrong += Arrays.equals(found.segment().read(found.blocks().get(i)), blocks.get(i)) ? 0 : 1;
                 }
             } catch (IOException | RuntimeException e) {
                 // Told, not served.
--- a/src/measure/java/peatwick/FleetDay.java
+++ b/src/measure/java/peatwick/FleetDay.java
@@ -17,12 +17,39 @@
 final class FleetDay {
     /** Look-ups, reports and loads that must not run twice, as sites of query engines have them. */
     static final List<Front.RequestClass> CLASSES = List.of(
-            new Front.RequestClass(500, 2, 2500, 1, 0.1, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null,
-                    null, false, false, 1),
-            new Front.RequestClass(3000, 2.5, 15_000, 12, 0.4, Front.Effect.SAFE, Front.Scope.ALL, 0, false,
-                    null, null, false, false, 3),
-            new Front.RequestClass(4000, 2.5, 25_000, 15, 0.5, Front.Effect.UNSAFE, Front.Scope.ALL, 0, false,
-                    null, null, true, false, 2));
+            new Front.RequestClass(
+                    500, 2, 2500, 1, 0.1, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, false, 1),
+            new Front.RequestClass(
+                    3000,
+                    2.5,
+                    15_000,
+                    12,
+                    0.4,
+                    Front.Effect.SAFE,
+                    Front.Scope.ALL,
+                    0,
+                    false,
+                    null,
+                    null,
+                    false,
+                    false,
+                    3),
+            new Front.RequestClass(
+                    4000,
+                    2.5,
+                    25_000,
+                    15,
+                    0.5,
+                    Front.Effect.UNSAFE,
+                    Front.Scope.ALL,
+                    0,
+                    false,
+                    null,
+                    null,
+                    true,
+                    false,
+                    2));
+
     private static final double[] MEAN_WORK = {100, 3000, 4000};
     private static final double[] SPREAD = {0.85, 1.0, 0.6};
     private static final double REPORTS = 0.15;
@@ -30,6 +57,7 @@
     private static final double[] RUNAWAY_TIMES = {8.5, 16.5};
     /** Estimates lie by class. */
     private static final double[] TOLD = {0.7, 0.5, 1};
+
     private static final int CORES = 8;
     private static final double KNEE = 1.6;
     private static final double THRASH = 0.65;
@@ -38,6 +66,7 @@
     private static final double FALL_MS = 1500;
     /** By then the list has told all fronts of a start. */
     private static final double TOLD_MS = 4000;
+
     private static final double FALL_MULTIPLE = 2.5;
     private static final double[] WEIGHTS = {1, 4, 8, 16};
 
@@ -49,20 +78,42 @@
      * @param loads part of the requests that must not run twice
      * @param free further attempts that each front has in 10 s, with a fifth of what it takes; 0: no ration
      */
-    record Plan(int fronts, int engines, int zones, double load, double skew, int lost, int cut, int bad,
-            double outageMs, double lengthMs, long seed, double loads, int free) {
-        Plan(int fronts, int engines, int zones, double load, double skew, int lost, int cut, int bad,
-                double outageMs, double lengthMs, long seed) {
+    record Plan(
+            int fronts,
+            int engines,
+            int zones,
+            double load,
+            double skew,
+            int lost,
+            int cut,
+            int bad,
+            double outageMs,
+            double lengthMs,
+            long seed,
+            double loads,
+            int free) {
+        Plan(
+                int fronts,
+                int engines,
+                int zones,
+                double load,
+                double skew,
+                int lost,
+                int cut,
+                int bad,
+                double outageMs,
+                double lengthMs,
+                long seed) {
             this(fronts, engines, zones, load, skew, lost, cut, bad, outageMs, lengthMs, seed, 0, 0);
         }
     }
 
-    private record Due(double at, long turn, Runnable task) { }
+    private record Due(double at, long turn, Runnable task) {}
 
     private final Plan plan;
     private final Random random;
-    private final PriorityQueue<Due> agenda = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
+    private final PriorityQueue<Due> agenda =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
     private final List<Engine> engines = new ArrayList<>();
     private final List<Host> hosts = new ArrayList<>();
     private double now;
@@ -70,6 +121,7 @@
     private final double start = 100_000;
     /** By second and class: asked, served in time, served late. */
     final TreeMap<Integer, double[][]> seconds = new TreeMap<>();
+
     double worstCold;
     final Map<String, Integer> outcomes = new TreeMap<>();
 
@@ -124,9 +176,9 @@
 
         /** Runs share what the cores do, by priority, none more than its threads can use. */
         void share() {
-            double threads = runs.stream().mapToInt(r -> CLASSES.get(r.type).threads()).sum();
-            double warm = upSince == 0 ? 1
-                    : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS);
+            double threads =
+                    runs.stream().mapToInt(r -> CLASSES.get(r.type).threads()).sum();
+            double warm = upSince == 0 ? 1 : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS);
             double crowd = Math.max(0, threads / (KNEE * CORES) - 1);
             double cores = CORES / (1 + THRASH * crowd);
             runs.forEach(r -> r.rate = 0);
@@ -176,8 +228,7 @@
             moveOn();
             runs.add(r);
             if (upSince > 0 && now - upSince > TOLD_MS && now - upSince < COLD_MS) {
-                double capacity = CORES * 0.85
-                        * (COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS);
+                double capacity = CORES * 0.85 * (COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS);
                 sent.add(new double[] {now, MEAN_WORK[r.type]});
                 sent.removeIf(s -> s[0] < now - FALL_MS);
                 double work = sent.stream().mapToDouble(s -> s[1]).sum();
@@ -228,20 +279,33 @@
         Host(int ordinal) {
             this.ordinal = ordinal;
             this.zone = ordinal % plan.zones;
-            Front.Limits limits = new Front.Limits(true, false, false, true, 2000, 6, true, true, 0.4,
-                    Front.WhenShort.PAGE, 0, false);
-            Front.Rules rules = new Front.Rules(1000, COLD_MS, COLD_SHARE, FALL_MULTIPLE, FALL_MS, 0,
-                    plan.free > 0 ? 10_000 : 0, plan.free, 0.2);
-            Front.Settings settings = new Front.Settings(CLASSES, List.of(new Front.Kind(CORES, 16_000)),
-                    plan.zones, zone, plan.fronts, ordinal, limits, rules, List.of(), false, false, 0, false,
-                    new Front.Prices(0, 0), List.of(new Front.Tenant(800 * perMs(1))), 1);
+            Front.Limits limits = new Front.Limits(
+                    true, false, false, true, 2000, 6, true, true, 0.4, Front.WhenShort.PAGE, 0, false);
+            Front.Rules rules = new Front.Rules(
+                    1000, COLD_MS, COLD_SHARE, FALL_MULTIPLE, FALL_MS, 0, plan.free > 0 ? 10_000 : 0, plan.free, 0.2);
+            Front.Settings settings = new Front.Settings(
+                    CLASSES,
+                    List.of(new Front.Kind(CORES, 16_000)),
+                    plan.zones,
+                    zone,
+                    plan.fronts,
+                    ordinal,
+                    limits,
+                    rules,
+                    List.of(),
+                    false,
+                    false,
+                    0,
+                    false,
+                    new Front.Prices(0, 0),
+                    List.of(new Front.Tenant(800 * perMs(1))),
+                    1);
             module = new Control(settings, plan.seed * 1000 + ordinal);
             checker = new RuleChecker(settings);
         }
 
         boolean reaches(Engine e) {
-            boolean apart = plan.cut >= 0 && e.zone != zone && (e.zone == plan.cut || zone == plan.cut)
-                    && isOutage();
+            boolean apart = plan.cut >= 0 && e.zone != zone && (e.zone == plan.cut || zone == plan.cut) && isOutage();
             return !apart && !e.lost;
         }
 
@@ -265,8 +329,7 @@
         }
 
         private double[] row(Asked a) {
-            return seconds.computeIfAbsent((int) ((a.at - start) / 1000),
-                    s -> new double[CLASSES.size()][4])[a.type];
+            return seconds.computeIfAbsent((int) ((a.at - start) / 1000), s -> new double[CLASSES.size()][4])[a.type];
         }
 
         private void perform(Front.Action action) {
@@ -279,8 +342,7 @@
                 }
             } else if (action instanceof Front.Refuse r) {
                 Asked a = open.get(r.request());
-                outcomes.merge((a.attempts.isEmpty() ? "refused unsent " : "refused ") + a.type, 1,
-                        Integer::sum);
+                outcomes.merge((a.attempts.isEmpty() ? "refused unsent " : "refused ") + a.type, 1, Integer::sum);
                 a.over = true;
             } else if (action instanceof Front.Fail f) {
                 outcomes.merge("failed " + open.get(f.request()).type, 1, Integer::sum);
@@ -314,13 +376,15 @@
             boolean linked = links.getOrDefault(e.id, 0.0) > now - 20_000;
             if (!reaches(e)) {
                 links.remove(e.id);
-                in(linked ? 1100 : 250, () -> ended(s.request(), attempt, linked ? Outcome.RESET
-                        : Outcome.CONNECT_FAILED, 0));
+                in(
+                        linked ? 1100 : 250,
+                        () -> ended(s.request(), attempt, linked ? Outcome.RESET : Outcome.CONNECT_FAILED, 0));
                 return;
             }
             links.put(e.id, now);
             double plain = a.type == 1 && random.nextDouble() < RUNAWAYS
-                    ? a.work * (RUNAWAY_TIMES[0] + RUNAWAY_TIMES[1] * random.nextDouble()) : a.work;
+                    ? a.work * (RUNAWAY_TIMES[0] + RUNAWAY_TIMES[1] * random.nextDouble())
+                    : a.work;
             double work = plain * Math.exp(0.1 * random.nextGaussian());
             in(1, () -> {
                 if (!reaches(e)) {
@@ -361,8 +425,10 @@
     }
 
     private double perMs(double load) {
-        return load * plan.engines * CORES / (MEAN_WORK[0] * (1 - REPORTS - plan.loads)
-                + MEAN_WORK[1] * REPORTS + MEAN_WORK[2] * plan.loads);
+        return load
+                * plan.engines
+                * CORES
+                / (MEAN_WORK[0] * (1 - REPORTS - plan.loads) + MEAN_WORK[1] * REPORTS + MEAN_WORK[2] * plan.loads);
     }
 
     private boolean isOutage() {
@@ -413,22 +479,27 @@
             return;
         }
         List<Engine> gone = engines.stream().filter(e -> e.zone == plan.lost).toList();
-        in(plan.lengthMs * 0.3, () -> gone.forEach(e -> {
-            e.moveOn();
-            for (Run r : List.copyOf(e.runs)) {
-                in(1100, () -> r.host.ended(r.request, r.attempt, Outcome.RESET, 0));
-            }
-            e.runs.clear();
-            e.share();
-            e.lost = true;
-        }));
-        in(plan.lengthMs * 0.3 + plan.outageMs, () -> gone.forEach(e -> {
-            e.lost = false;
-            e.at = now;
-            e.upSince = now;
-            hosts.forEach(h -> in(TOLD_MS * (1 + random.nextDouble()) / 2,
-                    () -> h.tell(new Front.ListChange(false, List.of(e.listed())))));
-        }));
+        in(
+                plan.lengthMs * 0.3,
+                () -> gone.forEach(e -> {
+                    e.moveOn();
+                    for (Run r : List.copyOf(e.runs)) {
+                        in(1100, () -> r.host.ended(r.request, r.attempt, Outcome.RESET, 0));
+                    }
+                    e.runs.clear();
+                    e.share();
+                    e.lost = true;
+                }));
+        in(
+                plan.lengthMs * 0.3 + plan.outageMs,
+                () -> gone.forEach(e -> {
+                    e.lost = false;
+                    e.at = now;
+                    e.upSince = now;
+                    hosts.forEach(h -> in(
+                            TOLD_MS * (1 + random.nextDouble()) / 2,
+                            () -> h.tell(new Front.ListChange(false, List.of(e.listed())))));
+                }));
     }
 
     /** @return the part of what was asked from one second to another that was served, late or not */
@@ -450,11 +521,13 @@
     public static void main(String[] args) {
         double[] n = Arrays.stream(args).mapToDouble(Double::parseDouble).toArray();
         for (int seed = 1; seed <= n[3]; seed++) {
-            FleetDay day = new FleetDay(new Plan((int) n[0], (int) n[1], (int) n[2], n[4], 0.3, 0, 1, 8, 5000,
-                    30_000, seed)).play();
+            FleetDay day = new FleetDay(
+                            new Plan((int) n[0], (int) n[1], (int) n[2], n[4], 0.3, 0, 1, 8, 5000, 30_000, seed))
+                    .play();
             int last = day.seconds.lastKey() + 1;
-            System.out.printf("seed %d: look-ups %.3f, reports %.3f; cold budget used %.2f; %s%n", seed,
-                    day.served(0, 0, last), day.served(1, 0, last), day.worstCold, day.outcomes);
+            System.out.printf(
+                    "seed %d: look-ups %.3f, reports %.3f; cold budget used %.2f; %s%n",
+                    seed, day.served(0, 0, last), day.served(1, 0, last), day.worstCold, day.outcomes);
         }
     }
 }
--- a/src/measure/java/peatwick/RuleChecker.java
+++ b/src/measure/java/peatwick/RuleChecker.java
@@ -68,7 +68,8 @@
             double from = now - set.rules().extraWindow();
             taken.removeIf(t -> t < from);
             further.removeIf(t -> t < from);
-            hold(further.size() <= set.rules().extraFree() + set.rules().extraPerRequest() * taken.size(),
+            hold(
+                    further.size() <= set.rules().extraFree() + set.rules().extraPerRequest() * taken.size(),
                     "ration: " + further.size() + " further attempts for " + taken.size() + " requests");
         }
         h.out = true;
--- a/src/test/java/lineward/LayersTest.java
+++ b/src/test/java/lineward/LayersTest.java
@@ -10,18 +10,21 @@
 /** A floor may use those below it and itself, never one above. */
 public class LayersTest {
     private static final String[][] FLOORS = {
-        {"module", "peatwick.."}, {"core", "lineward.core..", "lineward.front.."},
-        {"subsystems", "lineward.spool.."}, {"wires", "lineward.engine..", "lineward.journal..",
-            "lineward.peers.."},
+        {"module", "peatwick.."},
+        {"core", "lineward.core..", "lineward.front.."},
+        {"subsystems", "lineward.spool.."},
+        {"wires", "lineward.engine..", "lineward.journal..", "lineward.peers.."},
         {"process", "lineward.lifecycle..", "lineward.operations..", "lineward.telemetry.."},
-        {"protocols", "lineward.thrift..", "lineward.mysql.."}, {"app", "lineward.app.."}};
+        {"protocols", "lineward.thrift..", "lineward.mysql.."},
+        {"app", "lineward.app.."}
+    };
 
     @Test
     public void noFloorUsesOneAboveIt() {
-        JavaClasses classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        JavaClasses classes = new ClassFileImporter()
+                .withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("lineward", "peatwick");
-        LayeredArchitecture floors =
-                Architectures.layeredArchitecture().consideringOnlyDependenciesInLayers();
+        LayeredArchitecture floors = Architectures.layeredArchitecture().consideringOnlyDependenciesInLayers();
         for (String[] floor : FLOORS) {
             String[] packages = new String[floor.length - 1];
             System.arraycopy(floor, 1, packages, 0, packages.length);
@@ -32,7 +35,8 @@
             for (int j = 0; j < above.length; j++) {
                 above[j] = FLOORS[i + 1 + j][0];
             }
-            floors = above.length == 0 ? floors.whereLayer(FLOORS[i][0]).mayNotBeAccessedByAnyLayer()
+            floors = above.length == 0
+                    ? floors.whereLayer(FLOORS[i][0]).mayNotBeAccessedByAnyLayer()
                     : floors.whereLayer(FLOORS[i][0]).mayOnlyBeAccessedByLayers(above);
         }
         floors.check(classes);
@@ -41,8 +45,14 @@
     @Test(expectedExceptions = AssertionError.class)
     public void theCheckFindsOneThatDoes() {
         JavaClasses classes = new ClassFileImporter().importPackages("lineward");
-        Architectures.layeredArchitecture().consideringOnlyDependenciesInLayers()
-                .layer("core").definedBy("lineward.core..").layer("mysql").definedBy("lineward.mysql..")
-                .whereLayer("core").mayNotBeAccessedByAnyLayer().check(classes);
+        Architectures.layeredArchitecture()
+                .consideringOnlyDependenciesInLayers()
+                .layer("core")
+                .definedBy("lineward.core..")
+                .layer("mysql")
+                .definedBy("lineward.mysql..")
+                .whereLayer("core")
+                .mayNotBeAccessedByAnyLayer()
+                .check(classes);
     }
 }
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -15,13 +15,14 @@
     private static final String OPERATIONS = "operators call at ";
     /** Null where it was started by somebody else. */
     private final Process process;
+
     private final ProcessHandle handle;
     private final Path log;
 
     public Program(Map<String, String> environment, String... words) throws IOException {
         log = Files.createTempFile("program", ".log");
-        ProcessBuilder builder = new ProcessBuilder(command(words)).redirectErrorStream(true)
-                .redirectOutput(log.toFile());
+        ProcessBuilder builder =
+                new ProcessBuilder(command(words)).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().putAll(environment);
         process = builder.start();
         handle = process.toHandle();
@@ -36,8 +37,11 @@
 
     private static List<String> command(String... words) {
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
                 "lineward.app.Main"));
         command.addAll(List.of(words));
         return command;
@@ -80,8 +84,10 @@
     /** @return the memory that it holds, in MB */
     public int memoryMb() throws IOException {
         return Files.readAllLines(Path.of("/proc/" + handle.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmRSS")).mapToInt(line -> Integer.parseInt(
-                        line.replaceAll("[^0-9]", "")) / 1024).findFirst().orElseThrow();
+                .filter(line -> line.startsWith("VmRSS"))
+                .mapToInt(line -> Integer.parseInt(line.replaceAll("[^0-9]", "")) / 1024)
+                .findFirst()
+                .orElseThrow();
     }
 
     /** Sends SIGTERM. */
@@ -96,7 +102,9 @@
 
     /** Sends that signal: STOP holds the process where it is, CONT lets it go on. */
     public void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(handle.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(handle.pid()))
+                .start()
+                .waitFor();
     }
 
     /** @return its exit status, once it has ended */
--- a/src/test/java/lineward/SocketHolder.java
+++ b/src/test/java/lineward/SocketHolder.java
@@ -35,14 +35,17 @@
     private final int port;
 
     public SocketHolder() throws IOException {
-        process = new ProcessBuilder("perl", "-e", SCRIPT).redirectError(ProcessBuilder.Redirect.INHERIT)
+        process = new ProcessBuilder("perl", "-e", SCRIPT)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
                 .start();
         port = number();
     }
 
     private int number() throws IOException {
         StringBuilder line = new StringBuilder();
-        for (int c = process.getInputStream().read(); c != '\n'; c = process.getInputStream().read()) {
+        for (int c = process.getInputStream().read();
+                c != '\n';
+                c = process.getInputStream().read()) {
             if (c < 0) {
                 throw new IOException("the holder has ended");
             }
--- a/src/test/java/lineward/StartTest.java
+++ b/src/test/java/lineward/StartTest.java
@@ -11,20 +11,26 @@
 
 /** A configuration that can't be used ends the start with one plain line and status 2. */
 public class StartTest {
-    private static final String GOOD = "\"listen\":\"127.0.0.1:0\",\"journal\":\"127.0.0.1:1\","
-            + "\"known\":{\"pos\":0,\"entries\":[]}";
+    private static final String GOOD =
+            "\"listen\":\"127.0.0.1:0\",\"journal\":\"127.0.0.1:1\"," + "\"known\":{\"pos\":0,\"entries\":[]}";
 
     @DataProvider
     public Object[][] bad() {
-        return new Object[][] {{"serve", "{", "not JSON"}, {"serve", "{}", "no settings"},
+        return new Object[][] {
+            {"serve", "{", "not JSON"},
+            {"serve", "{}", "no settings"},
             {"serve", "{\"settings\":{}}", "listen is no address"},
             {"serve", "{" + GOOD + ",\"settings\":{}}", "classes"},
             {"serve", "{" + GOOD + ",\"settings\":{},\"limits\":{\"sockets\":-1}}", "sockets is no"},
-            {"mysql", "listen = 5 5", "not TOML"}, {"mysql", "", "nothing to serve"},
+            {"mysql", "listen = 5 5", "not TOML"},
+            {"mysql", "", "nothing to serve"},
             {"mysql", "listen = \"127.0.0.1:0\"", "needs a user"},
             {"mysql", "[[engine]]\nname = \"a\"\naddress = \"here\"", "no address"},
-            {"dance", "", "--help"}, {"mysql", "[spool]\nfiles = 3", "folder"},
-            {"mysql", "[spool]\nmemory-mb = 0", "memory-mb"}, {"mysql", "speed = 9", "speed"}};
+            {"dance", "", "--help"},
+            {"mysql", "[spool]\nfiles = 3", "folder"},
+            {"mysql", "[spool]\nmemory-mb = 0", "memory-mb"},
+            {"mysql", "speed = 9", "speed"}
+        };
     }
 
     @Test(dataProvider = "bad")
@@ -32,8 +38,7 @@
             throws IOException, InterruptedException {
         Path file = Files.createTempFile("bad", ".conf");
         Files.writeString(file, content);
-        String[] words = command.equals("mysql") ? new String[] {command, file.toString()}
-                : new String[] {command};
+        String[] words = command.equals("mysql") ? new String[] {command, file.toString()} : new String[] {command};
         try (Program program = new Program(Map.of("RELAY_CONFIG", file.toString()), words)) {
             assertEquals(program.status(), 2);
             Program.await("its line", () -> program.log().contains(says));
--- a/src/test/java/lineward/core/CoreTest.java
+++ b/src/test/java/lineward/core/CoreTest.java
@@ -49,13 +49,22 @@
     @DataProvider
     public Object[][] statements() {
         return new Object[][] {
-            {"select * from sales_17.orders", 17}, {"insert into `sales_3`.t select 1", 3},
+            {"select * from sales_17.orders", 17},
+            {"insert into `sales_3`.t select 1", 3},
             {"select 'sales_4.t' from staging.x join \"sales_5\".y", 5},
-            {"select o_9.a from sales_6.orders o_9", 6}, {"-- from sales_1.t\nselect 1 from b_2.t", 2},
-            {"select /* from a_1.t */ 1 # from a_2.t", 0}, {"update staging.t set a = x_7.b", 7},
-            {"select 'it''s from a_1.b', \"q\\\"\" from c_8 . d", 8}, {"select 1 from t_5", 0},
-            {"", 0}, {"select '", 0}, {"/*", 0}, {"`", 0}, {"x_.y a_1234567.z _5.q", 5},
-            {"select " + "'a".repeat(30_000), 0}};
+            {"select o_9.a from sales_6.orders o_9", 6},
+            {"-- from sales_1.t\nselect 1 from b_2.t", 2},
+            {"select /* from a_1.t */ 1 # from a_2.t", 0},
+            {"update staging.t set a = x_7.b", 7},
+            {"select 'it''s from a_1.b', \"q\\\"\" from c_8 . d", 8},
+            {"select 1 from t_5", 0},
+            {"", 0},
+            {"select '", 0},
+            {"/*", 0},
+            {"`", 0},
+            {"x_.y a_1234567.z _5.q", 5},
+            {"select " + "'a".repeat(30_000), 0}
+        };
     }
 
     @Test(dataProvider = "statements")
@@ -82,25 +91,29 @@
         }
 
         <E> E last(Class<E> kind) {
-            return heard.stream().filter(kind::isInstance).map(kind::cast).reduce((a, b) -> b).orElse(null);
+            return heard.stream()
+                    .filter(kind::isInstance)
+                    .map(kind::cast)
+                    .reduce((a, b) -> b)
+                    .orElse(null);
         }
     }
 
     private static final class Silent implements Tracer<String> {
         @Override
-        public void requestTaken(String exchange) { }
+        public void requestTaken(String exchange) {}
 
         @Override
-        public void attemptStarted(String exchange, int attempt, String engine) { }
+        public void attemptStarted(String exchange, int attempt, String engine) {}
 
         @Override
-        public void attemptEnded(String exchange, int attempt, Front.Outcome outcome) { }
+        public void attemptEnded(String exchange, int attempt, Front.Outcome outcome) {}
 
         @Override
-        public void requestEnded(String exchange, Ending ending) { }
+        public void requestEnded(String exchange, Ending ending) {}
 
         @Override
-        public void log(String text) { }
+        public void log(String text) {}
     }
 
     private Script module;
@@ -116,13 +129,14 @@
         planner.list(true, List.of(engine("s-1", Front.Condition.READY)));
         long id = planner.take(now, new Demand(0, 0, ttl, 0, 0, 0, false), "r");
         planner.tick(now);
-        module.next = List.of(new Front.SetLimits(id, 64, 2),
-                new Front.Send(id, module.last(Front.ListChange.class).engines().get(0).engine(), 0));
+        module.next = List.of(
+                new Front.SetLimits(id, 64, 2),
+                new Front.Send(
+                        id, module.last(Front.ListChange.class).engines().get(0).engine(), 0));
         planner.list(false, List.of());
         List<Command<String>> commands = planner.tick(now);
         Command.Start<String> start = (Command.Start<String>) commands.get(0);
-        assertEquals(start, new Command.Start<>("r", id, 0, "s-1", Math.round(ttl - 10),
-                (long) (ttl - 10), 64, 2));
+        assertEquals(start, new Command.Start<>("r", id, 0, "s-1", Math.round(ttl - 10), (long) (ttl - 10), 64, 2));
         return id;
     }
 
@@ -202,7 +216,9 @@
     }
 
     private List<Command<String>> probe(double now, long... engines) {
-        module.next = java.util.Arrays.stream(engines).<Front.Action>mapToObj(Front.Probe::new).toList();
+        module.next = java.util.Arrays.stream(engines)
+                .<Front.Action>mapToObj(Front.Probe::new)
+                .toList();
         planner.list(false, List.of());
         return planner.tick(now);
     }
@@ -234,7 +250,10 @@
     }
 
     private Front.Verdict last(Front.Outcome outcome) {
-        return module.heard.stream().filter(e -> e instanceof Front.Verdict v && v.outcome() == outcome)
-                .map(Front.Verdict.class::cast).reduce((a, b) -> b).orElse(null);
+        return module.heard.stream()
+                .filter(e -> e instanceof Front.Verdict v && v.outcome() == outcome)
+                .map(Front.Verdict.class::cast)
+                .reduce((a, b) -> b)
+                .orElse(null);
     }
 }
--- a/src/test/java/lineward/core/PlannerDigestTest.java
+++ b/src/test/java/lineward/core/PlannerDigestTest.java
@@ -34,22 +34,22 @@
 
     private static final class SilentTracer implements Tracer<Exchange> {
         @Override
-        public void requestTaken(Exchange exchange) { }
+        public void requestTaken(Exchange exchange) {}
 
         @Override
-        public void attemptStarted(Exchange exchange, int attempt, String engine) { }
+        public void attemptStarted(Exchange exchange, int attempt, String engine) {}
 
         @Override
-        public void attemptEnded(Exchange exchange, int attempt, Outcome outcome) { }
+        public void attemptEnded(Exchange exchange, int attempt, Outcome outcome) {}
 
         @Override
-        public void requestEnded(Exchange exchange, Ending ending) { }
+        public void requestEnded(Exchange exchange, Ending ending) {}
 
         @Override
-        public void log(String text) { }
+        public void log(String text) {}
     }
 
-    private record Due(double at, long order, Runnable step) { }
+    private record Due(double at, long order, Runnable step) {}
 
     @DataProvider
     public Object[][] days() {
@@ -72,8 +72,8 @@
         private final Random random;
         private final Planner<Exchange> planner;
         private final ActionDigest digest = new ActionDigest();
-        private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at() != b.at()
-                ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+        private final PriorityQueue<Due> queue = new PriorityQueue<>(
+                (a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
         private final List<Long> taken = new ArrayList<>();
         private long order;
         private double now = 1_000;
@@ -81,8 +81,7 @@
 
         Day(int fronts, long seed) {
             random = new Random(seed);
-            planner = new Planner<>(new Control(settings(fronts), seed), 64, STOP_TAKES_MS,
-                    new SilentTracer());
+            planner = new Planner<>(new Control(settings(fronts), seed), 64, STOP_TAKES_MS, new SilentTracer());
         }
 
         String play() {
@@ -93,8 +92,7 @@
                     queue.poll().step().run();
                 }
                 planner.tick(now).forEach(this::carryOut);
-                digest.add('N', planner.open(), planner.engines(), planner.avoided(),
-                        planner.hasNews() ? 1 : 0);
+                digest.add('N', planner.open(), planner.engines(), planner.avoided(), planner.hasNews() ? 1 : 0);
             }
             return digest.toHex();
         }
@@ -110,8 +108,7 @@
             }
             for (int i = 0; i < 40; i++) {
                 schedule(now + random.nextInt(DAY_MS), this::abortOne);
-                schedule(now + random.nextInt(DAY_MS), () -> planner.heard(1, new byte[] {1, 2, 3, 4, 5, 6,
-                        7, 8}));
+                schedule(now + random.nextInt(DAY_MS), () -> planner.heard(1, new byte[] {1, 2, 3, 4, 5, 6, 7, 8}));
             }
             for (int i = 0; i < 10; i++) {
                 Front.Condition condition = Front.Condition.values()[random.nextInt(3)];
@@ -130,9 +127,14 @@
         private void admit(int number) {
             double timeLeft = random.nextInt(20) == 0 ? 3 : 500 + random.nextInt(3_000);
             double cost = random.nextInt(3) == 0 ? 0 : 50 + random.nextInt(400);
-            Demand demand = new Demand(random.nextInt(3), random.nextInt(2), timeLeft, cost,
+            Demand demand = new Demand(
+                    random.nextInt(3),
+                    random.nextInt(2),
+                    timeLeft,
+                    cost,
                     random.nextInt(900),
-                    random.nextInt(5), random.nextInt(8) == 0);
+                    random.nextInt(5),
+                    random.nextInt(8) == 0);
             long id = planner.take(now, demand, new Exchange(number));
             digest.add('I', id);
             if (id != SlotTable.FULL) {
@@ -149,8 +151,16 @@
         private void carryOut(Command<Exchange> command) {
             commands++;
             if (command instanceof Command.Start<Exchange> c) {
-                digest.add('S', c.exchange().number, c.request(), c.attempt(), engineNumber(c.engine()),
-                        c.patienceMs(), c.beginWithinMs(), c.grantMb(), c.priority());
+                digest.add(
+                        'S',
+                        c.exchange().number,
+                        c.request(),
+                        c.attempt(),
+                        engineNumber(c.engine()),
+                        c.patienceMs(),
+                        c.beginWithinMs(),
+                        c.grantMb(),
+                        c.priority());
                 start(c);
             } else if (command instanceof Command.Stop<Exchange> c) {
                 digest.add('C', c.exchange().number, c.request(), c.attempt(), engineNumber(c.engine()));
@@ -171,16 +181,23 @@
 
         private void start(Command.Start<Exchange> c) {
             double service = 20 + random.nextInt(random.nextInt(10) == 0 ? 4_000 : 300);
-            Outcome[] outcomes = {Outcome.OK, Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL,
-                Outcome.CONNECT_FAILED, Outcome.RESET};
+            Outcome[] outcomes = {
+                Outcome.OK,
+                Outcome.OK,
+                Outcome.OK,
+                Outcome.OK,
+                Outcome.ERROR,
+                Outcome.FULL,
+                Outcome.CONNECT_FAILED,
+                Outcome.RESET
+            };
             Outcome outcome = outcomes[random.nextInt(outcomes.length)];
             if (random.nextInt(4) == 0) {
-                schedule(now + service / 2, () -> planner.noted(c.request(), c.attempt(),
-                        Front.NoteKind.PROGRESS, 0.5));
+                schedule(
+                        now + service / 2, () -> planner.noted(c.request(), c.attempt(), Front.NoteKind.PROGRESS, 0.5));
             }
             if (random.nextInt(10) == 0) {
-                schedule(now + service - 1, () -> digest.add('O',
-                        planner.opened(c.request(), c.attempt()) ? 1 : 0));
+                schedule(now + service - 1, () -> digest.add('O', planner.opened(c.request(), c.attempt()) ? 1 : 0));
             }
             schedule(now + service, () -> end(c.request(), c.attempt(), outcome));
         }
@@ -207,21 +224,32 @@
         }
 
         private static Front.Settings settings(int fronts) {
-            Front.RequestClass look = new Front.RequestClass(800, 1, 4_000, 1, 0, Effect.SAFE, Scope.ALL, 0,
-                    false, null, null, false, true, 1);
-            Front.RequestClass load = new Front.RequestClass(2_000, 2, 6_000, 3, 0.5, Effect.UNSAFE,
-                    Scope.ALL,
-                    0, false, null, null, true, false, 2);
-            Front.RequestClass keyed = new Front.RequestClass(900, 1, 4_000, 2, 0, Effect.KEYED, Scope.ALL,
-                    900,
-                    false, null, null, false, true, 1);
-            Front.Limits limits = new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4,
-                    Front.WhenShort.WAIT, 400, true);
+            Front.RequestClass look = new Front.RequestClass(
+                    800, 1, 4_000, 1, 0, Effect.SAFE, Scope.ALL, 0, false, null, null, false, true, 1);
+            Front.RequestClass load = new Front.RequestClass(
+                    2_000, 2, 6_000, 3, 0.5, Effect.UNSAFE, Scope.ALL, 0, false, null, null, true, false, 2);
+            Front.RequestClass keyed = new Front.RequestClass(
+                    900, 1, 4_000, 2, 0, Effect.KEYED, Scope.ALL, 900, false, null, null, false, true, 1);
+            Front.Limits limits =
+                    new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4, Front.WhenShort.WAIT, 400, true);
             Front.Rules rules = new Front.Rules(1_000, 5_000, 0.3, 3, 1_000, 300, 5_000, 3, 0.2);
-            return new Front.Settings(List.of(look, load, keyed), List.of(new Front.Kind(8, 16_000),
-                    new Front.Kind(4, 8_000)), 2, 0, fronts, 0, limits, rules,
-                    List.of(Front.ReportField.IN_HAND, Front.ReportField.MEMORY), false, false, 0, false,
-                    new Front.Prices(0.001, 0.0001), List.of(), 1);
+            return new Front.Settings(
+                    List.of(look, load, keyed),
+                    List.of(new Front.Kind(8, 16_000), new Front.Kind(4, 8_000)),
+                    2,
+                    0,
+                    fronts,
+                    0,
+                    limits,
+                    rules,
+                    List.of(Front.ReportField.IN_HAND, Front.ReportField.MEMORY),
+                    false,
+                    false,
+                    0,
+                    false,
+                    new Front.Prices(0.001, 0.0001),
+                    List.of(),
+                    1);
         }
     }
 }
--- a/src/test/java/lineward/engine/EndTest.java
+++ b/src/test/java/lineward/engine/EndTest.java
@@ -32,8 +32,7 @@
 /** Every end that an attempt can have on the wire, and whether the request may have run there. */
 public class EndTest {
     /** Only behind these may what is unsafe to repeat go out again. */
-    private static final Set<End> NEVER_RAN = EnumSet.of(End.SHED, End.LATE, End.UNREACHED, End.UNSENT,
-            End.CUT_SHORT);
+    private static final Set<End> NEVER_RAN = EnumSet.of(End.SHED, End.LATE, End.UNREACHED, End.UNSENT, End.CUT_SHORT);
 
     @Test
     public void eachEndSaysWhetherItMayHaveRun() {
@@ -44,11 +43,16 @@
 
     @DataProvider
     public Object[][] replies() {
-        return new Object[][] {{"00aa HIT total=1 6\r\na\tb\tc\n\r\n", Outcome.OK},
-            {"00aa SHED - 0\r\n\r\n", Outcome.FULL}, {"00aa LATE - 0\r\n\r\n", Outcome.FULL},
-            {"00aa FAULT - 0\r\n\r\n", Outcome.ERROR}, {"00aa HIT - 0\r\n\r\n", Outcome.ERROR},
+        return new Object[][] {
+            {"00aa HIT total=1 6\r\na\tb\tc\n\r\n", Outcome.OK},
+            {"00aa SHED - 0\r\n\r\n", Outcome.FULL},
+            {"00aa LATE - 0\r\n\r\n", Outcome.FULL},
+            {"00aa FAULT - 0\r\n\r\n", Outcome.ERROR},
+            {"00aa HIT - 0\r\n\r\n", Outcome.ERROR},
             {"00aa HIT total=2 6\r\na\tb\tc\n\r\n00aa FAULT - 0\r\n\r\n", Outcome.ERROR},
-            {"00aa HIT total=1 3\r\na\tb\r\n", Outcome.ERROR}, {"what is this\r\n", Outcome.ERROR}};
+            {"00aa HIT total=1 3\r\na\tb\r\n", Outcome.ERROR},
+            {"what is this\r\n", Outcome.ERROR}
+        };
     }
 
     @Test(dataProvider = "replies")
@@ -107,8 +111,7 @@
     }
 
     @Test(dataProvider = "breaks")
-    public void aBrokenConnectionProvesNothingOnceTheRequestWasOut(boolean whole, Outcome outcome)
-            throws IOException {
+    public void aBrokenConnectionProvesNothingOnceTheRequestWasOut(boolean whole, Outcome outcome) throws IOException {
         Heard heard = new Heard();
         heard.run.sentWhole = whole;
         withPool(pool -> pool.lost(List.of(heard.run)), heard);
@@ -130,8 +133,8 @@
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
-            EnginePool pool = new EnginePool(bootstrap, nobody, new EngineFleet.Limits(250, 30_000, 10, 100,
-                    false), () -> true, () -> { });
+            EnginePool pool = new EnginePool(
+                    bootstrap, nobody, new EngineFleet.Limits(250, 30_000, 10, 100, false), () -> true, () -> {});
             loop.execute(() -> act.accept(pool));
             Program.await("an end", () -> !heard.outcomes.isEmpty());
         } finally {
@@ -141,8 +144,14 @@
 
     private static final class Heard implements Run.Listener {
         final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
-        final Run run = new Run("00aa", "look", Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII),
-                new Run.Times(1000, 1000), 0, 1, this);
+        final Run run = new Run(
+                "00aa",
+                "look",
+                Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII),
+                new Run.Times(1000, 1000),
+                0,
+                1,
+                this);
 
         @Override
         public void ended(Outcome outcome, ByteBuf result) {
--- a/src/test/java/lineward/engine/LinkTest.java
+++ b/src/test/java/lineward/engine/LinkTest.java
@@ -84,7 +84,7 @@
         for (int i = 0; i < Link.MOST_SPENT; i++) {
             String id = String.format("%016x", i);
             assertEquals(link.takes(id, 10), true, "run " + i);
-            link.start(new Run(id, "look", statement, new Run.Times(60_000, 60_000), 0, 1, (o, r) -> { }));
+            link.start(new Run(id, "look", statement, new Run.Times(60_000, 60_000), 0, 1, (o, r) -> {}));
             channel.writeInbound(statement(id + " SHED - 0\r\n\r\n"));
         }
         assertEquals(link.takes("ffff", 10), false);
@@ -96,7 +96,13 @@
     }
 
     private static Run run(ByteBuf statement, List<Front.Outcome> outcomes, long beginWithinMs) {
-        return new Run("00aa", "look", statement, new Run.Times(1000, beginWithinMs), 0, 1,
+        return new Run(
+                "00aa",
+                "look",
+                statement,
+                new Run.Times(1000, beginWithinMs),
+                0,
+                1,
                 (outcome, result) -> outcomes.add(outcome));
     }
 
--- a/src/test/java/lineward/engine/NotesTest.java
+++ b/src/test/java/lineward/engine/NotesTest.java
@@ -16,13 +16,23 @@
 public class NotesTest {
     @DataProvider
     public Object[][] notes() {
-        return new Object[][] {{"done", "0.25", NoteKind.PROGRESS, 0.25},
-            {"done", "1", NoteKind.PROGRESS, 1.0}, {"spills", "118.5", NoteKind.SPILLS, 118.5},
+        return new Object[][] {
+            {"done", "0.25", NoteKind.PROGRESS, 0.25},
+            {"done", "1", NoteKind.PROGRESS, 1.0},
+            {"spills", "118.5", NoteKind.SPILLS, 118.5},
             {"waits", "1", NoteKind.WAITS_FOR_MEMORY, 1.0},
-            {"waits", "2.0", NoteKind.WAITS_FOR_LOAD, 2.0}, {"waits", "3", null, 0},
-            {"done", "1.01", null, 0}, {"done", "-0.1", null, 0}, {"done", "NaN", null, 0},
-            {"done", "1e3", null, 0}, {"done", "", null, 0}, {"done", null, null, 0}, {"mood", "1", null, 0},
-            {null, "1", null, 0}, {"spills", "9".repeat(40), null, 0}};
+            {"waits", "2.0", NoteKind.WAITS_FOR_LOAD, 2.0},
+            {"waits", "3", null, 0},
+            {"done", "1.01", null, 0},
+            {"done", "-0.1", null, 0},
+            {"done", "NaN", null, 0},
+            {"done", "1e3", null, 0},
+            {"done", "", null, 0},
+            {"done", null, null, 0},
+            {"mood", "1", null, 0},
+            {null, "1", null, 0},
+            {"spills", "9".repeat(40), null, 0}
+        };
     }
 
     @Test(dataProvider = "notes")
@@ -43,10 +53,8 @@
     @Test
     public void aNoteOnARunThatIsOverIsNobodys() {
         Heard heard = new Heard();
-        Run run = new Run("00aa", "look", Unpooled.EMPTY_BUFFER, new Run.Times(1000, 1000),
-                0, 1, heard);
-        Reply note = new Reply("00aa", Reply.Word.INFO, Map.of("n", "done", "datum", "0.5"),
-                Unpooled.EMPTY_BUFFER);
+        Run run = new Run("00aa", "look", Unpooled.EMPTY_BUFFER, new Run.Times(1000, 1000), 0, 1, heard);
+        Reply note = new Reply("00aa", Reply.Word.INFO, Map.of("n", "done", "datum", "0.5"), Unpooled.EMPTY_BUFFER);
         run.note(note);
         run.drop();
         run.note(note);
--- a/src/test/java/lineward/engine/ProbeTest.java
+++ b/src/test/java/lineward/engine/ProbeTest.java
@@ -37,12 +37,17 @@
 
     @DataProvider
     public Object[][] answers() {
-        return new Object[][] {{"there", " PONG - 0", List.of("PONG[]")},
-            {"there", " SICK - 0", List.of("SICK[]")}, {"busy", " SICK l=7 0", List.of("SICK[7.0]")},
+        return new Object[][] {
+            {"there", " PONG - 0", List.of("PONG[]")},
+            {"there", " SICK - 0", List.of("SICK[]")},
+            {"busy", " SICK l=7 0", List.of("SICK[7.0]")},
             {"busy", " PONG l=3;0.25 0", List.of("PONG[3.0, 0.25]")},
-            {"busy", " PONG l=x;1 0", List.of("PONG[]")}, {"busy", " PONG l=1e9 0", List.of("PONG[]")},
-            {"there", "0 PONG - 0", List.of()}, {"there", " INFO - 0", List.of()},
-            {"there", " FAULT - 0", List.of()}};
+            {"busy", " PONG l=x;1 0", List.of("PONG[]")},
+            {"busy", " PONG l=1e9 0", List.of("PONG[]")},
+            {"there", "0 PONG - 0", List.of()},
+            {"there", " INFO - 0", List.of()},
+            {"there", " FAULT - 0", List.of()}
+        };
     }
 
     /** A second answer, and one under another tag, is nobody's. */
--- a/src/test/java/lineward/engine/ReplyDecoderTest.java
+++ b/src/test/java/lineward/engine/ReplyDecoderTest.java
@@ -14,8 +14,7 @@
 public class ReplyDecoderTest {
     @Test
     public void repliesAreCutWhereverTheBytesBreak() {
-        byte[] bytes = "a1 HIT total=2,x=y 3\r\nr\r\n\r\na1 SHED - 0\r\n\r\n"
-                .getBytes(StandardCharsets.UTF_8);
+        byte[] bytes = "a1 HIT total=2,x=y 3\r\nr\r\n\r\na1 SHED - 0\r\n\r\n".getBytes(StandardCharsets.UTF_8);
         for (int cut = 0; cut <= bytes.length; cut++) {
             EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
             channel.writeInbound(Unpooled.copiedBuffer(bytes, 0, cut));
@@ -34,15 +33,27 @@
 
     @DataProvider
     public Object[][] malformed() {
-        return new Object[][] {{"a1 HIT - 1\r\nxyz"}, {"a1 WHAT - 0\r\n\r\n"}, {"a1 HIT - x\r\n"},
-            {"a1 HIT - -1\r\n"}, {"a1 HIT - 9999999\r\n"}, {"a1 HIT 0\r\n"}, {"a1 HIT - 0\n"}, {"\r\n"},
-            {"a1 HIT =1 0\r\n\r\n"}, {"x".repeat(2000)}, {" HIT - 0\r\n\r\n"}, {"a1 hit - 0\r\n\r\n"}};
+        return new Object[][] {
+            {"a1 HIT - 1\r\nxyz"},
+            {"a1 WHAT - 0\r\n\r\n"},
+            {"a1 HIT - x\r\n"},
+            {"a1 HIT - -1\r\n"},
+            {"a1 HIT - 9999999\r\n"},
+            {"a1 HIT 0\r\n"},
+            {"a1 HIT - 0\n"},
+            {"\r\n"},
+            {"a1 HIT =1 0\r\n\r\n"},
+            {"x".repeat(2000)},
+            {" HIT - 0\r\n\r\n"},
+            {"a1 hit - 0\r\n\r\n"}
+        };
     }
 
     @Test(dataProvider = "malformed")
     public void whatIsMalformedIsTold(String bytes) {
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
-        assertThrows(MalformedReplyException.class, () -> channel.writeInbound(
-                Unpooled.copiedBuffer(bytes, StandardCharsets.UTF_8)));
+        assertThrows(
+                MalformedReplyException.class,
+                () -> channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.UTF_8)));
     }
 }
--- a/src/test/java/lineward/front/LingeringCloseTest.java
+++ b/src/test/java/lineward/front/LingeringCloseTest.java
@@ -17,7 +17,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -35,6 +34,7 @@
 public class LingeringCloseTest {
     /** More than the peer's socket takes at once: part of it is still here when the close is decided. */
     private static final int LONG_ANSWER = 2 << 20;
+
     private static final int SMALL_BUFFER = 64 * 1024;
 
     private final BlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
@@ -47,7 +47,9 @@
         accepted.clear();
         read.clear();
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -68,7 +70,10 @@
                             }
                         });
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .syncUninterruptibly()
+                .channel();
     }
 
     @AfterMethod(alwaysRun = true)
@@ -109,10 +114,9 @@
             written.countDown();
             await(stays);
             assertEquals(read, List.of("request"));
-            channel.eventLoop().submit(() -> channel.writeAndFlush(Unpooled.copiedBuffer("answer",
-                    StandardCharsets.US_ASCII)));
-            assertEquals(new String(peer.getInputStream().readNBytes(6), StandardCharsets.US_ASCII),
-                    "answer");
+            channel.eventLoop()
+                    .submit(() -> channel.writeAndFlush(Unpooled.copiedBuffer("answer", StandardCharsets.US_ASCII)));
+            assertEquals(new String(peer.getInputStream().readNBytes(6), StandardCharsets.US_ASCII), "answer");
         }
     }
 
@@ -122,9 +126,9 @@
         SocketChannel channel;
         try (Socket peer = connect()) {
             channel = (SocketChannel) accepted.take();
-            channel.eventLoop().submit(() -> channel.writeAndFlush(Unpooled.wrappedBuffer(
-                    new byte[LONG_ANSWER])).addListener(done -> LingeringClose.begin(channel, () -> true,
-                            () -> { })));
+            channel.eventLoop()
+                    .submit(() -> channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[LONG_ANSWER]))
+                            .addListener(done -> LingeringClose.begin(channel, () -> true, () -> {})));
             // The peer reads until the rest fits into the buffers between the two.
             int got = 0;
             byte[] some = new byte[SMALL_BUFFER];
@@ -147,7 +151,7 @@
     public void aPeerThatNeverClosesHoldsNothingForLong() throws Exception {
         try (Socket peer = connect()) {
             Channel channel = accepted.take();
-            LingeringClose.begin(channel, () -> true, () -> { });
+            LingeringClose.begin(channel, () -> true, () -> {});
             long start = System.nanoTime();
             Program.await("it is closed", () -> !channel.isOpen());
             assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(3));
--- a/src/test/java/lineward/journal/EngineListTest.java
+++ b/src/test/java/lineward/journal/EngineListTest.java
@@ -43,10 +43,16 @@
 
     @DataProvider
     public Object[][] unusable() {
-        return new Object[][] {{"{}"}, {"{'pos':1}"}, {"{'pos':'x','entries':[]}"},
-            {"{'pos':1,'entries':[{}]}"}, {answer(9, true, "{}")}, {answer(9, true, "5")},
+        return new Object[][] {
+            {"{}"},
+            {"{'pos':1}"},
+            {"{'pos':'x','entries':[]}"},
+            {"{'pos':1,'entries':[{}]}"},
+            {answer(9, true, "{}")},
+            {answer(9, true, "5")},
             {answer(9, true, ONE.replace("127.0.0.1:9", "nowhere"))},
-            {answer(9, true, ONE.replace("ready", "asleep"))}};
+            {answer(9, true, ONE.replace("ready", "asleep"))}
+        };
     }
 
     @Test(dataProvider = "unusable")
--- a/src/test/java/lineward/journal/JournalPollTest.java
+++ b/src/test/java/lineward/journal/JournalPollTest.java
@@ -32,7 +32,13 @@
 
 /** The poll on real sockets: services that fail in each way, a file cut at each length. */
 public class JournalPollTest {
-    private enum Mode { ANSWERS, ACCEPTS_ONLY, CLOSES_AT_ONCE, DRIBBLES, GARBAGE }
+    private enum Mode {
+        ANSWERS,
+        ACCEPTS_ONLY,
+        CLOSES_AT_ONCE,
+        DRIBBLES,
+        GARBAGE
+    }
 
     /** A service that answers each poll at once with its one event, or fails as told. */
     private static final class Service implements AutoCloseable {
@@ -60,13 +66,15 @@
         }
 
         private static void thread(Task task) {
-            Thread thread = new Thread(() -> {
-                try {
-                    task.run();
-                } catch (IOException e) {
-                    // The peer, or this service, has gone.
-                }
-            }, "service");
+            Thread thread = new Thread(
+                    () -> {
+                        try {
+                            task.run();
+                        } catch (IOException e) {
+                            // The peer, or this service, has gone.
+                        }
+                    },
+                    "service");
             thread.setDaemon(true);
             thread.start();
         }
@@ -80,15 +88,17 @@
                 socket.close();
                 return;
             }
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                    StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
             OutputStream out = socket.getOutputStream();
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 if (!line.isEmpty() || met == Mode.ACCEPTS_ONLY) {
                     continue;
                 }
-                String body = met == Mode.GARBAGE ? "{" : "{\"pos\":" + event + ",\"entries\":[{\"pos\":"
-                        + event + ",\"hosts\":{\"reset\":true,\"instances\":[]}}]}";
+                String body = met == Mode.GARBAGE
+                        ? "{"
+                        : "{\"pos\":" + event + ",\"entries\":[{\"pos\":" + event
+                                + ",\"hosts\":{\"reset\":true,\"instances\":[]}}]}";
                 byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                         .getBytes(StandardCharsets.US_ASCII);
                 for (int i = 0; met == Mode.DRIBBLES && i < answer.length - 1; i++) {
@@ -127,7 +137,7 @@
     @BeforeMethod
     public void makeFile() throws IOException {
         file = Files.createTempFile("journal", ".txt");
-        list = new EngineList(List.of(), List.of(), (whole, entries) -> { });
+        list = new EngineList(List.of(), List.of(), (whole, entries) -> {});
     }
 
     @AfterMethod
@@ -169,12 +179,15 @@
     }
 
     private void tick() {
-        loop.schedule(() -> {
-            if (poll != null) {
-                poll.tick();
-                tick();
-            }
-        }, 5, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (poll != null) {
+                        poll.tick();
+                        tick();
+                    }
+                },
+                5,
+                TimeUnit.MILLISECONDS);
     }
 
     private void hangUp() {
--- a/src/test/java/lineward/journal/PollPolicyTest.java
+++ b/src/test/java/lineward/journal/PollPolicyTest.java
@@ -17,7 +17,13 @@
     private static final double MOST_DEAF = 2000;
     private static final double STEP = 5;
 
-    private enum Mode { HEALTHY, REFUSES, SILENT, CLOSES, DRIBBLES }
+    private enum Mode {
+        HEALTHY,
+        REFUSES,
+        SILENT,
+        CLOSES,
+        DRIBBLES
+    }
 
     /** One service: what it does to connections; one that met a fault keeps it. */
     private static final class Service {
@@ -115,9 +121,11 @@
         /** Whoever has a poll waiting at a healthy service would be told at once. */
         private void measure() {
             boolean can = file != null && services.get(file).mode == Mode.HEALTHY;
-            boolean hears = can && calls.entrySet().stream().anyMatch(e -> e.getValue().equals(file)
-                    && asked.getOrDefault(e.getKey(), false)
-                    && services.get(file).open.get(e.getKey()) == Mode.HEALTHY);
+            boolean hears = can
+                    && calls.entrySet().stream()
+                            .anyMatch(e -> e.getValue().equals(file)
+                                    && asked.getOrDefault(e.getKey(), false)
+                                    && services.get(file).open.get(e.getKey()) == Mode.HEALTHY);
             hearable = can ? hearable : now;
             heard = hears ? now : heard;
             worst = Math.max(worst, now - Math.max(heard, hearable));
@@ -181,8 +189,7 @@
             World world = new World(seed, seed % 5 == 0);
             if (seed % 3 == 0) {
                 world.services.get("a:1").mode = Mode.values()[1 + world.random.nextInt(4)];
-                world.at(500 + world.random.nextInt(4000),
-                        () -> world.heal("a:1"));
+                world.at(500 + world.random.nextInt(4000), () -> world.heal("a:1"));
             }
             for (double when = 1000; when < 40_000; when += 1000 + world.random.nextInt(6000)) {
                 if (world.random.nextBoolean()) {
@@ -198,8 +205,9 @@
             world.run(50_000);
             worst = Math.max(worst, world.worst);
             assertTrue(world.worst <= MOST_DEAF, "seed " + seed + ": deaf for " + world.worst + " ms");
-            assertTrue(world.connects + world.looks < 1500, "seed " + seed + " tries " + world.connects
-                    + " times and looks " + world.looks + " times");
+            assertTrue(
+                    world.connects + world.looks < 1500,
+                    "seed " + seed + " tries " + world.connects + " times and looks " + world.looks + " times");
         }
         assertTrue(worst > 500, "the schedules hold faults at all");
     }
@@ -245,8 +253,7 @@
         policy.connected(1, 1);
         policy.tick(1800);
         policy.connected(2, 1801);
-        assertEquals(policy.answered(1, true, 2500),
-                List.of(new PollPolicy.Drop(2), new PollPolicy.Ask(1)));
+        assertEquals(policy.answered(1, true, 2500), List.of(new PollPolicy.Drop(2), new PollPolicy.Ask(1)));
         assertEquals(policy.age(2600), 100.0);
     }
 }
--- a/src/test/java/lineward/lifecycle/HandOverTest.java
+++ b/src/test/java/lineward/lifecycle/HandOverTest.java
@@ -79,18 +79,28 @@
     @DataProvider
     public Object[][] files() {
         String word = "\"engines\":{\"s-1\":{\"out\":true,\"since\":999000}}}";
-        return new Object[][] {{"{\"at\":1000000," + word, true}, {"{\"at\":991500," + word, true},
-            {"{\"at\":980000," + word, false}, {"{\"at\":9980000," + word, false}, {"{" + word, false},
-            {"", false}, {"{", false}, {"[1]", false}, {"null", false}, {"x".repeat(300_000), false},
+        return new Object[][] {
+            {"{\"at\":1000000," + word, true},
+            {"{\"at\":991500," + word, true},
+            {"{\"at\":980000," + word, false},
+            {"{\"at\":9980000," + word, false},
+            {"{" + word, false},
+            {"", false},
+            {"{", false},
+            {"[1]", false},
+            {"null", false},
+            {"x".repeat(300_000), false},
             {"{\"at\":1000000,\"engines\":{\"s-1\":{\"out\":1,\"since\":999000}}}", false},
             {"{\"at\":1000000,\"engines\":{\"s-1\":7}}", false},
-            {"{\"at\":1000000,\"engines\":{\"s-1\":{\"out\":true,\"since\":9e15}}}", false}};
+            {"{\"at\":1000000,\"engines\":{\"s-1\":{\"out\":true,\"since\":9e15}}}", false}
+        };
     }
 
     @Test(dataProvider = "files")
     public void oldAndSpoiltFilesAreHarmless(String content, boolean taken) throws IOException {
         Files.writeString(directory.resolve("lineward-n1-77-99.engines.json"), content);
-        Files.writeString(directory.resolve("lineward-n2-77-99.engines.json"),
+        Files.writeString(
+                directory.resolve("lineward-n2-77-99.engines.json"),
                 "{\"at\":1000000,\"engines\":{\"s-2\":{\"out\":true,\"since\":999000}}}");
         Heard heard = new Heard();
         HandOver next = process(heard);
--- a/src/test/java/lineward/mysql/CustomersTest.java
+++ b/src/test/java/lineward/mysql/CustomersTest.java
@@ -28,10 +28,12 @@
     public void start() throws IOException {
         engine = new StandInEngine();
         file = Files.createTempFile("mysql", ".toml");
-        Files.writeString(file, "listen = \"127.0.0.1:0\"\n"
-                + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
-                + "[[class]]\nname = \"all\"\naim-ms = 2000\ndeadline-ms = 9000\n"
-                + "[[engine]]\nname = \"one\"\naddress = \"" + engine.address() + "\"\nuser = \"front\"\n");
+        Files.writeString(
+                file,
+                "listen = \"127.0.0.1:0\"\n"
+                        + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
+                        + "[[class]]\nname = \"all\"\naim-ms = 2000\ndeadline-ms = 9000\n"
+                        + "[[engine]]\nname = \"one\"\naddress = \"" + engine.address() + "\"\nuser = \"front\"\n");
         program = new Program(Map.of(), "mysql", file.toString());
     }
 
@@ -100,7 +102,10 @@
     @Test
     public void aSettingThatFailsHalfway() throws IOException {
         try (StandInClient client = client()) {
-            assertEquals(client.query("set group_concat_max_len = 5, sql_mode = 'bad_mode'").code(), 0);
+            assertEquals(
+                    client.query("set group_concat_max_len = 5, sql_mode = 'bad_mode'")
+                            .code(),
+                    0);
             assertEquals(client.query("select rows=1").code(), 1193, "the first half holds at the engine");
             assertNextFindsNothing();
         }
@@ -136,7 +141,8 @@
     /** An engine reads a statement by the settings under which it is prepared. */
     @Test
     public void aStatementPreparedUnderOthersSettings() throws IOException {
-        try (StandInClient first = client(); StandInClient second = client()) {
+        try (StandInClient first = client();
+                StandInClient second = client()) {
             assertEquals(first.query("set sql_mode = 'ANSI'").code(), 0);
             StandInClient.Statement ansi = first.prepare("select rows=1 of \"a\"");
             StandInClient.Statement plain = second.prepare("select rows=1 of \"a\"");
@@ -152,9 +158,15 @@
     /** What may change a session unseen, as texts and prepared. */
     @DataProvider
     public Object[][] traces() {
-        return new Object[][] {{"call p()"}, {"/*!50000 set sql_mode = 'ANSI' */"}, {"/*M! set @a = 1 */"},
-            {"select rows=1 /*!, @a := 1 */"}, {"create or replace temporary table t (a int)"},
-            {"flush tables with read lock"}, {"do f('opens a transaction')"}};
+        return new Object[][] {
+            {"call p()"},
+            {"/*!50000 set sql_mode = 'ANSI' */"},
+            {"/*M! set @a = 1 */"},
+            {"select rows=1 /*!, @a := 1 */"},
+            {"create or replace temporary table t (a int)"},
+            {"flush tables with read lock"},
+            {"do f('opens a transaction')"}
+        };
     }
 
     @Test(dataProvider = "traces")
@@ -172,9 +184,16 @@
     /** What would tell of the statement before, whosever it was. */
     @DataProvider
     public Object[][] questions() {
-        return new Object[][] {{"show count(*) warnings"}, {"get diagnostics @a = number"},
-            {"select @@last_insert_id"}, {"select @@session.warning_count, 1"}, {"select @@local.identity"},
-            {"select @a"}, {"select found_rows()"}, {"select row_count()"}};
+        return new Object[][] {
+            {"show count(*) warnings"},
+            {"get diagnostics @a = number"},
+            {"select @@last_insert_id"},
+            {"select @@session.warning_count, 1"},
+            {"select @@local.identity"},
+            {"select @a"},
+            {"select found_rows()"},
+            {"select row_count()"}
+        };
     }
 
     @Test(dataProvider = "questions")
--- a/src/test/java/lineward/mysql/DialectTest.java
+++ b/src/test/java/lineward/mysql/DialectTest.java
@@ -27,22 +27,27 @@
     @DataProvider
     public Object[][] replies() {
         return new Object[][] {
-            {HEAD + ROW + EOF_5, false, "0100000101" + "020000020303" + "0200000301aa"
-                    + "07000004fe000002000100"},
+            {HEAD + ROW + EOF_5, false, "0100000101" + "020000020303" + "0200000301aa" + "07000004fe000002000100"},
             {HEAD + "05000004fe01000200", false, "0100000101" + "020000020303" + "07000003fe000002000100"},
             {HEAD + "03000004ff0104", false, "0100000101" + "020000020303" + "03000003ff0104"},
             {"0700000100000002000000", false, "0700000100000002000000"},
             {"03000001ff0104", false, "03000001ff0104"},
-            {"0c000001000100000001000100000000" + "020000020303" + EOF_3 + "020000040303" + EOF_5, true,
-                "0c000001000100000001000100000000" + "020000020303" + "020000030303"}};
+            {
+                "0c000001000100000001000100000000" + "020000020303" + EOF_3 + "020000040303" + EOF_5,
+                true,
+                "0c000001000100000001000100000000" + "020000020303" + "020000030303"
+            }
+        };
     }
 
     @Test(dataProvider = "replies")
     public void aHeldReplyIsFramedAnew(String reply, boolean prepared, String expected) {
-        assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.whole(UnpooledByteBufAllocator.DEFAULT, bytes(reply),
-                prepared)), expected);
-        assertEquals(ByteBufUtil.hexDump(Dialect.PLAIN.whole(UnpooledByteBufAllocator.DEFAULT, bytes(reply),
-                prepared)), reply);
+        assertEquals(
+                ByteBufUtil.hexDump(Dialect.SHORT.whole(UnpooledByteBufAllocator.DEFAULT, bytes(reply), prepared)),
+                expected);
+        assertEquals(
+                ByteBufUtil.hexDump(Dialect.PLAIN.whole(UnpooledByteBufAllocator.DEFAULT, bytes(reply), prepared)),
+                reply);
     }
 
     @Test
@@ -50,9 +55,11 @@
         UnpooledByteBufAllocator alloc = UnpooledByteBufAllocator.DEFAULT;
         byte[] rows = array(ROW + "0200000501bb");
         assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.columns(array(HEAD))), "0100000101" + "020000020303");
-        assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.cursor(alloc, array(HEAD))),
+        assertEquals(
+                ByteBufUtil.hexDump(Dialect.SHORT.cursor(alloc, array(HEAD))),
                 "0100000101" + "020000020303" + "07000003fe000042000000");
-        assertEquals(ByteBufUtil.hexDump(Dialect.PLAIN.cursor(alloc, array(HEAD))),
+        assertEquals(
+                ByteBufUtil.hexDump(Dialect.PLAIN.cursor(alloc, array(HEAD))),
                 "0100000101" + "020000020303" + "05000003fe00004200");
         assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.rows(rows)), "0200000301aa" + "0200000401bb");
         assertEquals(ByteBufUtil.hexDump(rows), ROW + "0200000501bb");
--- a/src/test/java/lineward/mysql/DriverTest.java
+++ b/src/test/java/lineward/mysql/DriverTest.java
@@ -30,10 +30,11 @@
     public void start() throws IOException {
         engine = new StandInEngine();
         file = Files.createTempFile("mysql", ".toml");
-        Files.writeString(file,
+        Files.writeString(
+                file,
                 "listen = \"127.0.0.1:0\"\n[[user]]\nname = \"office\"\npassword = \"secret\"\n"
-                + "[[class]]\nname = \"all\"\ndeadline-ms = 9000\n[[engine]]\nname = \"one\"\naddress = \""
-                + engine.address() + "\"\nuser = \"front\"\n");
+                        + "[[class]]\nname = \"all\"\ndeadline-ms = 9000\n[[engine]]\nname = \"one\"\naddress = \""
+                        + engine.address() + "\"\nuser = \"front\"\n");
         program = new Program(Map.of(), "mysql", file.toString());
     }
 
@@ -46,21 +47,25 @@
 
     @DataProvider
     public Object[][] drivers() {
-        return new Object[][] {{"jdbc:mysql", ""}, {"jdbc:mysql", "useServerPrepStmts=true"},
+        return new Object[][] {
+            {"jdbc:mysql", ""},
+            {"jdbc:mysql", "useServerPrepStmts=true"},
             {"jdbc:mysql", "useServerPrepStmts=true&useCursorFetch=true"},
             {"jdbc:mysql", "useCursorFetch=true&defaultFetchSize=100"},
-            {"jdbc:mariadb", ""}, {"jdbc:mariadb", "useServerPrepStmts=true"}};
+            {"jdbc:mariadb", ""},
+            {"jdbc:mariadb", "useServerPrepStmts=true"}
+        };
     }
 
     private Connection connect(String scheme, String options) throws SQLException {
-        return DriverManager.getConnection(scheme + "://127.0.0.1:" + program.port() + "/sales?" + options,
-                "office", "secret");
+        return DriverManager.getConnection(
+                scheme + "://127.0.0.1:" + program.port() + "/sales?" + options, "office", "secret");
     }
 
     @Test(dataProvider = "drivers")
     public void itConnectsQueriesAndIsToldErrors(String scheme, String options) throws SQLException {
-        try (Connection connection = connect(scheme,
-                options); Statement statement = connection.createStatement()) {
+        try (Connection connection = connect(scheme, options);
+                Statement statement = connection.createStatement()) {
             assertTrue(connection.isValid(2));
             try (ResultSet rows = statement.executeQuery("select rows=5")) {
                 int count = 0;
--- a/src/test/java/lineward/mysql/MysqlFrontTest.java
+++ b/src/test/java/lineward/mysql/MysqlFrontTest.java
@@ -52,8 +52,13 @@
     }
 
     private static void engine(StringBuilder text, String name, StandInEngine engine, String state) {
-        text.append("[[engine]]\nname = \"").append(name).append("\"\naddress = \"").append(engine.address())
-                .append("\"\nuser = \"front\"\nstate = \"").append(state).append("\"\n");
+        text.append("[[engine]]\nname = \"")
+                .append(name)
+                .append("\"\naddress = \"")
+                .append(engine.address())
+                .append("\"\nuser = \"front\"\nstate = \"")
+                .append(state)
+                .append("\"\n");
     }
 
     private StandInClient client() throws IOException {
@@ -67,16 +72,19 @@
 
     @DataProvider
     public Object[][] logins() {
-        return new Object[][] {{"caching_sha2_password", "secret", null, 0},
-            {"mysql_native_password", "secret", null, 0}, {"sha256_password", "secret", null, 0},
-            {"caching_sha2_password", "guess", null, 1045}, {"mysql_native_password", "guess", null, 1045},
+        return new Object[][] {
+            {"caching_sha2_password", "secret", null, 0},
+            {"mysql_native_password", "secret", null, 0},
+            {"sha256_password", "secret", null, 0},
+            {"caching_sha2_password", "guess", null, 1045},
+            {"mysql_native_password", "guess", null, 1045},
             {"caching_sha2_password", "secret", "sales", 0},
-            {"caching_sha2_password", "secret", "nowhere", 1049}};
+            {"caching_sha2_password", "secret", "nowhere", 1049}
+        };
     }
 
     @Test(dataProvider = "logins")
-    public void onlyTheRightPasswordLetsIn(String plugin, String password, String schema, int code)
-            throws IOException {
+    public void onlyTheRightPasswordLetsIn(String plugin, String password, String schema, int code) throws IOException {
         try (StandInClient client = new StandInClient(program.port(), plugin, password, schema)) {
             assertEquals(client.login.code(), code);
         }
@@ -97,9 +105,13 @@
             assertEquals(client.command(0x0e).code(), 0);
         }
         // The second execution gave no types: the engine must have got them all the same.
-        String last = one.said.stream().filter(t -> t.startsWith("execute")).reduce((a, b) -> b)
-                .orElseGet(() -> two.said.stream().filter(t -> t.startsWith("execute"))
-                        .reduce((a, b) -> b).orElseThrow());
+        String last = one.said.stream()
+                .filter(t -> t.startsWith("execute"))
+                .reduce((a, b) -> b)
+                .orElseGet(() -> two.said.stream()
+                        .filter(t -> t.startsWith("execute"))
+                        .reduce((a, b) -> b)
+                        .orElseThrow());
         assertTrue(last.startsWith("execute [0, 1, 0, 0, 0, 0, 1, -3, 0, -3, 0,"), last);
     }
 
@@ -123,14 +135,15 @@
             {Trouble.DIE_IN_EXECUTE, "update t set a=1", FAILED},
             {Trouble.DIE_AMID_ROWS, "select rows=4", 0},
             {Trouble.DIE_AMID_ROWS, "select rows=20000", 0},
-            {Trouble.GARBAGE, "select rows=4", 0}, {Trouble.GARBAGE, "update t set a=1", FAILED},
-            {Trouble.FULL, "update t set a=1", 0}};
+            {Trouble.GARBAGE, "select rows=4", 0},
+            {Trouble.GARBAGE, "update t set a=1", FAILED},
+            {Trouble.FULL, "update t set a=1", 0}
+        };
     }
 
     /** Guards against the hard case: an engine vanishes between prepare and execute, in it or amid rows. */
     @Test(dataProvider = "deaths")
-    public void everyExecuteEndsThoughItsEngineDies(Trouble trouble, String text, int code)
-            throws IOException {
+    public void everyExecuteEndsThoughItsEngineDies(Trouble trouble, String text, int code) throws IOException {
         try (StandInClient client = client()) {
             // Whichever engine the planner picks first is the one in trouble.
             StandInClient.Statement s = client.prepare(text);
@@ -170,9 +183,10 @@
             StandInClient.Result result = client.query("select rows=1");
             assertEquals(result.code(), REFUSED);
             assertTrue((System.nanoTime() - start) / 1e6 < 1600, "answered by its deadline");
-            Program.await("the engine hears of the kill", () -> one.said.stream().anyMatch(
-                    t -> t.startsWith("KILL QUERY")) || two.said.stream().anyMatch(
-                            t -> t.startsWith("KILL QUERY")));
+            Program.await(
+                    "the engine hears of the kill",
+                    () -> one.said.stream().anyMatch(t -> t.startsWith("KILL QUERY"))
+                            || two.said.stream().anyMatch(t -> t.startsWith("KILL QUERY")));
             assertEquals(client.query("update t set a = 1").code(), FAILED);
             assertEquals(runs("update t set a = 1"), 1);
         }
@@ -187,8 +201,10 @@
             client.send(3, "select rows=1");
             Program.await("it runs", () -> runs("select rows=1") == 1);
         }
-        Program.await("the kill", () -> one.said.toString().contains("KILL")
-                || two.said.toString().contains("KILL"));
+        Program.await(
+                "the kill",
+                () -> one.said.toString().contains("KILL")
+                        || two.said.toString().contains("KILL"));
     }
 
     @Test
@@ -217,15 +233,21 @@
 
     @DataProvider
     public Object[][] states() {
-        return new Object[][] {{"BEGIN", 1179, "25000"}, {"set autocommit = 0", 1179, "25000"},
-            {"set @a = 1", 1235, "0A000"}, {"select last_insert_id()", 1235, "0A000"},
-            {"create temporary table t (a int)", 1235, "0A000"}, {"set names utf8mb4", 0, ""},
-            {"commit", 0, ""}, {"use nowhere", 1049, "42000"}, {"use sales", 0, ""}};
+        return new Object[][] {
+            {"BEGIN", 1179, "25000"},
+            {"set autocommit = 0", 1179, "25000"},
+            {"set @a = 1", 1235, "0A000"},
+            {"select last_insert_id()", 1235, "0A000"},
+            {"create temporary table t (a int)", 1235, "0A000"},
+            {"set names utf8mb4", 0, ""},
+            {"commit", 0, ""},
+            {"use nowhere", 1049, "42000"},
+            {"use sales", 0, ""}
+        };
     }
 
     @Test(dataProvider = "states")
-    public void stateThatCannotBeKeptIsRefusedPlainly(String text, int code, String state)
-            throws IOException {
+    public void stateThatCannotBeKeptIsRefusedPlainly(String text, int code, String state) throws IOException {
         try (StandInClient client = client()) {
             StandInClient.Result result = client.query(text);
             assertEquals(result.code(), code, result.message());
--- a/src/test/java/lineward/mysql/SessionSettingsTest.java
+++ b/src/test/java/lineward/mysql/SessionSettingsTest.java
@@ -14,21 +14,33 @@
     public Object[][] kept() {
         return new Object[][] {
             {"set sql_mode = ''", Map.of("sql_mode", "''")},
-            {"SET SESSION sql_mode='A,B', net_write_timeout := 600",
-                Map.of("sql_mode", "'A,B'", "net_write_timeout", "600")},
+            {
+                "SET SESSION sql_mode='A,B', net_write_timeout := 600",
+                Map.of("sql_mode", "'A,B'", "net_write_timeout", "600")
+            },
             {"set @@session.max_execution_time = 1000;", Map.of("max_execution_time", "1000")},
             {"set @@lc_time_names = \"en_US\"", Map.of("lc_time_names", "\"en_US\"")},
-            {"SET NAMES utf8mb4", Map.of()}, {"set names 'utf8mb4' collate 'utf8mb4_bin'",
-                Map.of("collation_connection", "'utf8mb4_bin'")},
+            {"SET NAMES utf8mb4", Map.of()},
+            {"set names 'utf8mb4' collate 'utf8mb4_bin'", Map.of("collation_connection", "'utf8mb4_bin'")},
             {"SET character_set_results = NULL", Map.of("character_set_results", "NULL")},
-            {"set autocommit=1", Map.of()}, {"set session wait_timeout = 100", Map.of()},
-            {"SET SESSION TRANSACTION ISOLATION LEVEL READ COMMITTED",
-                Map.of("transaction_isolation", "'READ-COMMITTED'")},
+            {"set autocommit=1", Map.of()},
+            {"set session wait_timeout = 100", Map.of()},
+            {
+                "SET SESSION TRANSACTION ISOLATION LEVEL READ COMMITTED",
+                Map.of("transaction_isolation", "'READ-COMMITTED'")
+            },
             {"set time_zone = '+00:00', autocommit = 1", Map.of("time_zone", "'+00:00'")},
-            {"set sql_notes=1, sql_mode=concat(@@sql_mode,',ANSI')", Map.of("sql_notes", "1", "sql_mode",
-                "'ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,NO_ZERO_IN_DATE,NO_ZERO_DATE,"
-                + "ERROR_FOR_DIVISION_BY_ZERO,NO_ENGINE_SUBSTITUTION,ANSI'")},
-            {"set long_query_time = 0.5", Map.of("long_query_time", "0.5")}};
+            {
+                "set sql_notes=1, sql_mode=concat(@@sql_mode,',ANSI')",
+                Map.of(
+                        "sql_notes",
+                        "1",
+                        "sql_mode",
+                        "'ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,NO_ZERO_IN_DATE,NO_ZERO_DATE,"
+                                + "ERROR_FOR_DIVISION_BY_ZERO,NO_ENGINE_SUBSTITUTION,ANSI'")
+            },
+            {"set long_query_time = 0.5", Map.of("long_query_time", "0.5")}
+        };
     }
 
     @Test(dataProvider = "kept")
@@ -43,13 +55,20 @@
 
     @DataProvider
     public Object[][] unkeepable() {
-        return new Object[][] {{"set autocommit=0", "autocommit=0"}, {"set @a = 1", "a user variable"},
-            {"set global sql_mode = ''", "SET global"}, {"set names latin1", "the character set latin1"},
-            {"set password = 'x'", "SET password"}, {"set sql_mode", "this form of SET"},
-            {"set profiling = 1", "SET profiling"}, {"set", "an empty SET"},
-            {"set sql_mode = '', nonsense = 1", "SET nonsense"}, {"set sql_mode = (select 1)", "this value"},
+        return new Object[][] {
+            {"set autocommit=0", "autocommit=0"},
+            {"set @a = 1", "a user variable"},
+            {"set global sql_mode = ''", "SET global"},
+            {"set names latin1", "the character set latin1"},
+            {"set password = 'x'", "SET password"},
+            {"set sql_mode", "this form of SET"},
+            {"set profiling = 1", "SET profiling"},
+            {"set", "an empty SET"},
+            {"set sql_mode = '', nonsense = 1", "SET nonsense"},
+            {"set sql_mode = (select 1)", "this value"},
             {"set sql_mode = '' extra", "this form of SET"},
-            {"set sql_mode = '" + "x".repeat(2000) + "'", "a value of sql_mode longer than 1024"}};
+            {"set sql_mode = '" + "x".repeat(2000) + "'", "a value of sql_mode longer than 1024"}
+        };
     }
 
     @Test(dataProvider = "unkeepable")
@@ -69,13 +88,17 @@
     public Object[][] readings() {
         return new Object[][] {
             {"SELECT @@version_comment LIMIT 1", "[@@version_comment]", "[lineward]"},
-            {"/* driver */SELECT  @@session.auto_increment_increment AS a, @@wait_timeout AS w;", "[a, w]",
-                "[1, 28800]"},
+            {"/* driver */SELECT  @@session.auto_increment_increment AS a, @@wait_timeout AS w;", "[a, w]", "[1, 28800]"
+            },
             {"select @@tx_isolation t", "[t]", "[REPEATABLE-READ]"},
             {"select @@sql_mode", "[@@sql_mode]", "[ANSI]"},
-            {"select @@no_such_thing", null, null}, {"select @@version, 1", null, null},
-            {"select @@version from t", null, null}, {"select 1", null, null},
-            {"select @@version limit 2", null, null}, {"select @a", null, null}};
+            {"select @@no_such_thing", null, null},
+            {"select @@version, 1", null, null},
+            {"select @@version from t", null, null},
+            {"select 1", null, null},
+            {"select @@version limit 2", null, null},
+            {"select @a", null, null}
+        };
     }
 
     @Test(dataProvider = "readings")
@@ -94,7 +117,8 @@
 
     @Test
     public void onlyWhatDiffersGoesToAnEngine() {
-        assertEquals(SessionSettings.change(Map.of("a", "1", "b", "2"), Map.of("b", "3")),
+        assertEquals(
+                SessionSettings.change(Map.of("a", "1", "b", "2"), Map.of("b", "3")),
                 "SET SESSION a=DEFAULT, SESSION b=3");
     }
 
@@ -102,8 +126,7 @@
     public void manySettingsAreBounded() throws SessionSettings.UnkeepableException {
         SessionSettings settings = new SessionSettings();
         settings.take("set sql_notes = 1");
-        assertThrows(SessionSettings.UnkeepableException.class,
-                () -> settings.take("set sql_notes = 1, no_such = 2"));
+        assertThrows(SessionSettings.UnkeepableException.class, () -> settings.take("set sql_notes = 1, no_such = 2"));
         assertEquals(settings.forEngines(), Map.of("sql_notes", "1"));
     }
 }
--- a/src/test/java/lineward/mysql/SpoolFrontTest.java
+++ b/src/test/java/lineward/mysql/SpoolFrontTest.java
@@ -47,9 +47,11 @@
                 + "[[user]]\nname = \"other\"\npassword = \"secret\"\n"
                 + "[[class]]\nname = \"all\"\naim-ms = 3000\ndeadline-ms = 9000\n");
         for (StandInEngine engine : List.of(one, two)) {
-            text.append("[[engine]]\nname = \"").append(engine == one ? "one"
-                    : "two").append("\"\naddress = \"")
-                    .append(engine.address()).append("\"\nuser = \"front\"\n");
+            text.append("[[engine]]\nname = \"")
+                    .append(engine == one ? "one" : "two")
+                    .append("\"\naddress = \"")
+                    .append(engine.address())
+                    .append("\"\nuser = \"front\"\n");
         }
         Files.writeString(file, text);
         return new Program(Map.of(), "mysql", file.toString());
@@ -106,8 +108,13 @@
 
     @DataProvider
     public Object[][] deaths() {
-        return new Object[][] {{Trouble.DIE_IN_ROW_ONE, 4}, {Trouble.DIE_AMID_ROWS, 4},
-            {Trouble.DIE_BEFORE_LAST, 4}, {Trouble.DIE_AMID_ROWS, 20_000}, {Trouble.DIE_BEFORE_LAST, 20_000}};
+        return new Object[][] {
+            {Trouble.DIE_IN_ROW_ONE, 4},
+            {Trouble.DIE_AMID_ROWS, 4},
+            {Trouble.DIE_BEFORE_LAST, 4},
+            {Trouble.DIE_AMID_ROWS, 20_000},
+            {Trouble.DIE_BEFORE_LAST, 20_000}
+        };
     }
 
     @Test(dataProvider = "deaths")
@@ -192,8 +199,10 @@
             StandInClient.Result page = again.query("/* lineward:key=k1 from=200 rows=100 */" + text);
             assertEquals(page.rows().size(), 100);
             assertTrue(new String(page.rows().get(0), StandardCharsets.UTF_8).contains("row 200 of"));
-            assertEquals(again.query("/* lineward:key=k1 from=990 */" + text).rows().size(), 10);
-            assertEquals(again.query("/* lineward:key=k1 from=1000 */" + text).rows().size(), 0);
+            assertEquals(
+                    again.query("/* lineward:key=k1 from=990 */" + text).rows().size(), 10);
+            assertEquals(
+                    again.query("/* lineward:key=k1 from=1000 */" + text).rows().size(), 0);
             StandInClient.Statement s = again.prepare("/* lineward:key=k1 from=1 */ select rows=7");
             assertEquals(again.open(s).code(), 1210, "the key is another statement's");
             assertEquals(ran(), 1);
@@ -224,7 +233,11 @@
         program.close();
         program = program("folder = \"" + folder + "\"\n");
         try (StandInClient client = client()) {
-            assertEquals(client.query("/* lineward:key=k from=2000 rows=50 */" + text).rows().size(), 50);
+            assertEquals(
+                    client.query("/* lineward:key=k from=2000 rows=50 */" + text)
+                            .rows()
+                            .size(),
+                    50);
             assertEquals(ran(), 1);
         }
     }
@@ -284,8 +297,12 @@
 
     @DataProvider
     public Object[][] sizes() {
-        return new Object[][] {{"rows=0", 0, 0}, {"rows=1 size=17000000", 1, 17_000_000},
-            {"rows=300000", 300_000, 0}, {"rows=100000 size=1000", 100_000, 1000}};
+        return new Object[][] {
+            {"rows=0", 0, 0},
+            {"rows=1 size=17000000", 1, 17_000_000},
+            {"rows=300000", 300_000, 0},
+            {"rows=100000 size=1000", 100_000, 1000}
+        };
     }
 
     @Test(dataProvider = "sizes")
@@ -314,8 +331,7 @@
     }
 
     @Test
-    public void aFolderThatIsHeldEndsTheStartAndOneThatCannotBeMadeDoesNot()
-            throws IOException, InterruptedException {
+    public void aFolderThatIsHeldEndsTheStartAndOneThatCannotBeMadeDoesNot() throws IOException, InterruptedException {
         program.port();
         try (Program second = program("folder = \"" + folder + "\"\n")) {
             assertEquals(second.status(), 2);
@@ -332,8 +348,10 @@
 
     @Test
     public void settingsOfASessionHoldAtWhicheverEngineRunsItsStatement() throws IOException {
-        try (StandInClient client = client(); StandInClient plain = client()) {
-            assertEquals(client.query("set sql_mode = 'ANSI', wait_timeout = 10").code(), 0);
+        try (StandInClient client = client();
+                StandInClient plain = client()) {
+            assertEquals(
+                    client.query("set sql_mode = 'ANSI', wait_timeout = 10").code(), 0);
             assertEquals(client.query("select @@sql_mode as m").rows().size(), 1);
             assertEquals(ran(), 0, "answered by the front");
             client.query("select rows=1");
@@ -350,7 +368,8 @@
      */
     @Test
     public void aDripOfAReaderHoldsNothing() throws IOException {
-        try (StandInClient drip = client(); StandInClient quick = client()) {
+        try (StandInClient drip = client();
+                StandInClient quick = client()) {
             Socket socket = drip.wire.socket;
             socket.setReceiveBufferSize(4096);
             drip.send(3, "select rows=10000 size=1000");
--- a/src/test/java/lineward/mysql/StandInClient.java
+++ b/src/test/java/lineward/mysql/StandInClient.java
@@ -12,10 +12,10 @@
 /** A small MySQL client. */
 final class StandInClient implements AutoCloseable {
     /** What a command brought: rows, or an error's number, state and text; code 0 is success. */
-    record Result(int code, String state, String message, List<byte[]> rows) { }
+    record Result(int code, String state, String message, List<byte[]> rows) {}
 
     /** What the front said of a statement. */
-    record Statement(long id, int params, Result result) { }
+    record Statement(long id, int params, Result result) {}
 
     final Wire wire;
     Result login;
@@ -32,8 +32,18 @@
         System.arraycopy(greeting, nonceAt + 8 + 19, nonce, 8, 12);
         long capabilities = 0x88200L | (schema == null ? 0 : 8);
         byte[] proof = proof(plugin, password, nonce);
-        wire.write(capabilities, 1L << 24, 45, new byte[23], user, 0, proof.length, proof,
-                schema == null ? "" : schema + '\0', plugin, 0);
+        wire.write(
+                capabilities,
+                1L << 24,
+                45,
+                new byte[23],
+                user,
+                0,
+                proof.length,
+                proof,
+                schema == null ? "" : schema + '\0',
+                plugin,
+                0);
         byte[] answer = wire.read();
         if ((answer[0] & 0xff) == 0xfe) {
             wire.write(proof("mysql_native_password", password, nonce));
@@ -68,7 +78,7 @@
     }
 
     /** What a fetch brought: the rows and the status that ended them, or an error. */
-    record Page(int code, List<byte[]> rows, int status) { }
+    record Page(int code, List<byte[]> rows, int status) {}
 
     /** Executes with a read-only cursor; the status is that behind the columns. */
     Page open(Statement statement) throws IOException {
@@ -147,7 +157,7 @@
         for (int i = 0; i < first[0] + 1; i++) {
             wire.read();
         }
-        for (int rows = 0;; rows++) {
+        for (int rows = 0; ; rows++) {
             byte[] row = wire.read();
             if ((row[0] & 0xff) == 0xff) {
                 return -1;
@@ -161,8 +171,8 @@
     private Result result(byte[] first) throws IOException {
         if ((first[0] & 0xff) == 0xff) {
             String text = new String(first, 4, first.length - 4, StandardCharsets.UTF_8);
-            return new Result(first[1] & 0xff | (first[2] & 0xff) << 8, text.substring(0, 5),
-                    text.substring(5), List.of());
+            return new Result(
+                    first[1] & 0xff | (first[2] & 0xff) << 8, text.substring(0, 5), text.substring(5), List.of());
         }
         List<byte[]> rows = new ArrayList<>();
         if (first[0] == 0) {
--- a/src/test/java/lineward/mysql/StandInEngine.java
+++ b/src/test/java/lineward/mysql/StandInEngine.java
@@ -5,7 +5,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -22,25 +21,34 @@
 /** A small MySQL engine that does as it is told: {@code rows=N size=BYTES} gets rows, or it dies. */
 final class StandInEngine implements AutoCloseable {
     /** Where the engine dies, or what else it does instead of answering. */
-    enum Trouble { NONE, DIE_AFTER_PREPARE, DIE_IN_EXECUTE, DIE_IN_ROW_ONE, DIE_AMID_ROWS, DIE_BEFORE_LAST,
-        SILENT, FULL, GARBAGE }
+    enum Trouble {
+        NONE,
+        DIE_AFTER_PREPARE,
+        DIE_IN_EXECUTE,
+        DIE_IN_ROW_ONE,
+        DIE_AMID_ROWS,
+        DIE_BEFORE_LAST,
+        SILENT,
+        FULL,
+        GARBAGE
+    }
 
     /** What one connection's session holds, as a real engine's does. */
     private static final class Session {
         final Map<Long, String> prepared = new HashMap<>();
         /** The settings under which each was prepared. */
         final Map<Long, String> preparedUnder = new HashMap<>();
+
         final Map<String, String> settings = new TreeMap<>();
         String schema = "";
         String traces = "";
     }
 
     /** A statement that ran, and what it found in its session. */
-    record Seen(String text, String settings, String schema, String traces) { }
+    record Seen(String text, String settings, String schema, String traces) {}
 
     private static final Pattern SETTING = Pattern.compile("SESSION (\\w+)=('[^']*'|[^,]+)");
-    private static final Pattern TRACES = Pattern.compile("^call |/\\*M?!|temporary|^flush ",
-            Pattern.CASE_INSENSITIVE);
+    private static final Pattern TRACES = Pattern.compile("^call |/\\*M?!|temporary|^flush ", Pattern.CASE_INSENSITIVE);
     private static final Pattern ROWS = Pattern.compile("rows=(\\d+)(?: size=(\\d+))?");
     private static final byte[] NONCE = "abcdefghijklmnopqrst".getBytes(StandardCharsets.US_ASCII);
     private static final AtomicInteger RUNNING = new AtomicInteger();
@@ -50,13 +58,14 @@
     final List<String> said = new CopyOnWriteArrayList<>();
     final List<Seen> seen = new CopyOnWriteArrayList<>();
     /** Runs when settings have come, before anything is said of them. */
-    volatile Runnable atSettings = () -> { };
+    volatile Runnable atSettings = () -> {};
+
     private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Map<Long, CountDownLatch> kills = new ConcurrentHashMap<>();
     private final AtomicInteger threads = new AtomicInteger();
     volatile Trouble trouble = Trouble.NONE;
-    volatile Runnable beforeDeath = () -> { };
+    volatile Runnable beforeDeath = () -> {};
     private volatile long lastByteAt;
     private volatile long nextCommandAt;
 
@@ -119,8 +128,26 @@
                 wire.write(Wire.error(1040, "08004", "too many"));
                 return;
             }
-            wire.write(10, "8.0.36", 0, id, Arrays.copyOf(NONCE, 8), 0, 0x0f, 0xa2, 45, 2, 0, 0x08, 0, 21,
-                    new byte[10], Arrays.copyOfRange(NONCE, 8, 20), 0, "mysql_native_password", 0);
+            wire.write(
+                    10,
+                    "8.0.36",
+                    0,
+                    id,
+                    Arrays.copyOf(NONCE, 8),
+                    0,
+                    0x0f,
+                    0xa2,
+                    45,
+                    2,
+                    0,
+                    0x08,
+                    0,
+                    21,
+                    new byte[10],
+                    Arrays.copyOfRange(NONCE, 8, 20),
+                    0,
+                    "mysql_native_password",
+                    0);
             wire.read();
             wire.write(Wire.ok());
             Session session = new Session();
@@ -137,8 +164,7 @@
         }
     }
 
-    private void command(Wire wire, byte[] command, Session session, long id)
-            throws IOException, InterruptedException {
+    private void command(Wire wire, byte[] command, Session session, long id) throws IOException, InterruptedException {
         String text = new String(command, 1, command.length - 1, StandardCharsets.UTF_8);
         switch (command[0]) {
             case 0x02 -> {
@@ -200,8 +226,11 @@
             nextCommandAt = System.nanoTime();
         }
         ran.add(text);
-        seen.add(new Seen(text, preparedUnder.isEmpty() ? session.settings.toString() : preparedUnder,
-                session.schema, session.traces));
+        seen.add(new Seen(
+                text,
+                preparedUnder.isEmpty() ? session.settings.toString() : preparedUnder,
+                session.schema,
+                session.traces));
         if (TRACES.matcher(text).find()) {
             session.traces += text;
         }
@@ -253,8 +282,7 @@
         String padding = asked.group(2) == null ? "" : "x".repeat(Integer.parseInt(asked.group(2)));
         wire.gather();
         for (int i = 0; i < rows; i++) {
-            if (trouble == Trouble.DIE_AMID_ROWS && i == rows / 2
-                    || trouble == Trouble.DIE_IN_ROW_ONE) {
+            if (trouble == Trouble.DIE_AMID_ROWS && i == rows / 2 || trouble == Trouble.DIE_IN_ROW_ONE) {
                 wire.flush();
                 die();
             }
--- a/src/test/java/lineward/mysql/StatementKindTest.java
+++ b/src/test/java/lineward/mysql/StatementKindTest.java
@@ -16,21 +16,40 @@
     @DataProvider
     public Object[][] statements() {
         return new Object[][] {
-            {"select 1", "Read"}, {"  /* x */ SELECT replace(a, 'b', 'c') from t", "Read"},
-            {"(select 1) union (select 2)", "Read"}, {"show tables", "Read"}, {"explain select 1", "Read"},
-            {"select 'update' from `insert`", "Read"}, {"select @@session.sql_mode", "Read"},
-            {"with x as (select 1) select * from x", "Read"}, {"with x as (select 1) delete from t", "Write"},
-            {"select 1 for update", "Write"}, {"select 1 into outfile 'x'", "Write"},
-            {"select 1 /*! into outfile 'x' */", "Write"}, {"/*!50000 delete from t */", "Write"},
-            {"insert into t values (1)", "Write"}, {"call p()", "Write"}, {"", "Write"},
+            {"select 1", "Read"},
+            {"  /* x */ SELECT replace(a, 'b', 'c') from t", "Read"},
+            {"(select 1) union (select 2)", "Read"},
+            {"show tables", "Read"},
+            {"explain select 1", "Read"},
+            {"select 'update' from `insert`", "Read"},
+            {"select @@session.sql_mode", "Read"},
+            {"with x as (select 1) select * from x", "Read"},
+            {"with x as (select 1) delete from t", "Write"},
+            {"select 1 for update", "Write"},
+            {"select 1 into outfile 'x'", "Write"},
+            {"select 1 /*! into outfile 'x' */", "Write"},
+            {"/*!50000 delete from t */", "Write"},
+            {"insert into t values (1)", "Write"},
+            {"call p()", "Write"},
+            {"", "Write"},
             {"truncate t", "Write"},
-            {"select @a := 1", "Refused"}, {"select @a", "Refused"}, {"select get_lock('a', 1)", "Refused"},
-            {"select Last_Insert_Id ()", "Refused"}, {"start transaction", "Refused"}, {"begin", "Refused"},
-            {"lock tables t read", "Refused"}, {"prepare s from 'select 1'", "Refused"},
-            {"drop temporary table t", "Refused"}, {"set sql_mode = ''", "Setting"},
-            {"rollback to s", "Refused"}, {"rollback work to s", "Refused"},
-            {"rollback", "Nothing"}, {"COMMIT", "Nothing"}, {"SET NAMES 'utf8mb4' COLLATE x", "Setting"},
-            {"use `sales`", "Use"}};
+            {"select @a := 1", "Refused"},
+            {"select @a", "Refused"},
+            {"select get_lock('a', 1)", "Refused"},
+            {"select Last_Insert_Id ()", "Refused"},
+            {"start transaction", "Refused"},
+            {"begin", "Refused"},
+            {"lock tables t read", "Refused"},
+            {"prepare s from 'select 1'", "Refused"},
+            {"drop temporary table t", "Refused"},
+            {"set sql_mode = ''", "Setting"},
+            {"rollback to s", "Refused"},
+            {"rollback work to s", "Refused"},
+            {"rollback", "Nothing"},
+            {"COMMIT", "Nothing"},
+            {"SET NAMES 'utf8mb4' COLLATE x", "Setting"},
+            {"use `sales`", "Use"}
+        };
     }
 
     @Test(dataProvider = "statements")
@@ -45,16 +64,15 @@
         ByteBuf frame = channel.readInbound();
         assertEquals(frame.readableBytes(), 5);
         frame.release();
-        assertThrows(TooLongFrameException.class, () -> channel.writeInbound(
-                Unpooled.wrappedBuffer(new byte[] {0, 0})));
+        assertThrows(
+                TooLongFrameException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {0, 0})));
     }
 
     @DataProvider
     public Object[][] replies() {
         return new Object[][] {
             {false, new byte[][] {{0, 0, 0, 2, 0, 0, 0}}, "LAST_OK"},
-            {false, new byte[][] {{1}, {3, 'd', 'e', 'f'}, {-2, 0, 0, 2, 0}, {1, 'x'}, {-2, 0, 0, 2, 0}},
-                "LAST_OK"},
+            {false, new byte[][] {{1}, {3, 'd', 'e', 'f'}, {-2, 0, 0, 2, 0}, {1, 'x'}, {-2, 0, 0, 2, 0}}, "LAST_OK"},
             {false, new byte[][] {{1}, {3, 'd', 'e', 'f'}, {-2, 0, 0, 2, 0}, {1, 'x'}}, "ROW"},
             {false, new byte[][] {{1}, {3}, {-2, 0, 0, 2, 0}}, "HEAD_END"},
             {false, new byte[][] {{-1, 1, 4}}, "LAST_ERROR"},
@@ -62,9 +80,12 @@
             {true, new byte[][] {{0, 1, 0, 0, 0, 0, 0, 0, 0}}, "LAST_OK"},
             {true, new byte[][] {{0, 1, 0, 0, 0, 1, 0, 1, 0}, {3}, {-2, 0, 0, 2, 0}, {3}}, "HEAD"},
             {true, new byte[][] {{0, 1, 0, 0, 0, 1, 0, 0, 0}, {3}, {-2, 0, 0, 2, 0}}, "LAST_OK"},
-            {false, new byte[][] {{}}, null}, {false, new byte[][] {{0, 0}}, null},
-            {false, new byte[][] {{-5}}, null}, {true, new byte[][] {{5}}, null},
-            {false, new byte[][] {{0, 0, 0, 10, 0, 0, 0}}, null}};
+            {false, new byte[][] {{}}, null},
+            {false, new byte[][] {{0, 0}}, null},
+            {false, new byte[][] {{-5}}, null},
+            {true, new byte[][] {{5}}, null},
+            {false, new byte[][] {{0, 0, 0, 10, 0, 0, 0}}, null}
+        };
     }
 
     @Test(dataProvider = "replies")
--- a/src/test/java/lineward/mysql/Wire.java
+++ b/src/test/java/lineward/mysql/Wire.java
@@ -64,9 +64,12 @@
         int length;
         do {
             length = Math.min(LONGEST, payload.length - at);
-            byte[] packet = bytes(length & 0xff, length >> 8 & 0xff, length >> 16, sequence++ & 0xff,
-                    at == 0 && length == payload.length ? payload : Arrays.copyOfRange(payload, at, at
-                            + length));
+            byte[] packet = bytes(
+                    length & 0xff,
+                    length >> 8 & 0xff,
+                    length >> 16,
+                    sequence++ & 0xff,
+                    at == 0 && length == payload.length ? payload : Arrays.copyOfRange(payload, at, at + length));
             at += length;
             if (gathered == null) {
                 out.write(packet);
@@ -116,8 +119,8 @@
         if (content.length < 251) {
             return bytes(content.length, content);
         }
-        return content.length < 1 << 16 ? bytes(0xfc, content.length & 0xff, content.length >> 8, content)
-                : bytes(0xfd, content.length & 0xff, content.length >> 8 & 0xff, content.length >> 16,
-                        content);
+        return content.length < 1 << 16
+                ? bytes(0xfc, content.length & 0xff, content.length >> 8, content)
+                : bytes(0xfd, content.length & 0xff, content.length >> 8 & 0xff, content.length >> 16, content);
     }
 }
--- a/src/test/java/lineward/operations/CallTest.java
+++ b/src/test/java/lineward/operations/CallTest.java
@@ -48,8 +48,10 @@
             {"GET /" + "a".repeat(2000) + " HTTP/1.1\r\n\r\n", 400},
             {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + "a".repeat(5000), 413},
             {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n", 413},
-            {"", 0}, {"GET /ops/readi", 0},
-            {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 5\r\n\r\na", 0}};
+            {"", 0},
+            {"GET /ops/readi", 0},
+            {"POST /ops/drain/stop HTTP/1.1\r\nContent-Length: 5\r\n\r\na", 0}
+        };
     }
 
     @Test(dataProvider = "calls")
@@ -61,8 +63,8 @@
 
     @Test
     public void aCallInPiecesIsAnswered() throws IOException {
-        byte[] call = "POST /ops/query-engines/down HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-9".getBytes(
-                StandardCharsets.US_ASCII);
+        byte[] call = "POST /ops/query-engines/down HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-9"
+                .getBytes(StandardCharsets.US_ASCII);
         for (int cut = 1; cut < call.length; cut++) {
             try (Socket socket = new Socket("127.0.0.1", platform.program().operations())) {
                 socket.setTcpNoDelay(true);
--- a/src/test/java/lineward/operations/Operator.java
+++ b/src/test/java/lineward/operations/Operator.java
@@ -9,7 +9,7 @@
 /** Calls a program's second address as operators do. */
 public final class Operator {
     /** An answer: its status, 0 where the connection ended without one, and its body. */
-    public record Answer(int status, String body) { }
+    public record Answer(int status, String body) {}
 
     private final int port;
 
@@ -23,8 +23,9 @@
             socket.setSoTimeout(10_000);
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
             String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            return all.isEmpty() ? new Answer(0, "") : new Answer(Integer.parseInt(all.split(" ")[1]),
-                    all.substring(all.indexOf("\r\n\r\n") + 4));
+            return all.isEmpty()
+                    ? new Answer(0, "")
+                    : new Answer(Integer.parseInt(all.split(" ")[1]), all.substring(all.indexOf("\r\n\r\n") + 4));
         }
     }
 
@@ -33,8 +34,7 @@
     }
 
     public Answer post(String path, String body) throws IOException {
-        return raw("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                + body);
+        return raw("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
     /** @return whether the program says that it is ready */
--- a/src/test/java/lineward/peers/PeerSocketTest.java
+++ b/src/test/java/lineward/peers/PeerSocketTest.java
@@ -36,10 +36,11 @@
         peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         InetSocketAddress other = new InetSocketAddress(peer.getLocalAddress(), peer.getLocalPort());
-        socket = new PeerSocket(Map.of(other, 3), other,
-                (from, octets) -> heard.add(from + ":" + octets.length + ":" + octets[0]));
+        socket = new PeerSocket(
+                Map.of(other, 3), other, (from, octets) -> heard.add(from + ":" + octets.length + ":" + octets[0]));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        here = (InetSocketAddress) socket.open(loop, any).syncUninterruptibly().channel().localAddress();
+        here = (InetSocketAddress)
+                socket.open(loop, any).syncUninterruptibly().channel().localAddress();
     }
 
     @AfterMethod(alwaysRun = true)
@@ -84,7 +85,7 @@
     /** Two processes of one front end at an upgrade: both have the address. */
     @Test
     public void aSecondProcessOpensTheSameAddress() {
-        PeerSocket second = new PeerSocket(Map.of(), here, (from, octets) -> { });
+        PeerSocket second = new PeerSocket(Map.of(), here, (from, octets) -> {});
         assertEquals(second.open(loop, here).syncUninterruptibly().channel().localAddress(), here);
     }
 
--- a/src/test/java/lineward/spool/SpoolPolicyTest.java
+++ b/src/test/java/lineward/spool/SpoolPolicyTest.java
@@ -19,8 +19,7 @@
     private static final long MB = 1 << 20;
 
     private static SpoolLimits limits(long fileMb) {
-        return new SpoolLimits(8 * MB, fileMb * MB, fileMb > 0 ? 4 : 0, 6, 20 * MB, 12 * MB, MB, 0.5, 1000,
-                5000);
+        return new SpoolLimits(8 * MB, fileMb * MB, fileMb > 0 ? 4 : 0, 6, 20 * MB, 12 * MB, MB, 0.5, 1000, 5000);
     }
 
     @DataProvider
@@ -30,7 +29,8 @@
             {0, false, 1, Place.MEMORY}, {0, false, 8, Place.MEMORY}, {0, false, 9, Place.SLOW},
             {0, true, 2, Place.MEMORY}, {100, false, 2, Place.MEMORY}, {100, false, 3, Place.FILE},
             {100, true, 1, Place.FILE}, {100, false, 12, Place.FILE}, {100, false, 13, Place.SLOW},
-            {1, true, 2, Place.MEMORY}, {1, true, 9, Place.SLOW}};
+            {1, true, 2, Place.MEMORY}, {1, true, 9, Place.SLOW}
+        };
     }
 
     @Test(dataProvider = "places")
@@ -168,8 +168,7 @@
             for (int step = 0; step < 300; step++) {
                 double now = step * 10;
                 if (random.nextInt(4) == 0 && held.size() < 20) {
-                    held.put(policy.begin("u" + random.nextInt(3), random.nextBoolean(), now),
-                            new ArrayList<>());
+                    held.put(policy.begin("u" + random.nextInt(3), random.nextBoolean(), now), new ArrayList<>());
                 }
                 List<Long> ids = new ArrayList<>(held.keySet());
                 if (ids.isEmpty()) {
@@ -198,8 +197,13 @@
                         }
                     }
                 }
-                assertEquals(policy.figures().heldBytes(),
-                        held.values().stream().flatMap(List::stream).mapToLong(b -> b).sum(), "seed " + seed);
+                assertEquals(
+                        policy.figures().heldBytes(),
+                        held.values().stream()
+                                .flatMap(List::stream)
+                                .mapToLong(b -> b)
+                                .sum(),
+                        "seed " + seed);
             }
             List.copyOf(held.keySet()).forEach(id -> policy.release(id, 1e6));
             assertEquals(policy.figures().heldBytes() + policy.figures().filedBytes(), 0, "seed " + seed);
@@ -209,9 +213,7 @@
 
     @Test
     public void boundsThatContradictEachOtherAreRefused() {
-        assertThrows(IllegalArgumentException.class,
-                () -> new SpoolLimits(10, 0, 0, 1, 1, 1, 0, 0, 1, 1));
-        assertThrows(IllegalArgumentException.class,
-                () -> new SpoolLimits(MB, 0, 0, 1, 1, 1, 0, 2, 1, 1));
+        assertThrows(IllegalArgumentException.class, () -> new SpoolLimits(10, 0, 0, 1, 1, 1, 0, 0, 1, 1));
+        assertThrows(IllegalArgumentException.class, () -> new SpoolLimits(MB, 0, 0, 1, 1, 1, 0, 2, 1, 1));
     }
 }
--- a/src/test/java/lineward/spool/SpoolTest.java
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -42,8 +42,7 @@
     }
 
     private Spool spool(boolean files) throws IOException {
-        SpoolLimits limits = new SpoolLimits(2 * MB, 64 * MB, 100, 100, 64 * MB, 32 * MB, MB, 0.5, 1000,
-                5000);
+        SpoolLimits limits = new SpoolLimits(2 * MB, 64 * MB, 100, 100, 64 * MB, 32 * MB, MB, 0.5, 1000, 5000);
         if (!files) {
             return new Spool(limits, null, () -> now);
         }
@@ -103,7 +102,7 @@
                     append(result, row, true);
                     wrote.writeBytes(row);
                     if (i == 100) {
-                        reader = result.read(() -> { });
+                        reader = result.read(() -> {});
                     }
                     while (reader != null && (seed % 2 != 0 || random.nextInt(3) == 0)) {
                         SpooledResult.Piece piece = reader.poll();
@@ -118,7 +117,8 @@
                 assertEquals(reader.ahead(), Ahead.END);
                 assertEquals(read.toByteArray(), wrote.toByteArray(), "seed " + seed);
                 // Every block has reached its file and been forgotten before the reader leaves.
-                for (Runnable told = loop.poll(200, TimeUnit.MILLISECONDS); told != null;
+                for (Runnable told = loop.poll(200, TimeUnit.MILLISECONDS);
+                        told != null;
                         told = loop.poll(200, TimeUnit.MILLISECONDS)) {
                     told.run();
                 }
@@ -159,9 +159,9 @@
             assertNull(second.find("u", "half"), "what was not whole is dropped");
             SpooledResult found = second.find("u", "k");
             assertEquals(found.statement(), "digest");
-            SpooledResult.Reader reader = found.read(() -> { });
+            SpooledResult.Reader reader = found.read(() -> {});
             assertEquals(drain(reader).length, 20 * row.length);
-            SpooledResult.Reader page = found.read(() -> { });
+            SpooledResult.Reader page = found.read(() -> {});
             int before = page.seek(15);
             SpooledResult.Piece piece = null;
             while (piece == null) {
@@ -195,7 +195,8 @@
             }
             turn();
             try (Stream<Path> files = Files.list(folder)) {
-                files.filter(f -> f.toString().endsWith("lwseg")).forEach(f -> f.toFile().delete());
+                files.filter(f -> f.toString().endsWith("lwseg"))
+                        .forEach(f -> f.toFile().delete());
             }
             int rows = 6;
             while (result.wantsMore() && rows < 100) {
@@ -207,7 +208,7 @@
                 }
             }
             assertTrue(rows < 100, "the engine is slowed");
-            SpooledResult.Reader reader = result.read(() -> { });
+            SpooledResult.Reader reader = result.read(() -> {});
             int got = 0;
             while (reader.ahead() == Ahead.MORE) {
                 SpooledResult.Piece piece = reader.poll();
@@ -246,7 +247,7 @@
     public void aBrokenResultSaysSoBehindItsLastByte() throws IOException {
         try (Spool spool = spool(false)) {
             SpooledResult result = spool.begin("u", "", "");
-            SpooledResult.Reader reader = result.read(() -> { });
+            SpooledResult.Reader reader = result.read(() -> {});
             append(result, new byte[100], true);
             result.breakOff();
             assertEquals(reader.ahead(), Ahead.MORE);
--- a/src/test/java/lineward/spool/store/SegmentTest.java
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -125,9 +125,12 @@
 
     @DataProvider
     public Object[][] foreign() {
-        return new Object[][] {{new byte[0], "cut"}, {new byte[100], "no segment"},
+        return new Object[][] {
+            {new byte[0], "cut"},
+            {new byte[100], "no segment"},
             {"#!/bin/sh\necho hello and much more text to fill the head".getBytes(), "no segment"},
-            {SegmentFormat.head(1).putInt(8, 9).array(), "its version is 9"}};
+            {SegmentFormat.head(1).putInt(8, 9).array(), "its version is 9"}
+        };
     }
 
     @Test(dataProvider = "foreign")
@@ -136,7 +139,8 @@
         Files.write(file, bytes);
         SpoolFolder.Recovered seen = SpoolFolder.look(folder);
         assertEquals(seen.whole().size(), 0);
-        assertTrue(seen.dropped().get(0).why().contains(why), seen.dropped().get(0).why());
+        assertTrue(
+                seen.dropped().get(0).why().contains(why), seen.dropped().get(0).why());
     }
 
     @Test
@@ -146,7 +150,9 @@
         partial.create(1);
         partial.append(new byte[100], 0, 1);
         Files.writeString(folder.resolve("notes.txt"), "not ours");
-        Files.write(folder.resolve("later" + SpoolFolder.ENDING), SegmentFormat.head(1).putInt(8, 2).array());
+        Files.write(
+                folder.resolve("later" + SpoolFolder.ENDING),
+                SegmentFormat.head(1).putInt(8, 2).array());
         try (SpoolFolder held = SpoolFolder.take(folder)) {
             SpoolFolder.Recovered seen = held.recover();
             assertEquals(seen.whole().size(), 1);
@@ -185,8 +191,10 @@
         Path two = write("two", blocks(new Random(5), 2));
         Segment.Found found = Segment.open(one);
         Files.move(two, one, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-        assertThrows(IOException.class, () -> found.segment().read(found.blocks().get(1)));
+        assertThrows(
+                IOException.class, () -> found.segment().read(found.blocks().get(1)));
         Files.delete(one);
-        assertThrows(IOException.class, () -> found.segment().read(found.blocks().get(0)));
+        assertThrows(
+                IOException.class, () -> found.segment().read(found.blocks().get(0)));
     }
 }
--- a/src/test/java/lineward/telemetry/TelemetryTest.java
+++ b/src/test/java/lineward/telemetry/TelemetryTest.java
@@ -26,18 +26,19 @@
     private final List<String> metrics = new CopyOnWriteArrayList<>();
 
     private HttpServer collector(CountDownLatch holdUntil) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0),
-                0);
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
         server.setExecutor(Executors.newCachedThreadPool());
         server.createContext("/v1/traces", exchange -> {
-            ExportTraceServiceRequest.parseFrom(exchange.getRequestBody()).getResourceSpansList().forEach(
-                    r -> r.getScopeSpansList().forEach(s -> spans.addAll(s.getSpansList())));
+            ExportTraceServiceRequest.parseFrom(exchange.getRequestBody())
+                    .getResourceSpansList()
+                    .forEach(r -> r.getScopeSpansList().forEach(s -> spans.addAll(s.getSpansList())));
             awaitQuietly(holdUntil);
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
         });
         server.createContext("/v1/metrics", exchange -> {
-            metrics.add(ExportMetricsServiceRequest.parseFrom(exchange.getRequestBody()).toString());
+            metrics.add(ExportMetricsServiceRequest.parseFrom(exchange.getRequestBody())
+                    .toString());
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
         });
@@ -54,14 +55,25 @@
     }
 
     private static Map<String, String> variables(HttpServer collector) {
-        return Map.of("OTEL_EXPORTER_OTLP_ENDPOINT", "http://127.0.0.1:" + collector.getAddress().getPort(),
-                "OTEL_BSP_SCHEDULE_DELAY", "50", "OTEL_METRIC_EXPORT_INTERVAL", "200",
-                "OTEL_BSP_MAX_QUEUE_SIZE", "8", "OTEL_BSP_MAX_EXPORT_BATCH_SIZE", "8");
+        return Map.of(
+                "OTEL_EXPORTER_OTLP_ENDPOINT",
+                "http://127.0.0.1:" + collector.getAddress().getPort(),
+                "OTEL_BSP_SCHEDULE_DELAY",
+                "50",
+                "OTEL_METRIC_EXPORT_INTERVAL",
+                "200",
+                "OTEL_BSP_MAX_QUEUE_SIZE",
+                "8",
+                "OTEL_BSP_MAX_EXPORT_BATCH_SIZE",
+                "8");
     }
 
     private static String outcome(Span span) {
-        return span.getAttributesList().stream().filter(a -> a.getKey().equals("lineward.outcome"))
-                .map(a -> a.getValue().getStringValue()).findFirst().orElse("");
+        return span.getAttributesList().stream()
+                .filter(a -> a.getKey().equals("lineward.outcome"))
+                .map(a -> a.getValue().getStringValue())
+                .findFirst()
+                .orElse("");
     }
 
     @Test
@@ -73,15 +85,23 @@
         try (Platform platform = new Platform(variables(collector))) {
             platform.exercise(1);
             Program.await("three spans", () -> spans.size() >= 3);
-            Span attempt = spans.stream().filter(s -> s.getName().equals("attempt")).findFirst()
+            Span attempt = spans.stream()
+                    .filter(s -> s.getName().equals("attempt"))
+                    .findFirst()
+                    .orElseThrow();
+            Span request = spans.stream()
+                    .filter(s -> s.getSpanId().equals(attempt.getParentSpanId()))
+                    .findFirst()
                     .orElseThrow();
-            Span request = spans.stream().filter(s -> s.getSpanId().equals(attempt.getParentSpanId()))
-                    .findFirst().orElseThrow();
             assertEquals(outcome(attempt), "ok");
             assertEquals(outcome(request), "served");
-            Program.await("the refusal", () -> spans.stream().anyMatch(s -> outcome(s).equals("refused")));
-            Program.await("counts by class and outcome", () -> metrics.stream().anyMatch(
-                    m -> m.contains("lineward.requests") && m.contains("look") && m.contains("refused")));
+            Program.await(
+                    "the refusal", () -> spans.stream().anyMatch(s -> outcome(s).equals("refused")));
+            Program.await(
+                    "counts by class and outcome",
+                    () -> metrics.stream()
+                            .anyMatch(m ->
+                                    m.contains("lineward.requests") && m.contains("look") && m.contains("refused")));
         } finally {
             collector.stop(0);
         }
--- a/src/test/java/lineward/thrift/ClientGoneTest.java
+++ b/src/test/java/lineward/thrift/ClientGoneTest.java
@@ -21,7 +21,11 @@
     private static final int MOST_OPEN = 32;
 
     /** How it goes. */
-    private enum Going { FIN, RESET, ABORT }
+    private enum Going {
+        FIN,
+        RESET,
+        ABORT
+    }
 
     private Platform platform;
 
@@ -62,7 +66,9 @@
     }
 
     private List<String> ids() {
-        return List.of(platform.one, platform.two).stream().flatMap(e -> e.ids().stream()).toList();
+        return List.of(platform.one, platform.two).stream()
+                .flatMap(e -> e.ids().stream())
+                .toList();
     }
 
     @Test(dataProvider = "goings")
@@ -82,7 +88,8 @@
     @Test(dataProvider = "goings")
     public void whileTheEnginesConnectionIsComingUp(Going how) throws IOException {
         platform = new Platform(Platform::patient);
-        try (LateListener late = new LateListener(); StandInCaller client = platform.caller()) {
+        try (LateListener late = new LateListener();
+                StandInCaller client = platform.caller()) {
             platform.journal.tell(true, "s-9", "" + late.port(), "ready");
             platform.awaitTold();
             int seqid = client.send(StandInCaller.fields(9000), "select 1");
@@ -112,8 +119,8 @@
             Program.await("its attempt has ended", () -> open() == 1 && runningAnswered());
             go(client, seqid, how);
             platform.both(Mode.SERVE);
-            platform.one.atWant = () -> { };
-            platform.two.atWant = () -> { };
+            platform.one.atWant = () -> {};
+            platform.two.atWant = () -> {};
             platform.tellBoth("ready");
             assertEquals(ids().size(), 1);
             String next = servedNow();
