--- a/src/test/java/lineward/thrift/EngineConnectionTest.java
+++ b/src/test/java/lineward/thrift/EngineConnectionTest.java
@@ -30,10 +30,21 @@
     /** Each end of an attempt, and whether it proves that nothing ran. */
     @DataProvider
     public Object[][] ends() {
-        return new Object[][] {{Mode.SHED, true}, {Mode.LATE, true}, {Mode.FAULT, false}, {Mode.RESET, false},
-            {Mode.CLOSE, false}, {Mode.RESET_AMID, false}, {Mode.GARBAGE, false}, {Mode.NOISE, false},
-            {Mode.NO_TOTAL, false}, {Mode.SHORT, false}, {Mode.ENDLESS, false}, {Mode.LOSE_PAGES, false},
-            {Mode.DEAD, false}};
+        return new Object[][] {
+            {Mode.SHED, true},
+            {Mode.LATE, true},
+            {Mode.FAULT, false},
+            {Mode.RESET, false},
+            {Mode.CLOSE, false},
+            {Mode.RESET_AMID, false},
+            {Mode.GARBAGE, false},
+            {Mode.NOISE, false},
+            {Mode.NO_TOTAL, false},
+            {Mode.SHORT, false},
+            {Mode.ENDLESS, false},
+            {Mode.LOSE_PAGES, false},
+            {Mode.DEAD, false}
+        };
     }
 
     /** What is unsafe to repeat goes out again only where it surely never ran; else it has failed. */
@@ -60,7 +71,7 @@
         platform.tellOnly("s-1", platform.one);
         platform.one.mode = mode;
         platform.one.atWant = () -> {
-            platform.one.atWant = () -> { };
+            platform.one.atWant = () -> {};
             platform.journal.tell(false, platform.engines(2, 2, "ready"));
             platform.awaitTold();
         };
@@ -95,8 +106,9 @@
             int seqid = caller.send(StandInCaller.fields(2000), "select 1");
             Program.await("it runs", () -> platform.wants() == 1);
             caller.abort(seqid);
-            Program.await("the engine is told", () -> platform.one.count("never_mind")
-                    + platform.two.count("never_mind") == 1);
+            Program.await(
+                    "the engine is told",
+                    () -> platform.one.count("never_mind") + platform.two.count("never_mind") == 1);
             platform.both(Mode.SERVE);
             assertEquals(caller.call(StandInCaller.fields(2000), "select 2").body(), ROWS);
             assertEquals(platform.wants(), 2);
@@ -119,18 +131,17 @@
     @Test(dataProvider = "leavings")
     public void whatWaitsForALateConnectionMovesOnceItsEngineLeaves(String state) throws IOException {
         platform = new Platform(Platform::patient);
-        try (LateListener late = new LateListener(); StandInCaller caller = platform.caller()) {
+        try (LateListener late = new LateListener();
+                StandInCaller caller = platform.caller()) {
             platform.journal.tell(true, "s-9", "" + late.port(), "ready");
             platform.awaitTold();
             caller.send(StandInCaller.fields(9000), "select 1");
             late.awaitConnecting();
-            platform.journal.tell(false, "s-9", "" + late.port(), state, "s-2", "" + platform.two.port(),
-                    "ready");
+            platform.journal.tell(false, "s-9", "" + late.port(), state, "s-2", "" + platform.two.port(), "ready");
             assertEquals(caller.read().body(), ROWS, "served by the other");
             assertEquals(platform.two.count("want"), 1);
             StandInLines engine = late.open();
-            platform.journal.tell(false, "s-2", "" + platform.two.port(), "gone", "s-10", "" + late.port(),
-                    "ready");
+            platform.journal.tell(false, "s-2", "" + platform.two.port(), "gone", "s-10", "" + late.port(), "ready");
             platform.awaitTold();
             Map<String, String> fields = StandInCaller.fields(9000);
             assertEquals(caller.call(fields, "select 2").body(), ROWS);
@@ -142,13 +153,15 @@
     @Test
     public void aLateConnectionIsNoFaultOfItsEngine() throws IOException {
         platform = new Platform(Map.of());
-        try (LateListener late = new LateListener(); StandInCaller caller = platform.caller()) {
-            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", "" + platform.two.port(),
-                    "ready");
+        try (LateListener late = new LateListener();
+                StandInCaller caller = platform.caller()) {
+            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", "" + platform.two.port(), "ready");
             platform.awaitTold();
             Program.await("a connection is tried", () -> {
                 try {
-                    return caller.call(StandInCaller.fields(2400), "select 1").body().equals(ROWS)
+                    return caller.call(StandInCaller.fields(2400), "select 1")
+                                    .body()
+                                    .equals(ROWS)
                             && late.isConnecting();
                 } catch (IOException e) {
                     throw new AssertionError(e);
@@ -157,7 +170,9 @@
             StandInLines engine = late.open();
             Program.await("the engine serves", () -> {
                 try {
-                    return caller.call(StandInCaller.fields(2400), "select 1").body().equals(ROWS)
+                    return caller.call(StandInCaller.fields(2400), "select 1")
+                                    .body()
+                                    .equals(ROWS)
                             && engine.count("want") > 0;
                 } catch (IOException e) {
                     throw new AssertionError(e);
@@ -171,13 +186,15 @@
     @Test
     public void connectionsThatAreAllLateMakeTheEngineSuspected() throws IOException {
         platform = new Platform(Map.of());
-        try (LateListener late = new LateListener(); StandInCaller caller = platform.caller()) {
-            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", "" + platform.two.port(),
-                    "ready");
+        try (LateListener late = new LateListener();
+                StandInCaller caller = platform.caller()) {
+            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", "" + platform.two.port(), "ready");
             platform.awaitTold();
             Program.await("it is suspected", () -> {
                 try {
-                    return caller.call(StandInCaller.fields(2400), "select 1").body().equals(ROWS)
+                    return caller.call(StandInCaller.fields(2400), "select 1")
+                                    .body()
+                                    .equals(ROWS)
                             && logged().contains("suspected: refuses connections");
                 } catch (IOException e) {
                     throw new AssertionError(e);
--- a/src/test/java/lineward/thrift/FiguresTest.java
+++ b/src/test/java/lineward/thrift/FiguresTest.java
@@ -19,20 +19,26 @@
         Operator.Answer answer = new Operator(program).get("/ops/stats");
         assertEquals(answer.status(), 200);
         Map<String, Integer> all = new TreeMap<>();
-        answer.body().lines().filter(line -> !line.startsWith("#")).forEach(line -> all.put(
-                line.substring(0, line.lastIndexOf(' ')),
-                Integer.valueOf(line.substring(line.lastIndexOf(' ') + 1))));
+        answer.body()
+                .lines()
+                .filter(line -> !line.startsWith("#"))
+                .forEach(line -> all.put(
+                        line.substring(0, line.lastIndexOf(' ')),
+                        Integer.valueOf(line.substring(line.lastIndexOf(' ') + 1))));
         return all;
     }
 
     @Test
     public void theyAgreeWithWhatThePeersSaw() throws IOException {
-        try (Platform platform = new Platform(Map.of()); StandInCaller caller = platform.caller()) {
+        try (Platform platform = new Platform(Map.of());
+                StandInCaller caller = platform.caller()) {
             int[] answers = new int[3];
             Mode[] modes = {Mode.SERVE, Mode.FAULT, Mode.SHED, Mode.RESET, Mode.SERVE};
             for (int i = 0; i < 100; i++) {
                 platform.one.mode = modes[i / 20];
-                answers[caller.call(StandInCaller.fields(i % 10 == 0 ? 30 : 2000), "select 1").field()]++;
+                answers[
+                        caller.call(StandInCaller.fields(i % 10 == 0 ? 30 : 2000), "select 1")
+                                .field()]++;
             }
             Map<String, String> unusable = StandInCaller.fields(1000);
             unusable.put("org", "nobody");
@@ -53,7 +59,8 @@
 
     @Test
     public void whatIsOpenAndWhoIsAvoidedShows() throws IOException {
-        try (Platform platform = new Platform(Map.of()); StandInCaller caller = platform.caller()) {
+        try (Platform platform = new Platform(Map.of());
+                StandInCaller caller = platform.caller()) {
             platform.both(Mode.SILENT);
             for (int i = 0; i < 3; i++) {
                 caller.send(StandInCaller.fields(2000), "select 1");
@@ -74,8 +81,7 @@
             Program.await("it has left the list", () -> {
                 try {
                     Map<String, Integer> seen = figures(platform.program);
-                    return seen.get("edge_relay_registry_entries") == 1
-                            && seen.get("edge_relay_out_of_rotation") == 0;
+                    return seen.get("edge_relay_registry_entries") == 1 && seen.get("edge_relay_out_of_rotation") == 0;
                 } catch (IOException e) {
                     throw new AssertionError(e);
                 }
--- a/src/test/java/lineward/thrift/FloodTest.java
+++ b/src/test/java/lineward/thrift/FloodTest.java
@@ -22,6 +22,7 @@
     private static final int SOCKETS = 256;
     /** What clients and engines may take of the descriptors; the rest is the program's own. */
     private static final int MOST_PERCENT = 85;
+
     private static final String LIMITS = "-Xmx64m -Xss512k -XX:MaxMetaspaceSize=48m";
     private static final int MEMORY_MB = 192;
 
@@ -69,7 +70,8 @@
             for (int i = 0; i < 2 * SOCKETS; i++) {
                 StandInCaller resting = platform.caller();
                 crowd.add(resting.socket);
-                assertEquals(resting.call(StandInCaller.fields(2000), "select 1").field(), SERVED);
+                assertEquals(
+                        resting.call(StandInCaller.fields(2000), "select 1").field(), SERVED);
                 int now = platform.program.descriptors();
                 assertTrue(now <= most, now + " descriptors");
             }
--- a/src/test/java/lineward/thrift/LargeFleetTest.java
+++ b/src/test/java/lineward/thrift/LargeFleetTest.java
@@ -23,8 +23,8 @@
     /** Far more engines than connections allowed: those that rest make room for those that are wanted. */
     @Test(dataProvider = "fleets")
     public void aLongListIsTakenServedAndFollowed(int fronts, int engines) throws Exception {
-        try (Platform platform = new Platform(Map.of("JAVA_TOOL_OPTIONS", LIMITS), null, fronts, engines,
-                SOCKETS); StandInCaller caller = platform.caller();
+        try (Platform platform = new Platform(Map.of("JAVA_TOOL_OPTIONS", LIMITS), null, fronts, engines, SOCKETS);
+                StandInCaller caller = platform.caller();
                 StandInJournal next = new StandInJournal()) {
             Program program = platform.program;
             for (int i = 1; i <= 2 * SOCKETS; i++) {
@@ -37,10 +37,13 @@
             platform.journal.tell(false, platform.engines(1, engines / 2, "gone"));
             awaitEngines(program, engines - engines / 2);
             for (int i = engines / 2 + 1; i <= engines; i++) {
-                assertEquals(new Operator(program).post("/ops/query-engines/down", "s-" + i).status(), 200);
+                assertEquals(
+                        new Operator(program)
+                                .post("/ops/query-engines/down", "s-" + i)
+                                .status(),
+                        200);
             }
-            assertEquals((int) FiguresTest.figures(program).get("edge_relay_out_of_rotation"),
-                    engines - engines / 2);
+            assertEquals((int) FiguresTest.figures(program).get("edge_relay_out_of_rotation"), engines - engines / 2);
             next.tell(true);
             next.tell(true);
             next.tell(true, platform.engines(engines + 1, 2 * engines, "ready"));
--- a/src/test/java/lineward/thrift/LateListener.java
+++ b/src/test/java/lineward/thrift/LateListener.java
@@ -48,8 +48,10 @@
     boolean isConnecting() {
         String end = String.format(":%04X %s", port(), SYN_SENT);
         try {
-            return Stream.concat(Files.readAllLines(Path.of("/proc/net/tcp")).stream(),
-                    Files.readAllLines(Path.of("/proc/net/tcp6")).stream()).anyMatch(l -> l.contains(end));
+            return Stream.concat(
+                            Files.readAllLines(Path.of("/proc/net/tcp")).stream(),
+                            Files.readAllLines(Path.of("/proc/net/tcp6")).stream())
+                    .anyMatch(l -> l.contains(end));
         } catch (IOException e) {
             throw new AssertionError(e);
         }
--- a/src/test/java/lineward/thrift/ListWatchTest.java
+++ b/src/test/java/lineward/thrift/ListWatchTest.java
@@ -72,7 +72,8 @@
     /** The list of the start is enough to be ready and to serve; what is new is heard once it can be. */
     @Test(dataProvider = "starts")
     public void aStartNeedsNoJournal(String state) throws IOException {
-        try (Platform platform = new Platform(Map.of()); StandInJournal other = new StandInJournal()) {
+        try (Platform platform = new Platform(Map.of());
+                StandInJournal other = new StandInJournal()) {
             other.tell(true, platform.engines(1, 2, "ready"));
             other.broken = state.equals("broken");
             other.silent = state.equals("silent");
@@ -81,7 +82,8 @@
                 other.stop();
             }
             long start = System.nanoTime();
-            try (Program again = platform.another(); StandInCaller caller = new StandInCaller(again.port())) {
+            try (Program again = platform.another();
+                    StandInCaller caller = new StandInCaller(again.port())) {
                 assertTrue(caller.simple("ping").good());
                 assertEquals(caller.call(StandInCaller.fields(2000), "select 1").field(), SERVED);
                 assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(10), "ready in time");
--- a/src/test/java/lineward/thrift/MaintenanceTest.java
+++ b/src/test/java/lineward/thrift/MaintenanceTest.java
@@ -60,7 +60,8 @@
 
     @Test
     public void eitherProcessOfAnUpgradeMayBeTold() throws IOException {
-        try (SocketHolder holder = new SocketHolder(); Platform platform = new Platform(Map.of(), holder)) {
+        try (SocketHolder holder = new SocketHolder();
+                Platform platform = new Platform(Map.of(), holder)) {
             Operator old = new Operator(platform.program);
             Program.await("it is ready", old::isReady);
             assertEquals(old.post(DOWN, "s-1").status(), 200);
@@ -70,8 +71,10 @@
                 assertTrue(next.log().contains("s-1 is held out"), next.log());
                 assertEquals(operator.post(DOWN, "s-2").status(), 200);
                 assertEquals(operator.post(UP, "s-1").status(), 200);
-                Program.await("the old one has read it", () -> platform.program.log().contains("s-2 is held")
-                        && platform.program.log().contains("s-1 is used again"));
+                Program.await(
+                        "the old one has read it",
+                        () -> platform.program.log().contains("s-2 is held")
+                                && platform.program.log().contains("s-1 is used again"));
                 platform.program.terminate();
                 Program.await("the old one ends", () -> !platform.program.isAlive());
                 serve(platform, 20);
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -54,8 +54,14 @@
     }
 
     /** @param engines on the list: s-1, s-2 and so on, by turns the one stand-in and the other */
-    private Platform(Map<String, String> environment, SocketHolder holder, int fronts, int engines,
-            int sockets, UnaryOperator<String> change) throws IOException {
+    private Platform(
+            Map<String, String> environment,
+            SocketHolder holder,
+            int fronts,
+            int engines,
+            int sockets,
+            UnaryOperator<String> change)
+            throws IOException {
         this.holder = holder;
         this.sockets = sockets;
         this.settings = change.apply(SETTINGS.replace("\"peers-total\":2", "\"peers-total\":" + fronts));
@@ -70,8 +76,10 @@
 
     /** @return the journal's words on engines that they all are in that state */
     String[] engines(int first, int last, String state) {
-        return IntStream.rangeClosed(first, last).boxed().flatMap(i -> Stream.of("s-" + i,
-                "" + (i % 2 == 1 ? one : two).port(), state)).toArray(String[]::new);
+        return IntStream.rangeClosed(first, last)
+                .boxed()
+                .flatMap(i -> Stream.of("s-" + i, "" + (i % 2 == 1 ? one : two).port(), state))
+                .toArray(String[]::new);
     }
 
     /** Starts the program anew on the same socket. */
@@ -88,9 +96,11 @@
 
     /** Settings with a class "load" beside, which must not run twice. */
     static String unsafe(String settings) {
-        return settings.replace("\"classes\":[", "\"classes\":[{\"name\":\"load\",\"aim\":2000,"
-                + "\"aim-stretch\":2,\"deadline\":4000,\"value\":3,\"effect\":\"fragile\","
-                + "\"late-share\":0.5},")
+        return settings.replace(
+                        "\"classes\":[",
+                        "\"classes\":[{\"name\":\"load\",\"aim\":2000,"
+                                + "\"aim-stretch\":2,\"deadline\":4000,\"value\":3,\"effect\":\"fragile\","
+                                + "\"late-share\":0.5},")
                 .replace("\"threads-by-class\":[1]", "\"threads-by-class\":[1,1]");
     }
 
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -28,10 +28,21 @@
     private static final int SERVED = 0;
     private static final int REFUSED = 1;
     private static final int FAILED = 2;
-    private static final String[][] UNUSABLE = {{"op", "unknown"}, {"call", "short"},
-        {"call", "zzzzzzzzzzzzzzzz"}, {"ttl", "0"}, {"ttl", "soon"}, {"org", "nobody"}, {"work", "-1"},
-        {"mem", "1e9"}, {"rep", "yes"}, {"ttl", "99999999"}, {"work", "99999999999"}, {"work", "NaN"},
-        {"mem", "99999999"}};
+    private static final String[][] UNUSABLE = {
+        {"op", "unknown"},
+        {"call", "short"},
+        {"call", "zzzzzzzzzzzzzzzz"},
+        {"ttl", "0"},
+        {"ttl", "soon"},
+        {"org", "nobody"},
+        {"work", "-1"},
+        {"mem", "1e9"},
+        {"rep", "yes"},
+        {"ttl", "99999999"},
+        {"work", "99999999999"},
+        {"work", "NaN"},
+        {"mem", "99999999"}
+    };
     private Platform platform;
 
     @BeforeMethod
@@ -83,8 +94,17 @@
 
     @DataProvider
     public Object[][] troubles() {
-        return new Object[][] {{Mode.FAULT}, {Mode.SHED}, {Mode.RESET}, {Mode.GARBAGE}, {Mode.LOSE_PAGES},
-            {Mode.NOISE}, {Mode.NO_TOTAL}, {Mode.DEAD}, {Mode.SHORT}};
+        return new Object[][] {
+            {Mode.FAULT},
+            {Mode.SHED},
+            {Mode.RESET},
+            {Mode.GARBAGE},
+            {Mode.LOSE_PAGES},
+            {Mode.NOISE},
+            {Mode.NO_TOTAL},
+            {Mode.DEAD},
+            {Mode.SHORT}
+        };
     }
 
     @Test(dataProvider = "troubles")
@@ -113,8 +133,7 @@
         platform.both(Mode.SILENT);
         caller.send(StandInCaller.fields(2400), "select 1");
         caller.send(StandInCaller.fields(2400), "select 1");
-        Program.await("one runs at each", () -> platform.one.count("want") == 1
-                && platform.two.count("want") == 1);
+        Program.await("one runs at each", () -> platform.one.count("want") == 1 && platform.two.count("want") == 1);
     }
 
     private static void serveAtOnce(StandInCaller caller, int many) throws IOException {
@@ -128,7 +147,8 @@
 
     @Test
     public void anUnreadableReplyFailsNoRunOnAnotherConnection() throws IOException {
-        try (StandInCaller open = platform.caller(); StandInCaller caller = platform.caller()) {
+        try (StandInCaller open = platform.caller();
+                StandInCaller caller = platform.caller()) {
             holdOneAtEach(open);
             platform.two.mode = Mode.SERVE;
             platform.one.mode = Mode.GARBAGE_ONCE;
@@ -141,7 +161,8 @@
 
     @Test
     public void connectionsThatBreakWhileOthersStandMakeNoEngineSuspected() throws IOException {
-        try (StandInCaller open = platform.caller(); StandInCaller caller = platform.caller()) {
+        try (StandInCaller open = platform.caller();
+                StandInCaller caller = platform.caller()) {
             holdOneAtEach(open);
             platform.both(Mode.SERVE);
             platform.one.resets.set(3);
@@ -197,8 +218,8 @@
             int seqid = caller.send(StandInCaller.fields(2000), "select 1");
             Program.await("it runs", () -> wants() == 1);
             caller.abort(seqid);
-            Program.await("the engine hears", () -> platform.one.count("never_mind")
-                    + platform.two.count("never_mind") == 1);
+            Program.await(
+                    "the engine hears", () -> platform.one.count("never_mind") + platform.two.count("never_mind") == 1);
             assertEquals(caller.simple("ping").seqid(), seqid + 2, "nothing came but the ping's answer");
         }
     }
@@ -210,8 +231,8 @@
             caller.send(StandInCaller.fields(2000), "select 1");
             Program.await("it runs", () -> wants() == 1);
         }
-        Program.await("the engine hears", () -> platform.one.count("never_mind")
-                + platform.two.count("never_mind") == 1);
+        Program.await(
+                "the engine hears", () -> platform.one.count("never_mind") + platform.two.count("never_mind") == 1);
     }
 
     @Test
@@ -239,8 +260,17 @@
             int port = platform.one.port();
             platform.one.close();
             try (StandInLines next = new StandInLines(port)) {
-                platform.journal.tell(false, "s-1", "" + port, "gone", "s-2", "" + platform.two.port(),
-                        "gone", "s-9", "" + port, "ready");
+                platform.journal.tell(
+                        false,
+                        "s-1",
+                        "" + port,
+                        "gone",
+                        "s-2",
+                        "" + platform.two.port(),
+                        "gone",
+                        "s-9",
+                        "" + port,
+                        "ready");
                 platform.journal.broken = false;
                 long before = platform.two.count("want");
                 Program.await("the new engine serves", () -> {
@@ -256,14 +286,13 @@
     }
 
     @Test
-    public void sighupMovesTheJournalAndAnUnusableFileChangesNothing()
-            throws IOException, InterruptedException {
+    public void sighupMovesTheJournalAndAnUnusableFileChangesNothing() throws IOException, InterruptedException {
         platform.configure("{");
         platform.program.hangUp();
         Program.await("its line", () -> platform.program.log().contains("stays as it was"));
-        try (StandInJournal next = new StandInJournal(); StandInCaller caller = platform.caller()) {
-            next.tell(true, "s-1", "" + platform.one.port(), "ready", "s-2", "" + platform.two.port(),
-                    "ready");
+        try (StandInJournal next = new StandInJournal();
+                StandInCaller caller = platform.caller()) {
+            next.tell(true, "s-1", "" + platform.one.port(), "ready", "s-2", "" + platform.two.port(), "ready");
             platform.configure(next);
             platform.program.hangUp();
             platform.program.hangUp();
@@ -314,7 +343,7 @@
     /** What bad clients send: none of it may be served, or be left without a word for long. */
     @DataProvider
     public Object[][] badClients() {
-        Bad silent = caller -> { };
+        Bad silent = caller -> {};
         Bad half = caller -> caller.raw(new byte[] {0, 0, 1, 0, 1});
         Bad huge = caller -> caller.raw(new byte[] {3, -128, 0, 0, 1});
         Bad negative = caller -> caller.raw(new byte[] {-1, -1, -1, -1});
@@ -350,7 +379,8 @@
     @Test
     public void theIdOfAnOpenRequestIsNotRunAgain() throws IOException {
         platform.both(Mode.SILENT);
-        try (StandInCaller first = platform.caller(); StandInCaller second = platform.caller()) {
+        try (StandInCaller first = platform.caller();
+                StandInCaller second = platform.caller()) {
             Map<String, String> fields = StandInCaller.fields(2000);
             first.send(fields, "select 1");
             Program.await("it runs", () -> wants() == 1);
@@ -381,7 +411,8 @@
     @Test
     public void whoStillWaitsWhenTheProgramIsAboutToBeKilledHears() throws IOException, InterruptedException {
         platform.both(Mode.SILENT);
-        try (StandInCaller caller = platform.caller(); StandInCaller resting = platform.caller()) {
+        try (StandInCaller caller = platform.caller();
+                StandInCaller resting = platform.caller()) {
             assertTrue(resting.simple("ping").good());
             caller.send(StandInCaller.fields(9000), "select 1");
             Program.await("it runs", () -> wants() == 1);
@@ -394,8 +425,7 @@
     }
 
     @Test
-    public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell()
-            throws IOException, InterruptedException {
+    public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell() throws IOException, InterruptedException {
         try (StandInCaller open = platform.caller()) {
             assertTrue(open.simple("ping").good());
             platform.program.terminate();
--- a/src/test/java/lineward/thrift/ShutdownTest.java
+++ b/src/test/java/lineward/thrift/ShutdownTest.java
@@ -112,8 +112,7 @@
             long drains = System.nanoTime();
             platform.program.signal("STOP");
             caller.send(StandInCaller.fields(5000), "select 1");
-            Program.await("its close is due", () -> System.nanoTime() - drains
-                    > TimeUnit.MILLISECONDS.toNanos(1550));
+            Program.await("its close is due", () -> System.nanoTime() - drains > TimeUnit.MILLISECONDS.toNanos(1550));
             platform.program.signal("CONT");
             assertEquals(caller.read().field(), SERVED);
         }
@@ -122,7 +121,8 @@
     @Test
     public void aRequestBehindTheShutdownIsNotSentOn() throws IOException {
         Operator operator = new Operator(platform.program);
-        try (StandInCaller caller = platform.caller(); StandInCaller other = platform.caller()) {
+        try (StandInCaller caller = platform.caller();
+                StandInCaller other = platform.caller()) {
             assertTrue(caller.simple("ping").good());
             assertEquals(operator.post("/ops/drain/start", "").status(), 200);
             assertThrows(EOFException.class, caller::read);
--- a/src/test/java/lineward/thrift/StandInCaller.java
+++ b/src/test/java/lineward/thrift/StandInCaller.java
@@ -17,7 +17,7 @@
 /** A small client of the platform's service. */
 final class StandInCaller implements AutoCloseable {
     /** An answer: the message's kind, which field of the result was set, what stood in it. */
-    record Answer(int seqid, int kind, int field, String body, Map<String, String> fields, boolean good) { }
+    record Answer(int seqid, int kind, int field, String body, Map<String, String> fields, boolean good) {}
 
     private static final AtomicLong IDS = new AtomicLong(0xabcd_0000_0000L);
     final Socket socket;
@@ -48,8 +48,7 @@
 
     /** The fields of a request that can be used. */
     static Map<String, String> fields(int ttl) {
-        return new LinkedHashMap<>(Map.of("op", "look", "call", newId(), "ttl", Integer.toString(ttl),
-                "org", "west"));
+        return new LinkedHashMap<>(Map.of("op", "look", "call", newId(), "ttl", Integer.toString(ttl), "org", "west"));
     }
 
     /** The next request gets this number. */
@@ -74,7 +73,9 @@
     }
 
     private static byte[] framed(byte[] message) {
-        return ByteBuffer.allocate(Integer.BYTES + message.length).putInt(message.length).put(message)
+        return ByteBuffer.allocate(Integer.BYTES + message.length)
+                .putInt(message.length)
+                .put(message)
                 .array();
     }
 
--- a/src/test/java/lineward/thrift/StandInJournal.java
+++ b/src/test/java/lineward/thrift/StandInJournal.java
@@ -18,6 +18,7 @@
     volatile boolean broken;
     /** Polls that come are never answered, nor is their connection closed. */
     volatile boolean silent;
+
     private volatile int polls;
     private volatile int told;
 
@@ -55,10 +56,14 @@
     synchronized void tell(boolean whole, String... instances) {
         StringBuilder list = new StringBuilder();
         for (int i = 0; i < instances.length; i += 3) {
-            list.append(i == 0 ? "" : ",").append("{\"instanceId\":\"").append(instances[i])
-                    .append("\",\"hostPort\":\"127.0.0.1:").append(instances[i + 1])
+            list.append(i == 0 ? "" : ",")
+                    .append("{\"instanceId\":\"")
+                    .append(instances[i])
+                    .append("\",\"hostPort\":\"127.0.0.1:")
+                    .append(instances[i + 1])
                     .append("\",\"zone\":\"east\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\"")
-                    .append(instances[i + 2]).append("\",\"weight\":1,\"startedAtMs\":0}");
+                    .append(instances[i + 2])
+                    .append("\",\"weight\":1,\"startedAtMs\":0}");
         }
         events.add("{\"pos\":" + (events.size() + 1) + ",\"hosts\":{\"generation\":1,\"reset\":" + whole
                 + ",\"instances\":[" + list + "]}}");
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -21,25 +21,50 @@
 /** A small engine of the line protocol. What it does with a request is set by its mode. */
 final class StandInLines implements AutoCloseable {
     /** What it does with what it is sent. */
-    enum Mode { SERVE, SILENT, FAULT, SHED, RESET, GARBAGE, GARBAGE_ONCE, LOSE_PAGES, DEAD, COPIES, NOISE,
-        NO_TOTAL, SHORT, RESET_SOME, NOTES, LARGE, LATE, RESET_AMID, CLOSE, SHED_TWICE, ENDLESS, CROSS }
+    enum Mode {
+        SERVE,
+        SILENT,
+        FAULT,
+        SHED,
+        RESET,
+        GARBAGE,
+        GARBAGE_ONCE,
+        LOSE_PAGES,
+        DEAD,
+        COPIES,
+        NOISE,
+        NO_TOTAL,
+        SHORT,
+        RESET_SOME,
+        NOTES,
+        LARGE,
+        LATE,
+        RESET_AMID,
+        CLOSE,
+        SHED_TWICE,
+        ENDLESS,
+        CROSS
+    }
 
     /** Pages of every result. */
     static final List<String> PAGES = List.of("a\tb\tc\n", "d\te\tf\n", "g\th\ti\n");
     /** The longest result that there is. */
     static final int LARGE_PAGES = 8;
+
     private static final String LARGE_PAGE = ("a\tb\t" + "c".repeat(1195) + "\n").repeat(5);
     /** More than any reply may hold. */
     private static final int ENDLESS_BYTES = 200_000;
     /** Requests that run anywhere now, and those that ever ran twice at once. */
     private static final Set<String> RUNNING = ConcurrentHashMap.newKeySet();
+
     static final Set<String> TWICE = ConcurrentHashMap.newKeySet();
 
     final List<String> heard = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private final Thread acceptor;
     /** Runs when a request has come, before anything is said. */
-    volatile Runnable atWant = () -> { };
+    volatile Runnable atWant = () -> {};
+
     private final Map<Socket, Set<String>> sockets = new ConcurrentHashMap<>();
     volatile Mode mode = Mode.SERVE;
     /** Requests that have come and to which nothing has been said yet. */
@@ -88,7 +113,9 @@
 
     /** @return the ids of the requests that have come, in their order */
     List<String> ids() {
-        return heard.stream().filter(line -> line.startsWith("want ")).map(line -> line.split(" ")[1])
+        return heard.stream()
+                .filter(line -> line.startsWith("want "))
+                .map(line -> line.split(" ")[1])
                 .toList();
     }
 
@@ -114,7 +141,8 @@
     private void session(Socket socket) {
         Set<String> here = sockets.get(socket);
         boolean dead = false;
-        try (socket; InputStream in = new BufferedInputStream(socket.getInputStream())) {
+        try (socket;
+                InputStream in = new BufferedInputStream(socket.getInputStream())) {
             while (true) {
                 String line = line(in);
                 heard.add(line);
@@ -122,8 +150,7 @@
                 if (words[0].equals("want") && mode == Mode.RESET_AMID) {
                     reset(socket);
                 } else if (words[0].equals("want")) {
-                    String body = new String(in.readNBytes(Integer.parseInt(words[3])),
-                            StandardCharsets.UTF_8);
+                    String body = new String(in.readNBytes(Integer.parseInt(words[3])), StandardCharsets.UTF_8);
                     line(in);
                     heard.add("body " + body);
                     if (!RUNNING.add(words[1])) {
@@ -180,15 +207,14 @@
         }
         ended(id, here);
         switch (now) {
-            case DEAD -> { }
+            case DEAD -> {}
             case COPIES -> {
                 say(socket, "fedcba9876543210 HIT total=1", PAGES.get(0));
                 say(socket, id + " HIT total=" + PAGES.size(), PAGES.get(0));
                 say(socket, id + " HIT total=" + PAGES.size(), PAGES.get(0));
             }
             case NOTES -> {
-                for (String note : new String[] {"n=done,datum=0.5", "n=mood,datum=9", "n=done,datum=7",
-                    "-"}) {
+                for (String note : new String[] {"n=done,datum=0.5", "n=mood,datum=9", "n=done,datum=7", "-"}) {
                     say(socket, id + " INFO " + note, "");
                 }
                 say(socket, "t0 SICK -", "");
@@ -197,8 +223,8 @@
             }
             case NOISE -> say(socket, id + " HIT total=1", "a\tb\u0001\tc\n");
             case NO_TOTAL -> say(socket, id + " HIT -", PAGES.get(0));
-            case SHORT -> socket.getOutputStream().write((id + " HIT total=1 900\r\na\tb").getBytes(
-                    StandardCharsets.US_ASCII));
+            case SHORT ->
+                socket.getOutputStream().write((id + " HIT total=1 900\r\na\tb").getBytes(StandardCharsets.US_ASCII));
             case LARGE -> say(socket, id + " HIT total=" + LARGE_PAGES, LARGE_PAGE);
             case LATE -> say(socket, id + " LATE -", "");
             case CLOSE -> socket.close();
@@ -207,7 +233,7 @@
                 say(socket, id + " SHED -", "");
                 mode = Mode.SERVE;
                 atWant = () -> {
-                    atWant = () -> { };
+                    atWant = () -> {};
                     try {
                         say(socket, id + " SHED -", "");
                     } catch (IOException e) {
--- a/src/test/java/lineward/thrift/ThriftReaderTest.java
+++ b/src/test/java/lineward/thrift/ThriftReaderTest.java
@@ -26,14 +26,19 @@
         assertEquals(read.fields().get("op"), "x");
         assertEquals(read.body().toString(StandardCharsets.UTF_8), "abc");
         assertEquals(ThriftReader.number(hex("08 0001 0000002a 00")), Integer.valueOf(42));
-        assertEquals(ThriftReader.head(hex("80010001 00000001 61 00000005")),
-                new ThriftReader.Head(1, "a", 5));
+        assertEquals(ThriftReader.head(hex("80010001 00000001 61 00000005")), new ThriftReader.Head(1, "a", 5));
     }
 
     @DataProvider
     public Object[][] heads() {
-        return new Object[][] {{""}, {"00000001"}, {"80020001 00000001 61 00000005"},
-            {"80010001 7fffffff 61"}, {"80010001 ffffffff"}, {"80010001 00000004 61"}};
+        return new Object[][] {
+            {""},
+            {"00000001"},
+            {"80020001 00000001 61 00000005"},
+            {"80010001 7fffffff 61"},
+            {"80010001 ffffffff"},
+            {"80010001 00000004 61"}
+        };
     }
 
     @Test(dataProvider = "heads")
@@ -43,10 +48,19 @@
 
     @DataProvider
     public Object[][] arguments() {
-        return new Object[][] {{""}, {"0d 0001 0b 0b 00000001"}, {"0d 0001 0b 0b ffffffff"},
-            {"0d 0001 08 0b 00000001"}, {"0d 0001 0b 0b 7fffffff"}, {"0b 0002 00000009 61"},
+        return new Object[][] {
+            {""},
+            {"0d 0001 0b 0b 00000001"},
+            {"0d 0001 0b 0b ffffffff"},
+            {"0d 0001 08 0b 00000001"},
+            {"0d 0001 0b 0b 7fffffff"},
+            {"0b 0002 00000009 61"},
             {"0b 0002 ffffffff"},
-            {"63 0009"}, {"0f 0009 0b 7fffffff"}, {"0c 0001 ".repeat(64)}, {"0c 0009 08"}};
+            {"63 0009"},
+            {"0f 0009 0b 7fffffff"},
+            {"0c 0001 ".repeat(64)},
+            {"0c 0009 08"}
+        };
     }
 
     @Test(dataProvider = "arguments")
--- a/src/test/java/lineward/thrift/UpgradeTest.java
+++ b/src/test/java/lineward/thrift/UpgradeTest.java
@@ -65,7 +65,8 @@
                 assertTrue(serves(caller), "a new connection is served");
             }
         }
-        assertTrue(FiguresTest.figures(next).get("edge_relay_relayed_total") >= before + 20,
+        assertTrue(
+                FiguresTest.figures(next).get("edge_relay_relayed_total") >= before + 20,
                 "new connections go to the new process");
         Program.await("the old one ends", () -> !platform.program.isAlive());
         assertFalse(platform.program.log().contains("rror"), platform.program.log());
@@ -85,8 +86,7 @@
             open.add(caller.send(StandInCaller.fields(9000), "select 1"));
         }
         Program.await("they run", () -> platform.one.count("want") + platform.two.count("want") >= 5);
-        Program first = FiguresTest.figures(next).get("edge_relay_open_requests") > 0 ? next
-                : platform.program;
+        Program first = FiguresTest.figures(next).get("edge_relay_open_requests") > 0 ? next : platform.program;
         first.terminate();
         int answered = 0;
         try {
--- a/src/test/java/peatwick/BlameTest.java
+++ b/src/test/java/peatwick/BlameTest.java
@@ -10,7 +10,9 @@
 /** Whose fault an error or a reset is: the request's, the connection's or the engine's. */
 public class BlameTest {
     private static long suspicions(Scene s) {
-        return s.all(Front.Log.class).stream().filter(l -> l.text().contains("suspected")).count();
+        return s.all(Front.Log.class).stream()
+                .filter(l -> l.text().contains("suspected"))
+                .count();
     }
 
     @Test
--- a/src/test/java/peatwick/ColdFleetTest.java
+++ b/src/test/java/peatwick/ColdFleetTest.java
@@ -27,10 +27,9 @@
  */
 public class ColdFleetTest {
     private static final List<RequestClass> CLASSES = List.of(
-            new RequestClass(500, 2, 2500, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, null, null, false, false,
-                    1),
-            new RequestClass(3000, 2.5, 15_000, 12, 0.4, Effect.SAFE, Scope.ALL, 0, false, null, null, false,
-                    false, 3));
+            new RequestClass(500, 2, 2500, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, null, null, false, false, 1),
+            new RequestClass(
+                    3000, 2.5, 15_000, 12, 0.4, Effect.SAFE, Scope.ALL, 0, false, null, null, false, false, 3));
     private static final double[] WORK = {100, 3000};
     private static final double REPORTS = 0.15;
     private static final double MEAN = (1 - REPORTS) * WORK[0] + REPORTS * WORK[1];
@@ -38,6 +37,7 @@
     private static final Front.Kind KIND = new Front.Kind(8, 16_000);
     /** Part of the cores at which an engine is at its capacity. */
     private static final double BUSY = 0.85;
+
     private static final double LOAD = 0.85;
     private static final double START = 100_000;
     private static final double HEARD_BY_MS = 4000;
@@ -71,15 +71,15 @@
         }
     }
 
-    private record Due(double at, long turn, Runnable task) { }
+    private record Due(double at, long turn, Runnable task) {}
 
     /** A fleet on one clock. */
     private static final class Fleet {
         private final int fronts;
         private final Front.Rules rules;
         private final Random random;
-        private final PriorityQueue<Due> agenda = new PriorityQueue<>((a, b) -> a.at != b.at
-                ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
+        private final PriorityQueue<Due> agenda =
+                new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
         private final int cold;
         private final int engines;
         private final Map<Long, Budget> budgets = new HashMap<>();
@@ -146,6 +146,7 @@
             private final Map<Long, Integer> attempts = new HashMap<>();
             /** The attempt of each request that is out. */
             private final Map<Long, Integer> out = new HashMap<>();
+
             private Control module;
             private int life;
 
@@ -168,10 +169,26 @@
                 works.clear();
                 attempts.clear();
                 out.clear();
-                Front.Limits limits = new Front.Limits(true, false, false, true, 2000, 6, true, true, 0.4,
-                        Front.WhenShort.PAGE, 0, false);
-                module = new Control(new Front.Settings(CLASSES, List.of(KIND), 1, 0, fronts, ordinal, limits,
-                        rules, List.of(), false, false, 0, false, Scene.FREE, List.of(), 1),
+                Front.Limits limits = new Front.Limits(
+                        true, false, false, true, 2000, 6, true, true, 0.4, Front.WhenShort.PAGE, 0, false);
+                module = new Control(
+                        new Front.Settings(
+                                CLASSES,
+                                List.of(KIND),
+                                1,
+                                0,
+                                fronts,
+                                ordinal,
+                                limits,
+                                rules,
+                                List.of(),
+                                false,
+                                false,
+                                0,
+                                false,
+                                Scene.FREE,
+                                List.of(),
+                                1),
                         random.nextLong());
                 tell(new Front.ListChange(true, list(started)));
             }
@@ -182,8 +199,16 @@
                     double work = WORK[type] * Math.exp(random.nextGaussian() - 0.5);
                     long id = ++ids;
                     works.put(id, work);
-                    tell(new Front.Arrival(id, type, 0, CLASSES.get(type).deadline(),
-                            work * Math.exp(0.4 * random.nextGaussian()), 100, 1, false, 0));
+                    tell(new Front.Arrival(
+                            id,
+                            type,
+                            0,
+                            CLASSES.get(type).deadline(),
+                            work * Math.exp(0.4 * random.nextGaussian()),
+                            100,
+                            1,
+                            false,
+                            0));
                     arrive();
                 });
             }
@@ -221,14 +246,14 @@
                 }
                 boolean fails = random.nextDouble() < REPEATS;
                 Outcome outcome = fails ? random.nextBoolean() ? Outcome.FULL : Outcome.RESET : Outcome.OK;
-                mine(fails ? 5 : work / (work > 1000 ? 3 : 1) * (1 + random.nextDouble()), () ->
-                        ended(send.request(), attempt, outcome));
+                mine(
+                        fails ? 5 : work / (work > 1000 ? 3 : 1) * (1 + random.nextDouble()),
+                        () -> ended(send.request(), attempt, outcome));
             }
 
             private void ended(long request, int attempt, Outcome outcome) {
                 if (out.remove(request, attempt)) {
-                    tell(new Front.Verdict(request, attempt, outcome, outcome == Outcome.OK, 0, 0,
-                            new double[0]));
+                    tell(new Front.Verdict(request, attempt, outcome, outcome == Outcome.OK, 0, 0, new double[0]));
                 }
             }
         }
@@ -253,8 +278,8 @@
     /** Fronts that are told of no bound push a cold engine over: the check is sharp enough to see it. */
     @Test
     public void theCheckFindsAFleetThatKeepsNoBudget() {
-        Front.Rules none = new Front.Rules(RULES.drainGrace(), RULES.coldMs(), RULES.coldShare(), 0,
-                RULES.fallMs(), 0, 0, 0, 0);
+        Front.Rules none =
+                new Front.Rules(RULES.drainGrace(), RULES.coldMs(), RULES.coldShare(), 0, RULES.fallMs(), 0, 0, 0, 0);
         assertThrows(AssertionError.class, () -> new Fleet(100, none, 1).play());
     }
 
--- a/src/test/java/peatwick/DecisionDigestTest.java
+++ b/src/test/java/peatwick/DecisionDigestTest.java
@@ -21,7 +21,11 @@
     private static final int ENGINES = 9;
     private static final int LEAST_ACTIONS = 1_000;
 
-    private enum Site { PLAIN, REPORTING, STRICT }
+    private enum Site {
+        PLAIN,
+        REPORTING,
+        STRICT
+    }
 
     @DataProvider
     public Object[][] days() {
@@ -50,10 +54,25 @@
 
     private static Front.Settings settings(Site site, int fronts) {
         List<ReportField> report = site == Site.REPORTING
-                ? List.of(ReportField.IN_HAND, ReportField.MEMORY, ReportField.LATENCY) : List.of();
-        return new Front.Settings(classes(), List.of(new Front.Kind(4, 8_000), new Front.Kind(8, 16_000),
-                new Front.Kind(6, 0)), 3, 1, fronts, fronts / 2, limits(site), rules(site), report, false,
-                site == Site.STRICT, 5_000, false, new Front.Prices(0.001, 0.0001), List.of(), 0.2);
+                ? List.of(ReportField.IN_HAND, ReportField.MEMORY, ReportField.LATENCY)
+                : List.of();
+        return new Front.Settings(
+                classes(),
+                List.of(new Front.Kind(4, 8_000), new Front.Kind(8, 16_000), new Front.Kind(6, 0)),
+                3,
+                1,
+                fronts,
+                fronts / 2,
+                limits(site),
+                rules(site),
+                report,
+                false,
+                site == Site.STRICT,
+                5_000,
+                false,
+                new Front.Prices(0.001, 0.0001),
+                List.of(),
+                0.2);
     }
 
     private static List<Front.RequestClass> classes() {
@@ -66,18 +85,49 @@
                 requestClass(Effect.SAFE, Scope.ALL, 0, false, List.of(1), null, true, false, 4));
     }
 
-    private static Front.RequestClass requestClass(Effect effect, Scope scope, double keyTtl, boolean inOrder,
-            List<Integer> kinds, List<Integer> zones, boolean load, boolean waitsForLoads, int threads) {
-        return new Front.RequestClass(900, 1.5, 5_000, threads, load ? 0.4 : 0, effect, scope, keyTtl,
+    private static Front.RequestClass requestClass(
+            Effect effect,
+            Scope scope,
+            double keyTtl,
+            boolean inOrder,
+            List<Integer> kinds,
+            List<Integer> zones,
+            boolean load,
+            boolean waitsForLoads,
+            int threads) {
+        return new Front.RequestClass(
+                900,
+                1.5,
+                5_000,
+                threads,
+                load ? 0.4 : 0,
+                effect,
+                scope,
+                keyTtl,
                 inOrder,
-                kinds, zones, load, waitsForLoads, threads);
+                kinds,
+                zones,
+                load,
+                waitsForLoads,
+                threads);
     }
 
     private static Front.Limits limits(Site site) {
         boolean reporting = site == Site.REPORTING;
         boolean strict = site == Site.STRICT;
-        return new Front.Limits(true, reporting, false, !strict, 400, strict ? 3 : 4, !strict, !strict, 0.4,
-                strict ? WhenShort.PAGE : WhenShort.WAIT, strict ? 0 : 400, reporting);
+        return new Front.Limits(
+                true,
+                reporting,
+                false,
+                !strict,
+                400,
+                strict ? 3 : 4,
+                !strict,
+                !strict,
+                0.4,
+                strict ? WhenShort.PAGE : WhenShort.WAIT,
+                strict ? 0 : 400,
+                reporting);
     }
 
     private static Front.Rules rules(Site site) {
--- a/src/test/java/peatwick/FleetRoomTest.java
+++ b/src/test/java/peatwick/FleetRoomTest.java
@@ -16,8 +16,21 @@
     private static final double FULL = 1.5 * 1.3;
 
     private static Front.RequestClass report() {
-        return new Front.RequestClass(3000, 2.5, 15000, 12, 0.4, Front.Effect.SAFE, Front.Scope.ALL, 0, false,
-                null, null, false, false, THREADS);
+        return new Front.RequestClass(
+                3000,
+                2.5,
+                15000,
+                12,
+                0.4,
+                Front.Effect.SAFE,
+                Front.Scope.ALL,
+                0,
+                false,
+                null,
+                null,
+                false,
+                false,
+                THREADS);
     }
 
     static Scene front(int fronts, int ordinal, int engines) {
@@ -25,9 +38,24 @@
         for (int id = 1; id <= engines; id++) {
             list.add(new Front.Listed(id, 0, 1, 0, Front.Condition.READY, 0, 0));
         }
-        return new Scene(new Front.Settings(List.of(Scene.look(), report()), List.of(new Front.Kind(CORES,
-                16000)), 1, 0, fronts, ordinal, Scene.limits(6), Scene.rules(), List.of(), false, false, 0,
-                false, Scene.FREE, List.of(), 1)).tell(new Front.ListChange(true, list));
+        return new Scene(new Front.Settings(
+                        List.of(Scene.look(), report()),
+                        List.of(new Front.Kind(CORES, 16000)),
+                        1,
+                        0,
+                        fronts,
+                        ordinal,
+                        Scene.limits(6),
+                        Scene.rules(),
+                        List.of(),
+                        false,
+                        false,
+                        0,
+                        false,
+                        Scene.FREE,
+                        List.of(),
+                        1))
+                .tell(new Front.ListChange(true, list));
     }
 
     private static int threads(Scene s) {
@@ -85,7 +113,8 @@
             s.ask(1000 + id, 0, 0, 100, 5000);
         }
         double part = FULL * CORES * engines / fronts;
-        long lookUps = s.all(Front.Send.class).stream().filter(x -> x.request() > 1000).count();
+        long lookUps =
+                s.all(Front.Send.class).stream().filter(x -> x.request() > 1000).count();
         long reports = s.all(Front.Send.class).size() - lookUps;
         assertTrue(lookUps >= 1 && reports >= 1, "both go out");
         assertTrue(lookUps + reports * THREADS <= part * 1.3 + THREADS, lookUps + " and " + reports);
@@ -114,8 +143,7 @@
     @Test
     public void whereEnginesPageAllThatAnEngineGivesIsGranted() {
         for (Front.WhenShort when : Front.WhenShort.values()) {
-            Front.Limits limits = new Front.Limits(true, false, false, true, 500, 4, true, true, 0.4, when, 0,
-                    false);
+            Front.Limits limits = new Front.Limits(true, false, false, true, 500, 4, true, true, 0.4, when, 0, false);
             Scene s = new Scene(Scene.settings(limits, Scene.rules(), report())).engines(1, 2);
             s.ask(1, 0);
             double granted = s.all(Front.SetLimits.class).get(0).grantMb();
@@ -136,8 +164,11 @@
         for (int id = 200; id <= 300; id++) {
             s.ask(id, 0, 0, 200, 5000).pass(100).verdict(id, 0, Front.Outcome.OK);
         }
-        long reports = s.all(Front.Send.class).stream().map(Front.Send::request)
-                .filter(id -> id > 100 && id <= 140).distinct().count();
+        long reports = s.all(Front.Send.class).stream()
+                .map(Front.Send::request)
+                .filter(id -> id > 100 && id <= 140)
+                .distinct()
+                .count();
         assertTrue(reports >= 1, "some go out");
         assertTrue(reports * THREADS <= FULL * CORES * 30 / 20 * 1.5, reports + " reports out");
     }
--- a/src/test/java/peatwick/HeldOutTest.java
+++ b/src/test/java/peatwick/HeldOutTest.java
@@ -27,8 +27,15 @@
         ListChange back = new ListChange(false, List.of(listed(Condition.READY, 0)));
         ListChange anew = new ListChange(false, List.of(listed(Condition.READY, 900)));
         ListChange whole = new ListChange(true, List.of(Scene.engine(1), Scene.engine(2)));
-        return new Object[][] {{List.of()}, {List.of(gone)}, {List.of(gone, back)}, {List.of(missing, whole)},
-            {List.of(anew)}, {List.of(whole)}, {List.of(gone, anew, missing, back)}};
+        return new Object[][] {
+            {List.of()},
+            {List.of(gone)},
+            {List.of(gone, back)},
+            {List.of(missing, whole)},
+            {List.of(anew)},
+            {List.of(whole)},
+            {List.of(gone, anew, missing, back)}
+        };
     }
 
     @Test(dataProvider = "lists")
--- a/src/test/java/peatwick/HostExampleTest.java
+++ b/src/test/java/peatwick/HostExampleTest.java
@@ -9,7 +9,7 @@
 
 /** The README host program, with pretended engines that answer after 150 ms. */
 class HostExampleTest {
-    private record Due(double at, Front.Event event) { }
+    private record Due(double at, Front.Event event) {}
 
     @Test
     void aHostDrivesTheModuleWithoutTheAdapter() {
@@ -27,9 +27,9 @@
             }
             for (Front.Action action : front.decide(next.at(), List.of(next.event()))) {
                 if (action instanceof Front.Send send) {
-                    due.add(new Due(next.at() + 150, new Front.Verdict(send.request(), 0, Front.Outcome.OK,
-                            true, 0,
-                            0, new double[0])));
+                    due.add(new Due(
+                            next.at() + 150,
+                            new Front.Verdict(send.request(), 0, Front.Outcome.OK, true, 0, 0, new double[0])));
                 } else if (action instanceof Front.After after) {
                     due.add(new Due(next.at() + after.delay(), new Front.Wake(after.token())));
                 }
--- a/src/test/java/peatwick/KnowledgeTest.java
+++ b/src/test/java/peatwick/KnowledgeTest.java
@@ -13,12 +13,27 @@
 class KnowledgeTest {
 
     private static Scene talking(int fronts) {
-        Front.Limits limits = new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4,
-                Front.WhenShort.PAGE, 2000, true);
+        Front.Limits limits =
+                new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4, Front.WhenShort.PAGE, 2000, true);
         List<Front.Kind> kinds = List.of(new Front.Kind(8, 0));
-        return new Scene(new Front.Settings(List.of(Scene.look()), kinds, 1, 0, fronts, 0,
-                limits, Scene.rules(), List.of(Front.ReportField.IN_HAND, Front.ReportField.MEMORY),
-                false, false, 0, false, new Front.Prices(0.01, 0.01), List.of(), 1)).engines(1, 2, 3, 4);
+        return new Scene(new Front.Settings(
+                        List.of(Scene.look()),
+                        kinds,
+                        1,
+                        0,
+                        fronts,
+                        0,
+                        limits,
+                        Scene.rules(),
+                        List.of(Front.ReportField.IN_HAND, Front.ReportField.MEMORY),
+                        false,
+                        false,
+                        0,
+                        false,
+                        new Front.Prices(0.01, 0.01),
+                        List.of(),
+                        1))
+                .engines(1, 2, 3, 4);
     }
 
     /** Lets the front take its turn to look, and answers with so many in hand at engine 1, one elsewhere. */
@@ -29,8 +44,8 @@
             s.tell(new Front.Wake(1));
             List<Front.Event> answers = new ArrayList<>();
             for (Front.Probe p : s.last(Front.Probe.class)) {
-                answers.add(new Front.Probed(p.engine(), Outcome.OK, 1, new double[] {
-                    p.engine() == 1 ? busy : 1, 0.2}));
+                answers.add(new Front.Probed(
+                        p.engine(), Outcome.OK, 1, new double[] {p.engine() == 1 ? busy : 1, 0.2}));
             }
             s.now += 25;
             answers.add(new Front.Wake(0));
@@ -64,7 +79,9 @@
     @Test
     void wordsThatAreGarbledLateOrOfUnknownEnginesHarmNothing() {
         Scene s = talking(50);
-        s.tell(new Front.PeerSays(9, new byte[] {1, 2, 3}), new Front.PeerSays(9, new byte[256]),
+        s.tell(
+                new Front.PeerSays(9, new byte[] {1, 2, 3}),
+                new Front.PeerSays(9, new byte[256]),
                 new Front.PeerSays(9, new byte[0]));
         byte[] full = look(talking(50), 60).get(0).octets();
         s.tell(new Front.PeerSays(1, full));
@@ -82,13 +99,14 @@
     /** Estimates a third of the truth: the aim grows with the work, so a long request is not given up. */
     @Test
     void answersThatTellTheWorkCorrectTheEstimatesOfTheirClass() {
-        Front.RequestClass stretched = new Front.RequestClass(400, 2, 20_000, 1, 0, Front.Effect.SAFE,
-                Front.Scope.ALL, 0, false, null, null, false, false, 1);
+        Front.RequestClass stretched = new Front.RequestClass(
+                400, 2, 20_000, 1, 0, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, false, 1);
         for (double told : new double[] {1150, 0}) {
             Scene s = new Scene(Scene.settings(Scene.limits(4), Scene.rules(), stretched)).engines(1, 2, 3);
             for (int i = 0; i < 8; i++) {
                 s.ask(i, 0, 0, 400, 20_000).pass(1150);
-                s.tell(new Front.Verdict(i, 0, Outcome.OK, true, told, 0, new double[0])).pass(100);
+                s.tell(new Front.Verdict(i, 0, Outcome.OK, true, told, 0, new double[0]))
+                        .pass(100);
             }
             s.ask(100, 0, 0, 2000, 20_000);
             assertThat(s.sentTo() > 0).as("told " + told).isEqualTo(told > 0);
@@ -123,8 +141,8 @@
     /** The first note of progress may take one and a half intervals: until then silence means nothing. */
     @Test
     void anEngineIsNotSilentBeforeTheFirstNoteIsDue() {
-        Front.Limits limits = new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4,
-                Front.WhenShort.WAIT, 2000, false);
+        Front.Limits limits =
+                new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4, Front.WhenShort.WAIT, 2000, false);
         Scene s = new Scene(Scene.settings(limits, Scene.rules(), Scene.load())).engines(1, 2);
         s.ask(1, 0, 0, 3000, 20_000).pass(3000);
         assertThat(s.all(Front.Log.class)).isEmpty();
--- a/src/test/java/peatwick/LinesTest.java
+++ b/src/test/java/peatwick/LinesTest.java
@@ -14,10 +14,9 @@
 /** What stands in an engine's line, and stragglers that few outcomes have to tell. */
 class LinesTest {
     private static Scene scene(double notesEvery, int attempts) {
-        Front.Limits limits = new Front.Limits(true, true, false, true, 500, attempts, true, true, 0.4,
-                Front.WhenShort.WAIT, notesEvery, false);
-        return new Scene(Scene.settings(limits, Scene.rules(), Scene.look(), Scene.load())).engines(1, 2, 3,
-                4);
+        Front.Limits limits = new Front.Limits(
+                true, true, false, true, 500, attempts, true, true, 0.4, Front.WhenShort.WAIT, notesEvery, false);
+        return new Scene(Scene.settings(limits, Scene.rules(), Scene.look(), Scene.load())).engines(1, 2, 3, 4);
     }
 
     /** An engine tells once that a load waits there, and then nothing until it runs. */
@@ -59,17 +58,20 @@
     /** A front that saw no outcome of a class yet knows a straggler from the others' times and its notes. */
     @Test
     void aStragglerOfARareClassIsCutOnTheEvidenceOfAllClasses() {
-        Front.RequestClass report = new Front.RequestClass(3000, 2, 20000, 6, 0.3, Front.Effect.SAFE,
-                Front.Scope.ALL, 0, false, null, null, false, false, 2);
-        Front.Limits limits = new Front.Limits(true, true, false, true, 500, 5, true, true, 0.4,
-                Front.WhenShort.WAIT, 1000, false);
+        Front.RequestClass report = new Front.RequestClass(
+                3000, 2, 20000, 6, 0.3, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, false, 2);
+        Front.Limits limits =
+                new Front.Limits(true, true, false, true, 500, 5, true, true, 0.4, Front.WhenShort.WAIT, 1000, false);
         Scene s = new Scene(Scene.settings(limits, Scene.rules(), Scene.look(), report)).engines(1, 2, 3, 4);
         for (int i = 0; i < 25; i++) {
             s.ask(i, 0).pass(200).verdict(i, 0, Outcome.OK);
         }
         for (int i = 100; i < 103; i++) {
             s.all.clear();
-            s.ask(i, 1, 0, 2000, 20000).pass(1000).tell(new Note(i, 0, NoteKind.PROGRESS, 0.05)).pass(100);
+            s.ask(i, 1, 0, 2000, 20000)
+                    .pass(1000)
+                    .tell(new Note(i, 0, NoteKind.PROGRESS, 0.05))
+                    .pass(100);
             assertThat(s.all(Cancel.class)).as("straggler " + i).containsExactly(new Cancel(i, 0));
             s.verdict(i, 0, Outcome.CANCELLED);
             s.pass(1000).verdict(i, 1, Outcome.OK);
@@ -83,9 +85,10 @@
         s.ask(1, 0, 0, 200, 5000).ask(2, 0, 0, 200, 5000);
         s.all.clear();
         s.now += 2000;
-        s.tell(new Front.Wake(0), new Front.Verdict(1, 0, Outcome.OK, true, 0, 0, new double[0]),
+        s.tell(
+                new Front.Wake(0),
+                new Front.Verdict(1, 0, Outcome.OK, true, 0, 0, new double[0]),
                 new Front.Verdict(2, 0, Outcome.OK, true, 0, 0, new double[0]));
-        assertThat(s.all).noneMatch(a -> a instanceof Cancel || a instanceof Front.Refuse
-                || a instanceof Front.Log);
+        assertThat(s.all).noneMatch(a -> a instanceof Cancel || a instanceof Front.Refuse || a instanceof Front.Log);
     }
 }
--- a/src/test/java/peatwick/ManyFrontsTest.java
+++ b/src/test/java/peatwick/ManyFrontsTest.java
@@ -19,21 +19,23 @@
 class ManyFrontsTest {
     private static final int CORES = 8;
 
-    private record Sent(double at, double work) { }
+    private record Sent(double at, double work) {}
 
-    private record Due(double at, int front, Front.Event event) { }
+    private record Due(double at, int front, Front.Event event) {}
 
     private final Map<Long, Double> costs = new HashMap<>();
 
     /** Each attempt is answered after its work; wakes come when asked for. */
-    private void note(int front, List<Front.Action> actions, double now, PriorityQueue<Due> out,
-            List<List<Sent>> sent) {
+    private void note(
+            int front, List<Front.Action> actions, double now, PriorityQueue<Due> out, List<List<Sent>> sent) {
         for (Front.Action action : actions) {
             if (action instanceof Send send) {
                 double cost = costs.get(send.request());
                 sent.get((int) send.engine()).add(new Sent(now, cost));
-                out.add(new Due(now + cost, front, new Front.Verdict(send.request(), 0, Outcome.OK, true, 0,
-                        0, new double[0])));
+                out.add(new Due(
+                        now + cost,
+                        front,
+                        new Front.Verdict(send.request(), 0, Outcome.OK, true, 0, 0, new double[0])));
             } else if (action instanceof Front.After after) {
                 out.add(new Due(now + after.delay(), front, new Front.Wake(after.token())));
             }
@@ -55,9 +57,25 @@
         List<Control> modules = new ArrayList<>();
         for (int i = 0; i < fronts; i++) {
             Front.RequestClass look = Scene.look();
-            modules.add(new Control(new Front.Settings(List.of(look), List.of(new Front.Kind(CORES, 0)), 1, 0,
-                    fronts, i, Scene.limits(4), rules, List.of(), false, false, 0, false, Scene.FREE,
-                    List.of(), 1), i));
+            modules.add(new Control(
+                    new Front.Settings(
+                            List.of(look),
+                            List.of(new Front.Kind(CORES, 0)),
+                            1,
+                            0,
+                            fronts,
+                            i,
+                            Scene.limits(4),
+                            rules,
+                            List.of(),
+                            false,
+                            false,
+                            0,
+                            false,
+                            Scene.FREE,
+                            List.of(),
+                            1),
+                    i));
             modules.get(i).decide(start, List.of(new Front.ListChange(true, list)));
         }
         List<List<Sent>> cold = new ArrayList<>();
@@ -77,8 +95,13 @@
                 double cost = random.nextInt(6) == 0 ? 1200 : 50 + random.nextInt(250);
                 long id = ++asked;
                 costs.put(id, cost);
-                note(front, modules.get(front).decide(now, List.of(
-                        new Front.Arrival(id, 0, 0, 5000, cost, 100, 0, false, 0))), now, out, cold);
+                note(
+                        front,
+                        modules.get(front)
+                                .decide(now, List.of(new Front.Arrival(id, 0, 0, 5000, cost, 100, 0, false, 0))),
+                        now,
+                        out,
+                        cold);
             }
             answered = now;
         }
@@ -86,14 +109,17 @@
         for (int id = 2; id <= engines; id += 2) {
             List<Sent> sends = cold.get(id);
             for (Sent first : sends) {
-                double window = sends.stream().filter(s -> s.at() >= first.at()
-                        && s.at() < first.at() + rules.fallMs()).mapToDouble(Sent::work).sum();
+                double window = sends.stream()
+                        .filter(s -> s.at() >= first.at() && s.at() < first.at() + rules.fallMs())
+                        .mapToDouble(Sent::work)
+                        .sum();
                 assertThat(window).as("engine " + id + " from " + first.at()).isLessThanOrEqualTo(allowed);
             }
             for (double from = start; from + 5000 < answered; from += 5000) {
                 double begin = from;
-                assertThat(sends).as("engine " + id + " is used").anyMatch(s -> s.at() >= begin
-                        && s.at() < begin + 5000);
+                assertThat(sends)
+                        .as("engine " + id + " is used")
+                        .anyMatch(s -> s.at() >= begin && s.at() < begin + 5000);
             }
         }
     }
@@ -113,21 +139,36 @@
         int[] looks = new int[2];
         for (int i = 0; i < fronts; i++) {
             List<Front.RequestClass> classes = List.of(Scene.look(), Scene.bound(0));
-            Control module = new Control(new Front.Settings(classes, kinds, 1, 0, fronts, i,
-                    Scene.limits(4), Scene.rules(), List.of(), false, false, 0, false, Scene.FREE,
-                    List.of(), 1), i);
+            Control module = new Control(
+                    new Front.Settings(
+                            classes,
+                            kinds,
+                            1,
+                            0,
+                            fronts,
+                            i,
+                            Scene.limits(4),
+                            Scene.rules(),
+                            List.of(),
+                            false,
+                            false,
+                            0,
+                            false,
+                            Scene.FREE,
+                            List.of(),
+                            1),
+                    i);
             module.decide(0, List.of(new Front.ListChange(true, list)));
             for (int n = 1; n <= 10; n++) {
                 double now = n * 1000;
                 int type = n % 2;
-                for (Front.Action action : module.decide(now, List.of(new Front.Wake(0),
-                        new Front.Arrival(n, type, 0, 5000, 200, 300, n, false, 0)))) {
+                for (Front.Action action : module.decide(
+                        now, List.of(new Front.Wake(0), new Front.Arrival(n, type, 0, 5000, 200, 300, n, false, 0)))) {
                     if (action instanceof Send send && type == 0 && n > 2) {
                         looks[(int) send.engine() % 2]++;
                     }
                 }
-                module.decide(now + 200, List.of(new Front.Verdict(n, 0, Outcome.OK, true, 0, 0,
-                        new double[0])));
+                module.decide(now + 200, List.of(new Front.Verdict(n, 0, Outcome.OK, true, 0, 0, new double[0])));
             }
         }
         // Half the work is bound to kind 0, with 16 of 28 cores: a level fleet gives it 1 in 7 of the rest.
@@ -142,9 +183,23 @@
         for (int id = 1; id <= 40; id++) {
             list.add(new Listed(id, 0, 1, 0, Condition.READY, 0, 0));
         }
-        Scene s = new Scene(new Front.Settings(List.of(Scene.look()), List.of(new Front.Kind(8, 16000)), 1, 0,
-                50, 7, Scene.limits(4), Scene.rules(), List.of(), false, false, 0, false, Scene.FREE,
-                    List.of(), 1));
+        Scene s = new Scene(new Front.Settings(
+                List.of(Scene.look()),
+                List.of(new Front.Kind(8, 16000)),
+                1,
+                0,
+                50,
+                7,
+                Scene.limits(4),
+                Scene.rules(),
+                List.of(),
+                false,
+                false,
+                0,
+                false,
+                Scene.FREE,
+                List.of(),
+                1));
         s.tell(new Front.ListChange(true, list));
         for (int i = 0; i < 40; i++) {
             s.ask(i, 0).pass(200).verdict(i, 0, Outcome.OK).pass(100);
@@ -160,7 +215,9 @@
             s.verdict(i, 0, Outcome.OK);
         }
         s.pass(600).ask(300, 0, 0, 2000, 5000);
-        assertThat(s.last(Front.Refuse.class)).as("it cannot meet its aim any more").hasSize(1);
+        assertThat(s.last(Front.Refuse.class))
+                .as("it cannot meet its aim any more")
+                .hasSize(1);
     }
 
     /** Half the engines refuse connections: trying them stays a small part of the traffic. */
@@ -171,9 +228,23 @@
         int toDead = 0;
         for (int i = 0; i < Math.min(fronts, 30); i++) {
             List<Front.Kind> kinds = List.of(new Front.Kind(8, 16000));
-            Scene s = new Scene(new Front.Settings(List.of(Scene.look()), kinds, 1, 0, fronts, i,
-                    Scene.limits(4), Scene.rules(), List.of(), false, false, 0, false, Scene.FREE,
-                    List.of(), 1));
+            Scene s = new Scene(new Front.Settings(
+                    List.of(Scene.look()),
+                    kinds,
+                    1,
+                    0,
+                    fronts,
+                    i,
+                    Scene.limits(4),
+                    Scene.rules(),
+                    List.of(),
+                    false,
+                    false,
+                    0,
+                    false,
+                    Scene.FREE,
+                    List.of(),
+                    1));
             s.engines(1, 2, 3, 4, 5, 6, 7, 8);
             for (int id = 1; id <= 60; id++) {
                 s.ask(id, 0);
--- a/src/test/java/peatwick/RandomDaysTest.java
+++ b/src/test/java/peatwick/RandomDaysTest.java
@@ -15,7 +15,7 @@
 
 /** Random but legal events under varied settings: the rules hold, and equal events give equal actions. */
 class RandomDaysTest {
-    private record Due(double at, int turn, Front.Event event) { }
+    private record Due(double at, int turn, Front.Event event) {}
 
     private static final class Held {
         int type;
@@ -31,25 +31,57 @@
     }
 
     private static Front.Settings settings(Random random) {
-        Front.RequestClass keyed = new Front.RequestClass(2000, 1, 8000, 2, 0.3, Effect.KEYED,
-                Front.Scope.values()[random.nextInt(3)], 1000, false, null, random.nextBoolean()
-                        ? List.of(1) : null,
-                false, true, 2);
-        Front.Limits limits = new Front.Limits(random.nextBoolean(), random.nextBoolean(), false,
-                random.nextBoolean(), 500, 1 + random.nextInt(5), random.nextBoolean(),
-                        random.nextBoolean(), 0.4,
-                Front.WhenShort.values()[random.nextInt(3)], random.nextInt(3) * 500, random.nextBoolean());
+        Front.RequestClass keyed = new Front.RequestClass(
+                2000,
+                1,
+                8000,
+                2,
+                0.3,
+                Effect.KEYED,
+                Front.Scope.values()[random.nextInt(3)],
+                1000,
+                false,
+                null,
+                random.nextBoolean() ? List.of(1) : null,
+                false,
+                true,
+                2);
+        Front.Limits limits = new Front.Limits(
+                random.nextBoolean(),
+                random.nextBoolean(),
+                false,
+                random.nextBoolean(),
+                500,
+                1 + random.nextInt(5),
+                random.nextBoolean(),
+                random.nextBoolean(),
+                0.4,
+                Front.WhenShort.values()[random.nextInt(3)],
+                random.nextInt(3) * 500,
+                random.nextBoolean());
         boolean budget = random.nextBoolean();
         Front.Rules rules = new Front.Rules(1000, 5000, 0.33, 3, 1000, 300, budget ? 5000 : 0, 2, 0.1);
-        return new Front.Settings(List.of(Scene.look(), Scene.load(), keyed, Scene.bound(1)),
-                List.of(new Front.Kind(4, 8000), new Front.Kind(8, 0)), 2, 0, 1 + random.nextInt(4), 0,
-                        limits, rules,
-                List.of(), false, random.nextBoolean(), 5000, true, Scene.FREE, List.of(), 1);
+        return new Front.Settings(
+                List.of(Scene.look(), Scene.load(), keyed, Scene.bound(1)),
+                List.of(new Front.Kind(4, 8000), new Front.Kind(8, 0)),
+                2,
+                0,
+                1 + random.nextInt(4),
+                0,
+                limits,
+                rules,
+                List.of(),
+                false,
+                random.nextBoolean(),
+                5000,
+                true,
+                Scene.FREE,
+                List.of(),
+                1);
     }
 
     private static Front.Listed engine(long id, Front.Condition condition, double since) {
-        return new Front.Listed(id, (int) (id % 2), 1, since, condition, (int) (id / 2 % 2),
-                (int) (id / 2 % 2));
+        return new Front.Listed(id, (int) (id % 2), 1, since, condition, (int) (id / 2 % 2), (int) (id / 2 % 2));
     }
 
     @ParameterizedTest
@@ -63,9 +95,8 @@
         Random random = new Random(seed);
         Front.Settings set = settings(random);
         Control control = new Control(set, seed);
-        PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Double.compare(a.at(),
-                b.at())
-                : Integer.compare(a.turn(), b.turn()));
+        PriorityQueue<Due> due = new PriorityQueue<>(
+                (a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at()) : Integer.compare(a.turn(), b.turn()));
         Map<Long, Held> all = new HashMap<>();
         Map<Long, List<Long>> lines = new HashMap<>();
         Map<Long, Double> rested = new HashMap<>();
@@ -82,16 +113,25 @@
         for (int i = 1; i <= 600; i++) {
             double at = 1000 + random.nextDouble() * 15000;
             int type = random.nextInt(4);
-            due.add(new Due(at, turn++, new Front.Arrival(i, type, type == 1 ? 1 + random.nextInt(5) : 0,
-                    random.nextInt(20) == 0 ? 0 : 1500 + random.nextInt(4000), costs
-                            ? 50 + random.nextInt(900) : 0,
-                    random.nextInt(1000), random.nextInt(6), false, 0)));
+            due.add(new Due(
+                    at,
+                    turn++,
+                    new Front.Arrival(
+                            i,
+                            type,
+                            type == 1 ? 1 + random.nextInt(5) : 0,
+                            random.nextInt(20) == 0 ? 0 : 1500 + random.nextInt(4000),
+                            costs ? 50 + random.nextInt(900) : 0,
+                            random.nextInt(1000),
+                            random.nextInt(6),
+                            false,
+                            0)));
         }
         for (int i = 0; i < 30; i++) {
             Front.Condition c = Front.Condition.values()[random.nextInt(3)];
             double at = 1500 + random.nextDouble() * 14000;
-            due.add(new Due(at, turn++, new Front.ListChange(false,
-                    List.of(engine(1 + random.nextInt(5), c, at - 200)))));
+            due.add(new Due(
+                    at, turn++, new Front.ListChange(false, List.of(engine(1 + random.nextInt(5), c, at - 200)))));
         }
         StringBuilder log = new StringBuilder();
         while (!due.isEmpty()) {
@@ -126,9 +166,11 @@
                     Held h = all.get(a.request());
                     Effect effect = set.classes().get(h.type).effect();
                     assertThat(h.over).isFalse();
-                    assertThat(effect == Effect.SAFE || !h.mayHaveRun && h.out == 0
-                            || effect == Effect.KEYED
-                                    && set.classes().get(h.type).scope() == Front.Scope.ALL).isTrue();
+                    assertThat(effect == Effect.SAFE
+                                    || !h.mayHaveRun && h.out == 0
+                                    || effect == Effect.KEYED
+                                            && set.classes().get(h.type).scope() == Front.Scope.ALL)
+                            .isTrue();
                     h.over = true;
                 } else if (action instanceof Front.Cancel) {
                     assertThat(set.limits().cancel()).isTrue();
@@ -143,8 +185,10 @@
                     assertThat(h.out).isZero();
                     assertThat(conditions.get(a.engine())).isEqualTo(Front.Condition.READY);
                     assertThat(h.attempts).isLessThan(set.limits().maxAttempts());
-                    assertThat(c.onlyKinds() == null || c.onlyKinds().contains(e.kind())).isTrue();
-                    assertThat(c.onlyZones() == null || c.onlyZones().contains(e.zone())).isTrue();
+                    assertThat(c.onlyKinds() == null || c.onlyKinds().contains(e.kind()))
+                            .isTrue();
+                    assertThat(c.onlyZones() == null || c.onlyZones().contains(e.zone()))
+                            .isTrue();
                     assertThat(h.mayHaveRun && c.effect() == Effect.UNSAFE).isFalse();
                     if (h.mayHaveRun && c.effect() == Effect.KEYED && c.scope() != Front.Scope.ALL) {
                         assertThat(h.engines).allMatch(x -> x / 2 % 2 == a.engine() / 2 % 2);
@@ -154,19 +198,32 @@
                             if (before == a.request()) {
                                 break;
                             }
-                            assertThat(all.get(before).over && all.get(before).out == 0).isTrue();
+                            assertThat(all.get(before).over && all.get(before).out == 0)
+                                    .isTrue();
                         }
-                        assertThat(h.attempts > 0 || now >= rested.getOrDefault(h.key, 0.0)).isTrue();
+                        assertThat(h.attempts > 0 || now >= rested.getOrDefault(h.key, 0.0))
+                                .isTrue();
                     }
                     if (h.attempts > 0 && set.rules().extraWindow() > 0) {
                         further.add(now);
                         double from = now - set.rules().extraWindow();
-                        assertThat((double) further.stream().filter(t -> t >= from).count())
-                                .isLessThanOrEqualTo(
-                                2 + 0.1 * taken.stream().filter(t -> t >= from).count());
+                        assertThat((double)
+                                        further.stream().filter(t -> t >= from).count())
+                                .isLessThanOrEqualTo(2
+                                        + 0.1
+                                                * taken.stream()
+                                                        .filter(t -> t >= from)
+                                                        .count());
                     }
-                    Outcome[] outcomes = {Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL,
-                        Outcome.CONNECT_FAILED, Outcome.RESET};
+                    Outcome[] outcomes = {
+                        Outcome.OK,
+                        Outcome.OK,
+                        Outcome.OK,
+                        Outcome.ERROR,
+                        Outcome.FULL,
+                        Outcome.CONNECT_FAILED,
+                        Outcome.RESET
+                    };
                     Outcome o = outcomes[random.nextInt(outcomes.length)];
                     double ends = now + 20 + random.nextInt(random.nextInt(8) == 0 ? 8000 : 600);
                     if (ends >= h.deadline) {
@@ -176,14 +233,17 @@
                     if (o != Outcome.FULL && o != Outcome.CONNECT_FAILED) {
                         h.engines.add(a.engine());
                     }
-                    due.add(new Due(Math.max(now, ends), turn++, new Front.Verdict(a.request(),
-                            h.attempts++, o,
-                            o == Outcome.OK, 0, 0, new double[0])));
+                    due.add(new Due(
+                            Math.max(now, ends),
+                            turn++,
+                            new Front.Verdict(a.request(), h.attempts++, o, o == Outcome.OK, 0, 0, new double[0])));
                     h.out++;
                 }
             }
             for (Held h : all.values()) {
-                assertThat(h.over || now <= h.deadline + 20).as("an answer in time").isTrue();
+                assertThat(h.over || now <= h.deadline + 20)
+                        .as("an answer in time")
+                        .isTrue();
             }
         }
         assertThat(all.values()).allMatch(h -> h.over && h.out == 0);
--- a/src/test/java/peatwick/RareClassTest.java
+++ b/src/test/java/peatwick/RareClassTest.java
@@ -30,7 +30,9 @@
     }
 
     private static List<Front.Cancel> cuts(Scene s) {
-        return s.all(Front.Cancel.class).stream().filter(c -> c.request() == STRAGGLER).toList();
+        return s.all(Front.Cancel.class).stream()
+                .filter(c -> c.request() == STRAGGLER)
+                .toList();
     }
 
     /** Eight outcomes tell no curve, yet what has run far longer than they did is cut, once. */
@@ -41,8 +43,10 @@
         s.pass(7 * USUAL_MS);
         assertEquals(cuts(s).size(), 1);
         s.verdict(STRAGGLER, 0, Front.Outcome.CANCELLED);
-        List<Long> engine = s.all(Front.Send.class).stream().filter(x -> x.request() == STRAGGLER)
-                .map(Front.Send::engine).toList();
+        List<Long> engine = s.all(Front.Send.class).stream()
+                .filter(x -> x.request() == STRAGGLER)
+                .map(Front.Send::engine)
+                .toList();
         assertEquals(engine.size(), 2, "sent again at once");
         assertTrue(!engine.get(0).equals(engine.get(1)), "elsewhere");
         s.pass(20 * USUAL_MS);
--- a/src/test/java/peatwick/RulesTest.java
+++ b/src/test/java/peatwick/RulesTest.java
@@ -62,7 +62,8 @@
         s.verdict(5, 0, Outcome.ERROR);
         assertThat(s.sentTo() % 2).isEqualTo(first % 2);
         assertThat(s.sentTo()).isNotEqualTo(first);
-        assertThat(s.last(Send.class).get(0).beginWithin()).as("it may wait for a connection")
+        assertThat(s.last(Send.class).get(0).beginWithin())
+                .as("it may wait for a connection")
                 .isEqualTo(3950);
         s.now += 4000;
         s.verdict(5, 1, Outcome.ERROR);
@@ -73,8 +74,7 @@
     @Test
     void nothingNewGoesToADrainingOrMissingEngine() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2);
-        s.tell(new Front.ListChange(false,
-                List.of(new Front.Listed(1, 0, 1, 0, Front.Condition.DRAINING, 0, 0))));
+        s.tell(new Front.ListChange(false, List.of(new Front.Listed(1, 0, 1, 0, Front.Condition.DRAINING, 0, 0))));
         for (int i = 0; i < 6; i++) {
             s.ask(10 + i, 0);
         }
@@ -96,10 +96,24 @@
 
     private static int sentToColdEngine(int fronts) {
         Front.Settings one = Scene.settings(Scene.look());
-        Scene s = new Scene(new Front.Settings(one.classes(), one.kinds(), 2, 0, fronts, 0, one.limits(),
-                one.rules(), List.of(), false, false, 0, false, Scene.FREE, List.of(), 1));
-        s.tell(new Front.ListChange(true,
-                List.of(new Front.Listed(1, 0, 1, s.now - 10, Front.Condition.READY, 0, 0))));
+        Scene s = new Scene(new Front.Settings(
+                one.classes(),
+                one.kinds(),
+                2,
+                0,
+                fronts,
+                0,
+                one.limits(),
+                one.rules(),
+                List.of(),
+                false,
+                false,
+                0,
+                false,
+                Scene.FREE,
+                List.of(),
+                1));
+        s.tell(new Front.ListChange(true, List.of(new Front.Listed(1, 0, 1, s.now - 10, Front.Condition.READY, 0, 0))));
         int sent = 0;
         for (int i = 0; i < 400; i++) {
             s.now += 5;
@@ -173,15 +187,30 @@
      */
     @Test
     void coldSendsWithoutEstimatesCountTheMeanOfTheirClass() {
-        Front.RequestClass report = new Front.RequestClass(300, 2.5, 15_000, 3, 0.4, Front.Effect.SAFE,
-                Front.Scope.ALL, 0, false, null, null, false, false, 2);
+        Front.RequestClass report = new Front.RequestClass(
+                300, 2.5, 15_000, 3, 0.4, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, false, 2);
         int sent = 0;
         for (int i = 0; i < 300; i++) {
             Front.Settings one = Scene.settings(report);
-            Scene s = new Scene(new Front.Settings(one.classes(), one.kinds(), 2, 0, 300, i, one.limits(),
-                    one.rules(), List.of(), false, false, 0, false, Scene.FREE, List.of(), 1));
-            s.tell(new Front.ListChange(true, List.of(new Front.Listed(1, 0, 1, s.now + 2000,
-                    Front.Condition.READY, 0, 0))));
+            Scene s = new Scene(new Front.Settings(
+                    one.classes(),
+                    one.kinds(),
+                    2,
+                    0,
+                    300,
+                    i,
+                    one.limits(),
+                    one.rules(),
+                    List.of(),
+                    false,
+                    false,
+                    0,
+                    false,
+                    Scene.FREE,
+                    List.of(),
+                    1));
+            s.tell(new Front.ListChange(
+                    true, List.of(new Front.Listed(1, 0, 1, s.now + 2000, Front.Condition.READY, 0, 0))));
             s.now += 2010;
             s.ask(1, 0, 0, 0, 15_000);
             sent += s.last(Send.class).size();
@@ -194,8 +223,8 @@
     @Test
     void aFrontJustStartedSendsNothingToAColdEngineForOneWindow() {
         Scene s = new Scene(Scene.settings(Scene.look()));
-        s.tell(new Front.ListChange(true,
-                List.of(new Front.Listed(1, 0, 1, s.now - 500, Front.Condition.READY, 0, 0))));
+        s.tell(new Front.ListChange(
+                true, List.of(new Front.Listed(1, 0, 1, s.now - 500, Front.Condition.READY, 0, 0))));
         s.ask(1, 0);
         assertThat(s.last(Send.class)).isEmpty();
         assertThat(s.pass(1100).last(Send.class)).hasSize(1);
@@ -206,8 +235,8 @@
     void nothingIsCutThatCannotBeSentAgain() {
         for (int free : new int[] {1, 0}) {
             Front.Rules rules = new Front.Rules(1000, 15000, 0.33, 3, 1000, 500, 5000, free, 0);
-            Front.Limits limits = new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4,
-                    Front.WhenShort.WAIT, 500, false);
+            Front.Limits limits = new Front.Limits(
+                    true, true, false, true, 500, 4, true, true, 0.4, Front.WhenShort.WAIT, 500, false);
             Scene s = new Scene(Scene.settings(limits, rules, Scene.look())).engines(1, 2, 3);
             s.ask(1, 0).pass(1150);
             assertThat(s.last(Front.Cancel.class)).hasSize(free);
--- a/src/test/java/peatwick/Scene.java
+++ b/src/test/java/peatwick/Scene.java
@@ -16,31 +16,41 @@
     }
 
     static Front.RequestClass look() {
-        return new Front.RequestClass(1000, 1, 5000, 1, 0, Front.Effect.SAFE, Front.Scope.ALL, 0, false,
-                null, null,
-                false, true, 1);
+        return new Front.RequestClass(
+                1000, 1, 5000, 1, 0, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, true, 1);
     }
 
     static Front.RequestClass load() {
-        return new Front.RequestClass(3000, 2, 20000, 3, 0.5, Front.Effect.UNSAFE, Front.Scope.ALL, 0, true,
-                null,
-                null, true, false, 2);
+        return new Front.RequestClass(
+                3000, 2, 20000, 3, 0.5, Front.Effect.UNSAFE, Front.Scope.ALL, 0, true, null, null, true, false, 2);
     }
 
     static Front.RequestClass keyed(Front.Scope scope, double ttl) {
-        return new Front.RequestClass(3000, 2, 20000, 3, 0.5, Front.Effect.KEYED, scope, ttl, false, null,
-                null,
-                false, false, 1);
+        return new Front.RequestClass(
+                3000, 2, 20000, 3, 0.5, Front.Effect.KEYED, scope, ttl, false, null, null, false, false, 1);
     }
 
     static Front.RequestClass bound(int kind) {
-        return new Front.RequestClass(2000, 1, 5000, 1, 0, Front.Effect.SAFE, Front.Scope.ALL, 0, false,
-                List.of(kind), null, false, false, 1);
+        return new Front.RequestClass(
+                2000,
+                1,
+                5000,
+                1,
+                0,
+                Front.Effect.SAFE,
+                Front.Scope.ALL,
+                0,
+                false,
+                List.of(kind),
+                null,
+                false,
+                false,
+                1);
     }
 
     static Front.Limits limits(int attempts) {
-        return new Front.Limits(true, true, false, true, 500, attempts, true, true, 0.4,
-                Front.WhenShort.WAIT, 0, false);
+        return new Front.Limits(
+                true, true, false, true, 500, attempts, true, true, 0.4, Front.WhenShort.WAIT, 0, false);
     }
 
     static Front.Rules rules() {
@@ -51,11 +61,25 @@
         return settings(1, limits, rules, classes);
     }
 
-    private static Front.Settings settings(int fronts, Front.Limits limits, Front.Rules rules,
-            Front.RequestClass... classes) {
-        return new Front.Settings(List.of(classes), List.of(new Front.Kind(8, 16000), new Front.Kind(8,
-                16000)), 2, 0,
-                fronts, 0, limits, rules, List.of(), false, false, 0, false, Scene.FREE, List.of(), 1);
+    private static Front.Settings settings(
+            int fronts, Front.Limits limits, Front.Rules rules, Front.RequestClass... classes) {
+        return new Front.Settings(
+                List.of(classes),
+                List.of(new Front.Kind(8, 16000), new Front.Kind(8, 16000)),
+                2,
+                0,
+                fronts,
+                0,
+                limits,
+                rules,
+                List.of(),
+                false,
+                false,
+                0,
+                false,
+                Scene.FREE,
+                List.of(),
+                1);
     }
 
     static Front.Settings settings(int fronts, Front.RequestClass... classes) {
@@ -88,7 +112,7 @@
     /** Moves the clock, with a wake every tick, and keeps all that was answered on the way. */
     Scene pass(double ms) {
         List<Front.Action> kept = new ArrayList<>();
-        for (double end = now + ms; now < end;) {
+        for (double end = now + ms; now < end; ) {
             now = Math.min(end, now + 25);
             tell(new Front.Wake(0));
             kept.addAll(last);
@@ -107,8 +131,7 @@
     }
 
     Scene verdict(long id, int attempt, Front.Outcome outcome) {
-        return tell(new Front.Verdict(id, attempt, outcome, outcome == Front.Outcome.OK, 0, 0,
-                new double[0]));
+        return tell(new Front.Verdict(id, attempt, outcome, outcome == Front.Outcome.OK, 0, 0, new double[0]));
     }
 
     <T extends Front.Action> List<T> last(Class<T> type) {
--- a/src/test/java/peatwick/SeededDay.java
+++ b/src/test/java/peatwick/SeededDay.java
@@ -21,7 +21,7 @@
     private static final double MEAN_SERVICE = 180;
     private static final int REPORT_FIELDS = 3;
 
-    private record Due(double at, long order, Front.Event event) { }
+    private record Due(double at, long order, Front.Event event) {}
 
     private static final class Open {
         final double deadline;
@@ -36,8 +36,8 @@
     private final Front.Settings settings;
     private final Front module;
     private final int engineCount;
-    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at() != b.at()
-            ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     private final Map<Long, Open> requests = new HashMap<>();
     private final Map<Long, Double> silentUntil = new HashMap<>();
     private final ActionDigest digest = new ActionDigest();
@@ -101,8 +101,7 @@
             long engine = 1 + random.nextInt(engineCount);
             Front.Condition condition = Front.Condition.values()[random.nextInt(3)];
             schedule(at, new Front.ListChange(false, List.of(listed(engine, condition, 0))));
-            schedule(at + 700, new Front.ListChange(false,
-                    List.of(listed(engine, Front.Condition.READY, at + 600))));
+            schedule(at + 700, new Front.ListChange(false, List.of(listed(engine, Front.Condition.READY, at + 600))));
         }
         schedule(START + 9_000, new Front.ListChange(true, list));
         schedule(START + 5_000, new Front.ListFailed());
@@ -122,8 +121,18 @@
             long key = random.nextInt(3) == 0 ? 1 + random.nextInt(6) : 0;
             double timeLeft = random.nextInt(25) == 0 ? 0 : 800 + random.nextInt(5_000);
             double cost = random.nextInt(4) == 0 ? 0 : 50 + random.nextInt(700);
-            schedule(at, new Front.Arrival(request, type, key, timeLeft, cost, random.nextInt(1_500),
-                    random.nextInt(6), random.nextInt(9) == 0, random.nextInt(2)));
+            schedule(
+                    at,
+                    new Front.Arrival(
+                            request,
+                            type,
+                            key,
+                            timeLeft,
+                            cost,
+                            random.nextInt(1_500),
+                            random.nextInt(6),
+                            random.nextInt(9) == 0,
+                            random.nextInt(2)));
             if (random.nextInt(20) == 0) {
                 schedule(at + random.nextInt(900), new Front.Aborted(request));
             }
@@ -206,8 +215,7 @@
         boolean tells = outcome == Front.Outcome.OK && random.nextBoolean();
         double work = tells ? 40 + random.nextInt(900) : 0;
         double memory = tells ? 20 + random.nextInt(1_800) : 0;
-        return new Front.Verdict(request, attempt, outcome, outcome == Front.Outcome.OK, work, memory,
-                new double[0]);
+        return new Front.Verdict(request, attempt, outcome, outcome == Front.Outcome.OK, work, memory, new double[0]);
     }
 
     /** The word of a cancelled attempt's end may cross its own end; the module passes the second one over. */
--- a/src/test/java/peatwick/SeededRulesTest.java
+++ b/src/test/java/peatwick/SeededRulesTest.java
@@ -21,12 +21,13 @@
 
     /** A zone is lost under load, another cut off: the checker fails at the first broken rule. */
     @Test(dataProvider = "fleets")
-    public void nothingRunsTwiceAndFurtherAttemptsStayInTheirRation(int fronts, int engines, int zones,
-            int free) {
+    public void nothingRunsTwiceAndFurtherAttemptsStayInTheirRation(int fronts, int engines, int zones, int free) {
         for (int seed = 1; seed <= (fronts < 10 ? 3 : 1); seed++) {
-            FleetDay day = new FleetDay(new FleetDay.Plan(fronts, engines, zones, 0.85, 0.3, 0, 1, 4, 5000,
-                    DAY_MS, seed, LOADS, free)).play();
-            assertTrue(day.outcomes.keySet().stream().anyMatch(o -> o.matches("(RESET|TIMEOUT) 2")),
+            FleetDay day = new FleetDay(new FleetDay.Plan(
+                            fronts, engines, zones, 0.85, 0.3, 0, 1, 4, 5000, DAY_MS, seed, LOADS, free))
+                    .play();
+            assertTrue(
+                    day.outcomes.keySet().stream().anyMatch(o -> o.matches("(RESET|TIMEOUT) 2")),
                     "some loads may have run: " + day.outcomes);
             double served = day.served(2, 0, DAY_MS / 1000);
             assertTrue(served > 0.3, "loads served: " + served);
@@ -36,13 +37,15 @@
     @DataProvider
     public Object[][] faults() {
         Front.Action send = new Front.Send(1, 7, 0);
-        return new Object[][] {{"two out", 0, List.of(send, send)},
+        return new Object[][] {
+            {"two out", 0, List.of(send, send)},
             {"unsafe again", 0, List.of(send, Outcome.RESET, send)},
             {"unsafe refused", 0, List.of(send, Outcome.TIMEOUT, new Front.Refuse(1, 0))},
             {"unsafe refused while out", 0, List.of(send, new Front.Refuse(1, 0))},
             {"two answers", 0, List.of(new Front.Refuse(1, 0), new Front.Fail(1))},
             {"behind its end", 0, List.of(new Front.Fail(1), send)},
-            {"over its ration", 1, List.of(send, Outcome.FULL, send, Outcome.FULL, send)}};
+            {"over its ration", 1, List.of(send, Outcome.FULL, send, Outcome.FULL, send)}
+        };
     }
 
     /** Each fault planted is found, and the same without the last step is not one. */
@@ -54,8 +57,7 @@
 
     private static void play(int type, List<Object> steps) {
         Front.Rules rules = new Front.Rules(1000, 15_000, 0.33, 3, 1000, 0, 10_000, 1, 0.2);
-        RuleChecker checker = new RuleChecker(Scene.settings(Scene.limits(4), rules, Scene.load(),
-                Scene.look()));
+        RuleChecker checker = new RuleChecker(Scene.settings(Scene.limits(4), rules, Scene.load(), Scene.look()));
         checker.heard(0, new Front.Arrival(1, type, 0, 5000, 0, 0, 0, false, 0));
         int attempt = 0;
         for (Object step : steps) {
--- a/src/test/java/peatwick/SpeculationTest.java
+++ b/src/test/java/peatwick/SpeculationTest.java
@@ -35,7 +35,7 @@
     }
 
     /** 90 runs of 1 and 10 of 10: up to 1.2 the area is near 1,
-            a fifth of a bin over; never cutting takes 1.9. */
+     * a fifth of a bin over; never cutting takes 1.9. */
     @Test
     void areasAreThoseOfTheCurve() {
         Survival s = new Survival(100, -4, 5);
@@ -139,8 +139,8 @@
 
     @Test
     void anAttemptNearlyDoneIsSpared() {
-        Front.Limits limits = new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4,
-                Front.WhenShort.WAIT, 1000, false);
+        Front.Limits limits =
+                new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4, Front.WhenShort.WAIT, 1000, false);
         Scene s = new Scene(Scene.settings(limits, Scene.rules(), Scene.look())).engines(1, 2, 3, 4);
         for (int i = 0; i < 60; i++) {
             s.ask(i, 0).pass(i % 10 == 5 ? 900 : 200).verdict(i, 0, Outcome.OK);
@@ -166,10 +166,10 @@
     /** Notes pass for signs of life, but their share no longer rises: the rerun would never end. */
     @Test
     void aRerunThatStandsStillIsRelaunchedAndOneThatMovesIsNot() {
-        Front.Limits limits = new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4,
-                Front.WhenShort.WAIT, 1000, false);
-        Front.RequestClass patient = new Front.RequestClass(30_000, 1, 60_000, 1, 0.5, Front.Effect.SAFE,
-                Front.Scope.ALL, 0, false, null, null, false, false, 1);
+        Front.Limits limits =
+                new Front.Limits(true, true, false, true, 500, 4, true, true, 0.4, Front.WhenShort.WAIT, 1000, false);
+        Front.RequestClass patient = new Front.RequestClass(
+                30_000, 1, 60_000, 1, 0.5, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, false, 1);
         for (boolean moves : new boolean[] {true, false}) {
             Scene s = new Scene(Scene.settings(limits, Scene.rules(), patient)).engines(1, 2, 3, 4);
             s.ask(1, 0, 0, 1000, 60_000).pass(2000);
--- a/src/test/java/peatwick/adapter/AdapterTest.java
+++ b/src/test/java/peatwick/adapter/AdapterTest.java
@@ -31,22 +31,38 @@
 
     private static String error(byte[] input) {
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int status = Main.run(new ByteArrayInputStream(input), new ByteArrayOutputStream(),
-                new PrintStream(err));
+        int status = Main.run(new ByteArrayInputStream(input), new ByteArrayOutputStream(), new PrintStream(err));
         assertThat(status).isNotZero();
         return err.toString(StandardCharsets.UTF_8);
     }
 
     private static byte[] opening() {
         byte[] settings = SETTINGS.getBytes(StandardCharsets.UTF_8);
-        ByteBuffer entry = ByteBuffer.allocate(24).putShort((short) 0).putFloat(1).putInt(0x0a124a07)
-                .putShort((short) 0x232b).putDouble(0).put((byte) 2);
-        byte[] tail = ByteBuffer.allocate(settings.length + 24).put(settings).put(entry.array()).array();
-        return frame(5, 1000, tail, record(0x18).putInt(3),
+        ByteBuffer entry = ByteBuffer.allocate(24)
+                .putShort((short) 0)
+                .putFloat(1)
+                .putInt(0x0a124a07)
+                .putShort((short) 0x232b)
+                .putDouble(0)
+                .put((byte) 2);
+        byte[] tail = ByteBuffer.allocate(settings.length + 24)
+                .put(settings)
+                .put(entry.array())
+                .array();
+        return frame(
+                5,
+                1000,
+                tail,
+                record(0x18).putInt(3),
                 record(0x13).putLong(9).putInt(0).putInt(settings.length),
                 record(0x1b).putShort((short) 0).putInt(settings.length).putInt(1),
                 record(0x16).put((byte) 1).putInt(1).putShort((short) 0),
-                record(0x12).putInt(0x5d3a91c4).put((byte) 0).putInt(0).putLong(0).putDouble(4000)
+                record(0x12)
+                        .putInt(0x5d3a91c4)
+                        .put((byte) 0)
+                        .putInt(0)
+                        .putLong(0)
+                        .putDouble(4000)
                         .putDouble(0));
     }
 
@@ -68,7 +84,8 @@
     @Test
     void anEmptyBatchGetsAnEmptyReply() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        assertThat(Main.run(new ByteArrayInputStream(frame(0, 1, new byte[0])), out, System.err)).isZero();
+        assertThat(Main.run(new ByteArrayInputStream(frame(0, 1, new byte[0])), out, System.err))
+                .isZero();
         assertThat(out.toByteArray()).containsExactly(0, 0, 0, 0, 0, 0, 0, 0);
     }
 
@@ -76,14 +93,23 @@
     void malformedInputIsNamed() {
         assertThat(error(new byte[] {0, 0, 0})).contains("inside a frame");
         assertThat(error(frame(1, 1, new byte[0], record(0x63)))).contains("before any instance");
-        assertThat(error(frame(2, 1, new byte[0], record(0x18),
-                record(0x63)))).contains("unknown event code 99");
+        assertThat(error(frame(2, 1, new byte[0], record(0x18), record(0x63)))).contains("unknown event code 99");
         byte[] lies = frame(0, 1, new byte[0]);
         lies[3] = 9;
         assertThat(error(lies)).contains("does not fit");
-        assertThat(error(frame(2, 1, "{oops".getBytes(StandardCharsets.UTF_8), record(0x18),
-                record(0x13).putLong(1).putInt(0).putInt(5)))).contains("not JSON");
-        assertThat(error(frame(2, 1, new byte[0], record(0x18), record(0x13).putLong(1).putInt(0).putInt(5))))
+        assertThat(error(frame(
+                        2,
+                        1,
+                        "{oops".getBytes(StandardCharsets.UTF_8),
+                        record(0x18),
+                        record(0x13).putLong(1).putInt(0).putInt(5))))
+                .contains("not JSON");
+        assertThat(error(frame(
+                        2,
+                        1,
+                        new byte[0],
+                        record(0x18),
+                        record(0x13).putLong(1).putInt(0).putInt(5))))
                 .contains("past the end");
     }
 
@@ -95,8 +121,7 @@
         assertThat(s.rules().extraWindow()).isZero();
         assertThat(s.limits().maxAttempts()).isEqualTo(3);
         assertThatThrownBy(() -> SettingsReader.read("{\"classes\":[]}")).hasMessageContaining("classes");
-        assertThatThrownBy(() -> SettingsReader.read(SETTINGS.replace("\"value\"",
-                "\"runs-on\":[\"q\"],\"value\"")))
+        assertThatThrownBy(() -> SettingsReader.read(SETTINGS.replace("\"value\"", "\"runs-on\":[\"q\"],\"value\"")))
                 .hasMessageContaining("unknown kind");
     }
 
@@ -105,21 +130,31 @@
         java.util.List<Front.Event> seen = new java.util.ArrayList<>();
         BatchReader.Sink sink = new BatchReader.Sink() {
             @Override
-            public void turn(int instance) { }
+            public void turn(int instance) {}
 
             @Override
-            public void open(long seed, String settings) { }
+            public void open(long seed, String settings) {}
 
             @Override
-            public void killed() { }
+            public void killed() {}
 
             @Override
             public void event(Front.Event event) {
                 seen.add(event);
             }
         };
-        byte[] batch = frame(3, 1000, new byte[] {9, 8, 7}, record(0x18).putInt(3),
-                record(0x12).putInt(5).put((byte) 0).putInt(2).putLong(0).putDouble(4000).putDouble(0),
+        byte[] batch = frame(
+                3,
+                1000,
+                new byte[] {9, 8, 7},
+                record(0x18).putInt(3),
+                record(0x12)
+                        .putInt(5)
+                        .put((byte) 0)
+                        .putInt(2)
+                        .putLong(0)
+                        .putDouble(4000)
+                        .putDouble(0),
                 record(0x1c).putInt(4).putInt(1).putInt(2));
         new BatchReader().read(3, ByteBuffer.wrap(batch).slice(8, batch.length - 8), sink);
         assertThat(((Front.Arrival) seen.get(0)).customer()).isEqualTo(2);
