--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 FLEET ?= 93 37 4 3 0.65
 measure-fleet: build
 	mvn -q -B test-compile
-	java -cp target/test-classes:target/classes peatwick.FleetDay $(FLEET)
+	java -cp target/test-classes:target/classes lineward.scheduling.FleetDay $(FLEET)
--- a/src/main/java/lineward/app/Config.java
+++ b/src/main/java/lineward/app/Config.java
@@ -14,9 +14,9 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import peatwick.Front;
-import peatwick.adapter.SettingsReader;
-import peatwick.adapter.WireException;
+import lineward.scheduling.SchedulerSettings;
+import lineward.scheduling.simulator.SettingsReader;
+import lineward.scheduling.simulator.WireException;
 
 /**
  * What a front end is told at its start.
@@ -37,7 +37,7 @@
         InetSocketAddress management,
         Peers peers,
         JsonNode known,
-        Front.Settings settings,
+        SchedulerSettings settings,
         JsonNode raw) {
     private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
     private static final int HIGHEST_PORT = 65535;
@@ -131,7 +131,7 @@
         return new InetSocketAddress(parts.group(1), Integer.parseInt(parts.group(2)));
     }
 
-    /** @return the names in a list of the settings, whose members are texts or objects with a name */
+    /** Returns the names in a list of the settings, whose members are texts or objects with a name. */
     List<String> names(String list) {
         List<String> names = new ArrayList<>();
         raw.path(list)
--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -14,34 +14,33 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import lineward.core.FrontClock;
-import lineward.core.Planner;
+import lineward.core.Coordinator;
+import lineward.core.MonotonicClock;
 import lineward.core.Tracer;
-import lineward.engine.EngineFleet;
-import lineward.front.Doorway;
-import lineward.front.FrontDoor;
-import lineward.journal.EngineList;
-import lineward.journal.JournalPoll;
-import lineward.lifecycle.HandOver;
-import lineward.lifecycle.InheritedDoorway;
+import lineward.discovery.DiscoveryClient;
+import lineward.discovery.EndpointList;
+import lineward.engine.EngineCluster;
+import lineward.frontend.Listener;
+import lineward.frontend.ProtocolServer;
+import lineward.gossip.GossipSocket;
+import lineward.lifecycle.HotRestart;
+import lineward.lifecycle.InheritedListener;
 import lineward.lifecycle.Lifecycle;
 import lineward.lifecycle.Ticker;
 import lineward.mysql.MysqlConfig;
-import lineward.mysql.MysqlFront;
+import lineward.mysql.MysqlServer;
 import lineward.mysql.Query;
-import lineward.operations.CountingTracer;
-import lineward.operations.Figures;
-import lineward.operations.OperationsServer;
-import lineward.peers.PeerSocket;
+import lineward.operations.AdminServer;
+import lineward.operations.Metrics;
+import lineward.operations.MetricsTracer;
+import lineward.scheduling.SpeculativeScheduler;
 import lineward.spool.Spool;
 import lineward.telemetry.Telemetry;
 import lineward.thrift.Call;
-import lineward.thrift.Rehearsal;
-import lineward.thrift.ThriftFront;
+import lineward.thrift.ProtocolWarmup;
+import lineward.thrift.ThriftServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import peatwick.Control;
-import peatwick.Front;
 
 /** Wires one front end: one event loop, its tick, the fronts with a planner each, the second address. */
 final class FrontEnd {
@@ -79,13 +78,13 @@
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Ticker ticker = new Ticker(loop);
-    private final FrontClock clock = new FrontClock();
-    private final List<FrontDoor> doors = new ArrayList<>();
+    private final MonotonicClock clock = new MonotonicClock();
+    private final List<ProtocolServer> doors = new ArrayList<>();
     private final List<Runnable> starts = new ArrayList<>();
     private final List<AutoCloseable> closings = new ArrayList<>();
-    private JournalPoll journal;
+    private DiscoveryClient journal;
     private boolean hungUp;
-    private final Figures figures = new Figures();
+    private final Metrics figures = new Metrics();
     private InetSocketAddress management;
     private Lifecycle lifecycle;
     private String name = "mysql";
@@ -105,45 +104,52 @@
     }
 
     private <X> Tracer<X> tracer(Function<X, String> classOf) {
-        Tracer<X> counts = new CountingTracer<>(figures, classOf, new LogTracer<>());
+        Tracer<X> counts = new MetricsTracer<>(figures, classOf, new LogTracer<>());
         return telemetry == null ? counts : telemetry.tracer(classOf, Object::toString, counts);
     }
 
     /** Adds the platform's front; the configuration came from that path and is read there again. */
     void addPlatform(Config config, String path) {
         int mostRequests = Math.min(MOST_REQUESTS, config.memoryMb() * REQUESTS_PER_MB);
-        Planner<Call> planner = new Planner<>(
-                new Control(config.settings(), config.seed()), mostRequests, STOP_TAKES_MS, tracer(Call::op));
-        EngineFleet fleet = new EngineFleet(
+        Coordinator<Call> planner = new Coordinator<>(
+                new SpeculativeScheduler(config.settings(), config.seed()),
+                mostRequests,
+                STOP_TAKES_MS,
+                tracer(Call::op));
+        EngineCluster fleet = new EngineCluster(
                 group,
-                new EngineFleet.Limits(
+                new EngineCluster.Limits(
                         config.limit("connect-timeout").asInt(250),
                         config.limit("conn-idle").asDouble(30_000),
                         config.limit("streams-per-conn").asInt(100),
                         (int) (config.sockets() * LINK_PART),
-                        !config.settings().report().isEmpty()),
+                        !config.settings().reporting().fields().isEmpty()),
                 figures::relayed);
         figures.announce(config.names("classes"));
         News news = new News();
-        ThriftFront.Names names = new ThriftFront.Names(
+        ThriftServer.Names names = new ThriftServer.Names(
                 config.names("classes"),
                 config.names("tenants"),
                 config.settings().classes().stream()
-                        .map(Front.RequestClass::deadline)
+                        .map(c -> c.objective().deadlineMs())
                         .toList());
         long memory = (long) config.memoryMb() << 20;
-        ThriftFront.Bounds bounds = new ThriftFront.Bounds(
+        ThriftServer.Bounds bounds = new ThriftServer.Bounds(
                 (int) (config.sockets() * CLIENT_PART), memory / STATEMENT_PART, memory / ANSWER_PART);
         onLoop(() -> {
-            lineward.engine.Rehearsal.play();
-            Rehearsal.play(
+            lineward.engine.EngineWarmup.run();
+            ProtocolWarmup.run(
                     names,
                     bounds,
-                    new Planner<>(new Control(config.settings(), 0), mostRequests, STOP_TAKES_MS, new LogTracer<>()),
+                    new Coordinator<>(
+                            new SpeculativeScheduler(config.settings(), 0),
+                            mostRequests,
+                            STOP_TAKES_MS,
+                            new LogTracer<>()),
                     fleet,
                     clock);
         });
-        ThriftFront front = new ThriftFront(
+        ThriftServer front = new ThriftServer(
                 names,
                 bounds,
                 doorway(config),
@@ -154,24 +160,24 @@
                 figures,
                 peers(config.peers(), planner, news));
         news.door = front;
-        EngineList list = new EngineList(config.names("skus"), config.names("zones"), (whole, entries) -> {
-            fleet.list(whole, entries);
-            planner.list(whole, entries);
+        EndpointList list = new EndpointList(config.names("skus"), config.names("zones"), (whole, entries) -> {
+            fleet.updateEndpoints(whole, entries);
+            planner.endpointsChanged(whole, entries);
             news.run();
         });
         onLoop(() -> {
             try {
-                list.take(config.known());
+                list.apply(config.known());
             } catch (IllegalArgumentException e) {
                 throw new ConfigException("known: " + e.getMessage());
             }
         });
         doors.add(front);
         onLoop(() -> {
-            journal = new JournalPoll(
+            journal = new DiscoveryClient(
                     loop, config.journal(), list, () -> Config.read(path).journal(), clock);
             if (hungUp) {
-                journal.hangUp();
+                journal.reloadAddress();
             }
         });
         figures.listAge(journal::ageMs);
@@ -185,13 +191,13 @@
         longestMs = names.deadlines().stream().mapToDouble(d -> d).max().orElse(LONGEST_RESTART_MS);
     }
 
-    /** @return where words for the other front ends go; nowhere, with no socket, where the settings bar it */
-    private Consumer<byte[]> peers(Config.Peers peers, Planner<Call> planner, News news) {
+    /** Returns where words for the other front ends go; nowhere, with no socket, where the settings bar it. */
+    private Consumer<byte[]> peers(Config.Peers peers, Coordinator<Call> planner, News news) {
         if (peers == null) {
             return octets -> {};
         }
-        PeerSocket socket = new PeerSocket(peers.numbers(), peers.all(), (from, octets) -> {
-            planner.heard(from, octets);
+        GossipSocket socket = new GossipSocket(peers.numbers(), peers.all(), (from, octets) -> {
+            planner.gossipReceived(from, octets);
             news.run();
         });
         starts.add(() -> {
@@ -202,17 +208,17 @@
                         opening.cause().toString());
             }
         });
-        return socket::announce;
+        return socket::broadcast;
     }
 
-    private Doorway doorway(Config config) {
+    private Listener doorway(Config config) {
         String descriptor = System.getenv().getOrDefault(INHERITED, "");
         if (descriptor.isBlank()) {
-            return Doorway.at(config.listen());
+            return Listener.at(config.listen());
         }
         try {
             inherited = true;
-            return InheritedDoorway.take(descriptor);
+            return InheritedListener.fromDescriptor(descriptor);
         } catch (IllegalArgumentException e) {
             throw new ConfigException(INHERITED + ": " + e.getMessage());
         }
@@ -224,16 +230,16 @@
         if (config.listen() == null) {
             return;
         }
-        Planner<Query> planner = new Planner<>(
-                new Control(MysqlSettings.of(config), System.nanoTime()),
+        Coordinator<Query> planner = new Coordinator<>(
+                new SpeculativeScheduler(MysqlSettings.of(config), System.nanoTime()),
                 MOST_REQUESTS,
-                MysqlFront.STOP_TAKES_MS,
+                MysqlServer.STOP_TAKES_MS,
                 tracer(query -> config.classes().get(query.place()).name()));
         News news = new News();
         Spool spool = Spools.open(config.spool(), loop, clock);
         closings.add(spool);
         figures.spool(spool::figures);
-        MysqlFront front = new MysqlFront(group, config, planner, clock, news, figures, spool);
+        MysqlServer front = new MysqlServer(group, config, planner, clock, news, figures, spool);
         figures.announce(
                 config.classes().stream().map(MysqlConfig.QueryClass::name).toList());
         news.door = front;
@@ -260,7 +266,7 @@
         loop.execute(() -> {
             hungUp = true;
             if (journal != null) {
-                journal.hangUp();
+                journal.reloadAddress();
             }
         });
     }
@@ -281,16 +287,16 @@
 
     private void start() {
         onLoop(lifecycle::begin);
-        ticker.every(Ticker.TICK_MS, () -> doors.forEach(FrontDoor::tick));
-        ticker.every(SILENCE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeSilent));
-        ticker.every(IDLE_SWEEP_MS, () -> doors.forEach(FrontDoor::closeIdleEngines));
+        ticker.every(Ticker.TICK_MS, () -> doors.forEach(ProtocolServer::tick));
+        ticker.every(SILENCE_SWEEP_MS, () -> doors.forEach(ProtocolServer::closeUnresponsive));
+        ticker.every(IDLE_SWEEP_MS, () -> doors.forEach(ProtocolServer::closeIdleEngineConnections));
         if (management != null) {
-            OperationsServer operations = new OperationsServer(lifecycle);
+            AdminServer operations = new AdminServer(lifecycle);
             LOG.info("operators call at {}", bound(operations.listen(group, management)));
             ticker.every(SILENCE_SWEEP_MS, operations::closeSilent);
         }
         starts.forEach(Runnable::run);
-        for (FrontDoor door : doors) {
+        for (ProtocolServer door : doors) {
             LOG.info("listening on {}", bound(door.listen(group)));
         }
         if (doors.isEmpty()) {
@@ -301,16 +307,16 @@
 
     private Lifecycle lifecycle() {
         String shared = System.getenv().getOrDefault("TMPDIR", "");
-        HandOver handOver =
-                new HandOver(shared.isBlank() ? null : Path.of(shared), name, clock, new HandOver.Listener() {
+        HotRestart handOver =
+                new HotRestart(shared.isBlank() ? null : Path.of(shared), name, clock, new HotRestart.Listener() {
                     @Override
                     public void heldOut(String engine, boolean out, double since) {
-                        doors.forEach(d -> d.holdOut(engine, out, since));
+                        doors.forEach(d -> d.setMaintenance(engine, out, since));
                     }
 
                     @Override
                     public void part(double part) {
-                        doors.forEach(d -> d.planner().part(part));
+                        doors.forEach(d -> d.coordinator().setQuota(part));
                     }
                 });
         return new Lifecycle(
@@ -335,7 +341,7 @@
 
     /** What came in within one turn of the loop is decided on together, at its end. */
     private final class News implements Runnable {
-        private FrontDoor door;
+        private ProtocolServer door;
         private boolean pending;
 
         @Override
--- a/src/main/java/lineward/app/LogTracer.java
+++ b/src/main/java/lineward/app/LogTracer.java
@@ -1,16 +1,16 @@
 package lineward.app;
 
 import lineward.core.Tracer;
+import lineward.scheduling.AttemptOutcome;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import peatwick.Front;
 
 /** Writes the module's lines to the log; requests and attempts only for those who look closer. */
 final class LogTracer<X> implements Tracer<X> {
     private static final Logger LOG = LoggerFactory.getLogger("planner");
 
     @Override
-    public void requestTaken(X exchange) {
+    public void requestAdmitted(X exchange) {
         LOG.debug("{} taken", exchange);
     }
 
@@ -20,7 +20,7 @@
     }
 
     @Override
-    public void attemptEnded(X exchange, int attempt, Front.Outcome outcome) {
+    public void attemptEnded(X exchange, int attempt, AttemptOutcome outcome) {
         LOG.debug("{} attempt {} ended {}", exchange, attempt, outcome);
     }
 
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -110,7 +110,7 @@
     static final class Adapter implements Callable<Integer> {
         @Override
         public Integer call() {
-            peatwick.adapter.Main.main(new String[] {"adapter"});
+            lineward.scheduling.simulator.Main.main(new String[] {"adapter"});
             return 0;
         }
     }
--- a/src/main/java/lineward/app/MysqlFile.java
+++ b/src/main/java/lineward/app/MysqlFile.java
@@ -15,8 +15,8 @@
 import java.util.regex.Pattern;
 import java.util.regex.PatternSyntaxException;
 import lineward.mysql.MysqlConfig;
+import lineward.scheduling.EndpointState;
 import lineward.spool.SpoolLimits;
-import peatwick.Front;
 
 /** The file that configures the MySQL front; its engines may change while the program runs. */
 final class MysqlFile {
@@ -33,7 +33,7 @@
         this.path = path;
     }
 
-    /** @return whether the file has been written since it was last read */
+    /** Returns whether the file has been written since it was last read. */
     boolean hasChanged() {
         try {
             return !Files.getLastModifiedTime(path).equals(readAt);
@@ -131,11 +131,11 @@
         }
     }
 
-    private static Front.Condition condition(String word) {
+    private static EndpointState condition(String word) {
         return switch (word) {
-            case "ready" -> Front.Condition.READY;
-            case "draining" -> Front.Condition.DRAINING;
-            case "gone" -> Front.Condition.GONE;
+            case "ready" -> EndpointState.READY;
+            case "draining" -> EndpointState.DRAINING;
+            case "gone" -> EndpointState.GONE;
             default -> throw new IllegalArgumentException("unknown state " + word);
         };
     }
--- a/src/main/java/lineward/app/MysqlSettings.java
+++ b/src/main/java/lineward/app/MysqlSettings.java
@@ -3,7 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import lineward.mysql.MysqlConfig;
-import peatwick.Front;
+import lineward.scheduling.DeduplicationScope;
+import lineward.scheduling.EngineKind;
+import lineward.scheduling.Idempotence;
+import lineward.scheduling.MemoryShortage;
+import lineward.scheduling.RequestClass;
+import lineward.scheduling.SchedulerSettings;
 
 /** The module's settings for the pool of MySQL engines. */
 final class MysqlSettings {
@@ -21,59 +26,37 @@
     private MysqlSettings() {}
 
     /** Every class stands twice: what only reads is safe to repeat, what may write is not. */
-    static Front.Settings of(MysqlConfig config) {
-        List<Front.RequestClass> classes = new ArrayList<>();
+    static SchedulerSettings of(MysqlConfig config) {
+        List<RequestClass> classes = new ArrayList<>();
         for (MysqlConfig.QueryClass c : config.classes()) {
-            for (Front.Effect effect : List.of(Front.Effect.SAFE, Front.Effect.UNSAFE)) {
-                classes.add(new Front.RequestClass(
-                        c.aimMs(),
-                        AIM_STRETCH,
-                        c.deadlineMs(),
-                        c.worth(),
-                        LATE_SHARE,
-                        effect,
-                        Front.Scope.ALL,
-                        0,
-                        false,
-                        null,
-                        null,
-                        false,
-                        false,
-                        c.threads()));
+            for (Idempotence effect : List.of(Idempotence.IDEMPOTENT, Idempotence.NON_IDEMPOTENT)) {
+                classes.add(new RequestClass(
+                        new RequestClass.Objective(c.aimMs(), AIM_STRETCH, c.deadlineMs(), c.worth(), LATE_SHARE),
+                        new RequestClass.Repeatability(effect, DeduplicationScope.ALL, 0, false),
+                        new RequestClass.Placement(null, null),
+                        new RequestClass.Workload(false, false, c.threads())));
             }
         }
         int cores = config.engines().stream()
                 .mapToInt(MysqlConfig.Engine::cores)
                 .min()
                 .orElse(1);
-        return new Front.Settings(
+        return new SchedulerSettings(
                 classes,
-                List.of(new Front.Kind(cores, 0)),
-                1,
-                0,
-                1,
-                0,
-                new Front.Limits(
-                        true,
-                        false,
-                        false,
-                        true,
-                        MAX_RETRY_AFTER,
-                        config.bounds().maxAttempts(),
-                        false,
-                        false,
-                        1,
-                        Front.WhenShort.WAIT,
+                List.of(new EngineKind(cores, 0)),
+                new SchedulerSettings.FleetPosition(1, 0, 1, 0),
+                new SchedulerSettings.Limits(
+                        new SchedulerSettings.Capabilities(true, false, false, true, false, false, false),
+                        new SchedulerSettings.AttemptLimits(config.bounds().maxAttempts(), MAX_RETRY_AFTER, 0),
+                        new SchedulerSettings.MemoryLimits(1, MemoryShortage.WAIT)),
+                new SchedulerSettings.Rules(
+                        DRAIN_GRACE,
+                        new SchedulerSettings.SlowStartRule(COLD_MS, COLD_SHARE, OVERLOAD_FACTOR, FALL_MS),
                         0,
-                        false),
-                new Front.Rules(DRAIN_GRACE, COLD_MS, COLD_SHARE, OVERLOAD_FACTOR, FALL_MS, 0, 0, 0, 0),
-                List.of(),
-                false,
-                false,
-                0,
-                false,
-                new Front.Prices(0, 0),
-                List.of(),
-                1);
+                        new SchedulerSettings.RetryBudget(0, 0, 0)),
+                new SchedulerSettings.Reporting(List.of(), false),
+                new SchedulerSettings.Discovery(false, 0, false),
+                new SchedulerSettings.Costs(0, 0),
+                new SchedulerSettings.Quotas(List.of(), 1));
     }
 }
--- a/src/main/java/lineward/core/Budget.java
+++ b/src/main/java/lineward/core/ByteBudget.java
@@ -1,31 +1,31 @@
 package lineward.core;
 
 /** A bound on bytes held in one place. */
-public final class Budget {
+public final class ByteBudget {
     private final long most;
-    private long held;
+    private long used;
 
     /** @param most bytes held at once */
-    public Budget(long most) {
+    public ByteBudget(long most) {
         this.most = most;
     }
 
-    /** @return whether that many bytes more may be held; if so they count until {@link #release} */
+    /** Returns whether that many bytes more may be held; if so they count until {@link #release}. */
     public boolean reserve(long bytes) {
-        if (held + bytes > most) {
+        if (used + bytes > most) {
             return false;
         }
-        held += bytes;
+        used += bytes;
         return true;
     }
 
-    /** @return bytes held now */
-    public long held() {
-        return held;
+    /** Returns bytes held now. */
+    public long used() {
+        return used;
     }
 
     /** Gives bytes back. */
     public void release(long bytes) {
-        held -= bytes;
+        used -= bytes;
     }
 }
--- a/src/main/java/lineward/core/Deadlines.java
+++ b/src/main/java/lineward/core/DeadlineQueue.java
@@ -5,7 +5,7 @@
 import java.util.function.DoubleConsumer;
 
 /** All that is due at some time, in one ordered structure; equal times run in the order they came. */
-public final class Deadlines {
+public final class DeadlineQueue {
     /** A deadline that can be taken back. */
     public static final class Entry {
         private final double at;
@@ -23,7 +23,7 @@
             new TreeSet<>(Comparator.<Entry>comparingDouble(e -> e.at).thenComparingLong(e -> e.turn));
     private long turns;
 
-    /** @return the handle by which {@link #cancel} finds it */
+    /** Returns the handle by which {@link #cancel} finds it. */
     public Entry add(double at, DoubleConsumer task) {
         Entry entry = new Entry(at, turns++, task);
         entries.add(entry);
--- a/src/main/java/lineward/core/SlotTable.java
+++ b/src/main/java/lineward/core/GenerationalTable.java
@@ -12,7 +12,7 @@
  *
  * @param <T> what the slots hold
  */
-public final class SlotTable<T> {
+public final class GenerationalTable<T> {
     private record Slot<T>(int generation, T value) {}
 
     /** What {@link #add} answers when the table is full; never an id. */
@@ -23,11 +23,11 @@
     private final Deque<Integer> free = new ArrayDeque<>();
 
     /** @param capacity the most slots in use at once */
-    public SlotTable(int capacity) {
+    public GenerationalTable(int capacity) {
         this.capacity = capacity;
     }
 
-    /** @return the id of the slot that now holds the value, or {@link #FULL} */
+    /** Returns the id of the slot that now holds the value, or {@link #FULL}. */
     public long add(T value) {
         if (size() >= capacity) {
             return FULL;
@@ -42,7 +42,7 @@
         return (long) generation << 32 | number;
     }
 
-    /** @return what the slot holds, or null if the id is stale or was never given */
+    /** Returns what the slot holds, or null if the id is stale or was never given. */
     public T get(long id) {
         int number = (int) id;
         if (id < 0 || number < 0 || number >= slots.size()) {
@@ -60,7 +60,7 @@
         }
     }
 
-    /** @return the slots in use */
+    /** Returns the slots in use. */
     public int size() {
         return slots.size() - free.size();
     }
--- /dev/null
+++ b/src/main/java/lineward/core/HealthChecks.java
@@ -0,0 +1,50 @@
+package lineward.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import lineward.scheduling.AttemptOutcome;
+import lineward.scheduling.SchedulerEvent;
+
+/** The health checks in flight: one an engine at most, each with a timeout. */
+final class HealthChecks {
+    private static final double TIMEOUT_MS = 250;
+    private static final double[] NO_REPORT = new double[0];
+
+    private record Check(double startedAtMs, DeadlineQueue.Entry timeout) {}
+
+    private final Map<Long, Check> inFlight = new HashMap<>();
+    private final DeadlineQueue deadlines;
+    private final Consumer<SchedulerEvent> events;
+
+    /**
+     * Creates an empty set of checks.
+     *
+     * @param events takes what becomes of the checks
+     */
+    HealthChecks(DeadlineQueue deadlines, Consumer<SchedulerEvent> events) {
+        this.deadlines = deadlines;
+        this.events = events;
+    }
+
+    /** Starts the timeout of a check; returns false if one of that engine is in flight already. */
+    boolean start(long engine, double nowMs) {
+        if (inFlight.containsKey(engine)) {
+            return false;
+        }
+        DeadlineQueue.Entry timeout =
+                deadlines.add(nowMs + TIMEOUT_MS, atMs -> complete(atMs, engine, AttemptOutcome.TIMEOUT, NO_REPORT));
+        inFlight.put(engine, new Check(nowMs, timeout));
+        return true;
+    }
+
+    /** Takes in the end of a check; late and unsolicited ones are ignored. */
+    void complete(double nowMs, long engine, AttemptOutcome outcome, double[] loadReport) {
+        Check check = inFlight.remove(engine);
+        if (check != null) {
+            deadlines.cancel(check.timeout());
+            double latencyMs = nowMs - check.startedAtMs();
+            events.accept(new SchedulerEvent.HealthCheckCompleted(engine, outcome, latencyMs, loadReport));
+        }
+    }
+}
--- a/src/main/java/lineward/core/FrontClock.java
+++ b/src/main/java/lineward/core/MonotonicClock.java
@@ -6,7 +6,7 @@
  * The clock of a front end: Unix milliseconds as they stood at its start, moved on by the monotonic clock, so
  * that it never goes back when the Unix clock is set.
  */
-public final class FrontClock implements DoubleSupplier {
+public final class MonotonicClock implements DoubleSupplier {
     private static final double NANOS = 1e6;
     private final double startedAt = System.currentTimeMillis();
     private final long origin = System.nanoTime();
--- a/src/main/java/lineward/core/SqlTokens.java
+++ b/src/main/java/lineward/core/SqlTokens.java
@@ -23,7 +23,7 @@
         this.text = text.toString();
     }
 
-    /** @return whether there is a further token, which {@link #kind} and {@link #text} then tell */
+    /** Returns whether there is a further token, which {@link #kind} and {@link #text} then tell. */
     public boolean next() {
         while (at < text.length()) {
             char c = text.charAt(at);
@@ -44,27 +44,27 @@
         return false;
     }
 
-    /** @return the kind of the token that {@link #next} found */
+    /** Returns the kind of the token that {@link #next} found. */
     public Kind kind() {
         return kind;
     }
 
-    /** @return a word, name or symbol as it stands; empty for strings and comments */
+    /** Returns a word, name or symbol as it stands; empty for strings and comments. */
     public String text() {
         return token;
     }
 
-    /** @return where the token begins in the text */
+    /** Returns where the token begins in the text. */
     public int start() {
         return began;
     }
 
-    /** @return where the token ends in the text */
+    /** Returns where the token ends in the text. */
     public int end() {
         return at;
     }
 
-    /** @return whether the token is this word, in capitals or not */
+    /** Returns whether the token is this word, in capitals or not. */
     public boolean is(String word) {
         return kind != Kind.NAME && token.equalsIgnoreCase(word);
     }
--- a/src/main/java/lineward/core/TableGroups.java
+++ b/src/main/java/lineward/core/TableGroups.java
@@ -11,8 +11,8 @@
     private TableGroups() {}
 
     /**
-     * @return the number behind the underscore of the first schema named where tables stand, else of the
-     *     first name with such a number before a dot; 0 if there is none
+     * Returns the number behind the underscore of the first schema named where tables stand, else of the
+     *     first name with such a number before a dot; 0 if there is none.
      */
     public static int of(CharSequence statement) {
         SqlTokens tokens = new SqlTokens(statement);
--- a/src/main/java/lineward/core/Tracer.java
+++ b/src/main/java/lineward/core/Tracer.java
@@ -1,33 +1,37 @@
 package lineward.core;
 
-import peatwick.Front;
+import lineward.scheduling.AttemptOutcome;
 
 /**
- * Is told what becomes of requests and attempts, for logs, spans and metrics.
+ * Is notified of what becomes of requests and attempts, for logs, spans and metrics.
  *
- * @param <X> the front's own record of a request
+ * @param <X> the protocol's own record of a request
  */
 public interface Tracer<X> {
     /** How a request ended. */
     enum Ending {
+        /** Its client got the engine's answer. */
         SERVED,
-        REFUSED,
+        /** It was rejected; a retry is harmless. */
+        REJECTED,
+        /** It failed, and may have run. */
         FAILED,
-        ABORTED
+        /** Its client went. */
+        CANCELLED
     }
 
-    /** A request was taken. */
-    void requestTaken(X exchange);
+    /** A request was admitted. */
+    void requestAdmitted(X exchange);
 
     /** An attempt goes out to an engine. */
     void attemptStarted(X exchange, int attempt, String engine);
 
     /** An attempt has ended. */
-    void attemptEnded(X exchange, int attempt, Front.Outcome outcome);
+    void attemptEnded(X exchange, int attempt, AttemptOutcome outcome);
 
-    /** A request is over. */
+    /** A request has completed. */
     void requestEnded(X exchange, Ending ending);
 
-    /** A line of the module for those on call. */
+    /** A line of the scheduler for those on call. */
     void log(String text);
 }
--- a/src/main/java/lineward/journal/JournalPoll.java
+++ b/src/main/java/lineward/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package lineward.journal;
+package lineward.discovery;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
@@ -38,15 +38,15 @@
  * Follows the journal by long polls over HTTP/1.1, as {@link PollPolicy} says. All of it runs on the event
  * loop; only the file is read beside it, by one thread that lives while it has something to do.
  */
-public final class JournalPoll {
-    private static final Logger LOG = LoggerFactory.getLogger(JournalPoll.class);
+public final class DiscoveryClient {
+    private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int CONNECT_MS = 500;
     private static final int LARGEST_ANSWER = 4 << 20;
     private static final int READER_LIVES_S = 5;
 
     private final EventLoop loop;
-    private final EngineList list;
+    private final EndpointList list;
     private final Supplier<String> file;
     private final DoubleSupplier clock;
     private final PollPolicy policy;
@@ -66,7 +66,8 @@
      *     plain line if the file can't be used; called on a thread of its own
      * @param clock in milliseconds, never going back
      */
-    public JournalPoll(EventLoop loop, String address, EngineList list, Supplier<String> file, DoubleSupplier clock) {
+    public DiscoveryClient(
+            EventLoop loop, String address, EndpointList list, Supplier<String> file, DoubleSupplier clock) {
         this.loop = loop;
         this.list = list;
         this.file = file;
@@ -81,12 +82,12 @@
     }
 
     /** SIGHUP: reads the file anew, again until it can be read, and polls the address that stands there. */
-    public void hangUp() {
-        policy.hangUp(clock.getAsDouble());
+    public void reloadAddress() {
+        policy.reloadAddress(clock.getAsDouble());
         tick();
     }
 
-    /** @return milliseconds since the journal's last usable answer, or since the start if none has come */
+    /** Returns milliseconds since the journal's last usable answer, or since the start if none has come. */
     public long ageMs() {
         return Math.round(policy.age(clock.getAsDouble()));
     }
@@ -208,7 +209,7 @@
             }
             long before = list.position();
             try (InputStream in = new ByteBufInputStream(answer.content())) {
-                list.take(JSON.readTree(in));
+                list.apply(JSON.readTree(in));
             }
             List<PollPolicy.Step> steps = policy.answered(call, list.position() != before, clock.getAsDouble());
             if (HttpUtil.isKeepAlive(answer)) {
--- a/src/main/java/lineward/journal/EngineList.java
+++ b/src/main/java/lineward/discovery/EndpointList.java
@@ -1,4 +1,4 @@
-package lineward.journal;
+package lineward.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -6,16 +6,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lineward.core.EngineEntry;
-import peatwick.Front;
+import lineward.core.EngineEndpoint;
+import lineward.scheduling.EndpointState;
 
 /** The list of engines as the journal's events have made it: keeps the last entry of each and its place. */
-public final class EngineList {
+public final class EndpointList {
     /** Hears of the whole list, or of what has changed. */
     @FunctionalInterface
     public interface Listener {
         /** @param whole whether what is missing is gone */
-        void changed(boolean whole, List<EngineEntry> entries);
+        void changed(boolean whole, List<EngineEndpoint> entries);
     }
 
     private final List<String> kinds;
@@ -28,13 +28,13 @@
      * @param kinds names of machine kinds, in the order of the settings
      * @param zones names of zones, in the order of the settings
      */
-    public EngineList(List<String> kinds, List<String> zones, Listener listener) {
+    public EndpointList(List<String> kinds, List<String> zones, Listener listener) {
         this.kinds = kinds;
         this.zones = zones;
         this.listener = listener;
     }
 
-    /** @return the number of the last event taken in */
+    /** Returns the number of the last event taken in. */
     public long position() {
         return position;
     }
@@ -45,7 +45,7 @@
      * @throws IllegalArgumentException if it is not what the journal's form allows; nothing of the event at
      *     fault is taken in
      */
-    public void take(JsonNode answer) {
+    public void apply(JsonNode answer) {
         JsonNode entries = answer.path("entries");
         if (!entries.isArray() || !answer.path("pos").isIntegralNumber()) {
             throw new IllegalArgumentException("journal: no pos or entries");
@@ -57,17 +57,17 @@
             }
             if (pos > position) {
                 if (event.has("hosts")) {
-                    apply(event.get("hosts"));
+                    applyHosts(event.get("hosts"));
                 }
                 position = pos;
             }
         }
     }
 
-    private void apply(JsonNode hosts) {
+    private void applyHosts(JsonNode hosts) {
         boolean whole = hosts.path("reset").asBoolean(known.isEmpty());
         Map<String, ObjectNode> merged = new HashMap<>(whole ? Map.of() : known);
-        List<EngineEntry> changed = new ArrayList<>();
+        List<EngineEndpoint> changed = new ArrayList<>();
         for (JsonNode instance : hosts.path("instances")) {
             String id = instance.path("instanceId").asText("");
             if (id.isEmpty() || !(instance instanceof ObjectNode entry)) {
@@ -75,10 +75,10 @@
             }
             // A change may bring just the fields that differ: the rest stays as last told.
             ObjectNode full = merged.containsKey(id) ? merged.get(id).deepCopy().setAll(entry) : entry;
-            EngineEntry read = read(id, full);
+            EngineEndpoint read = read(id, full);
             changed.add(read);
             merged.put(id, full);
-            if (read.condition() == Front.Condition.GONE) {
+            if (read.state() == EndpointState.GONE) {
                 merged.remove(id);
             }
         }
@@ -87,18 +87,18 @@
         listener.changed(whole, changed);
     }
 
-    private EngineEntry read(String id, JsonNode entry) {
+    private EngineEndpoint read(String id, JsonNode entry) {
         String address = entry.path("hostPort").asText("");
         if (!address.matches("[^\\s:]+:[0-9]{1,5}")) {
             throw new IllegalArgumentException("journal: address of " + id + " can't be used");
         }
-        Front.Condition condition = switch (entry.path("lifecycle").asText("")) {
-            case "ready" -> Front.Condition.READY;
-            case "draining" -> Front.Condition.DRAINING;
-            case "gone" -> Front.Condition.GONE;
+        EndpointState condition = switch (entry.path("lifecycle").asText("")) {
+            case "ready" -> EndpointState.READY;
+            case "draining" -> EndpointState.DRAINING;
+            case "gone" -> EndpointState.GONE;
             default -> throw new IllegalArgumentException("journal: unknown state of " + id);
         };
-        return new EngineEntry(
+        return new EngineEndpoint(
                 id,
                 address,
                 Math.max(0, kinds.indexOf(entry.path("machineType").asText())),
--- a/src/main/java/lineward/journal/PollPolicy.java
+++ b/src/main/java/lineward/discovery/PollPolicy.java
@@ -1,4 +1,4 @@
-package lineward.journal;
+package lineward.discovery;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -95,12 +95,12 @@
         heardAt = now;
     }
 
-    /** @return how long ago the last usable answer came, or the start if none has */
+    /** Returns how long ago the last usable answer came, or the start if none has. */
     double age(double now) {
         return now - heardAt;
     }
 
-    /** @return where the service is taken to be */
+    /** Returns where the service is taken to be. */
     String address() {
         return address;
     }
@@ -145,7 +145,7 @@
         return steps;
     }
 
-    /** @return whether that connection still counts; what another one says is to be passed over */
+    /** Returns whether that connection still counts; what another one says is to be passed over. */
     boolean counts(int number) {
         return find(number) != null;
     }
@@ -195,7 +195,7 @@
     }
 
     /** SIGHUP: the file has been replaced and is to be read. */
-    void hangUp(double now) {
+    void reloadAddress(double now) {
         awaitedSince = now;
         lookAt = now;
         lookAgain = looking;
--- a/src/main/java/lineward/engine/EngineFleet.java
+++ b/src/main/java/lineward/engine/EngineCluster.java
@@ -11,11 +11,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import lineward.core.EngineEntry;
-import peatwick.Front;
+import lineward.core.EngineEndpoint;
+import lineward.scheduling.AttemptOutcome;
+import lineward.scheduling.EndpointState;
 
 /** The engines that the list names and the connections to them. */
-public final class EngineFleet {
+public final class EngineCluster {
     /** Own connections are closed at this part of the engines' idle time: theirs would race with a send. */
     private static final double IDLE_PART = 0.7;
 
@@ -41,9 +42,9 @@
 
     /** Hears what a probe brought back. */
     @FunctionalInterface
-    public interface ProbeListener {
+    public interface HealthCheckListener {
         /** @param report the figures of the engine's load, empty where there are none */
-        void answered(Front.Outcome outcome, double[] report);
+        void answered(AttemptOutcome outcome, double[] report);
     }
 
     private final Map<String, Member> members = new HashMap<>();
@@ -55,7 +56,7 @@
      * @param loop runs all connections
      * @param sent is called when a run has been written whole
      */
-    public EngineFleet(EventLoopGroup loop, Limits limits, Runnable sent) {
+    public EngineCluster(EventLoopGroup loop, Limits limits, Runnable sent) {
         this.sent = sent;
         this.limits = limits;
         this.bootstrap = new Bootstrap()
@@ -66,14 +67,14 @@
     }
 
     /** Takes in the list of engines, or changes to it. */
-    public void list(boolean whole, List<EngineEntry> entries) {
+    public void updateEndpoints(boolean whole, List<EngineEndpoint> entries) {
         if (whole) {
             members.values().forEach(m -> {
                 m.gone = true;
                 m.takesNew = false;
             });
         }
-        for (EngineEntry e : entries) {
+        for (EngineEndpoint e : entries) {
             InetSocketAddress address = parse(e.address());
             Member m = members.get(e.id());
             if (m == null || !m.pool.address().equals(address)) {
@@ -83,8 +84,8 @@
                 m = new Member(new EnginePool(bootstrap, address, limits, this::makeRoom, sent));
                 members.put(e.id(), m);
             }
-            m.gone = e.condition() == Front.Condition.GONE;
-            m.takesNew = e.condition() == Front.Condition.READY;
+            m.gone = e.state() == EndpointState.GONE;
+            m.takesNew = e.state() == EndpointState.READY;
             if (e.startedAtMs() != m.startedAtMs) {
                 m.startedAtMs = e.startedAtMs();
                 m.pool.startedAt(e.startedAtMs());
@@ -96,29 +97,29 @@
     }
 
     /** Starts a run; its end is told by its listener, perhaps before this returns. */
-    public void start(String engine, Run run) {
+    public void start(String engine, QueryAttempt run) {
         Member m = members.get(engine);
         if (m == null) {
-            run.end(End.UNREACHED);
+            run.end(AttemptEnd.UNREACHED);
         } else {
             m.pool.start(run);
         }
     }
 
     /** Asks an engine how it is; one that says nothing, or can't be reached, has no answer. */
-    public void probe(String engine, ProbeListener heard) {
+    public void checkHealth(String engine, HealthCheckListener heard) {
         Member m = members.get(engine);
         if (m != null) {
             m.pool.probe(
                     limits.reports() ? "busy" : "there",
                     reply -> heard.answered(
-                            reply.word() == Reply.Word.SICK ? Front.Outcome.ERROR : Front.Outcome.OK,
+                            reply.word() == Reply.Word.SICK ? AttemptOutcome.ERROR : AttemptOutcome.OK,
                             reply.figures("l")));
         }
     }
 
     /** Gives a run up; its listener hears nothing more. */
-    public void stop(String engine, Run run) {
+    public void cancel(String engine, QueryAttempt run) {
         Member m = members.get(engine);
         if (m != null) {
             m.pool.stop(run);
@@ -126,7 +127,7 @@
     }
 
     /** Ends what still waits for a connection to that engine, as never run. */
-    public void recall(String engine) {
+    public void recallUnsent(String engine) {
         Member m = members.get(engine);
         if (m != null) {
             m.pool.recall();
@@ -134,7 +135,7 @@
     }
 
     /** Tells the engine the run's new priority. */
-    public void hurry(String engine, Run run, int priority) {
+    public void changePriority(String engine, QueryAttempt run, int priority) {
         run.priority = priority;
         Member m = members.get(engine);
         if (m != null) {
@@ -151,7 +152,7 @@
     }
 
     /** Has every connection look whether it still works. */
-    public void beat() {
+    public void keepAlive() {
         members.values().forEach(m -> m.pool.beat());
     }
 
@@ -165,10 +166,10 @@
         if (members.values().stream().mapToInt(m -> m.pool.size()).sum() < limits.links()) {
             return true;
         }
-        Link rested = members.values().stream()
+        EngineConnection rested = members.values().stream()
                 .map(m -> m.pool.longestIdle())
                 .filter(Objects::nonNull)
-                .min(Comparator.comparingLong(Link::usedAt))
+                .min(Comparator.comparingLong(EngineConnection::usedAt))
                 .orElse(null);
         if (rested != null) {
             rested.letGo();
--- a/src/main/java/lineward/engine/Link.java
+++ b/src/main/java/lineward/engine/EngineConnection.java
@@ -12,30 +12,30 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import lineward.front.SparseLog;
+import lineward.frontend.RateLimitedLog;
 import org.slf4j.LoggerFactory;
 
 /** One connection to an engine, with the runs that it carries. */
-final class Link extends SimpleChannelInboundHandler<Reply> {
+final class EngineConnection extends SimpleChannelInboundHandler<Reply> {
     /** Hears what becomes of a link. */
     interface Owner {
         /** The link is of no more use. */
-        void closed(Link link);
+        void closed(EngineConnection link);
 
         /** A run has been written whole. */
         void sent();
 
         /** The connection is up. */
-        void up(Link link);
+        void up(EngineConnection link);
 
         /** An engine has spoken. */
         void heard();
 
         /** Runs that were sent have lost their connection: the owner ends them. */
-        void lost(List<Run> runs);
+        void lost(List<QueryAttempt> runs);
 
         /** Runs never sent, as no connection came up: the owner ends them or sends them elsewhere. */
-        void unsent(List<Run> runs, Throwable cause);
+        void unsent(List<QueryAttempt> runs, Throwable cause);
     }
 
     private record Probe(String word, String tag, Consumer<Reply> heard) {
@@ -48,7 +48,7 @@
         }
     }
 
-    private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(Link.class));
+    private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(EngineConnection.class));
     /** With runs out and no word for so long, the connection is asked whether it works. */
     private static final long QUIET = TimeUnit.MILLISECONDS.toNanos(400);
     /** An engine that spoke so lately is there. */
@@ -60,9 +60,9 @@
     /** A close reaches its engine within this. */
     static final int CLOSE_TAKES_MS = 6;
 
-    private final Map<String, Run> runs = new LinkedHashMap<>();
+    private final Map<String, QueryAttempt> runs = new LinkedHashMap<>();
     /** Ended while an answer may be on its way, a second one perhaps: the id may not go out here again. */
-    private final Map<String, Run> spent = new LinkedHashMap<>();
+    private final Map<String, QueryAttempt> spent = new LinkedHashMap<>();
 
     private final long openedAtUnixMs = System.currentTimeMillis();
     private final Owner owner;
@@ -83,7 +83,7 @@
     /** The last probe here without an answer: a planner has one out at an engine at most. */
     private Probe probe;
 
-    Link(Owner owner) {
+    EngineConnection(Owner owner) {
         super(false);
         this.owner = owner;
     }
@@ -92,7 +92,7 @@
         return up && !closed;
     }
 
-    /** @return whether it is up and has shown so lately: one to a machine that vanished stays open */
+    /** Returns whether it is up and has shown so lately: one to a machine that vanished stays open. */
     boolean isLively() {
         return isUp() && System.nanoTime() - heardAt < LIVELY;
     }
@@ -134,11 +134,11 @@
         return openedAtUnixMs < unixMs;
     }
 
-    boolean holds(Run run) {
+    boolean holds(QueryAttempt run) {
         return runs.get(run.id) == run;
     }
 
-    void start(Run run) {
+    void start(QueryAttempt run) {
         runs.put(run.id, run);
         usedAt = System.nanoTime();
         if (up) {
@@ -146,7 +146,7 @@
         }
     }
 
-    void stop(Run run) {
+    void stop(QueryAttempt run) {
         runs.remove(run.id);
         usedAt = System.nanoTime();
         if (run.written) {
@@ -158,7 +158,7 @@
         run.drop();
     }
 
-    /** @return whether a probe may go out here */
+    /** Returns whether a probe may go out here. */
     boolean takesProbe() {
         return isUp() && channel.isWritable();
     }
@@ -196,7 +196,7 @@
         spent.values().removeIf(run -> run.isPast(now));
     }
 
-    void hurry(Run run) {
+    void hurry(QueryAttempt run) {
         if (run.written && !run.paging()) {
             say("hurry " + run.id + ' ' + run.priority + "\r\n");
         }
@@ -214,14 +214,14 @@
         end(none -> {});
     }
 
-    /** @return what waits for a connection that is not up yet; its caller now looks after that */
-    List<Run> release() {
-        List<Run> waiting = up || closed ? List.of() : List.copyOf(runs.values());
+    /** Returns what waits for a connection that is not up yet; its caller now looks after that. */
+    List<QueryAttempt> release() {
+        List<QueryAttempt> waiting = up || closed ? List.of() : List.copyOf(runs.values());
         waiting.forEach(run -> runs.remove(run.id));
         return waiting;
     }
 
-    /** @return whether the connection is not up yet: from now on nothing waits for it */
+    /** Returns whether the connection is not up yet: from now on nothing waits for it. */
     boolean turnsLate() {
         late = !up && !closed;
         return late;
@@ -230,7 +230,7 @@
     /** What waits for the connection to come up never goes out. */
     void recall() {
         if (!up) {
-            end(all -> all.forEach(run -> run.end(End.UNSENT)));
+            end(all -> all.forEach(run -> run.end(AttemptEnd.UNSENT)));
             close();
         }
     }
@@ -249,10 +249,10 @@
         }
     }
 
-    private void want(Run run) {
+    private void want(QueryAttempt run) {
         if (run.isTooLate(System.nanoTime())) {
             runs.remove(run.id);
-            run.end(End.UNSENT);
+            run.end(AttemptEnd.UNSENT);
             return;
         }
         run.written = true;
@@ -301,7 +301,7 @@
             answered.heard().accept(reply);
         }
         // What comes behind an unreadable reply, a second copy, or under an id that is none of ours.
-        Run run = closed ? null : runs.get(reply.id());
+        QueryAttempt run = closed ? null : runs.get(reply.id());
         if (run == null || run.has(reply)) {
             reply.body().release();
             return;
@@ -318,9 +318,9 @@
                 run.put(reply.number("index", -1), reply.body());
                 finishIfWhole(run);
             }
-            case SHED -> endWithout(run, reply, End.SHED);
-            case LATE -> endWithout(run, reply, End.LATE);
-            case FAULT -> endWithout(run, reply, End.FAULT);
+            case SHED -> endWithout(run, reply, AttemptEnd.SHED);
+            case LATE -> endWithout(run, reply, AttemptEnd.LATE);
+            case FAULT -> endWithout(run, reply, AttemptEnd.FAULT);
             case INFO -> {
                 reply.body().release();
                 run.note(reply);
@@ -329,17 +329,17 @@
         }
     }
 
-    private void finishIfWhole(Run run) {
+    private void finishIfWhole(QueryAttempt run) {
         if (run.whole()) {
             runs.remove(run.id);
             if (run.total() > 1) {
                 say("shut " + run.id + "\r\n");
             }
-            run.end(End.SERVED);
+            run.end(AttemptEnd.SERVED);
         }
     }
 
-    private void endWithout(Run run, Reply reply, End end) {
+    private void endWithout(QueryAttempt run, Reply reply, AttemptEnd end) {
         reply.body().release();
         runs.remove(run.id);
         spent.put(run.id, run);
@@ -354,7 +354,9 @@
             // A rerun must not overtake the close.
             end(all -> ctx.executor()
                     .schedule(
-                            () -> all.forEach(run -> run.end(End.UNREADABLE)), CLOSE_TAKES_MS, TimeUnit.MILLISECONDS));
+                            () -> all.forEach(run -> run.end(AttemptEnd.UNREADABLE)),
+                            CLOSE_TAKES_MS,
+                            TimeUnit.MILLISECONDS));
         }
         ctx.close();
     }
@@ -369,11 +371,11 @@
         end(all -> owner.unsent(all, cause));
     }
 
-    private void end(Consumer<List<Run>> heir) {
+    private void end(Consumer<List<QueryAttempt>> heir) {
         if (!closed) {
             closed = true;
             owner.closed(this);
-            List<Run> all = new ArrayList<>(runs.values());
+            List<QueryAttempt> all = new ArrayList<>(runs.values());
             runs.clear();
             heir.accept(all);
         }
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -13,11 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import lineward.front.SparseLog;
+import lineward.frontend.RateLimitedLog;
 import org.slf4j.LoggerFactory;
 
 /** The connections to one engine. A new engine at an old address gets a pool of its own. */
-final class EnginePool implements Link.Owner {
+final class EnginePool implements EngineConnection.Owner {
     /** Connections lost with no word between by which it is the engine that is at fault. */
     private static final int REPEATED = 4;
     /** Connections to one engine: more runs than that go to one engine only in a crowd. */
@@ -29,13 +29,13 @@
     /** It may come up yet, and serve others, until this multiple of that time. */
     static final int MAY_TAKE = 8;
 
-    private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(EnginePool.class));
+    private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(EnginePool.class));
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
-    private final EngineFleet.Limits limits;
+    private final EngineCluster.Limits limits;
     private final BooleanSupplier room;
     private final Runnable sent;
-    private final List<Link> links = new ArrayList<>();
+    private final List<EngineConnection> links = new ArrayList<>();
     private int lost;
     /** Connections that were late, since one came up or the engine spoke. */
     private int late;
@@ -47,7 +47,7 @@
     EnginePool(
             Bootstrap bootstrap,
             InetSocketAddress address,
-            EngineFleet.Limits limits,
+            EngineCluster.Limits limits,
             BooleanSupplier room,
             Runnable sent) {
         this.sent = sent;
@@ -62,27 +62,27 @@
     }
 
     /** Each run gets a connection of its own while there are enough: with one that spoils, all there fail. */
-    void start(Run run) {
-        Link best = leastLoaded(run);
+    void start(QueryAttempt run) {
+        EngineConnection best = leastLoaded(run);
         if ((best == null || best.load() > 0) && links.size() < MOST_LINKS && room.getAsBoolean()) {
             best = connect();
         }
         if (best == null) {
-            run.end(End.UNSENT);
+            run.end(AttemptEnd.UNSENT);
         } else {
             best.start(run);
         }
     }
 
-    private Link leastLoaded(Run run) {
+    private EngineConnection leastLoaded(QueryAttempt run) {
         return links.stream()
                 .filter(l -> l.takes(run.id, limits.streams()))
-                .min(Comparator.comparingInt(Link::load))
+                .min(Comparator.comparingInt(EngineConnection::load))
                 .orElse(null);
     }
 
-    private Link connect() {
-        Link link = new Link(this);
+    private EngineConnection connect() {
+        EngineConnection link = new EngineConnection(this);
         links.add(link);
         ChannelFuture opening = bootstrap
                 .clone()
@@ -113,11 +113,11 @@
     }
 
     /** What waits for a slow connection shares one that works. */
-    private void passBy(Link slow) {
-        for (Run run : slow.release()) {
+    private void passBy(EngineConnection slow) {
+        for (QueryAttempt run : slow.release()) {
             links.stream()
                     .filter(l -> l.isLively() && l.takes(run.id, limits.streams()))
-                    .min(Comparator.comparingInt(Link::load))
+                    .min(Comparator.comparingInt(EngineConnection::load))
                     .orElse(slow)
                     .start(run);
         }
@@ -127,22 +127,22 @@
      * Danger: some connections come up late, or never, to engines that are well. One that is late proves that
      * nothing ran and tells nothing of the engine, unless that repeats while nothing is heard of it.
      */
-    private void overdue(Link link) {
+    private void overdue(EngineConnection link) {
         if (link.turnsLate()) {
             late++;
             LOG.info("no connection yet to engine", address, late + " late");
             boolean its = late >= REPEATED_LATE;
-            link.release().forEach(run -> run.end(its ? End.UNREACHED : End.UNSENT));
+            link.release().forEach(run -> run.end(its ? AttemptEnd.UNREACHED : AttemptEnd.UNSENT));
         }
     }
 
     @Override
-    public void up(Link link) {
+    public void up(EngineConnection link) {
         late = 0;
     }
 
     @Override
-    public void closed(Link link) {
+    public void closed(EngineConnection link) {
         links.remove(link);
     }
 
@@ -162,7 +162,7 @@
      * itself: its runs end with no blame, unless that repeats. All of one end are here a moment later.
      */
     @Override
-    public void lost(List<Run> runs) {
+    public void lost(List<QueryAttempt> runs) {
         if (!runs.isEmpty()) {
             lost++;
             bootstrap
@@ -172,11 +172,13 @@
                     .schedule(
                             () -> {
                                 boolean alive =
-                                        lost < REPEATED && links.stream().anyMatch(Link::isUp);
-                                runs.forEach(
-                                        run -> run.end(!run.sentWhole ? End.CUT_SHORT : alive ? End.BROKEN : End.LOST));
+                                        lost < REPEATED && links.stream().anyMatch(EngineConnection::isUp);
+                                runs.forEach(run -> run.end(
+                                        !run.sentWhole
+                                                ? AttemptEnd.CUT_SHORT
+                                                : alive ? AttemptEnd.BROKEN : AttemptEnd.LOST));
                             },
-                            Link.CLOSE_TAKES_MS,
+                            EngineConnection.CLOSE_TAKES_MS,
                             TimeUnit.MILLISECONDS);
         }
     }
@@ -186,7 +188,7 @@
      * opened, unless that repeats.
      */
     @Override
-    public void unsent(List<Run> runs, Throwable cause) {
+    public void unsent(List<QueryAttempt> runs, Throwable cause) {
         if (runs.isEmpty()) {
             return;
         }
@@ -196,7 +198,7 @@
                 cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException) || lost >= REPEATED;
         runs.forEach(run -> {
             if (its) {
-                run.end(End.UNREACHED);
+                run.end(AttemptEnd.UNREACHED);
             } else {
                 start(run);
             }
@@ -205,9 +207,9 @@
 
     /** Asks the engine how it is, on a connection that stands or a new one; without room nothing goes out. */
     void probe(String word, Consumer<Reply> heard) {
-        Link best = links.stream()
-                .filter(Link::takesProbe)
-                .min(Comparator.comparingInt(Link::load))
+        EngineConnection best = links.stream()
+                .filter(EngineConnection::takesProbe)
+                .min(Comparator.comparingInt(EngineConnection::load))
                 .orElse(null);
         if (best == null && links.size() < MOST_LINKS && room.getAsBoolean()) {
             best = connect();
@@ -217,23 +219,23 @@
         }
     }
 
-    void stop(Run run) {
+    void stop(QueryAttempt run) {
         links.stream().filter(l -> l.holds(run)).findFirst().ifPresent(l -> l.stop(run));
     }
 
-    void hurry(Run run) {
+    void hurry(QueryAttempt run) {
         links.stream().filter(l -> l.holds(run)).findFirst().ifPresent(l -> l.hurry(run));
     }
 
     void closeIdle(long usedBeforeNanos) {
-        links.stream().filter(l -> l.idleSince(usedBeforeNanos)).toList().forEach(Link::close);
+        links.stream().filter(l -> l.idleSince(usedBeforeNanos)).toList().forEach(EngineConnection::close);
     }
 
-    /** @return the connection without runs that was used longest ago, or null */
-    Link longestIdle() {
+    /** Returns the connection without runs that was used longest ago, or null. */
+    EngineConnection longestIdle() {
         return links.stream()
                 .filter(l -> l.idleSince(System.nanoTime()))
-                .min(Comparator.comparingLong(Link::usedAt))
+                .min(Comparator.comparingLong(EngineConnection::usedAt))
                 .orElse(null);
     }
 
@@ -249,12 +251,12 @@
     }
 
     void beat() {
-        List.copyOf(links).forEach(Link::beat);
+        List.copyOf(links).forEach(EngineConnection::beat);
     }
 
     /** Nothing that has not gone out yet does so any more: it ends as never run. */
     void recall() {
-        List.copyOf(links).forEach(Link::recall);
+        List.copyOf(links).forEach(EngineConnection::recall);
     }
 
     int size() {
@@ -263,6 +265,6 @@
 
     void closeAll() {
         recall();
-        List.copyOf(links).forEach(Link::close);
+        List.copyOf(links).forEach(EngineConnection::close);
     }
 }
--- a/src/main/java/lineward/engine/Rehearsal.java
+++ b/src/main/java/lineward/engine/EngineWarmup.java
@@ -7,41 +7,41 @@
 import java.util.List;
 
 /** Plays runs through a connection that leads nowhere, so that none of its code runs cold when it counts. */
-public final class Rehearsal {
+public final class EngineWarmup {
     private static final int ROUNDS = 60;
 
-    static final Link.Owner NOBODY = new Link.Owner() {
+    static final EngineConnection.Owner NOBODY = new EngineConnection.Owner() {
         @Override
-        public void closed(Link link) {}
+        public void closed(EngineConnection link) {}
 
         @Override
         public void sent() {}
 
         @Override
-        public void up(Link link) {}
+        public void up(EngineConnection link) {}
 
         @Override
         public void heard() {}
 
         @Override
-        public void lost(List<Run> runs) {}
+        public void lost(List<QueryAttempt> runs) {}
 
         @Override
-        public void unsent(List<Run> runs, Throwable cause) {}
+        public void unsent(List<QueryAttempt> runs, Throwable cause) {}
     };
 
-    private Rehearsal() {}
+    private EngineWarmup() {}
 
     /** Plays some runs of two pages each. */
-    public static void play() {
-        Link link = new Link(NOBODY);
+    public static void run() {
+        EngineConnection link = new EngineConnection(NOBODY);
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder(), link);
         link.connecting(channel);
         ByteBuf statement = Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII);
         for (int i = 0; i < ROUNDS; i++) {
             String id = String.format("%016x", i);
-            Run.Times times = new Run.Times(1000, 1000);
-            link.start(new Run(id, "rehearsal", statement, times, 1, 1, (outcome, result) -> {
+            QueryAttempt.Timing times = new QueryAttempt.Timing(1000, 1000);
+            link.start(new QueryAttempt(id, "rehearsal", statement, times, 1, 1, (outcome, result) -> {
                 if (result != null) {
                     result.release();
                 }
--- a/src/main/java/lineward/engine/Run.java
+++ b/src/main/java/lineward/engine/QueryAttempt.java
@@ -3,25 +3,26 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import peatwick.Front;
+import lineward.scheduling.AttemptOutcome;
+import lineward.scheduling.ProgressKind;
 
 /** One attempt at an engine: what is sent, the pages that have come, and who is told of its end. */
-public final class Run {
+public final class QueryAttempt {
     /** Hears how a run ended. */
     @FunctionalInterface
     public interface Listener {
         /** @param result all rows where the outcome is OK, else null; the listener's to release */
-        void ended(Front.Outcome outcome, ByteBuf result);
+        void ended(AttemptOutcome outcome, ByteBuf result);
 
         /** Its engine tells how it stands; the amount is the share done or the megabytes missing. */
-        default void noted(Front.NoteKind kind, double amount) {}
+        default void progressed(ProgressKind kind, double amount) {}
     }
 
     /**
-     * @param patienceMs how long the attempt may take
-     * @param beginWithinMs behind that it must not go out any more
+     * @param timeoutMs how long the attempt may take
+     * @param startWithinMs behind that it must not go out any more
      */
-    public record Times(long patienceMs, long beginWithinMs) {}
+    public record Timing(long timeoutMs, long startWithinMs) {}
 
     private static final long NANOS = 1_000_000;
     /** Most bytes of one result, and of one page of it. */
@@ -55,14 +56,14 @@
      *     in the turn in which the connection comes up that the run waits for
      * @param times how long it may take, and by when it must have begun
      */
-    public Run(
-            String id, String sort, ByteBuf statement, Times times, double grantMb, int priority, Listener listener) {
+    public QueryAttempt(
+            String id, String sort, ByteBuf statement, Timing times, double grantMb, int priority, Listener listener) {
         this.id = id;
         this.sort = sort;
         this.statement = statement.retain();
         long now = System.nanoTime();
-        this.until = now + times.patienceMs() * NANOS;
-        this.beginBy = now + Math.min(times.beginWithinMs(), times.patienceMs()) * NANOS;
+        this.until = now + times.timeoutMs() * NANOS;
+        this.beginBy = now + Math.min(times.startWithinMs(), times.timeoutMs()) * NANOS;
         this.grantMb = (long) Math.ceil(grantMb);
         this.priority = priority;
         this.listener = listener;
@@ -72,17 +73,17 @@
         return Math.max(1, (until - System.nanoTime()) / 1_000_000);
     }
 
-    /** @return whether it is too late to send it: it waited for a connection */
+    /** Returns whether it is too late to send it: it waited for a connection. */
     boolean isTooLate(long nanoTime) {
         return beginBy - nanoTime < 0;
     }
 
-    /** @return whether its time is over, so that its id will not be used again */
+    /** Returns whether its time is over, so that its id will not be used again. */
     boolean isPast(long nanoTime) {
         return until - nanoTime < 0;
     }
 
-    /** @return whether this is a second copy of what is here */
+    /** Returns whether this is a second copy of what is here. */
     boolean has(Reply reply) {
         if (pages == null || reply.word() == Reply.Word.HIT) {
             return pages != null;
@@ -91,7 +92,7 @@
         return index >= 0 && index < pages.length && pages[index] != null;
     }
 
-    /** @return whether the first page is here */
+    /** Returns whether the first page is here. */
     boolean paging() {
         return pages != null;
     }
@@ -132,12 +133,12 @@
     }
 
     /** Ends the run; what comes after the first end is passed over. */
-    void end(End end) {
+    void end(AttemptEnd end) {
         if (!finish()) {
             return;
         }
         ByteBuf result = null;
-        if (end == End.SERVED) {
+        if (end == AttemptEnd.SERVED) {
             CompositeByteBuf all = Unpooled.compositeBuffer(pages.length);
             all.addComponents(true, pages);
             pages = null;
@@ -150,7 +151,7 @@
     /** Takes a note on it in; behind its end it is nobody's. */
     void note(Reply reply) {
         if (!over) {
-            Notes.read(reply.fields(), listener);
+            ProgressReports.read(reply.fields(), listener);
         }
     }
 
@@ -161,7 +162,7 @@
         }
     }
 
-    /** @return whether it was not over before */
+    /** Returns whether it was not over before. */
     private boolean finish() {
         boolean first = !over;
         over = true;
--- a/src/main/java/lineward/engine/Reply.java
+++ b/src/main/java/lineward/engine/Reply.java
@@ -21,7 +21,7 @@
         SICK
     }
 
-    /** @return the numbers that stand in that field, whatever parts them; none where one is no number */
+    /** Returns the numbers that stand in that field, whatever parts them; none where one is no number. */
     double[] figures(String field) {
         String text = fields.getOrDefault(field, "");
         return FIGURES.matcher(text).matches()
@@ -33,7 +33,7 @@
                 : new double[0];
     }
 
-    /** @return the whole number of that name, or the fallback where it is absent */
+    /** Returns the whole number of that name, or the fallback where it is absent. */
     int number(String field, int fallback) {
         String text = fields.get(field);
         if (text == null) {
--- a/src/main/java/lineward/engine/ReplyDecoder.java
+++ b/src/main/java/lineward/engine/ReplyDecoder.java
@@ -20,7 +20,7 @@
     private Reply head;
     private int length;
 
-    /** @return whether a part of a reply is here */
+    /** Returns whether a part of a reply is here. */
     boolean holdsPart() {
         return head != null || actualReadableBytes() > 0;
     }
--- a/src/main/java/lineward/front/ClientTable.java
+++ b/src/main/java/lineward/frontend/ClientRegistry.java
@@ -1,4 +1,4 @@
-package lineward.front;
+package lineward.frontend;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -14,7 +14,7 @@
  *
  * @param <C> a connection
  */
-public final class ClientTable<C> {
+public final class ClientRegistry<C> {
     /** Part of the table that may be taken by those that never spoke: a crowd of them evicts its own. */
     private static final int SILENT_PART = 4;
     /** Part of the table that may leave in order where room is short: they hold descriptors beside it. */
@@ -37,7 +37,7 @@
      * @param closer closes a connection at once
      * @param leaver lets a connection end in order, unless it speaks first
      */
-    public ClientTable(int most, LongSupplier nanoClock, Consumer<C> closer, Consumer<C> leaver) {
+    public ClientRegistry(int most, LongSupplier nanoClock, Consumer<C> closer, Consumer<C> leaver) {
         this.most = most;
         this.nanoClock = nanoClock;
         this.closer = closer;
@@ -45,7 +45,7 @@
     }
 
     /** A connection has come; where there is no room, one closes: perhaps this one. */
-    public void arrived(C client) {
+    public void connected(C client) {
         move(client, silent);
         if (size() - leaving.size() <= most) {
             return;
@@ -53,24 +53,24 @@
         if (silent.size() > most / SILENT_PART || resting.isEmpty()) {
             close(first(silent));
         } else if (leaving.size() < most / LEAVING_PART) {
-            leave(first(resting));
+            closeGracefully(first(resting));
         } else {
             close(first(resting));
         }
     }
 
     /** It has asked for something and waits. */
-    public void waits(C client) {
+    public void markWaiting(C client) {
         move(client, waiting);
     }
 
     /** It has spoken and waits for nothing. */
-    public void rests(C client) {
+    public void markIdle(C client) {
         move(client, resting);
     }
 
     /** It is gone. */
-    public void left(C client) {
+    public void disconnected(C client) {
         silent.remove(client);
         waiting.remove(client);
         resting.remove(client);
@@ -78,17 +78,17 @@
     }
 
     /** Lets a connection that waits for nothing end in order. */
-    public void leave(C client) {
+    public void closeGracefully(C client) {
         move(client, leaving);
         leaver.accept(client);
     }
 
-    /** @return the connections held, those that are leaving included */
+    /** Returns the connections held, those that are leaving included. */
     public int size() {
         return silent.size() + waiting.size() + resting.size() + leaving.size();
     }
 
-    /** @return all connections but those that are leaving */
+    /** Returns all connections but those that are leaving. */
     public List<C> all() {
         List<C> all = new ArrayList<>(silent.keySet());
         all.addAll(waiting.keySet());
@@ -107,12 +107,12 @@
     public void closeSilent(long nanos) {
         long before = nanoClock.getAsLong() - nanos;
         while (!silent.isEmpty() && silent.values().iterator().next() <= before) {
-            leave(first(silent));
+            closeGracefully(first(silent));
         }
     }
 
     private void move(C client, Map<C, Long> to) {
-        left(client);
+        disconnected(client);
         to.put(client, nanoClock.getAsLong());
     }
 
@@ -121,7 +121,7 @@
     }
 
     private void close(C client) {
-        left(client);
+        disconnected(client);
         closer.accept(client);
     }
 }
--- a/src/main/java/lineward/front/LingeringClose.java
+++ b/src/main/java/lineward/frontend/LingeringClose.java
@@ -1,4 +1,4 @@
-package lineward.front;
+package lineward.frontend;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/lineward/front/Doorway.java
+++ b/src/main/java/lineward/frontend/Listener.java
@@ -1,4 +1,4 @@
-package lineward.front;
+package lineward.frontend;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -8,23 +8,23 @@
 import java.net.InetSocketAddress;
 
 /** The socket at which a front's clients come in. */
-public interface Doorway {
+public interface Listener {
     /** Starts to accept; the connections are served on the loop. */
-    ChannelFuture open(ServerBootstrap clients, EventLoopGroup loop);
+    ChannelFuture bind(ServerBootstrap clients, EventLoopGroup loop);
 
     /** Accepts no connection any more. */
-    void shut(Channel listener);
+    void stopAccepting(Channel listener);
 
-    /** @return a socket of this process's own, bound to that address when it opens */
-    static Doorway at(InetSocketAddress address) {
-        return new Doorway() {
+    /** Returns a socket of this process's own, bound to that address when it opens. */
+    static Listener at(InetSocketAddress address) {
+        return new Listener() {
             @Override
-            public ChannelFuture open(ServerBootstrap clients, EventLoopGroup loop) {
+            public ChannelFuture bind(ServerBootstrap clients, EventLoopGroup loop) {
                 return clients.group(loop).channel(NioServerSocketChannel.class).bind(address);
             }
 
             @Override
-            public void shut(Channel listener) {
+            public void stopAccepting(Channel listener) {
                 listener.close();
             }
         };
--- a/src/main/java/lineward/front/FrontDoor.java
+++ b/src/main/java/lineward/frontend/ProtocolServer.java
@@ -1,19 +1,19 @@
-package lineward.front;
+package lineward.frontend;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
-import lineward.core.Planner;
+import lineward.core.Coordinator;
 
 /** What the program asks of each front. All but listening runs on the event loop. */
-public interface FrontDoor {
+public interface ProtocolServer {
     /** How a front meets its clients. */
-    enum Intake {
+    enum Admission {
         /** It serves all that come. */
         OPEN,
         /** It serves all that come, but asks for no new clients. */
-        LEAVING,
+        DRAINING,
         /** It refuses new requests and answers what it has taken. */
-        REFUSING
+        REJECTING
     }
 
     /** Starts to listen. */
@@ -23,32 +23,32 @@
     void tick();
 
     /** From now on the front meets its clients so. */
-    void admit(Intake intake);
+    void setAdmission(Admission intake);
 
     /** What is taken from now on has so long at most, whatever its client says. */
-    void endIn(int ms);
+    void setShutdownDeadline(int ms);
 
     /** Fails what is still open where the process is about to be killed. */
-    void lastWord();
+    void failOpenRequests();
 
     /** Closes the listener. */
     void stopListening();
 
     /** Closes each connection whose client waits for nothing with that chance; 1 closes all. */
-    void closeResting(double chance);
+    void closeIdleClients(double chance);
 
     /** Closes connections that say nothing, or not the rest of what they began; comes ten times a second. */
-    void closeSilent();
+    void closeUnresponsive();
 
     /** Closes connections to engines that have been idle for long. */
-    void closeIdleEngines();
+    void closeIdleEngineConnections();
 
     /** By order an engine gets nothing from now on, or is used again; at tells when that was said. */
-    void holdOut(String engine, boolean out, double at);
+    void setMaintenance(String engine, boolean out, double at);
 
-    /** @return what decides for this front */
-    Planner<?> planner();
+    /** Returns what decides for this front. */
+    Coordinator<?> coordinator();
 
-    /** @return whether nobody is owed an answer and every answer has been written */
-    boolean isQuiet();
+    /** Returns whether nobody is owed an answer and every answer has been written. */
+    boolean isDrained();
 }
--- a/src/main/java/lineward/front/SparseLog.java
+++ b/src/main/java/lineward/frontend/RateLimitedLog.java
@@ -1,17 +1,17 @@
-package lineward.front;
+package lineward.frontend;
 
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 
 /** Logs one line a second at most and counts the rest: nonsense at full speed must not cost a line each. */
-public final class SparseLog {
+public final class RateLimitedLog {
     private static final long PAUSE = TimeUnit.SECONDS.toNanos(1);
     private final Logger log;
     private long next = System.nanoTime();
     private int passedOver;
 
     /** @param log where the lines go */
-    public SparseLog(Logger log) {
+    public RateLimitedLog(Logger log) {
         this.log = log;
     }
 
--- a/src/main/java/lineward/peers/PeerSocket.java
+++ b/src/main/java/lineward/gossip/GossipSocket.java
@@ -1,4 +1,4 @@
-package lineward.peers;
+package lineward.gossip;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -16,16 +16,16 @@
 import java.util.Map;
 
 /** The socket by which a front end and the others of its tier talk. */
-public final class PeerSocket extends SimpleChannelInboundHandler<DatagramPacket> {
+public final class GossipSocket extends SimpleChannelInboundHandler<DatagramPacket> {
     /** Hears what the others say. */
     @FunctionalInterface
     public interface Listener {
         /** @param from the sender's number in the tier */
-        void heard(int from, byte[] octets);
+        void received(int from, byte[] octets);
     }
 
     /** A longer datagram is no word of this protocol. */
-    public static final int LONGEST = 256;
+    public static final int MAX_PAYLOAD = 256;
     /** Words heard in a turn of the loop: a neighbour that floods must not take the clients' time. */
     private static final int MOST_A_TURN = 64;
 
@@ -38,7 +38,7 @@
      * @param numbers of the others in the tier, by the address from which they send; nobody else is heard
      * @param all where a word for all of them goes
      */
-    public PeerSocket(Map<InetSocketAddress, Integer> numbers, InetSocketAddress all, Listener listener) {
+    public GossipSocket(Map<InetSocketAddress, Integer> numbers, InetSocketAddress all, Listener listener) {
         this.numbers = Map.copyOf(numbers);
         this.all = all;
         this.listener = listener;
@@ -53,7 +53,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new FixedRecvByteBufAllocator(LONGEST + 1).maxMessagesPerRead(MOST_A_TURN))
+                        new FixedRecvByteBufAllocator(MAX_PAYLOAD + 1).maxMessagesPerRead(MOST_A_TURN))
                 .handler(this)
                 .bind(at);
         channel = opening.channel();
@@ -61,8 +61,8 @@
     }
 
     /** Sends a word to all others; one that is too long, or finds the socket full, is lost. */
-    public void announce(byte[] octets) {
-        if (octets.length <= LONGEST && channel != null && channel.isWritable()) {
+    public void broadcast(byte[] octets) {
+        if (octets.length <= MAX_PAYLOAD && channel != null && channel.isWritable()) {
             channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(octets), all));
         }
     }
@@ -70,8 +70,8 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
         Integer from = numbers.get(packet.sender());
-        if (from != null && packet.content().isReadable() && packet.content().readableBytes() <= LONGEST) {
-            listener.heard(from, ByteBufUtil.getBytes(packet.content()));
+        if (from != null && packet.content().isReadable() && packet.content().readableBytes() <= MAX_PAYLOAD) {
+            listener.received(from, ByteBufUtil.getBytes(packet.content()));
         }
     }
 
--- a/src/main/java/lineward/peers/package-info.java
+++ b/src/main/java/lineward/gossip/package-info.java
@@ -4,4 +4,4 @@
  * be and how many are heard in one turn. No socket is opened where the settings bar it. Runs on the event
  * loop; uses {@code core} only.
  */
-package lineward.peers;
+package lineward.gossip;
--- a/src/main/java/lineward/lifecycle/HandOver.java
+++ b/src/main/java/lineward/lifecycle/HotRestart.java
@@ -20,7 +20,7 @@
  * Each process writes a file of its own and reads those of the others: of two words on one engine the later
  * holds. A file that can't be read or that nobody has written lately is passed over. Runs on the event loop.
  */
-public final class HandOver {
+public final class HotRestart {
     /** Hears what holds now. */
     public interface Listener {
         /** That engine is held out since then, or used again since then. */
@@ -32,7 +32,7 @@
 
     private record Word(boolean out, double since) {}
 
-    private static final Logger LOG = LoggerFactory.getLogger(HandOver.class);
+    private static final Logger LOG = LoggerFactory.getLogger(HotRestart.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String ENDING = ".engines.json";
     /** A process that serves writes its file anew so often. */
@@ -63,7 +63,7 @@
      * @param name of this front end, the same for the process that takes over
      * @param clock Unix milliseconds
      */
-    public HandOver(Path directory, String name, DoubleSupplier clock, Listener listener) {
+    public HotRestart(Path directory, String name, DoubleSupplier clock, Listener listener) {
         this.directory = directory;
         this.prefix = "lineward-" + name.replaceAll("[^A-Za-z0-9._-]", "_") + '-';
         this.own = directory == null
@@ -74,7 +74,7 @@
         this.listener = listener;
     }
 
-    /** @return whether that engine is held out */
+    /** Returns whether that engine is held out. */
     public boolean isOut(String engine) {
         return words.containsKey(engine) && words.get(engine).out();
     }
@@ -143,7 +143,7 @@
         return name.startsWith(prefix) && name.endsWith(ENDING) && !file.equals(own);
     }
 
-    /** @return whether its process lives */
+    /** Returns whether its process lives. */
     private boolean read(Path file) {
         try {
             JsonNode root = Files.size(file) > LARGEST ? null : JSON.readTree(Files.readString(file));
--- a/src/main/java/lineward/lifecycle/InheritedDoorway.java
+++ b/src/main/java/lineward/lifecycle/InheritedListener.java
@@ -12,17 +12,17 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
-import lineward.front.Doorway;
+import lineward.frontend.Listener;
 
 /**
  * A listening socket that came as descriptor 0 and is shared with other processes. Both may wake for the same
  * connection, and the flag that keeps an accept from waiting is shared as well: should somebody clear it, the
  * accept of who comes second waits for the next connection. So a thread beside the event loop accepts.
  */
-public final class InheritedDoorway implements Doorway {
+public final class InheritedListener implements Listener {
     private final ServerSocketChannel socket;
 
-    private InheritedDoorway(ServerSocketChannel socket) {
+    private InheritedListener(ServerSocketChannel socket) {
         this.socket = socket;
     }
 
@@ -31,10 +31,10 @@
      *
      * @throws IllegalArgumentException if the descriptor named is not 0, or no socket that listens
      */
-    public static InheritedDoorway take(String descriptor) {
+    public static InheritedListener fromDescriptor(String descriptor) {
         try {
             if (descriptor.equals("0") && System.inheritedChannel() instanceof ServerSocketChannel socket) {
-                return new InheritedDoorway(socket);
+                return new InheritedListener(socket);
             }
         } catch (IOException e) {
             throw new IllegalArgumentException("descriptor 0 can't be used: " + e.getMessage(), e);
@@ -43,7 +43,7 @@
     }
 
     @Override
-    public ChannelFuture open(ServerBootstrap clients, EventLoopGroup loop) {
+    public ChannelFuture bind(ServerBootstrap clients, EventLoopGroup loop) {
         EventLoopGroup acceptor =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
         // One a turn: an accept that waits must not have a connection in hand that nobody serves yet.
@@ -55,7 +55,7 @@
 
     /** A close would put the null device over the log, and end nothing: others hold the socket too. */
     @Override
-    public void shut(Channel listener) {
+    public void stopAccepting(Channel listener) {
         listener.config().setAutoRead(false);
     }
 }
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import lineward.front.FrontDoor;
-import lineward.front.FrontDoor.Intake;
-import lineward.operations.Figures;
-import lineward.operations.Operations;
+import lineward.frontend.ProtocolServer;
+import lineward.frontend.ProtocolServer.Admission;
+import lineward.operations.AdminOperations;
+import lineward.operations.Metrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,7 +15,7 @@
  * What this process is at: starting, serving, sending its clients away because an operator asks, or ending
  * because of SIGTERM. All but {@link #end} runs on the event loop.
  */
-public final class Lifecycle implements Operations {
+public final class Lifecycle implements AdminOperations {
     private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
     /**
      * How this process ends after SIGTERM.
@@ -42,11 +42,11 @@
 
     private final EventLoop loop;
     private final Ticker ticker;
-    private final List<FrontDoor> doors;
-    private final Figures figures;
+    private final List<ProtocolServer> doors;
+    private final Metrics figures;
     private final CountDownLatch quiet = new CountDownLatch(1);
     private final Ending how;
-    private final HandOver handOver;
+    private final HotRestart handOver;
     private boolean serving;
     private boolean ending;
     private boolean draining;
@@ -57,7 +57,12 @@
      * @param how this process will end
      */
     public Lifecycle(
-            EventLoop loop, Ticker ticker, List<FrontDoor> doors, Figures figures, HandOver handOver, Ending how) {
+            EventLoop loop,
+            Ticker ticker,
+            List<ProtocolServer> doors,
+            Metrics figures,
+            HotRestart handOver,
+            Ending how) {
         this.figures = figures;
         this.handOver = handOver;
         this.how = how;
@@ -71,7 +76,7 @@
         handOver.look();
         handOver.write();
         ticker.every(LOOK_MS, handOver::look);
-        ticker.every(HandOver.BEAT_MS, handOver::write);
+        ticker.every(HotRestart.BEAT_MS, handOver::write);
     }
 
     /** All fronts listen: from now on this process says that it is ready. */
@@ -87,8 +92,8 @@
 
     /** What is used already is told so and nothing more: it has not been away. */
     @Override
-    public boolean holdOut(String engine, boolean out) {
-        boolean known = doors.stream().anyMatch(d -> d.planner().knows(engine));
+    public boolean setMaintenance(String engine, boolean out) {
+        boolean known = doors.stream().anyMatch(d -> d.coordinator().isKnown(engine));
         if (known && out != handOver.isOut(engine)) {
             handOver.say(engine, out);
         }
@@ -96,7 +101,7 @@
     }
 
     @Override
-    public String figures() {
+    public String metrics() {
         return figures.text(doors);
     }
 
@@ -106,7 +111,7 @@
             LOG.info("drain: clients are sent away");
             draining = true;
             leavingSince = System.nanoTime();
-            admit(Intake.LEAVING);
+            admit(Admission.DRAINING);
         }
     }
 
@@ -114,14 +119,14 @@
     public boolean stopDrain() {
         if (draining && !ending) {
             LOG.info("drain over: clients are taken again");
-            admit(Intake.OPEN);
+            admit(Admission.OPEN);
         }
         draining &= ending;
         return !ending;
     }
 
-    private void admit(Intake intake) {
-        doors.forEach(d -> d.admit(intake));
+    private void admit(Admission intake) {
+        doors.forEach(d -> d.setAdmission(intake));
     }
 
     /** Danger: clients whose connections all close at once come back elsewhere all at once. */
@@ -131,12 +136,12 @@
         }
         double since = (System.nanoTime() - leavingSince) / NANOS;
         if (since >= REFUSE_MS && !ending) {
-            admit(Intake.REFUSING);
+            admit(Admission.REJECTING);
         }
         if (since >= FIRST_CLOSE_MS) {
             double left = (ending ? ALL_HANDED_MS : ALL_CLOSE_MS) - since;
             double chance = Ticker.TICK_MS / Math.max(Ticker.TICK_MS, left);
-            doors.forEach(d -> d.closeResting(chance));
+            doors.forEach(d -> d.closeIdleClients(chance));
         }
     }
 
@@ -149,11 +154,11 @@
         loop.execute(() -> {
             ending = true;
             leavingSince = System.nanoTime();
-            doors.forEach(d -> d.endIn(how.lastWordMs()));
+            doors.forEach(d -> d.setShutdownDeadline(how.lastWordMs()));
             if (how.inherited()) {
-                doors.forEach(FrontDoor::stopListening);
+                doors.forEach(ProtocolServer::stopListening);
             } else {
-                admit(Intake.LEAVING);
+                admit(Admission.DRAINING);
             }
             loop.schedule(
                     () -> ticker.every(Ticker.TICK_MS, this::finish),
@@ -173,17 +178,17 @@
     private void lastWord() {
         LOG.info(
                 "last word: {} requests fail",
-                doors.stream().mapToInt(d -> d.planner().open()).sum());
-        admit(Intake.REFUSING);
-        doors.forEach(FrontDoor::lastWord);
+                doors.stream().mapToInt(d -> d.coordinator().openRequests()).sum());
+        admit(Admission.REJECTING);
+        doors.forEach(ProtocolServer::failOpenRequests);
     }
 
     private void finish() {
         if (!how.inherited()) {
-            doors.forEach(FrontDoor::stopListening);
-            doors.forEach(d -> d.closeResting(1));
+            doors.forEach(ProtocolServer::stopListening);
+            doors.forEach(d -> d.closeIdleClients(1));
         }
-        if (doors.stream().allMatch(FrontDoor::isQuiet)) {
+        if (doors.stream().allMatch(ProtocolServer::isDrained)) {
             quiet.countDown();
         }
     }
--- a/src/main/java/lineward/mysql/Auth.java
+++ b/src/main/java/lineward/mysql/Auth.java
@@ -20,7 +20,7 @@
 
     private Auth() {}
 
-    /** @return a nonce without zero bytes, which would end it early on the wire */
+    /** Returns a nonce without zero bytes, which would end it early on the wire. */
     static byte[] nonce() {
         byte[] nonce = new byte[NONCE];
         for (int i = 0; i < nonce.length; i++) {
@@ -33,7 +33,7 @@
         return plugin.equals(NATIVE) || plugin.equals(SHA2);
     }
 
-    /** @return what proves the password under that plugin; an empty password is proven by nothing */
+    /** Returns what proves the password under that plugin; an empty password is proven by nothing. */
     static byte[] proof(String plugin, String password, byte[] nonce) {
         if (password.isEmpty()) {
             return new byte[0];
@@ -51,7 +51,7 @@
         return MessageDigest.isEqual(proof(plugin, password, nonce), given);
     }
 
-    /** @return the password for a server that has to see it whole, under the key that the server sent */
+    /** Returns the password for a server that has to see it whole, under the key that the server sent. */
     static byte[] sealed(String password, byte[] nonce, String pem) throws GeneralSecurityException {
         String base64 = pem.replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
         PublicKey key = KeyFactory.getInstance("RSA")
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -27,7 +27,7 @@
     private static final int ID = 4;
     private static final SpoolHint NO_HINT = SpoolHint.of("");
 
-    private final MysqlFront front;
+    private final MysqlServer front;
     private final int number;
     private final byte[] nonce = Auth.nonce();
     private final Deque<ByteBuf> waiting = new ArrayDeque<>();
@@ -48,7 +48,7 @@
     private int sequence;
     private long lastStatement;
 
-    ClientSession(MysqlFront front, int number) {
+    ClientSession(MysqlServer front, int number) {
         super(false);
         this.front = front;
         this.number = number;
@@ -82,7 +82,7 @@
         }
     }
 
-    /** @return whether it came before then and has not logged in */
+    /** Returns whether it came before then and has not logged in. */
     boolean isStrangerSince(long nanoTime) {
         return !loggedIn && connectedAt - nanoTime < 0;
     }
@@ -91,7 +91,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         if (front.connected(this)) {
-            send(Handshake.greeting(ctx.alloc(), MysqlFront.VERSION, number, nonce));
+            send(Handshake.greeting(ctx.alloc(), MysqlServer.VERSION, number, nonce));
         } else {
             sequence = -1;
             endWith(Failure.full());
@@ -249,7 +249,7 @@
         }
     }
 
-    /** @return whether the client has been answered: by the result under its key, or because there is none */
+    /** Returns whether the client has been answered: by the result under its key, or because there is none. */
     private boolean fromSpool(SpoolHint hint, String digest, ClientStatement cursor) {
         SpooledResult result = front.spool().find(login.user(), hint.key());
         if (result == null && hint.isPart()) {
@@ -394,7 +394,7 @@
             return;
         }
         if (!front.take(query)) {
-            refuse(query, MysqlFront.BUSY_RETRY_MS);
+            refuse(query, MysqlServer.BUSY_RETRY_MS);
         }
     }
 
--- a/src/main/java/lineward/mysql/ClientStatement.java
+++ b/src/main/java/lineward/mysql/ClientStatement.java
@@ -42,7 +42,7 @@
         }
     }
 
-    /** @return whether an execution with these arguments asks for a read-only cursor */
+    /** Returns whether an execution with these arguments asks for a read-only cursor. */
     static boolean wantsCursor(ByteBuf arguments) {
         return arguments.isReadable() && arguments.getByte(arguments.readerIndex()) == READ_ONLY;
     }
--- a/src/main/java/lineward/mysql/Dialect.java
+++ b/src/main/java/lineward/mysql/Dialect.java
@@ -22,7 +22,7 @@
         return (capabilities & Handshake.DEPRECATE_EOF) != 0 ? SHORT : PLAIN;
     }
 
-    /** @return the packet behind the rows, or behind the columns where a cursor is open */
+    /** Returns the packet behind the rows, or behind the columns where a cursor is open. */
     ByteBuf end(ByteBufAllocator alloc, int sequence, int status) {
         return this == PLAIN
                 ? Packets.eof(alloc, sequence, status)
@@ -38,7 +38,7 @@
                 .writeShortLE(warnings);
     }
 
-    /** @return a whole held reply as the client wants it; takes the reply over */
+    /** Returns a whole held reply as the client wants it; takes the reply over. */
     ByteBuf whole(ByteBufAllocator alloc, ByteBuf reply, boolean prepared) {
         int first = Packets.first(reply);
         if (this == PLAIN || first == Packets.ERR || first == Packets.OK && !prepared) {
@@ -69,12 +69,12 @@
         }
     }
 
-    /** @return columns as they stand in the spool, as the client wants them before rows */
+    /** Returns columns as they stand in the spool, as the client wants them before rows. */
     ByteBuf columns(byte[] head) {
         return Unpooled.wrappedBuffer(head, 0, this == PLAIN ? head.length : head.length - EOF_FRAME);
     }
 
-    /** @return columns as they stand in the spool, as the client wants them where a cursor is open */
+    /** Returns columns as they stand in the spool, as the client wants them where a cursor is open. */
     ByteBuf cursor(ByteBufAllocator alloc, byte[] head) {
         int sequence = head[head.length - EOF_FRAME + Packets.HEAD - 1] & 0xff;
         return Unpooled.wrappedBuffer(
@@ -82,7 +82,7 @@
     }
 
     /**
-     * @return rows as they stand in the spool; other readers may see the same bytes, which stay as they are
+     * Returns rows as they stand in the spool; other readers may see the same bytes, which stay as they are.
      */
     ByteBuf rows(byte[] rows) {
         if (this == PLAIN) {
@@ -95,7 +95,7 @@
         return Unpooled.wrappedBuffer(out);
     }
 
-    /** @return what stands behind the rows in the spool */
+    /** Returns what stands behind the rows in the spool. */
     ByteBuf tail(ByteBufAllocator alloc, byte[] tail) {
         ByteBuf eof = Unpooled.wrappedBuffer(tail);
         if (this == PLAIN || !Packets.isEof(eof)) {
@@ -106,7 +106,7 @@
         return end(alloc.buffer(Packets.HEAD + ROW_END), Packets.sequence(eof) - 1, warnings, status);
     }
 
-    /** @return the number of the first packet behind the columns */
+    /** Returns the number of the first packet behind the columns. */
     int behindColumns(byte[] head) {
         return ReplyPump.sequenceBehind(head) - (this == PLAIN ? 0 : 1);
     }
--- a/src/main/java/lineward/mysql/EngineLink.java
+++ b/src/main/java/lineward/mysql/EngineLink.java
@@ -13,9 +13,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import lineward.scheduling.AttemptOutcome;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import peatwick.Front;
 
 /** One connection to a MySQL engine. It carries one run at a time, and keeps what was prepared on it. */
 final class EngineLink extends SimpleChannelInboundHandler<ByteBuf> {
@@ -76,7 +76,7 @@
         return schema.isEmpty() || !next.work.schema().isEmpty();
     }
 
-    /** @return whether the run finds its settings in place here */
+    /** Returns whether the run finds its settings in place here. */
     boolean isSetFor(MysqlRun next) {
         return settings.equals(next.settings);
     }
@@ -96,7 +96,7 @@
     /** What has not gone out yet never does. */
     void recall() {
         if (run != null && state != State.MAIN && state != State.KILLED) {
-            fail(Front.Outcome.FULL);
+            fail(AttemptOutcome.REJECTED);
         }
     }
 
@@ -161,7 +161,7 @@
                     1,
                     Failure.wrongArguments("the statement's parameters have changed since it was prepared"));
             run.take(channel.alloc(), error, ReplyTracker.Place.LAST_ERROR);
-            finish(Front.Outcome.OK);
+            finish(AttemptOutcome.OK);
             return;
         }
         for (Work.LongData data : w.longData()) {
@@ -206,7 +206,7 @@
             run = null;
             close();
             if (given != null) {
-                given.end(Front.Outcome.CANCELLED);
+                given.end(AttemptOutcome.CANCELLED);
             }
         }
     }
@@ -241,7 +241,7 @@
         if (first == Packets.ERR) {
             int code = Packets.errorCode(frame);
             LOG.warn("engine {} turns the front away with error {}", pool.name(), code);
-            fail(FULL.contains(code) ? Front.Outcome.FULL : Front.Outcome.CONNECT_FAILED);
+            fail(FULL.contains(code) ? AttemptOutcome.REJECTED : AttemptOutcome.CONNECT_FAILED);
         } else if (nonce == null) {
             greet(Handshake.readGreeting(in), sequence);
         } else if (first == Packets.EOF) {
@@ -303,7 +303,7 @@
         }
     }
 
-    /** @return whether the frame was handed on */
+    /** Returns whether the frame was handed on. */
     private boolean reply(ByteBuf frame) {
         ReplyTracker.Place place = tracker.take(frame);
         if (place == ReplyTracker.Place.LAST_ERROR && noAnswer(Packets.errorCode(frame))) {
@@ -330,8 +330,8 @@
             }
             finish(
                     state == State.KILLED && place == ReplyTracker.Place.LAST_ERROR
-                            ? Front.Outcome.CANCELLED
-                            : Front.Outcome.OK);
+                            ? AttemptOutcome.CANCELLED
+                            : AttemptOutcome.OK);
         }
         return true;
     }
@@ -342,7 +342,7 @@
             run.take(channel.alloc(), frame, place);
             // What the engine did set of them is not known.
             state = State.KILLED;
-            finish(Front.Outcome.OK);
+            finish(AttemptOutcome.OK);
             return true;
         }
         settings = run.settings;
@@ -378,16 +378,16 @@
 
     private boolean noAnswer(int code) {
         if (FULL.contains(code)) {
-            fail(Front.Outcome.FULL);
+            fail(AttemptOutcome.REJECTED);
         } else if (GOING_DOWN.contains(code)) {
-            fail(state == State.MAIN || state == State.KILLED ? Front.Outcome.ERROR : Front.Outcome.CONNECT_FAILED);
+            fail(state == State.MAIN || state == State.KILLED ? AttemptOutcome.ERROR : AttemptOutcome.CONNECT_FAILED);
         } else {
             return false;
         }
         return true;
     }
 
-    private void finish(Front.Outcome outcome) {
+    private void finish(AttemptOutcome outcome) {
         MysqlRun done = run;
         run = null;
         usedAt = System.nanoTime();
@@ -404,7 +404,7 @@
         done.end(outcome);
     }
 
-    private void fail(Front.Outcome outcome) {
+    private void fail(AttemptOutcome outcome) {
         MysqlRun failed = run;
         run = null;
         close();
@@ -416,7 +416,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOG.warn("engine {}: {}", pool.name(), cause.toString());
-        fail(state == State.MAIN || state == State.KILLED ? Front.Outcome.ERROR : Front.Outcome.CONNECT_FAILED);
+        fail(state == State.MAIN || state == State.KILLED ? AttemptOutcome.ERROR : AttemptOutcome.CONNECT_FAILED);
     }
 
     @Override
@@ -436,9 +436,9 @@
         pool.closed(this);
         fail(
                 switch (state) {
-                    case MAIN -> Front.Outcome.RESET;
-                    case KILLED -> Front.Outcome.CANCELLED;
-                    default -> Front.Outcome.CONNECT_FAILED;
+                    case MAIN -> AttemptOutcome.RESET;
+                    case KILLED -> AttemptOutcome.CANCELLED;
+                    default -> AttemptOutcome.CONNECT_FAILED;
                 });
     }
 }
--- a/src/main/java/lineward/mysql/EngineLinks.java
+++ b/src/main/java/lineward/mysql/EngineLinks.java
@@ -12,8 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import lineward.scheduling.AttemptOutcome;
 import lineward.spool.SpooledResult;
-import peatwick.Front;
 
 /** The connections to one MySQL engine. */
 final class EngineLinks {
@@ -63,7 +63,7 @@
             unfit.close();
         }
         if (links.size() >= bounds.linksPerEngine()) {
-            run.end(Front.Outcome.FULL);
+            run.end(AttemptOutcome.REJECTED);
         } else {
             connect().start(run);
         }
@@ -83,7 +83,7 @@
             }
 
             @Override
-            public void ended(Front.Outcome outcome, ByteBuf reply) {
+            public void ended(AttemptOutcome outcome, ByteBuf reply) {
                 if (reply != null) {
                     reply.release();
                 }
@@ -155,7 +155,7 @@
         closing = false;
     }
 
-    /** @return whether it takes nothing new and has no connection left */
+    /** Returns whether it takes nothing new and has no connection left. */
     boolean isDrained() {
         return closing && links.isEmpty();
     }
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import lineward.scheduling.EndpointState;
 import lineward.spool.SpoolLimits;
-import peatwick.Front;
 
 /**
  * What the MySQL front is told.
@@ -44,12 +44,7 @@
 
     /** One engine. */
     public record Engine(
-            String name,
-            InetSocketAddress address,
-            String user,
-            String password,
-            int cores,
-            Front.Condition condition) {}
+            String name, InetSocketAddress address, String user, String password, int cores, EndpointState condition) {}
 
     /**
      * A class of statements.
@@ -58,7 +53,7 @@
      */
     public record QueryClass(String name, Pattern match, double aimMs, double deadlineMs, double worth, int threads) {}
 
-    /** @return the place of the class of a statement */
+    /** Returns the place of the class of a statement. */
     int classOf(String text) {
         for (int i = 0; i < classes.size() - 1; i++) {
             if (classes.get(i).match().matcher(text).find()) {
--- a/src/main/java/lineward/mysql/MysqlRun.java
+++ b/src/main/java/lineward/mysql/MysqlRun.java
@@ -3,8 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import java.util.Map;
+import lineward.scheduling.AttemptOutcome;
 import lineward.spool.SpooledResult;
-import peatwick.Front;
 
 /**
  * One attempt at an engine: its work, the reply so far, and who is told. A short reply is held as it is; a
@@ -16,10 +16,10 @@
         /** The work has been written whole to the engine. */
         default void written() {}
 
-        /** @return where a result goes that is too long to be held here; null: it is not wanted */
+        /** Returns where a result goes that is too long to be held here; null: it is not wanted. */
         SpooledResult spool();
 
-        /** @return whether a result goes to the spool however short it is */
+        /** Returns whether a result goes to the spool however short it is. */
         default boolean spoolsAll() {
             return false;
         }
@@ -32,7 +32,7 @@
         boolean opened();
 
         /** @param reply the whole reply where the outcome is OK and it was not spooled, else null */
-        void ended(Front.Outcome outcome, ByteBuf reply);
+        void ended(AttemptOutcome outcome, ByteBuf reply);
     }
 
     /** Bytes of a reply that are held in one piece. */
@@ -164,20 +164,20 @@
     }
 
     /** Ends the run; what comes after the first end is passed over. */
-    void end(Front.Outcome as) {
+    void end(AttemptOutcome as) {
         if (over) {
             return;
         }
         over = true;
         // Given up amid a long reply: its end comes, but nobody holds the whole of it.
-        Front.Outcome outcome = unwanted || spooled != null && spooled.isGone() ? Front.Outcome.CANCELLED : as;
+        AttemptOutcome outcome = unwanted || spooled != null && spooled.isGone() ? AttemptOutcome.CANCELLED : as;
         ByteBuf reply = held;
         held = null;
-        if (outcome != Front.Outcome.OK && reply != null) {
+        if (outcome != AttemptOutcome.OK && reply != null) {
             reply.release();
             reply = null;
         }
-        if (spooled != null && outcome == Front.Outcome.OK) {
+        if (spooled != null && outcome == AttemptOutcome.OK) {
             spooled.complete();
         } else if (spooled != null) {
             spooled.breakOff();
--- a/src/main/java/lineward/mysql/MysqlFront.java
+++ b/src/main/java/lineward/mysql/MysqlServer.java
@@ -17,30 +17,31 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import lineward.core.Budget;
+import lineward.core.ByteBudget;
 import lineward.core.Command;
-import lineward.core.Demand;
-import lineward.core.EngineEntry;
+import lineward.core.Coordinator;
+import lineward.core.EngineEndpoint;
 import lineward.core.Forwarder;
-import lineward.core.Planner;
-import lineward.core.SlotTable;
-import lineward.front.ClientTable;
-import lineward.front.Doorway;
-import lineward.front.FrontDoor;
-import lineward.front.LingeringClose;
-import lineward.operations.Figures;
+import lineward.core.GenerationalTable;
+import lineward.core.RequestAttributes;
+import lineward.frontend.ClientRegistry;
+import lineward.frontend.LingeringClose;
+import lineward.frontend.Listener;
+import lineward.frontend.ProtocolServer;
+import lineward.operations.Metrics;
+import lineward.scheduling.AttemptOutcome;
+import lineward.scheduling.EndpointState;
 import lineward.spool.Spool;
 import lineward.spool.SpooledResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import peatwick.Front;
 
 /** The MySQL front: clients and engines speak the MySQL protocol, a planner of its own decides. */
-public final class MysqlFront implements Forwarder<Query>, FrontDoor {
+public final class MysqlServer implements Forwarder<Query>, ProtocolServer {
     /** Longest a word to give up takes: an engine gets to confirm the kill, then its connection is closed. */
     public static final double STOP_TAKES_MS = 500;
 
-    private static final Logger LOG = LoggerFactory.getLogger(MysqlFront.class);
+    private static final Logger LOG = LoggerFactory.getLogger(MysqlServer.class);
     /** What clients are told that the server is. */
     static final String VERSION = "8.0.36-lineward";
     /** Advice to a client that found this front full. */
@@ -53,19 +54,19 @@
     private static final long TEXTS = 8L << 20;
 
     private final MysqlConfig config;
-    private final Doorway doorway;
-    private final Planner<Query> planner;
+    private final Listener doorway;
+    private final Coordinator<Query> planner;
     private final DoubleSupplier clock;
     private final Runnable news;
-    private final Figures figures;
+    private final Metrics figures;
     private final Bootstrap bootstrap;
     private final Map<String, EngineLinks> engines = new HashMap<>();
     private final Set<ClientSession> clients = new LinkedHashSet<>();
-    private final Budget texts = new Budget(TEXTS);
+    private final ByteBudget texts = new ByteBudget(TEXTS);
     private final Spool spool;
     private Channel listener;
     private int lastClient;
-    private Intake intake = Intake.OPEN;
+    private Admission intake = Admission.OPEN;
     private long leavingSince;
 
     /**
@@ -73,17 +74,17 @@
      * @param figures count what ends here, before the planner has taken it
      * @param spool takes results that are long, paged or named
      */
-    public MysqlFront(
+    public MysqlServer(
             EventLoopGroup loop,
             MysqlConfig config,
-            Planner<Query> planner,
+            Coordinator<Query> planner,
             DoubleSupplier clock,
             Runnable news,
-            Figures figures,
+            Metrics figures,
             Spool spool) {
         this.spool = spool;
         this.config = config;
-        this.doorway = Doorway.at(config.listen());
+        this.doorway = Listener.at(config.listen());
         this.planner = planner;
         this.clock = clock;
         this.news = news;
@@ -97,7 +98,7 @@
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        ChannelFuture open = doorway.open(
+        ChannelFuture open = doorway.bind(
                 new ServerBootstrap()
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
@@ -107,7 +108,7 @@
                                 channel.pipeline()
                                         .addLast(
                                                 new PacketDecoder(maxPacket()),
-                                                new ClientSession(MysqlFront.this, ++lastClient));
+                                                new ClientSession(MysqlServer.this, ++lastClient));
                             }
                         }),
                 loop);
@@ -117,7 +118,7 @@
 
     /** Takes in the engines as the configuration now has them; who is not named any more is gone. */
     public void engines(List<MysqlConfig.Engine> named) {
-        List<EngineEntry> entries = new ArrayList<>();
+        List<EngineEndpoint> entries = new ArrayList<>();
         for (MysqlConfig.Engine e : named) {
             EngineLinks links = engines.get(e.name());
             if (links == null || !links.engine().address().equals(e.address())) {
@@ -127,25 +128,25 @@
                 links = new EngineLinks(bootstrap, e, config.bounds());
                 engines.put(e.name(), links);
             }
-            if (e.condition() == Front.Condition.READY) {
+            if (e.condition() == EndpointState.READY) {
                 links.reopen();
             } else {
                 links.drain();
             }
-            entries.add(new EngineEntry(e.name(), e.address().toString(), 0, 1, 0, e.condition(), 0, 0));
+            entries.add(new EngineEndpoint(e.name(), e.address().toString(), 0, 1, 0, e.condition(), 0, 0));
         }
         engines.values().stream()
                 .filter(l -> named.stream().noneMatch(e -> e.name().equals(l.name())))
                 .forEach(EngineLinks::drain);
         LOG.info(
                 "engines: {}",
-                entries.stream().map(e -> e.id() + ' ' + e.condition()).toList());
-        planner.list(true, entries);
+                entries.stream().map(e -> e.id() + ' ' + e.state()).toList());
+        planner.endpointsChanged(true, entries);
         news.run();
     }
 
     @Override
-    public void closeIdleEngines() {
+    public void closeIdleEngineConnections() {
         long before = System.nanoTime()
                 - TimeUnit.MILLISECONDS.toNanos(config.bounds().idleMs());
         engines.values().forEach(l -> l.closeIdle(before));
@@ -154,8 +155,8 @@
 
     /** The protocol has no word by which clients could be asked to stay away; they can be refused. */
     @Override
-    public void admit(Intake next) {
-        if (intake == Intake.OPEN && next != Intake.OPEN) {
+    public void setAdmission(Admission next) {
+        if (intake == Admission.OPEN && next != Admission.OPEN) {
             leavingSince = System.nanoTime();
         }
         intake = next;
@@ -163,25 +164,25 @@
 
     /** Nobody kills a front by the clock that serves MySQL: its statements run to their deadlines. */
     @Override
-    public void endIn(int ms) {}
+    public void setShutdownDeadline(int ms) {}
 
-    /** See {@link #endIn}. */
+    /** See {@link #setShutdownDeadline}. */
     @Override
-    public void lastWord() {}
+    public void failOpenRequests() {}
 
     @Override
     public void stopListening() {
         if (listener != null) {
-            doorway.shut(listener);
+            doorway.stopAccepting(listener);
         }
     }
 
     @Override
-    public void closeResting(double chance) {
+    public void closeIdleClients(double chance) {
         if (System.nanoTime() - leavingSince > CURSORS_LAST) {
             List.copyOf(clients).forEach(ClientSession::endCursors);
         }
-        ClientTable.closeSome(
+        ClientRegistry.closeSome(
                 clients.stream().filter(ClientSession::isIdle).toList(),
                 chance,
                 c -> LingeringClose.begin(c.channel(), c::isIdle, () -> {}));
@@ -189,7 +190,7 @@
 
     /** Who has not logged in yet is let go; who has may rest, as sessions do. */
     @Override
-    public void closeSilent() {
+    public void closeUnresponsive() {
         long before = System.nanoTime() - LOGIN_TAKES;
         clients.stream()
                 .filter(c -> c.isStrangerSince(before))
@@ -199,8 +200,8 @@
     }
 
     @Override
-    public void holdOut(String engine, boolean out, double at) {
-        planner.holdOut(engine, out, at);
+    public void setMaintenance(String engine, boolean out, double at) {
+        planner.setMaintenance(engine, out, at);
         if (out) {
             EngineLinks links = engines.get(engine);
             if (links != null) {
@@ -211,21 +212,21 @@
     }
 
     @Override
-    public Planner<?> planner() {
+    public Coordinator<?> coordinator() {
         return planner;
     }
 
     @Override
-    public boolean isQuiet() {
-        return planner.open() == 0 && clients.isEmpty();
+    public boolean isDrained() {
+        return planner.openRequests() == 0 && clients.isEmpty();
     }
 
     @Override
     public void tick() {
-        planner.tick(clock.getAsDouble()).forEach(this::perform);
+        planner.tick(clock.getAsDouble()).forEach(command -> command.executeBy(this));
     }
 
-    /** @return false if there are too many clients already */
+    /** Returns false if there are too many clients already. */
     boolean connected(ClientSession client) {
         clients.add(client);
         return clients.size() <= config.bounds().maxClients();
@@ -261,11 +262,11 @@
 
     /** The spool has no room for the result: refused before the planner has taken it. */
     void turnedAway(Query query) {
-        figures.ended(className(query), Figures.End.THROTTLED);
+        figures.ended(className(query), Metrics.Ending.THROTTLED);
     }
 
     String statistics() {
-        return "Clients: " + clients.size() + "  Open: " + planner.open() + "  Engines: " + engines.size();
+        return "Clients: " + clients.size() + "  Open: " + planner.openRequests() + "  Engines: " + engines.size();
     }
 
     /** Every class stands twice in the planner's settings: for what only reads, and for what may write. */
@@ -273,11 +274,11 @@
         return 2 * config.classOf(text) + (writes ? 1 : 0);
     }
 
-    /** @return false where there is no room for the request, which must then be refused */
+    /** Returns false where there is no room for the request, which must then be refused. */
     boolean take(Query query) {
-        boolean taken = intake != Intake.REFUSING && hasRoom(query);
+        boolean taken = intake != Admission.REJECTING && hasRoom(query);
         if (!taken) {
-            figures.ended(className(query), Figures.End.THROTTLED);
+            figures.ended(className(query), Metrics.Ending.THROTTLED);
         }
         return taken;
     }
@@ -288,32 +289,33 @@
 
     private boolean hasRoom(Query query) {
         double deadline = config.classes().get(query.place()).deadlineMs();
-        query.request = planner.take(clock.getAsDouble(), new Demand(query.type, 0, deadline, 0, 0, 0, false), query);
+        query.request = planner.admit(
+                clock.getAsDouble(), new RequestAttributes(query.type, 0, deadline, 0, 0, 0, false), query);
         news.run();
-        return query.request != SlotTable.FULL;
+        return query.request != GenerationalTable.FULL;
     }
 
     void abort(Query query) {
-        planner.abort(query.request);
+        planner.cancelRequest(query.request);
         news.run();
     }
 
     @Override
-    public void start(Command.Start<Query> c) {
+    public void startAttempt(Command.StartAttempt<Query> c) {
         Query query = c.exchange();
         query.runOf = c.attempt();
         query.spooled = null;
-        query.run = new MysqlRun(query.work, query.settings, c.patienceMs(), new Reports(query, c.attempt()));
+        query.run = new MysqlRun(query.work, query.settings, c.timeoutMs(), new Reports(query, c.attempt()));
         EngineLinks links = engines.get(c.engine());
         if (links == null) {
-            query.run.end(Front.Outcome.CONNECT_FAILED);
+            query.run.end(AttemptOutcome.CONNECT_FAILED);
         } else {
             links.start(query.run);
         }
     }
 
     @Override
-    public void stop(Command.Stop<Query> c) {
+    public void cancelAttempt(Command.CancelAttempt<Query> c) {
         Query query = c.exchange();
         if (query.runOf == c.attempt() && !query.run.isOver() && query.run.link != null) {
             query.run.link.stop();
@@ -322,18 +324,18 @@
 
     /** The protocol has no priorities. */
     @Override
-    public void reprioritise(Command.Reprioritise<Query> c) {}
+    public void changePriority(Command.ChangePriority<Query> c) {}
 
     /** The settings of this pool ask for no probes. */
     @Override
-    public void probe(Command.Probe<Query> c) {}
+    public void checkHealth(Command.CheckHealth<Query> c) {}
 
     /** Nor do its front ends talk to each other. */
     @Override
-    public void announce(Command.Announce<Query> c) {}
+    public void broadcastGossip(Command.BroadcastGossip<Query> c) {}
 
     @Override
-    public void refuse(Command.Refuse<Query> c) {
+    public void reject(Command.Reject<Query> c) {
         c.exchange().client.refuse(c.exchange(), c.retryAfterMs());
     }
 
@@ -370,7 +372,7 @@
 
         @Override
         public boolean opened() {
-            query.open = planner.opened(query.request, attempt);
+            query.open = planner.responseStarted(query.request, attempt);
             if (query.open) {
                 query.client.opened(query);
             }
@@ -378,8 +380,8 @@
         }
 
         @Override
-        public void ended(Front.Outcome outcome, ByteBuf reply) {
-            boolean served = planner.ended(query.request, attempt, outcome);
+        public void ended(AttemptOutcome outcome, ByteBuf reply) {
+            boolean served = planner.attemptEnded(query.request, attempt, outcome);
             if (query.open) {
                 query.client.passed(query);
             } else if (served) {
--- a/src/main/java/lineward/mysql/OpenCursor.java
+++ b/src/main/java/lineward/mysql/OpenCursor.java
@@ -52,7 +52,7 @@
         this.reader = result.read(this::move);
     }
 
-    /** @return whether the last row has gone out, which closes a cursor */
+    /** Returns whether the last row has gone out, which closes a cursor. */
     boolean isDone() {
         return done;
     }
@@ -136,7 +136,7 @@
         }
     }
 
-    /** @return whether there is something to go on with: rows, or the knowledge that there are none left */
+    /** Returns whether there is something to go on with: rows, or the knowledge that there are none left. */
     private boolean nextBlock() {
         SpooledResult.Piece piece = reader.poll();
         if (piece != null && piece.rows() > 0) {
--- a/src/main/java/lineward/mysql/Packets.java
+++ b/src/main/java/lineward/mysql/Packets.java
@@ -24,7 +24,7 @@
 
     private Packets() {}
 
-    /** @return a frame whose length is set by {@link #done} */
+    /** Returns a frame whose length is set by {@link #done}. */
     static ByteBuf begin(ByteBufAllocator alloc, int sequence) {
         return alloc.buffer().writeMediumLE(0).writeByte(sequence);
     }
@@ -46,7 +46,7 @@
         return done(begin(alloc, sequence).writeByte(EOF).writeShortLE(0).writeShortLE(AUTOCOMMIT | status));
     }
 
-    /** @return the length, head included, of the packet that begins there */
+    /** Returns the length, head included, of the packet that begins there. */
     static int length(byte[] packets, int at) {
         return HEAD + (packets[at] & 0xff | (packets[at + 1] & 0xff) << 8 | (packets[at + 2] & 0xff) << 16);
     }
@@ -57,7 +57,7 @@
         return done(out);
     }
 
-    /** @return a frame of one command with its bytes, to be released by the caller */
+    /** Returns a frame of one command with its bytes, to be released by the caller. */
     static ByteBuf command(ByteBufAllocator alloc, int command, ByteBuf rest) {
         return done(begin(alloc, 0).writeByte(command).writeBytes(rest, rest.readerIndex(), rest.readableBytes()));
     }
@@ -72,7 +72,7 @@
         return frame.getUnsignedByte(frame.readerIndex() + HEAD - 1);
     }
 
-    /** @return the payload's first byte, which tells what a packet is; -1 if it is empty */
+    /** Returns the payload's first byte, which tells what a packet is; -1 if it is empty. */
     static int first(ByteBuf frame) {
         return size(frame) == 0 ? -1 : frame.getUnsignedByte(frame.readerIndex() + HEAD);
     }
@@ -89,7 +89,7 @@
         return first(frame) == EOF && size(frame) < EOF_LESS_THAN;
     }
 
-    /** @return the error's number, or 0 where the packet is too short to hold one */
+    /** Returns the error's number, or 0 where the packet is too short to hold one. */
     static int errorCode(ByteBuf frame) {
         return size(frame) < 3 ? 0 : frame.getUnsignedShortLE(frame.readerIndex() + HEAD + 1);
     }
--- a/src/main/java/lineward/mysql/Query.java
+++ b/src/main/java/lineward/mysql/Query.java
@@ -44,7 +44,7 @@
         this.spooling = spooling;
     }
 
-    /** @return the place of its class in the configuration */
+    /** Returns the place of its class in the configuration. */
     public int place() {
         return type / 2;
     }
--- a/src/main/java/lineward/mysql/ReplyPump.java
+++ b/src/main/java/lineward/mysql/ReplyPump.java
@@ -59,7 +59,7 @@
         }
     }
 
-    /** @return the number of the packet behind these */
+    /** Returns the number of the packet behind these. */
     static int sequenceBehind(byte[] packets) {
         int at = 0;
         int sequence = 0;
--- a/src/main/java/lineward/mysql/ReplyTracker.java
+++ b/src/main/java/lineward/mysql/ReplyTracker.java
@@ -46,7 +46,7 @@
         this.prepare = prepare;
     }
 
-    /** @return whether the engine says that it is amid a transaction, or that statements begin one */
+    /** Returns whether the engine says that it is amid a transaction, or that statements begin one. */
     boolean inTransaction() {
         return status != UNTOLD && (status & (IN_TRANSACTION | Packets.AUTOCOMMIT)) != Packets.AUTOCOMMIT;
     }
--- a/src/main/java/lineward/mysql/SessionSettings.java
+++ b/src/main/java/lineward/mysql/SessionSettings.java
@@ -155,7 +155,7 @@
             "wait_timeout",
             "28800",
             "version",
-            MysqlFront.VERSION,
+            MysqlServer.VERSION,
             "version_comment",
             "lineward",
             "lc_time_names",
@@ -207,7 +207,7 @@
         return Map.copyOf(all);
     }
 
-    /** @return the settings that an engine's connection must have, by name; does not change later */
+    /** Returns the settings that an engine's connection must have, by name; does not change later. */
     Map<String, String> forEngines() {
         return view;
     }
@@ -218,7 +218,7 @@
         view = Map.of();
     }
 
-    /** @return the statement that takes a connection from the one to the other */
+    /** Returns the statement that takes a connection from the one to the other. */
     static String change(Map<String, String> from, Map<String, String> to) {
         List<String> parts = new ArrayList<>();
         from.keySet().stream()
@@ -315,7 +315,7 @@
                 : value;
     }
 
-    /** @return what a client is told of a variable, or null where only an engine knows it */
+    /** Returns what a client is told of a variable, or null where only an engine knows it. */
     String value(String name) {
         String value = set.get(name);
         if (value != null) {
@@ -324,7 +324,7 @@
         return USUAL.get(name);
     }
 
-    /** @return what a statement that reads variables alone is told, or null if it is no such statement */
+    /** Returns what a statement that reads variables alone is told, or null if it is no such statement. */
     Reading read(String text) {
         SqlTokens tokens = new SqlTokens(text);
         if (!tokens.next() || !tokens.is("select")) {
@@ -362,7 +362,7 @@
         return reading.labels().isEmpty() ? null : reading;
     }
 
-    /** @return a variable as it is written, with its signs; null if none stands here */
+    /** Returns a variable as it is written, with its signs; null if none stands here. */
     private static String variable(SqlTokens tokens) {
         if (!tokens.is("@") || !tokens.next() || !tokens.is("@") || !tokens.next()) {
             return null;
--- a/src/main/java/lineward/mysql/StatementKind.java
+++ b/src/main/java/lineward/mysql/StatementKind.java
@@ -93,7 +93,7 @@
             "do",
             "load");
 
-    /** @return what the text asks for; what is not known to be a read counts as a write */
+    /** Returns what the text asks for; what is not known to be a read counts as a write. */
     static StatementKind of(String text) {
         SqlTokens tokens = new SqlTokens(text);
         if (!tokens.next()) {
--- a/src/main/java/lineward/mysql/Texts.java
+++ b/src/main/java/lineward/mysql/Texts.java
@@ -6,12 +6,12 @@
 final class Texts {
     private Texts() {}
 
-    /** @return the text's UTF-8 bytes, each as one character */
+    /** Returns the text's UTF-8 bytes, each as one character. */
     static String latin1(String text) {
         return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
     }
 
-    /** @return the text whose UTF-8 bytes these characters are */
+    /** Returns the text whose UTF-8 bytes these characters are. */
     static String utf8(String latin1) {
         return new String(latin1.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
     }
--- a/src/main/java/lineward/mysql/Work.java
+++ b/src/main/java/lineward/mysql/Work.java
@@ -13,7 +13,7 @@
     /** The schema in which it runs; empty where the client chose none. */
     String schema();
 
-    /** @return whether the engine's session may be another behind it, unseen by the front */
+    /** Returns whether the engine's session may be another behind it, unseen by the front. */
     default boolean leavesTraces() {
         return false;
     }
@@ -29,7 +29,7 @@
             return Work.leavesTraces(text);
         }
 
-        /** @return a digest of all that its result depends on */
+        /** Returns a digest of all that its result depends on. */
         String digest() {
             return Work.digest(List.of(bytes(schema), bytes(text)));
         }
@@ -50,7 +50,7 @@
             return Work.leavesTraces(text);
         }
 
-        /** @return a digest of all that its result depends on */
+        /** Returns a digest of all that its result depends on. */
         String digest() {
             return Work.digest(List.of(bytes(schema), bytes(text), arguments, joined()));
         }
--- a/src/main/java/lineward/operations/CallHandler.java
+++ b/src/main/java/lineward/operations/AdminHandler.java
@@ -19,10 +19,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.BiFunction;
-import lineward.front.ClientTable;
+import lineward.frontend.ClientRegistry;
 
 /** Answers one call and lets its caller go. */
-final class CallHandler extends SimpleChannelInboundHandler<Object> {
+final class AdminHandler extends SimpleChannelInboundHandler<Object> {
     private record Reply(HttpResponseStatus status, String text) {
         static Reply yes(String text) {
             return new Reply(HttpResponseStatus.OK, text);
@@ -30,7 +30,7 @@
     }
 
     /** What can be asked at a path; the answer may depend on the body. */
-    private record Call(HttpMethod method, BiFunction<Operations, String, Reply> answer) {}
+    private record Call(HttpMethod method, BiFunction<AdminOperations, String, Reply> answer) {}
 
     private static final Map<String, Call> CALLS = Map.of(
             "/ops/readiness",
@@ -39,7 +39,7 @@
                             (ops, body) -> ops.isReady()
                                     ? Reply.yes("ready\n")
                                     : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n")),
-            "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> Reply.yes(ops.figures())),
+            "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> Reply.yes(ops.metrics())),
             "/ops/query-engines/down", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, true)),
             "/ops/query-engines/up", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, false)),
             "/ops/drain/start",
@@ -54,29 +54,29 @@
                                     ? Reply.yes("serving\n")
                                     : new Reply(HttpResponseStatus.CONFLICT, "the process is ending\n")));
 
-    private static Reply hold(Operations ops, String engine, boolean out) {
-        return ops.holdOut(engine, out)
+    private static Reply hold(AdminOperations ops, String engine, boolean out) {
+        return ops.setMaintenance(engine, out)
                 ? Reply.yes(engine + (out ? " is left out\n" : " is used\n"))
                 : new Reply(HttpResponseStatus.NOT_FOUND, "no query engine " + engine + " is known\n");
     }
 
-    private final Operations operations;
-    private final ClientTable<Channel> callers;
+    private final AdminOperations operations;
+    private final ClientRegistry<Channel> callers;
     private boolean answered;
 
-    CallHandler(Operations operations, ClientTable<Channel> callers) {
+    AdminHandler(AdminOperations operations, ClientRegistry<Channel> callers) {
         this.operations = operations;
         this.callers = callers;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        callers.arrived(ctx.channel());
+        callers.connected(ctx.channel());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        callers.left(ctx.channel());
+        callers.disconnected(ctx.channel());
     }
 
     @Override
@@ -86,7 +86,7 @@
             return;
         }
         answered = true;
-        if (message == CallAggregator.TOO_LARGE) {
+        if (message == AdminRequestAggregator.TOO_LARGE) {
             send(ctx, new Reply(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large\n"), null);
             return;
         }
--- a/src/main/java/lineward/operations/OperationsServer.java
+++ b/src/main/java/lineward/operations/AdminServer.java
@@ -11,10 +11,10 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import lineward.front.ClientTable;
+import lineward.frontend.ClientRegistry;
 
 /** The second address, where operators call: HTTP/1.1, one call for each connection. */
-public final class OperationsServer {
+public final class AdminServer {
     /** Callers at once; the one that has been silent longest makes room. */
     private static final int MOST_CALLERS = 32;
     /** A call is due whole within this, and its answer taken. */
@@ -23,12 +23,12 @@
     private static final int LONGEST_LINE = 1024;
     private static final int LARGEST_HEADER = 4096;
 
-    private final Operations operations;
-    private final ClientTable<Channel> callers =
-            new ClientTable<>(MOST_CALLERS, System::nanoTime, Channel::close, Channel::close);
+    private final AdminOperations operations;
+    private final ClientRegistry<Channel> callers =
+            new ClientRegistry<>(MOST_CALLERS, System::nanoTime, Channel::close, Channel::close);
 
     /** @param operations carries out what is asked */
-    public OperationsServer(Operations operations) {
+    public AdminServer(AdminOperations operations) {
         this.operations = operations;
     }
 
@@ -47,8 +47,8 @@
                         channel.pipeline()
                                 .addLast(
                                         new HttpServerCodec(bounds),
-                                        new CallAggregator(),
-                                        new CallHandler(operations, callers));
+                                        new AdminRequestAggregator(),
+                                        new AdminHandler(operations, callers));
                     }
                 })
                 .bind(address);
--- a/src/main/java/lineward/operations/Figures.java
+++ b/src/main/java/lineward/operations/Metrics.java
@@ -9,21 +9,21 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import lineward.core.Planner;
-import lineward.front.FrontDoor;
+import lineward.core.Coordinator;
+import lineward.frontend.ProtocolServer;
 import lineward.spool.SpoolPolicy;
 
 /** What this process has done since its start, in the text format of Prometheus. */
-public final class Figures {
+public final class Metrics {
     /** How a request ended. */
-    public enum End {
+    public enum Ending {
         FULFILLED,
         THROTTLED,
         FAULTED
     }
 
     private static final String PREFIX = "edge_relay_";
-    private final Map<String, Map<End, Long>> ended = new TreeMap<>();
+    private final Map<String, Map<Ending, Long>> ended = new TreeMap<>();
     private long relayed;
     private LongSupplier listAge;
     private LongSupplier unread;
@@ -32,14 +32,14 @@
     /** The classes whose figures are there from the start, at 0. */
     public void announce(Collection<String> classes) {
         for (String type : classes) {
-            Map<End, Long> row = ended.computeIfAbsent(type, t -> new EnumMap<>(End.class));
-            List.of(End.values()).forEach(end -> row.putIfAbsent(end, 0L));
+            Map<Ending, Long> row = ended.computeIfAbsent(type, t -> new EnumMap<>(Ending.class));
+            List.of(Ending.values()).forEach(end -> row.putIfAbsent(end, 0L));
         }
     }
 
     /** A request of that class has ended; a class never announced is passed over. */
-    public void ended(String type, End end) {
-        Map<End, Long> row = ended.get(type);
+    public void ended(String type, Ending end) {
+        Map<Ending, Long> row = ended.get(type);
         if (row != null) {
             row.merge(end, 1L, Long::sum);
         }
@@ -65,8 +65,8 @@
         spool = now;
     }
 
-    /** @return all figures; what the fronts hold now is asked of them */
-    public String text(Collection<FrontDoor> doors) {
+    /** Returns all figures; what the fronts hold now is asked of them. */
+    public String text(Collection<ProtocolServer> doors) {
         StringBuilder text = new StringBuilder();
         head(text, "operations_total", "counter", "Requests that have ended, by class and end.");
         ended.forEach((type, row) -> row.forEach((end, count) -> text.append(PREFIX)
@@ -78,14 +78,14 @@
                 .append(count)
                 .append('\n')));
         one(text, "relayed_total", "counter", "Attempts written whole to query engines.", relayed);
-        one(text, "open_requests", "gauge", "Requests taken and not yet ended.", sum(doors, Planner::open));
-        one(text, "registry_entries", "gauge", "Query engines on the list.", sum(doors, Planner::engines));
+        one(text, "open_requests", "gauge", "Requests taken and not yet ended.", sum(doors, Coordinator::openRequests));
+        one(text, "registry_entries", "gauge", "Query engines on the list.", sum(doors, Coordinator::listedEngines));
         one(
                 text,
                 "out_of_rotation",
                 "gauge",
                 "Query engines on the list that get nothing now.",
-                sum(doors, Planner::avoided));
+                sum(doors, Coordinator::excludedEngines));
         if (listAge != null) {
             one(
                     text,
@@ -119,8 +119,8 @@
         one(text, "spool_slowed_total", "counter", "Results whose engine had to wait for the reader.", now.slowed());
     }
 
-    private static int sum(Collection<FrontDoor> doors, ToIntFunction<Planner<?>> figure) {
-        return doors.stream().map(FrontDoor::planner).mapToInt(figure).sum();
+    private static int sum(Collection<ProtocolServer> doors, ToIntFunction<Coordinator<?>> figure) {
+        return doors.stream().map(ProtocolServer::coordinator).mapToInt(figure).sum();
     }
 
     private static void one(StringBuilder text, String name, String type, String help, long value) {
--- /dev/null
+++ b/src/main/java/lineward/scheduling/AttemptOutcome.java
@@ -0,0 +1,37 @@
+package lineward.scheduling;
+
+/** How an attempt or a health check ended. */
+public enum AttemptOutcome {
+    /** The engine answered. */
+    OK(true),
+    /** The engine answered with an error. */
+    ERROR(true),
+    /** The engine rejected it before it began. */
+    REJECTED(false),
+    /** No answer came in time. */
+    TIMEOUT(true),
+    /** No connection to the engine came up. */
+    CONNECT_FAILED(false),
+    /** The connection broke. */
+    RESET(true),
+    /** This front end cancelled it. */
+    CANCELLED(true),
+    /** It never went out. */
+    NOT_STARTED(false);
+
+    private final boolean mayHaveRun;
+
+    AttemptOutcome(boolean mayHaveRun) {
+        this.mayHaveRun = mayHaveRun;
+    }
+
+    /** Returns false where the outcome proves that the attempt never ran. */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** Returns whether the outcome leaves open if the attempt ran, or still runs. */
+    public boolean isIndeterminate() {
+        return this == TIMEOUT || this == RESET || this == CANCELLED;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/DecayingMean.java
@@ -0,0 +1,38 @@
+package lineward.scheduling;
+
+/** A mean of values whose weights halve with time. */
+final class DecayingMean {
+    private final double halfLifeMs;
+    private double sum;
+    private double count;
+    private double decayedAtMs;
+
+    DecayingMean(double halfLifeMs) {
+        this.halfLifeMs = halfLifeMs;
+    }
+
+    void add(double nowMs, double value) {
+        decay(nowMs);
+        sum += value;
+        count++;
+    }
+
+    /** Returns the number of values, each with the weight that it still has. */
+    double count(double nowMs) {
+        decay(nowMs);
+        return count;
+    }
+
+    /** Returns the mean, with so many prior values of a given size beside those added. */
+    double mean(double nowMs, double priorCount, double priorValue) {
+        decay(nowMs);
+        return (sum + priorCount * priorValue) / (count + priorCount);
+    }
+
+    private void decay(double nowMs) {
+        double kept = Math.pow(0.5, (nowMs - decayedAtMs) / halfLifeMs);
+        sum *= kept;
+        count *= kept;
+        decayedAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/EjectionCause.java
@@ -0,0 +1,22 @@
+package lineward.scheduling;
+
+import java.util.Locale;
+
+/** Why an engine is ejected. */
+enum EjectionCause {
+    /** It has work overdue and reports nothing. */
+    SILENCE,
+    /** It answers with errors. */
+    ERRORS,
+    /** It resets connections. */
+    RESETS,
+    /** It refuses connections. */
+    CONNECT_FAILURES,
+    /** It answers no health check. */
+    HEALTH_CHECK;
+
+    @Override
+    public String toString() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/GossipCodec.java
@@ -0,0 +1,72 @@
+package lineward.scheduling;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The bytes of gossip: load reports of engines, each an engine's id folded to two bytes and its values in a byte
+ * each. Reports are collected until they are sent.
+ */
+final class GossipCodec {
+    /** Bytes of the longest message that the platform takes. */
+    static final int MAX_PAYLOAD = 256;
+
+    private static final int ID_BYTES = 2;
+    private static final int MAX_BYTE = 255;
+
+    /** One engine's load report; the values are those of the report. */
+    record EngineReport(int gossipId, double[] values) {}
+
+    private final double[] scales;
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+
+    GossipCodec(List<LoadReportField> fields) {
+        scales = fields.stream().mapToDouble(LoadReportField::gossipScale).toArray();
+    }
+
+    /** Returns the bytes of one report. */
+    int reportBytes() {
+        return ID_BYTES + scales.length;
+    }
+
+    /** Returns whether something was collected. */
+    boolean hasPending() {
+        return pending.size() > 0;
+    }
+
+    /** Returns whether one more report fits into the message. */
+    boolean hasRoom() {
+        return pending.size() < MAX_PAYLOAD - reportBytes();
+    }
+
+    void collect(EngineReport report) {
+        pending.write(report.gossipId() >> 8);
+        pending.write(report.gossipId());
+        for (int i = 0; i < scales.length; i++) {
+            double value = i < report.values().length ? report.values()[i] * scales[i] : 0;
+            pending.write((int) Math.max(0, Math.min(MAX_BYTE, Math.round(value))));
+        }
+    }
+
+    /** Returns the message collected so far and begins a new one. */
+    byte[] drainPending() {
+        byte[] payload = pending.toByteArray();
+        pending.reset();
+        return payload;
+    }
+
+    /** Returns the reports of a message; what is left over at its end is ignored. */
+    List<EngineReport> decode(byte[] payload) {
+        List<EngineReport> reports = new ArrayList<>();
+        for (int at = 0; at + reportBytes() <= payload.length; at += reportBytes()) {
+            double[] values = new double[scales.length];
+            for (int i = 0; i < values.length; i++) {
+                values[i] = Byte.toUnsignedInt(payload[at + ID_BYTES + i]) / scales[i];
+            }
+            int gossipId = Byte.toUnsignedInt(payload[at]) << 8 | Byte.toUnsignedInt(payload[at + 1]);
+            reports.add(new EngineReport(gossipId, values));
+        }
+        return reports;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/Idempotence.java
@@ -0,0 +1,11 @@
+package lineward.scheduling;
+
+/** Whether a request may run more than once. */
+public enum Idempotence {
+    /** Always. */
+    IDEMPOTENT,
+    /** Where engines drop duplicates by an idempotency key, for a time and within a {@link DeduplicationScope}. */
+    BY_KEY,
+    /** Never. */
+    NON_IDEMPOTENT
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/InvalidSettingException.java
@@ -0,0 +1,34 @@
+package lineward.scheduling;
+
+/** A setting is out of its range. */
+public final class InvalidSettingException extends IllegalArgumentException {
+    private static final long serialVersionUID = 1L;
+
+    private InvalidSettingException(String key, Object found, String allowed) {
+        super("bad setting: " + key + " (found " + found + ", allowed is " + allowed + ")");
+    }
+
+    /**
+     * Checks one setting.
+     *
+     * @param key names the setting
+     * @param found its value
+     * @param allowed its range in words
+     * @throws InvalidSettingException if the condition does not hold
+     */
+    public static void require(boolean holds, String key, Object found, String allowed) {
+        if (!holds) {
+            throw new InvalidSettingException(key, found, allowed);
+        }
+    }
+
+    /** Checks that a number is not negative. */
+    static void requireNotNegative(String key, double found) {
+        require(found >= 0, key, found, "0 or more");
+    }
+
+    /** Checks that a number lies between 0 and 1. */
+    static void requireRatio(String key, double found) {
+        require(found >= 0 && found <= 1, key, found, "0 to 1");
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/LoadReportField.java
@@ -0,0 +1,34 @@
+package lineward.scheduling;
+
+/** What a value in an engine's load report stands for. */
+public enum LoadReportField {
+    /** Requests in progress. */
+    IN_FLIGHT(1),
+    /** Requests queued. */
+    QUEUED(1),
+    /** Ratio of the cores in use. */
+    UTILISATION(100),
+    /** Recent time a request, in milliseconds. */
+    LATENCY(1),
+    /** Requests a second. */
+    THROUGHPUT(1),
+    /** Errors a second. */
+    ERRORS(1),
+    /** Ratio of the memory in use. */
+    MEMORY(100),
+    /** Ratio of the disks in use. */
+    DISKS(100),
+    /** A field that this version does not know. */
+    OTHER(1);
+
+    private final double gossipScale;
+
+    LoadReportField(double gossipScale) {
+        this.gossipScale = gossipScale;
+    }
+
+    /** Returns the factor by which gossip encodes it: ratios as hundredths, counts as they are. */
+    double gossipScale() {
+        return gossipScale;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/SurvivalCurve.java
@@ -0,0 +1,102 @@
+package lineward.scheduling;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * A bounded, decaying histogram of run times, some of them censored, with its Kaplan-Meier curve. How fine and how
+ * long it is, and what follows from it, is the caller's to say.
+ */
+final class SurvivalCurve {
+    private static final double NOTHING = 1e-9;
+
+    private final double lowestLog2;
+    private final double binsPerDoubling;
+    private final double[] completed;
+    private final double[] censored;
+    private final double[] areas;
+    private final double[] survival;
+
+    /** Creates an empty curve with bins from 2^lowestLog2 upwards. */
+    SurvivalCurve(int bins, double lowestLog2, double binsPerDoubling) {
+        this.lowestLog2 = lowestLog2;
+        this.binsPerDoubling = binsPerDoubling;
+        completed = new double[bins];
+        censored = new double[bins];
+        areas = new double[bins];
+        survival = new double[bins];
+    }
+
+    void add(double runTime, boolean ranToItsEnd) {
+        (ranToItsEnd ? completed : censored)[binOf(runTime)] += 1;
+    }
+
+    /** Multiplies all counts. */
+    void decay(double ratioKept) {
+        for (int i = 0; i < completed.length; i++) {
+            completed[i] *= ratioKept;
+            censored[i] *= ratioKept;
+        }
+    }
+
+    /**
+     * Recomputes the curve. A censored run tells only that it took longer, so it leaves the set at risk where it
+     * was cancelled; dropping it would hide the tail, completing it would invent an end. Runs in flight count
+     * likewise.
+     *
+     * @return the area under the curve, as far as anything was seen
+     */
+    double recompute(List<Double> inFlight) {
+        double[] left = censored.clone();
+        for (double runTime : inFlight) {
+            left[binOf(runTime)] += 1;
+        }
+        double atRisk = 0;
+        for (int i = 0; i < completed.length; i++) {
+            atRisk += completed[i] + left[i];
+        }
+        double surviving = 1;
+        double area = 0;
+        for (int i = 0; i < completed.length && atRisk > NOTHING; i++) {
+            double after = surviving * Math.max(0, 1 - completed[i] / atRisk);
+            area += binWidth(i) * (surviving + after) / 2;
+            surviving = after;
+            areas[i] = area;
+            survival[i] = surviving;
+            atRisk -= completed[i] + left[i];
+            if (atRisk <= NOTHING) {
+                Arrays.fill(areas, i + 1, areas.length, area);
+                Arrays.fill(survival, i + 1, survival.length, 0);
+            }
+        }
+        return area;
+    }
+
+    int bins() {
+        return completed.length;
+    }
+
+    /** Returns the upper edge of a bin. */
+    double upperEdge(int bin) {
+        return Math.pow(2, lowestLog2 + (bin + 1) / binsPerDoubling);
+    }
+
+    /** Returns the area under the curve up to the bin's upper edge. */
+    double areaUpTo(int bin) {
+        return areas[bin];
+    }
+
+    /** Returns the ratio of the runs that take longer than the bin's upper edge. */
+    double survivalPast(int bin) {
+        return survival[bin];
+    }
+
+    private double binWidth(int bin) {
+        return upperEdge(bin) - (bin == 0 ? 0 : upperEdge(bin - 1));
+    }
+
+    private int binOf(double runTime) {
+        double place = (Math.log(Math.max(NOTHING, runTime)) / Math.log(2) - lowestLog2) * binsPerDoubling;
+        return (int) Math.max(0, Math.min(completed.length - 1, place));
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/simulator/BatchReader.java
@@ -0,0 +1,214 @@
+package lineward.scheduling.simulator;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import lineward.scheduling.Endpoint;
+import lineward.scheduling.EndpointState;
+import lineward.scheduling.ProgressKind;
+import lineward.scheduling.SchedulerEvent;
+
+/** Reads one batch and notifies a sink, in order, of what it holds. Endpoint lists outlive a batch. */
+final class BatchReader {
+    private static final int CLOCK_BYTES = Double.BYTES;
+    private static final int MAX_ENDPOINT_LISTS = 16;
+    private static final int ENDPOINT_BYTES = 24;
+    private static final int WORK_SHIFT = 12;
+    private static final int MEMORY_MASK = 0xfff;
+    private static final double MEMORY_UNIT_MB = 4;
+
+    private static final int REQUEST_CANCELLED = 0x10;
+    private static final int ATTEMPT_ENDED = 0x11;
+    private static final int REQUEST_ARRIVED = 0x12;
+    private static final int INSTANCE_OPENED = 0x13;
+    private static final int INSTANCE_KILLED = 0x14;
+    private static final int ATTEMPT_PROGRESS = 0x15;
+    private static final int ENDPOINTS_CHANGED = 0x16;
+    private static final int HEALTH_CHECK_COMPLETED = 0x17;
+    private static final int INSTANCE_SELECTED = 0x18;
+    private static final int RESPONSE_STARTED = 0x19;
+    private static final int TIMER_FIRED = 0x1a;
+    private static final int ENDPOINT_LIST = 0x1b;
+    private static final int GOSSIP_RECEIVED = 0x1c;
+
+    /** Takes what a batch says, record by record. */
+    interface Sink {
+        /** The records that follow belong to that instance. */
+        void selectInstance(int instance);
+
+        /** The instance is created. */
+        void openInstance(long seed, String settings);
+
+        /** The instance has been killed. */
+        void killInstance();
+
+        /** An event for the instance. */
+        void event(SchedulerEvent event);
+    }
+
+    private final List<List<Endpoint>> endpointLists = new ArrayList<>(Collections.nCopies(MAX_ENDPOINT_LISTS, null));
+
+    /**
+     * Reads a batch.
+     *
+     * @param count its number of records
+     * @param body what follows the length field: clock, records, tail
+     */
+    void read(int count, ByteBuffer body, Sink sink) {
+        long end = CLOCK_BYTES + (long) count * EventRecord.LENGTH;
+        if (count < 0 || end > body.limit()) {
+            throw new WireException("batch of " + Integer.toUnsignedLong(count) + " records does not fit its length");
+        }
+        ByteBuffer tail = body.slice((int) end, body.limit() - (int) end);
+        boolean selected = false;
+        for (int i = 0; i < count; i++) {
+            ByteBuffer slice = body.slice(CLOCK_BYTES + i * EventRecord.LENGTH, EventRecord.LENGTH);
+            EventRecord entry = new EventRecord(slice);
+            selected |= entry.code() == INSTANCE_SELECTED;
+            if (!selected && entry.code() != ENDPOINT_LIST) {
+                throw new WireException("record with code " + entry.code() + " stands before any instance was named");
+            }
+            read(entry, tail, sink);
+        }
+    }
+
+    private void read(EventRecord entry, ByteBuffer tail, Sink sink) {
+        switch (entry.code()) {
+            case INSTANCE_SELECTED -> sink.selectInstance(entry.signedInt(1));
+            case ENDPOINT_LIST -> readEndpointList(entry, tail);
+            case INSTANCE_OPENED -> sink.openInstance(entry.signedLong(1), settingsText(entry, tail));
+            case INSTANCE_KILLED -> sink.killInstance();
+            case ENDPOINTS_CHANGED -> sink.event(endpointsChanged(entry));
+            case REQUEST_ARRIVED -> sink.event(requestArrived(entry));
+            case REQUEST_CANCELLED -> sink.event(new SchedulerEvent.RequestCancelled(entry.unsignedInt(1)));
+            case RESPONSE_STARTED ->
+                sink.event(new SchedulerEvent.ResponseStarted(entry.unsignedInt(1), entry.unsignedShort(19)));
+            case ATTEMPT_PROGRESS -> readProgress(entry, sink);
+            case ATTEMPT_ENDED -> sink.event(attemptEnded(entry));
+            case HEALTH_CHECK_COMPLETED -> sink.event(healthCheckCompleted(entry));
+            case TIMER_FIRED -> sink.event(new SchedulerEvent.TimerFired(entry.signedInt(1)));
+            case GOSSIP_RECEIVED -> sink.event(gossipReceived(entry, tail));
+            default -> throw new WireException("unknown event code " + entry.code());
+        }
+    }
+
+    private static String settingsText(EventRecord entry, ByteBuffer tail) {
+        ByteBuffer text = tailPart(tail, entry.signedInt(9), entry.signedInt(13), 1);
+        return StandardCharsets.UTF_8.decode(text).toString();
+    }
+
+    private static SchedulerEvent requestArrived(EventRecord entry) {
+        int flags = entry.signedByte(42);
+        boolean hasWorkEstimate = (flags & 1) != 0;
+        boolean clientRetry = (flags & 2) != 0;
+        return new SchedulerEvent.RequestArrived(
+                entry.unsignedInt(1),
+                entry.unsignedByte(5),
+                entry.signedLong(10),
+                entry.doubleFloat(18),
+                hasWorkEstimate ? entry.doubleFloat(26) : 0,
+                entry.singleFloat(34),
+                (int) entry.singleFloat(38),
+                clientRetry,
+                entry.signedInt(6));
+    }
+
+    private static SchedulerEvent attemptEnded(EventRecord entry) {
+        long needs = entry.unsignedInt(24);
+        double workMs = needs >>> WORK_SHIFT;
+        double memoryMb = (needs & MEMORY_MASK) * MEMORY_UNIT_MB;
+        boolean requestCompleted = entry.signedByte(23) != 0;
+        return new SchedulerEvent.AttemptEnded(
+                entry.unsignedInt(1),
+                entry.unsignedShort(5),
+                entry.outcome(13),
+                requestCompleted,
+                workMs,
+                memoryMb,
+                entry.loadReport(28));
+    }
+
+    private static SchedulerEvent healthCheckCompleted(EventRecord entry) {
+        return new SchedulerEvent.HealthCheckCompleted(
+                entry.engine(1), entry.outcome(7), entry.doubleFloat(9), entry.loadReport(17));
+    }
+
+    private static SchedulerEvent gossipReceived(EventRecord entry, ByteBuffer tail) {
+        ByteBuffer part = tailPart(tail, entry.signedInt(5), entry.signedInt(9), 1);
+        byte[] payload = new byte[part.remaining()];
+        part.get(payload);
+        return new SchedulerEvent.GossipReceived(entry.signedInt(1), payload);
+    }
+
+    /** Progress of a kind that this version does not know is ignored. */
+    private static void readProgress(EventRecord entry, Sink sink) {
+        double amount = entry.singleFloat(14);
+        ProgressKind kind = switch (entry.signedByte(13)) {
+            case 1 -> ProgressKind.RATIO_DONE;
+            case 2 -> ProgressKind.SPILLING;
+            case 3 -> amount == 2 ? ProgressKind.WAITING_FOR_LOAD : ProgressKind.WAITING_FOR_MEMORY;
+            default -> null;
+        };
+        if (kind != null) {
+            long request = entry.unsignedInt(1);
+            sink.event(new SchedulerEvent.AttemptProgress(request, entry.unsignedShort(11), kind, amount));
+        }
+    }
+
+    private SchedulerEvent endpointsChanged(EventRecord entry) {
+        int mode = entry.signedByte(1);
+        if (mode < 0 || mode > 3) {
+            throw new WireException("unknown mode of a list: " + mode);
+        }
+        if (mode == 3) {
+            return new SchedulerEvent.DiscoveryFailed();
+        }
+        int number = entry.unsignedShort(6);
+        if (number >= MAX_ENDPOINT_LISTS || endpointLists.get(number) == null) {
+            throw new WireException("no sheet with number " + number);
+        }
+        boolean fullSnapshot = mode != 2;
+        return new SchedulerEvent.EndpointsChanged(fullSnapshot, endpointLists.get(number));
+    }
+
+    private void readEndpointList(EventRecord entry, ByteBuffer tail) {
+        int number = entry.unsignedShort(1);
+        int endpoints = entry.signedInt(7);
+        if (number >= MAX_ENDPOINT_LISTS) {
+            throw new WireException("sheet number " + number + " is out of range");
+        }
+        ByteBuffer part = tailPart(tail, entry.signedInt(3), endpoints, ENDPOINT_BYTES);
+        List<Endpoint> list = new ArrayList<>();
+        for (int i = 0; i < endpoints; i++) {
+            list.add(endpoint(new EventRecord(part.slice(i * ENDPOINT_BYTES, ENDPOINT_BYTES))));
+        }
+        endpointLists.set(number, List.copyOf(list));
+    }
+
+    private static Endpoint endpoint(EventRecord entry) {
+        int kind = entry.unsignedShort(0);
+        double weight = entry.singleFloat(2);
+        double startedAtMs = entry.doubleFloat(12);
+        int zone = entry.unsignedByte(21);
+        int cell = entry.unsignedShort(22);
+        return new Endpoint(entry.engine(6), kind, weight, startedAtMs, state(entry.signedByte(20)), zone, cell);
+    }
+
+    private static EndpointState state(byte code) {
+        return switch (code) {
+            case 0 -> EndpointState.GONE;
+            case 2 -> EndpointState.READY;
+            case 3 -> EndpointState.DRAINING;
+            default -> throw new WireException("unknown condition of an engine: " + code);
+        };
+    }
+
+    private static ByteBuffer tailPart(ByteBuffer tail, int from, int length, int size) {
+        if (from < 0 || length < 0 || from + (long) length * size > tail.limit()) {
+            throw new WireException("a record points past the end of its frame");
+        }
+        return tail.slice(from, length * size);
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/simulator/Main.java
@@ -0,0 +1,70 @@
+package lineward.scheduling.simulator;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.ByteBuffer;
+
+/** Joins schedulers to the simulator: batches on standard input, replies on standard output. */
+public final class Main {
+    private static final String PROGRAM = "lineward adapter: ";
+    private static final int MAX_FRAME_BYTES = 1 << 30;
+    private static final int INPUT_BUFFER_BYTES = 1 << 16;
+    private static final int HEADER_BYTES = 2 * Integer.BYTES;
+    private static final int BAD_USAGE = 2;
+
+    private Main() {}
+
+    /** Runs until the end of the input; the one argument is the word {@code adapter}. */
+    public static void main(String[] args) {
+        if (args.length != 1 || !args[0].equals("adapter")) {
+            System.err.println("usage: java -jar lineward.jar adapter");
+            System.exit(BAD_USAGE);
+        }
+        System.exit(run(System.in, new FileOutputStream(FileDescriptor.out), System.err));
+    }
+
+    /** Returns the exit status: 0 after the end of the input, else 1 with a plain line on the error stream. */
+    static int run(InputStream input, OutputStream output, PrintStream errors) {
+        try (DataInputStream in = new DataInputStream(new BufferedInputStream(input, INPUT_BUFFER_BYTES))) {
+            SchedulerInstances instances = new SchedulerInstances();
+            for (int first = in.read(); first >= 0; first = in.read()) {
+                output.write(answer(instances, first, in));
+                output.flush();
+            }
+            return 0;
+        } catch (EOFException e) {
+            errors.println(PROGRAM + "the input ends inside a frame");
+        } catch (WireException e) {
+            errors.println(PROGRAM + e.getMessage());
+        } catch (IOException e) {
+            errors.println(PROGRAM + "cannot read or write: " + e.getMessage());
+        }
+        return 1;
+    }
+
+    private static byte[] answer(SchedulerInstances instances, int firstByte, DataInputStream in) throws IOException {
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES).put((byte) firstByte);
+        header.put(readFully(in, HEADER_BYTES - 1)).flip();
+        int count = header.getInt();
+        int length = header.getInt();
+        if (length < 0 || length > MAX_FRAME_BYTES) {
+            throw new WireException("frame of " + Integer.toUnsignedLong(length) + " bytes is too long");
+        }
+        return instances.answer(count, ByteBuffer.wrap(readFully(in, length)));
+    }
+
+    private static byte[] readFully(DataInputStream in, int length) throws IOException {
+        byte[] bytes = in.readNBytes(length);
+        if (bytes.length < length) {
+            throw new EOFException();
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/scheduling/simulator/SchedulerInstances.java
@@ -0,0 +1,72 @@
+package lineward.scheduling.simulator;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import lineward.scheduling.Scheduler;
+import lineward.scheduling.SchedulerEvent;
+import lineward.scheduling.SpeculativeScheduler;
+
+/** Hosts the simulator's schedulers and hands each its own events. They share nothing. */
+final class SchedulerInstances implements BatchReader.Sink {
+    private final BatchReader reader = new BatchReader();
+    private final ReplyWriter writer = new ReplyWriter();
+    private final Map<Integer, Scheduler> schedulers = new LinkedHashMap<>();
+    private final Map<Integer, List<SchedulerEvent>> batch = new LinkedHashMap<>();
+    private int selected;
+
+    /** Returns the reply frame to a batch. */
+    byte[] answer(int count, ByteBuffer body) {
+        batch.clear();
+        writer.clear();
+        if (body.limit() < Double.BYTES) {
+            throw new WireException("frame of " + body.limit() + " bytes has no clock");
+        }
+        double nowMs = body.getDouble(0);
+        reader.read(count, body, this);
+        batch.forEach((instance, events) -> decide(instance, events, nowMs));
+        return writer.frame();
+    }
+
+    private void decide(int instance, List<SchedulerEvent> events, double nowMs) {
+        Scheduler scheduler = schedulers.get(instance);
+        if (scheduler == null) {
+            return;
+        }
+        writer.selectInstance(instance);
+        try {
+            writer.write(scheduler.decide(nowMs, events));
+        } catch (RuntimeException e) {
+            e.printStackTrace();
+            StackTraceElement[] trace = e.getStackTrace();
+            writer.instanceCrashed(e + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+    }
+
+    @Override
+    public void selectInstance(int instance) {
+        selected = instance;
+    }
+
+    @Override
+    public void openInstance(long seed, String settings) {
+        schedulers.put(selected, new SpeculativeScheduler(SettingsReader.read(settings), seed));
+        batch.put(selected, new ArrayList<>());
+    }
+
+    /** What was reported for an instance before it was killed is void with it. */
+    @Override
+    public void killInstance() {
+        schedulers.remove(selected);
+        batch.remove(selected);
+    }
+
+    @Override
+    public void event(SchedulerEvent event) {
+        if (schedulers.containsKey(selected)) {
+            batch.computeIfAbsent(selected, k -> new ArrayList<>()).add(event);
+        }
+    }
+}
--- a/src/main/java/lineward/spool/Spool.java
+++ b/src/main/java/lineward/spool/Spool.java
@@ -88,7 +88,7 @@
         return result;
     }
 
-    /** @return that user's result under that key, whole or growing, or null: what others hold is not told */
+    /** Returns that user's result under that key, whole or growing, or null: what others hold is not told. */
     public SpooledResult find(String user, String key) {
         return named.get(new Name(user, key));
     }
@@ -112,7 +112,7 @@
         List.copyOf(results.values()).forEach(SpooledResult::flow);
     }
 
-    /** @return the figures as they stand */
+    /** Returns the figures as they stand. */
     public SpoolPolicy.Figures figures() {
         return policy.figures();
     }
--- a/src/main/java/lineward/spool/SpoolLimits.java
+++ b/src/main/java/lineward/spool/SpoolLimits.java
@@ -44,7 +44,7 @@
         }
     }
 
-    /** @return these bounds without files, for a folder that can't be used */
+    /** Returns these bounds without files, for a folder that can't be used. */
     public SpoolLimits withoutFiles() {
         return new SpoolLimits(
                 memoryBytes, 0, 0, results, userBytes, resultBytes, holdBytes, holdPart, leaseMs, keyLeaseMs);
--- a/src/main/java/lineward/spool/SpoolPolicy.java
+++ b/src/main/java/lineward/spool/SpoolPolicy.java
@@ -125,7 +125,7 @@
         return e.keyed && e.complete && e.readers == 0;
     }
 
-    /** @return the number of a new result */
+    /** Returns the number of a new result. */
     public long begin(String user, boolean keyed, double now) {
         entries.put(++lastId, new Entry(user, keyed, now));
         return lastId;
@@ -198,7 +198,7 @@
         }
     }
 
-    /** @return whether the engine may be read on: what is held of this result leaves room for more */
+    /** Returns whether the engine may be read on: what is held of this result leaves room for more. */
     public boolean mayGrow(long id) {
         Entry e = entries.get(id);
         return e != null
@@ -280,7 +280,7 @@
         }
     }
 
-    /** @return results whose lease has lapsed, or that are stalled: they are to be ended and released */
+    /** Returns results whose lease has lapsed, or that are stalled: they are to be ended and released. */
     public List<Long> lapsed(double now) {
         List<Long> due = new ArrayList<>();
         entries.forEach((id, e) -> {
@@ -294,7 +294,7 @@
         return due;
     }
 
-    /** @return results to be given back now because room is short, least missed first */
+    /** Returns results to be given back now because room is short, least missed first. */
     public List<Long> pressed(String user) {
         boolean all = memory + filed > ADMIT_BELOW * (limits.memoryBytes() + limits.fileBytes())
                 || files >= limits.files() && limits.files() > 0
@@ -310,7 +310,7 @@
                 .orElse(List.of());
     }
 
-    /** @return the figures as they stand */
+    /** Returns the figures as they stand. */
     public Figures figures() {
         return new Figures(
                 memory,
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -116,22 +116,22 @@
         return key;
     }
 
-    /** @return the digest of what was asked */
+    /** Returns the digest of what was asked. */
     public String statement() {
         return statement;
     }
 
-    /** @return whether it has been given back */
+    /** Returns whether it has been given back. */
     public boolean isGone() {
         return released;
     }
 
-    /** @return whether all of it is here */
+    /** Returns whether all of it is here. */
     public boolean isWhole() {
         return whole && !released;
     }
 
-    /** @return bytes taken so far */
+    /** Returns bytes taken so far. */
     public long bytes() {
         return bytes;
     }
@@ -145,12 +145,12 @@
         flow.run();
     }
 
-    /** @return whether the engine is to be read on */
+    /** Returns whether the engine is to be read on. */
     public boolean wantsMore() {
         return released || spool.policy().mayGrow(id) && spool.diskKeepsUp();
     }
 
-    /** @return whether the first row is to go out now, though the result is not whole */
+    /** Returns whether the first row is to go out now, though the result is not whole. */
     public boolean opens(double ageMs, double patienceMs) {
         return !released && spool.policy().opens(id, bytes, ageMs, patienceMs);
     }
@@ -168,7 +168,7 @@
         return grown;
     }
 
-    /** @return what {@link #reserve} has made room in; another one after each reserve */
+    /** Returns what {@link #reserve} has made room in; another one after each reserve. */
     public byte[] buffer() {
         return growing;
     }
@@ -318,7 +318,7 @@
         }
     }
 
-    /** @return whether its time is over */
+    /** Returns whether its time is over. */
     public boolean isLapsed() {
         return lapsed;
     }
@@ -366,7 +366,7 @@
             this.news = Objects.requireNonNull(news);
         }
 
-        /** @return the next piece; null: none is at hand, and the listener hears when that changes */
+        /** Returns the next piece; null: none is at hand, and the listener hears when that changes. */
         public Piece poll() {
             if (closed || released || lapsed || unreadable != null) {
                 return null;
@@ -405,7 +405,7 @@
             }
         }
 
-        /** @return what lies ahead of the pieces read so far */
+        /** Returns what lies ahead of the pieces read so far. */
         public Ahead ahead() {
             if (lapsed) {
                 return Ahead.LAPSED;
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -38,12 +38,12 @@
         this.path = path;
     }
 
-    /** @return the file */
+    /** Returns the file. */
     public Path path() {
         return path;
     }
 
-    /** @return the length that the file has now */
+    /** Returns the length that the file has now. */
     public long length() {
         return end;
     }
--- a/src/main/java/lineward/spool/store/SegmentFormat.java
+++ b/src/main/java/lineward/spool/store/SegmentFormat.java
@@ -59,7 +59,7 @@
         return in.getLong(12);
     }
 
-    /** @return head and payload of a block, ready to be written */
+    /** Returns head and payload of a block, ready to be written. */
     static ByteBuffer block(Kind kind, byte[] payload, int stored, int raw, long firstRow, int rows) {
         ByteBuffer out = ByteBuffer.allocate(BLOCK_HEAD + stored);
         out.put((byte) kind.ordinal())
@@ -113,7 +113,7 @@
         return out.putInt(crc(out.array(), 0, TRAILER - 4)).flip();
     }
 
-    /** @return where the manifest's block begins */
+    /** Returns where the manifest's block begins. */
     static long readTrailer(ByteBuffer in) throws CorruptSegmentException {
         check(
                 in.remaining() == TRAILER
--- a/src/main/java/lineward/spool/store/SpoolFolder.java
+++ b/src/main/java/lineward/spool/store/SpoolFolder.java
@@ -108,7 +108,7 @@
         return new Recovered(whole, dropped);
     }
 
-    /** @return a new segment, with its file */
+    /** Returns a new segment, with its file. */
     Segment create(long createdMs) throws IOException {
         Segment segment = new Segment(folder.resolve(UUID.randomUUID() + ENDING));
         segment.create(createdMs);
--- a/src/main/java/lineward/telemetry/OtlpTracer.java
+++ b/src/main/java/lineward/telemetry/OtlpTracer.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import lineward.core.Tracer;
-import peatwick.Front;
+import lineward.scheduling.AttemptOutcome;
 
 /** Makes a span of each request and, below it, of each attempt, and counts both by class and outcome. */
 final class OtlpTracer<X> implements Tracer<X> {
@@ -70,7 +70,7 @@
     }
 
     @Override
-    public void requestTaken(X exchange) {
+    public void requestAdmitted(X exchange) {
         String type = classOf.apply(exchange);
         live.put(
                 exchange,
@@ -81,7 +81,7 @@
                                 .setAttribute(REQUEST, idOf.apply(exchange))
                                 .startSpan(),
                         type));
-        next.requestTaken(exchange);
+        next.requestAdmitted(exchange);
     }
 
     @Override
@@ -102,13 +102,13 @@
     }
 
     @Override
-    public void attemptEnded(X exchange, int attempt, Front.Outcome outcome) {
+    public void attemptEnded(X exchange, int attempt, AttemptOutcome outcome) {
         Live request = live.get(exchange);
         Span span = request == null ? null : request.attempts.remove(attempt);
         if (span != null) {
             String word = word(outcome);
             attempts.add(1, Attributes.of(CLASS, request.type, OUTCOME, word));
-            end(span, word, outcome == Front.Outcome.OK);
+            end(span, word, outcome == AttemptOutcome.OK);
             forgetIfOver(exchange, request);
         }
         next.attemptEnded(exchange, attempt, outcome);
@@ -122,7 +122,7 @@
             Attributes attributes = Attributes.of(CLASS, request.type, OUTCOME, word);
             requests.add(1, attributes);
             duration.record((System.nanoTime() - request.since) / NANOS, attributes);
-            end(request.span, word, ending == Ending.SERVED || ending == Ending.ABORTED);
+            end(request.span, word, ending == Ending.SERVED || ending == Ending.CANCELLED);
             request.over = true;
             forgetIfOver(exchange, request);
         }
--- a/src/main/java/lineward/telemetry/Telemetry.java
+++ b/src/main/java/lineward/telemetry/Telemetry.java
@@ -26,7 +26,7 @@
         this.sdk = sdk;
     }
 
-    /** @return whether the environment names a collector */
+    /** Returns whether the environment names a collector. */
     public static boolean isOn(Map<String, String> environment) {
         return List.of(ENDPOINT, TRACES_ENDPOINT, METRICS_ENDPOINT).stream()
                 .anyMatch(name -> !environment.getOrDefault(name, "").isBlank());
--- a/src/main/java/lineward/thrift/Call.java
+++ b/src/main/java/lineward/thrift/Call.java
@@ -1,7 +1,7 @@
 package lineward.thrift;
 
 import io.netty.buffer.ByteBuf;
-import lineward.engine.Run;
+import lineward.engine.QueryAttempt;
 
 /** One request of a client: where its answer goes, and the statement as it came. */
 public final class Call {
@@ -10,7 +10,7 @@
     final CallFields fields;
     final ByteBuf statement;
     long request;
-    Run run;
+    QueryAttempt run;
     int runOf = -1;
     /** Its final answer is settled and its statement let go. */
     boolean over;
@@ -27,12 +27,12 @@
         this.statement = statement;
     }
 
-    /** @return the class's name */
+    /** Returns the class's name. */
     public String op() {
         return fields.op();
     }
 
-    /** @return the id that the client gave the request */
+    /** Returns the id that the client gave the request. */
     public String id() {
         return fields.id();
     }
--- a/src/main/java/lineward/thrift/CallFields.java
+++ b/src/main/java/lineward/thrift/CallFields.java
@@ -2,10 +2,10 @@
 
 import java.util.Map;
 import java.util.regex.Pattern;
-import lineward.core.Demand;
+import lineward.core.RequestAttributes;
 
 /** What a client's fields say, checked: only this reaches the decisions and the engines. */
-record CallFields(String id, String op, Demand demand) {
+record CallFields(String id, String op, RequestAttributes demand) {
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
     /** A wait or a work past this multiple of its class's deadline is no figure of a client of ours. */
@@ -21,7 +21,7 @@
      * @param group of the tables that the statement names
      * @throws IllegalArgumentException with a plain reason if a field can't be used
      */
-    static CallFields of(Map<String, String> fields, ThriftFront.Names names, int group) {
+    static CallFields of(Map<String, String> fields, ThriftServer.Names names, int group) {
         String id = matching(fields, "call", ID);
         String op = fields.getOrDefault("op", "");
         int type = names.classes().indexOf(op);
@@ -36,7 +36,7 @@
         return new CallFields(
                 id,
                 op,
-                new Demand(
+                new RequestAttributes(
                         type,
                         customer,
                         ttl,
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -9,17 +9,17 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
-import lineward.front.LingeringClose;
-import lineward.front.SparseLog;
+import lineward.frontend.LingeringClose;
+import lineward.frontend.RateLimitedLog;
 import org.slf4j.LoggerFactory;
 
 /** The forwarder of one client's connection: takes out the fields that decisions need, passes on the rest. */
 final class ClientHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private static final SparseLog LOG = new SparseLog(LoggerFactory.getLogger(ClientHandler.class));
+    private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(ClientHandler.class));
     /** Open requests that a connection carries. */
     private static final int MOST_OPEN = 32;
 
-    private final ThriftFront front;
+    private final ThriftServer front;
     private final FrameDecoder decoder;
     private final Map<Integer, Call> open = new HashMap<>();
     private Channel channel;
@@ -31,7 +31,7 @@
     private int lastSeqid;
 
     /** @param decoder brings this handler its frames */
-    ClientHandler(ThriftFront front, FrameDecoder decoder) {
+    ClientHandler(ThriftServer front, FrameDecoder decoder) {
         this.front = front;
         this.decoder = decoder;
     }
@@ -132,12 +132,12 @@
         front.write(this, frame);
     }
 
-    /** @return whether it has sent half a frame and, for that long, not the rest */
+    /** Returns whether it has sent half a frame and, for that long, not the rest. */
     boolean isStuck(long nanos) {
         return decoder.isStuck(nanos);
     }
 
-    /** @return whether nothing is open or on its way here and all that was answered has been sent */
+    /** Returns whether nothing is open or on its way here and all that was answered has been sent. */
     boolean isIdle() {
         return open.isEmpty() && unsent == 0 && !decoder.holdsPart();
     }
@@ -163,7 +163,7 @@
         unsent--;
     }
 
-    /** @return bytes of answers that have not gone out yet */
+    /** Returns bytes of answers that have not gone out yet. */
     long unread() {
         return unread;
     }
--- a/src/main/java/lineward/thrift/FrameDecoder.java
+++ b/src/main/java/lineward/thrift/FrameDecoder.java
@@ -35,12 +35,12 @@
         super.channelReadComplete(ctx);
     }
 
-    /** @return whether a part of a frame is here */
+    /** Returns whether a part of a frame is here. */
     boolean holdsPart() {
         return actualReadableBytes() > 0;
     }
 
-    /** @return whether the frame that is on its way has been for longer than that */
+    /** Returns whether the frame that is on its way has been for longer than that. */
     boolean isStuck(long nanos) {
         return begun && System.nanoTime() - begunAt > nanos;
     }
--- a/src/main/java/lineward/thrift/ThriftReader.java
+++ b/src/main/java/lineward/thrift/ThriftReader.java
@@ -73,7 +73,7 @@
         return new Invocation(fields, body);
     }
 
-    /** @return the one i32 argument, or null if it is missing */
+    /** Returns the one i32 argument, or null if it is missing. */
     static Integer number(ByteBuf in) {
         Integer found = null;
         try {
