--- a/src/main/java/lineward/thrift/ThriftFront.java
+++ b/src/main/java/lineward/thrift/ThriftServer.java
@@ -19,22 +19,23 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
-import lineward.core.Budget;
+import lineward.core.ByteBudget;
 import lineward.core.Command;
+import lineward.core.Coordinator;
 import lineward.core.Forwarder;
-import lineward.core.Planner;
-import lineward.core.SlotTable;
+import lineward.core.GenerationalTable;
 import lineward.core.TableGroups;
-import lineward.engine.EngineFleet;
-import lineward.engine.Run;
-import lineward.front.ClientTable;
-import lineward.front.Doorway;
-import lineward.front.FrontDoor;
-import lineward.operations.Figures;
-import peatwick.Front;
+import lineward.engine.EngineCluster;
+import lineward.engine.QueryAttempt;
+import lineward.frontend.ClientRegistry;
+import lineward.frontend.Listener;
+import lineward.frontend.ProtocolServer;
+import lineward.operations.Metrics;
+import lineward.scheduling.AttemptOutcome;
+import lineward.scheduling.ProgressKind;
 
 /** The platform's front: clients speak Thrift, engines the line protocol, one planner decides. */
-public final class ThriftFront implements Forwarder<Call>, FrontDoor {
+public final class ThriftServer implements Forwarder<Call>, ProtocolServer {
     /** Bytes read from one connection in a turn of the loop: who sends at full speed waits for the others. */
     private static final int LEAST_READ = 512;
 
@@ -66,22 +67,22 @@
     private record Ended(String id, long atNanos) {}
 
     private final Names names;
-    private final Doorway doorway;
-    private final Planner<Call> planner;
-    private final EngineFleet fleet;
+    private final Listener doorway;
+    private final Coordinator<Call> planner;
+    private final EngineCluster fleet;
     private final DoubleSupplier clock;
     private final Runnable news;
-    private final Figures figures;
+    private final Metrics figures;
     private final Consumer<byte[]> peers;
-    private final Budget statements;
-    private final Budget answers;
-    private final ClientTable<ClientHandler> clients;
+    private final ByteBudget statements;
+    private final ByteBudget answers;
+    private final ClientRegistry<ClientHandler> clients;
     /** Ids that are open or were a moment ago. */
     private final Set<String> ids = new HashSet<>();
 
     private final Deque<Ended> ended = new ArrayDeque<>();
     private Channel listener;
-    private Intake intake = Intake.OPEN;
+    private Admission intake = Admission.OPEN;
     private boolean saidLastWord;
     private long lastWordAt;
 
@@ -90,34 +91,34 @@
      * @param figures count what ends here, before the planner has taken it
      * @param peers sends words to the other front ends
      */
-    public ThriftFront(
+    public ThriftServer(
             Names names,
             Bounds bounds,
-            Doorway doorway,
-            Planner<Call> planner,
-            EngineFleet fleet,
+            Listener doorway,
+            Coordinator<Call> planner,
+            EngineCluster fleet,
             DoubleSupplier clock,
             Runnable news,
-            Figures figures,
+            Metrics figures,
             Consumer<byte[]> peers) {
         this.names = names;
         this.doorway = doorway;
-        this.statements = new Budget(bounds.statements());
-        this.answers = new Budget(bounds.answers());
+        this.statements = new ByteBudget(bounds.statements());
+        this.answers = new ByteBudget(bounds.answers());
         this.planner = planner;
         this.fleet = fleet;
         this.clock = clock;
         this.news = news;
         this.figures = figures;
         this.peers = peers;
-        figures.unread(answers::held);
-        this.clients = new ClientTable<>(
+        figures.unread(answers::used);
+        this.clients = new ClientRegistry<>(
                 bounds.clients(), System::nanoTime, c -> c.channel().close(), ClientHandler::leave);
     }
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        ChannelFuture open = doorway.open(
+        ChannelFuture open = doorway.bind(
                 new ServerBootstrap()
                         .option(ChannelOption.SO_BACKLOG, 1024)
                         .option(ChannelOption.SO_REUSEADDR, true)
@@ -144,47 +145,47 @@
     }
 
     @Override
-    public void admit(Intake next) {
+    public void setAdmission(Admission next) {
         intake = next;
     }
 
     @Override
-    public void endIn(int ms) {
-        planner.endAt(clock.getAsDouble() + ms);
+    public void setShutdownDeadline(int ms) {
+        planner.setShutdownDeadline(clock.getAsDouble() + ms);
     }
 
     @Override
-    public void lastWord() {
-        planner.failAll();
+    public void failOpenRequests() {
+        planner.failOpenRequests();
         saidLastWord = true;
         lastWordAt = System.nanoTime();
         news.run();
     }
 
     @Override
-    public void closeIdleEngines() {
+    public void closeIdleEngineConnections() {
         fleet.closeIdle();
     }
 
     @Override
     public void stopListening() {
         if (listener != null) {
-            doorway.shut(listener);
+            doorway.stopAccepting(listener);
         }
     }
 
     @Override
-    public void closeResting(double chance) {
-        ClientTable.closeSome(
-                clients.all().stream().filter(ClientHandler::isIdle).toList(), chance, clients::leave);
+    public void closeIdleClients(double chance) {
+        ClientRegistry.closeSome(
+                clients.all().stream().filter(ClientHandler::isIdle).toList(), chance, clients::closeGracefully);
         if (saidLastWord && System.nanoTime() - lastWordAt > LAST_ANSWERS) {
             clients.all().forEach(c -> c.channel().close());
         }
     }
 
     @Override
-    public void closeSilent() {
-        fleet.beat();
+    public void closeUnresponsive() {
+        fleet.keepAlive();
         clients.closeSilent(SILENCE);
         clients.all().stream()
                 .filter(c -> c.isStuck(SILENCE))
@@ -196,26 +197,26 @@
     }
 
     @Override
-    public void holdOut(String engine, boolean out, double at) {
-        planner.holdOut(engine, out, at);
+    public void setMaintenance(String engine, boolean out, double at) {
+        planner.setMaintenance(engine, out, at);
         if (out) {
-            fleet.recall(engine);
+            fleet.recallUnsent(engine);
         }
         news.run();
     }
 
     @Override
-    public Planner<?> planner() {
+    public Coordinator<?> coordinator() {
         return planner;
     }
 
     @Override
-    public boolean isQuiet() {
-        return planner.open() == 0 && clients.size() == 0;
+    public boolean isDrained() {
+        return planner.openRequests() == 0 && clients.size() == 0;
     }
 
     boolean wantsClients() {
-        return intake == Intake.OPEN;
+        return intake == Admission.OPEN;
     }
 
     long busyPushbackMs() {
@@ -231,42 +232,42 @@
     }
 
     void connected(ClientHandler client) {
-        clients.arrived(client);
+        clients.connected(client);
     }
 
     void waits(ClientHandler client) {
-        clients.waits(client);
+        clients.markWaiting(client);
     }
 
     void rests(ClientHandler client) {
-        clients.rests(client);
+        clients.markIdle(client);
     }
 
     void disconnected(ClientHandler client) {
-        clients.left(client);
+        clients.disconnected(client);
     }
 
     /** A request of that class has failed: its fields can't be used. */
     void unusable(String op) {
-        figures.ended(op, Figures.End.FAULTED);
+        figures.ended(op, Metrics.Ending.FAULTED);
     }
 
-    /** @return false where there is no room for the request, which must then be refused */
+    /** Returns false where there is no room for the request, which must then be refused. */
     boolean take(Call call) {
         boolean taken = hasRoom(call);
         if (!taken) {
-            figures.ended(call.op(), Figures.End.THROTTLED);
+            figures.ended(call.op(), Metrics.Ending.THROTTLED);
         }
         return taken;
     }
 
     private boolean hasRoom(Call call) {
         int size = call.statement.readableBytes();
-        if (intake == Intake.REFUSING || !statements.reserve(size)) {
+        if (intake == Admission.REJECTING || !statements.reserve(size)) {
             return false;
         }
-        call.request = planner.take(clock.getAsDouble(), call.fields.demand(), call);
-        if (call.request == SlotTable.FULL) {
+        call.request = planner.admit(clock.getAsDouble(), call.fields.demand(), call);
+        if (call.request == GenerationalTable.FULL) {
             statements.release(size);
             return false;
         }
@@ -277,7 +278,7 @@
     }
 
     void abort(Call call) {
-        planner.abort(call.request);
+        planner.cancelRequest(call.request);
         release(call);
         news.run();
     }
@@ -305,28 +306,28 @@
 
     @Override
     public void tick() {
-        planner.tick(clock.getAsDouble()).forEach(this::perform);
+        planner.tick(clock.getAsDouble()).forEach(command -> command.executeBy(this));
     }
 
     @Override
-    public void start(Command.Start<Call> c) {
+    public void startAttempt(Command.StartAttempt<Call> c) {
         Call call = c.exchange();
-        call.run = new Run(
+        call.run = new QueryAttempt(
                 call.id(),
                 call.fields.op(),
                 call.statement,
-                new Run.Times(c.patienceMs(), c.beginWithinMs()),
+                new QueryAttempt.Timing(c.timeoutMs(), c.startWithinMs()),
                 c.grantMb(),
                 c.priority(),
-                new Run.Listener() {
+                new QueryAttempt.Listener() {
                     @Override
-                    public void ended(Front.Outcome outcome, ByteBuf result) {
-                        ThriftFront.this.ended(call, c.attempt(), outcome, result);
+                    public void ended(AttemptOutcome outcome, ByteBuf result) {
+                        ThriftServer.this.ended(call, c.attempt(), outcome, result);
                     }
 
                     @Override
-                    public void noted(Front.NoteKind kind, double amount) {
-                        planner.noted(call.request, c.attempt(), kind, amount);
+                    public void progressed(ProgressKind kind, double amount) {
+                        planner.attemptProgressed(call.request, c.attempt(), kind, amount);
                         news.run();
                     }
                 });
@@ -335,34 +336,34 @@
     }
 
     @Override
-    public void stop(Command.Stop<Call> c) {
+    public void cancelAttempt(Command.CancelAttempt<Call> c) {
         if (c.exchange().runOf == c.attempt()) {
-            fleet.stop(c.engine(), c.exchange().run);
+            fleet.cancel(c.engine(), c.exchange().run);
         }
     }
 
     @Override
-    public void reprioritise(Command.Reprioritise<Call> c) {
+    public void changePriority(Command.ChangePriority<Call> c) {
         if (c.exchange().runOf == c.attempt()) {
-            fleet.hurry(c.engine(), c.exchange().run, c.priority());
+            fleet.changePriority(c.engine(), c.exchange().run, c.priority());
         }
     }
 
     @Override
-    public void probe(Command.Probe<Call> c) {
-        fleet.probe(c.engine(), (outcome, report) -> {
-            planner.probed(clock.getAsDouble(), c.engine(), outcome, report);
+    public void checkHealth(Command.CheckHealth<Call> c) {
+        fleet.checkHealth(c.engine(), (outcome, report) -> {
+            planner.healthCheckCompleted(clock.getAsDouble(), c.engine(), outcome, report);
             news.run();
         });
     }
 
     @Override
-    public void announce(Command.Announce<Call> c) {
-        peers.accept(c.octets());
+    public void broadcastGossip(Command.BroadcastGossip<Call> c) {
+        peers.accept(c.payload());
     }
 
     @Override
-    public void refuse(Command.Refuse<Call> c) {
+    public void reject(Command.Reject<Call> c) {
         Call call = c.exchange();
         call.client.answer(call, ThriftWriter.overloaded(call.client.channel().alloc(), call.seqid, c.retryAfterMs()));
         release(call);
@@ -375,8 +376,8 @@
         release(call);
     }
 
-    private void ended(Call call, int attempt, Front.Outcome outcome, ByteBuf result) {
-        if (planner.ended(call.request, attempt, outcome)) {
+    private void ended(Call call, int attempt, AttemptOutcome outcome, ByteBuf result) {
+        if (planner.attemptEnded(call.request, attempt, outcome)) {
             call.client.answer(call, ThriftWriter.served(call.client.channel().alloc(), "invoke", call.seqid, result));
             release(call);
         } else if (result != null) {
--- a/src/measure/java/peatwick/FleetDay.java
+++ b/src/measure/java/lineward/scheduling/FleetDay.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -8,7 +8,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
-import peatwick.Front.Outcome;
 
 /**
  * A day of a whole fleet in simulated time: modules that can't talk, engines whose runs share their cores, a
@@ -16,39 +15,22 @@
  */
 final class FleetDay {
     /** Look-ups, reports and loads that must not run twice, as sites of query engines have them. */
-    static final List<Front.RequestClass> CLASSES = List.of(
-            new Front.RequestClass(
-                    500, 2, 2500, 1, 0.1, Front.Effect.SAFE, Front.Scope.ALL, 0, false, null, null, false, false, 1),
-            new Front.RequestClass(
-                    3000,
-                    2.5,
-                    15_000,
-                    12,
-                    0.4,
-                    Front.Effect.SAFE,
-                    Front.Scope.ALL,
-                    0,
-                    false,
-                    null,
-                    null,
-                    false,
-                    false,
-                    3),
-            new Front.RequestClass(
-                    4000,
-                    2.5,
-                    25_000,
-                    15,
-                    0.5,
-                    Front.Effect.UNSAFE,
-                    Front.Scope.ALL,
-                    0,
-                    false,
-                    null,
-                    null,
-                    true,
-                    false,
-                    2));
+    static final List<RequestClass> CLASSES = List.of(
+            new RequestClass(
+                    new RequestClass.Objective(500, 2, 2500, 1, 0.1),
+                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Placement(null, null),
+                    new RequestClass.Workload(false, false, 1)),
+            new RequestClass(
+                    new RequestClass.Objective(3000, 2.5, 15_000, 12, 0.4),
+                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Placement(null, null),
+                    new RequestClass.Workload(false, false, 3)),
+            new RequestClass(
+                    new RequestClass.Objective(4000, 2.5, 25_000, 15, 0.5),
+                    new RequestClass.Repeatability(Idempotence.NON_IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Placement(null, null),
+                    new RequestClass.Workload(true, false, 2)));
 
     private static final double[] MEAN_WORK = {100, 3000, 4000};
     private static final double[] SPREAD = {0.85, 1.0, 0.6};
@@ -176,8 +158,9 @@
 
         /** Runs share what the cores do, by priority, none more than its threads can use. */
         void share() {
-            double threads =
-                    runs.stream().mapToInt(r -> CLASSES.get(r.type).threads()).sum();
+            double threads = runs.stream()
+                    .mapToInt(r -> CLASSES.get(r.type).workload().threads())
+                    .sum();
             double warm = upSince == 0 ? 1 : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS);
             double crowd = Math.max(0, threads / (KNEE * CORES) - 1);
             double cores = CORES / (1 + THRASH * crowd);
@@ -185,12 +168,12 @@
             for (int round = 0; round < 3 && cores > 1e-9; round++) {
                 double weights = 0;
                 for (Run r : runs) {
-                    int most = CLASSES.get(r.type).threads();
+                    int most = CLASSES.get(r.type).workload().threads();
                     weights += r.rate < most ? WEIGHTS[r.priority] * most : 0;
                 }
                 double before = cores;
                 for (Run r : runs) {
-                    int most = CLASSES.get(r.type).threads();
+                    int most = CLASSES.get(r.type).workload().threads();
                     if (r.rate < most) {
                         double more = Math.min(most - r.rate, before * WEIGHTS[r.priority] * most / weights);
                         r.rate += more;
@@ -218,7 +201,7 @@
             for (Run r : List.copyOf(runs)) {
                 if (r.left <= 1e-6) {
                     runs.remove(r);
-                    r.host.ended(r.request, r.attempt, Outcome.OK, 1);
+                    r.host.ended(r.request, r.attempt, AttemptOutcome.OK, 1);
                 }
             }
             share();
@@ -243,8 +226,8 @@
             share();
         }
 
-        Front.Listed listed() {
-            return new Front.Listed(id + 1, 0, 1, upSince, Front.Condition.READY, zone, 0);
+        Endpoint listed() {
+            return new Endpoint(id + 1, 0, 1, upSince, EndpointState.READY, zone, 0);
         }
     }
 
@@ -261,7 +244,7 @@
         Asked(int type, double work) {
             this.type = type;
             this.at = now;
-            this.deadline = now + CLASSES.get(type).deadline();
+            this.deadline = now + CLASSES.get(type).objective().deadlineMs();
             this.work = work;
         }
     }
@@ -270,7 +253,7 @@
     private final class Host {
         final int ordinal;
         final int zone;
-        final Control module;
+        final SpeculativeScheduler module;
         final RuleChecker checker;
         final Map<Long, Asked> open = new HashMap<>();
         final Map<Integer, Double> links = new HashMap<>();
@@ -279,28 +262,26 @@
         Host(int ordinal) {
             this.ordinal = ordinal;
             this.zone = ordinal % plan.zones;
-            Front.Limits limits = new Front.Limits(
-                    true, false, false, true, 2000, 6, true, true, 0.4, Front.WhenShort.PAGE, 0, false);
-            Front.Rules rules = new Front.Rules(
-                    1000, COLD_MS, COLD_SHARE, FALL_MULTIPLE, FALL_MS, 0, plan.free > 0 ? 10_000 : 0, plan.free, 0.2);
-            Front.Settings settings = new Front.Settings(
+            SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
+                    new SchedulerSettings.Capabilities(true, false, false, true, true, true, false),
+                    new SchedulerSettings.AttemptLimits(6, 2000, 0),
+                    new SchedulerSettings.MemoryLimits(0.4, MemoryShortage.PAGE));
+            SchedulerSettings.Rules rules = new SchedulerSettings.Rules(
+                    1000,
+                    new SchedulerSettings.SlowStartRule(COLD_MS, COLD_SHARE, FALL_MULTIPLE, FALL_MS),
+                    0,
+                    new SchedulerSettings.RetryBudget(plan.free > 0 ? 10_000 : 0, plan.free, 0.2));
+            SchedulerSettings settings = new SchedulerSettings(
                     CLASSES,
-                    List.of(new Front.Kind(CORES, 16_000)),
-                    plan.zones,
-                    zone,
-                    plan.fronts,
-                    ordinal,
+                    List.of(new EngineKind(CORES, 16_000)),
+                    new SchedulerSettings.FleetPosition(plan.zones, zone, plan.fronts, ordinal),
                     limits,
                     rules,
-                    List.of(),
-                    false,
-                    false,
-                    0,
-                    false,
-                    new Front.Prices(0, 0),
-                    List.of(new Front.Tenant(800 * perMs(1))),
-                    1);
-            module = new Control(settings, plan.seed * 1000 + ordinal);
+                    new SchedulerSettings.Reporting(List.of(), false),
+                    new SchedulerSettings.Discovery(false, 0, false),
+                    new SchedulerSettings.Costs(0, 0),
+                    new SchedulerSettings.Quotas(List.of(800 * perMs(1)), 1));
+            module = new SpeculativeScheduler(settings, plan.seed * 1000 + ordinal);
             checker = new RuleChecker(settings);
         }
 
@@ -309,9 +290,9 @@
             return !apart && !e.lost;
         }
 
-        void tell(Front.Event event) {
+        void tell(SchedulerEvent event) {
             checker.heard(now, event);
-            for (Front.Action action : module.decide(now, List.of(event))) {
+            for (SchedulerAction action : module.decide(now, List.of(event))) {
                 checker.did(now, action);
                 perform(action);
             }
@@ -325,41 +306,42 @@
             Asked a = new Asked(type, work);
             open.put(id, a);
             row(a)[0]++;
-            tell(new Front.Arrival(id, type, 0, a.deadline - now, told, 200, random.nextInt(50), false, 0));
+            tell(new SchedulerEvent.RequestArrived(
+                    id, type, 0, a.deadline - now, told, 200, random.nextInt(50), false, 0));
         }
 
         private double[] row(Asked a) {
             return seconds.computeIfAbsent((int) ((a.at - start) / 1000), s -> new double[CLASSES.size()][4])[a.type];
         }
 
-        private void perform(Front.Action action) {
-            if (action instanceof Front.After a) {
-                in(a.delay(), () -> tell(new Front.Wake(a.token())));
-            } else if (action instanceof Front.SetLimits s) {
+        private void perform(SchedulerAction action) {
+            if (action instanceof SchedulerAction.ScheduleTimer a) {
+                in(a.delayMs(), () -> tell(new SchedulerEvent.TimerFired(a.token())));
+            } else if (action instanceof SchedulerAction.SetResourceLimits s) {
                 Asked a = open.get(s.request());
                 if (a != null) {
                     a.priority = s.priority();
                 }
-            } else if (action instanceof Front.Refuse r) {
+            } else if (action instanceof SchedulerAction.Reject r) {
                 Asked a = open.get(r.request());
                 outcomes.merge((a.attempts.isEmpty() ? "refused unsent " : "refused ") + a.type, 1, Integer::sum);
                 a.over = true;
-            } else if (action instanceof Front.Fail f) {
+            } else if (action instanceof SchedulerAction.Fail f) {
                 outcomes.merge("failed " + open.get(f.request()).type, 1, Integer::sum);
                 open.get(f.request()).over = true;
-            } else if (action instanceof Front.Send s) {
+            } else if (action instanceof SchedulerAction.StartAttempt s) {
                 send(s);
-            } else if (action instanceof Front.Cancel c) {
+            } else if (action instanceof SchedulerAction.CancelAttempt c) {
                 Asked a = open.get(c.request());
                 if (a.out && c.attempt() == a.attempts.size() - 1) {
                     Engine e = a.attempts.get(c.attempt());
                     in(1, () -> e.drop(this, c.request(), c.attempt()));
-                    in(6, () -> ended(c.request(), c.attempt(), Outcome.CANCELLED, 0));
+                    in(6, () -> ended(c.request(), c.attempt(), AttemptOutcome.CANCELLED, 0));
                 }
             }
         }
 
-        private void send(Front.Send s) {
+        private void send(SchedulerAction.StartAttempt s) {
             Asked a = open.get(s.request());
             Engine e = engines.get((int) s.engine() - 1);
             int attempt = a.attempts.size();
@@ -369,7 +351,7 @@
                 in(a.deadline - 10 - now, () -> {
                     if (a.out && a.attempts.size() - 1 == attempt) {
                         e.drop(this, s.request(), attempt);
-                        ended(s.request(), attempt, Outcome.TIMEOUT, 0);
+                        ended(s.request(), attempt, AttemptOutcome.TIMEOUT, 0);
                     }
                 });
             }
@@ -378,7 +360,11 @@
                 links.remove(e.id);
                 in(
                         linked ? 1100 : 250,
-                        () -> ended(s.request(), attempt, linked ? Outcome.RESET : Outcome.CONNECT_FAILED, 0));
+                        () -> ended(
+                                s.request(),
+                                attempt,
+                                linked ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED,
+                                0));
                 return;
             }
             links.put(e.id, now);
@@ -388,18 +374,18 @@
             double work = plain * Math.exp(0.1 * random.nextGaussian());
             in(1, () -> {
                 if (!reaches(e)) {
-                    in(1100, () -> ended(s.request(), attempt, Outcome.RESET, 0));
+                    in(1100, () -> ended(s.request(), attempt, AttemptOutcome.RESET, 0));
                 } else if (a.out && a.attempts.size() - 1 == attempt) {
                     e.add(new Run(this, s.request(), attempt, a.type, work, a.priority));
                 }
             });
         }
 
-        void ended(long request, int attempt, Outcome outcome, double delay) {
+        void ended(long request, int attempt, AttemptOutcome outcome, double delay) {
             Asked a = open.get(request);
             Engine e = a.attempts.get(attempt);
-            if (outcome == Outcome.OK && !reaches(e)) {
-                in(1100, () -> ended(request, attempt, Outcome.RESET, 0));
+            if (outcome == AttemptOutcome.OK && !reaches(e)) {
+                in(1100, () -> ended(request, attempt, AttemptOutcome.RESET, 0));
                 return;
             }
             in(delay, () -> {
@@ -408,14 +394,17 @@
                 }
                 a.out = false;
                 outcomes.merge(outcome + " " + a.type, 1, Integer::sum);
-                boolean over = a.over || outcome == Outcome.OK;
-                if (outcome == Outcome.OK && !a.over) {
-                    Front.RequestClass c = CLASSES.get(a.type);
-                    double aim = c.aim() + c.aimStretch() * a.work / c.threads();
+                boolean over = a.over || outcome == AttemptOutcome.OK;
+                if (outcome == AttemptOutcome.OK && !a.over) {
+                    RequestClass c = CLASSES.get(a.type);
+                    double aim = c.objective().latencyMs()
+                            + c.objective().latencyPerWork()
+                                    * a.work
+                                    / c.workload().threads();
                     row(a)[now - a.at <= aim ? 1 : 2]++;
                 }
                 a.over = over;
-                tell(new Front.Verdict(request, attempt, outcome, over, 0, 0, new double[0]));
+                tell(new SchedulerEvent.AttemptEnded(request, attempt, outcome, over, 0, 0, new double[0]));
             });
         }
     }
@@ -443,8 +432,8 @@
         for (int i = 0; i < plan.fronts; i++) {
             hosts.add(new Host(i));
         }
-        List<Front.Listed> list = engines.stream().map(Engine::listed).toList();
-        hosts.forEach(h -> in(0, () -> h.tell(new Front.ListChange(true, list))));
+        List<Endpoint> list = engines.stream().map(Engine::listed).toList();
+        hosts.forEach(h -> in(0, () -> h.tell(new SchedulerEvent.EndpointsChanged(true, list))));
         double perMs = perMs(plan.load);
         double[] parts = new double[plan.fronts];
         for (int i = 0; i < parts.length; i++) {
@@ -484,7 +473,7 @@
                 () -> gone.forEach(e -> {
                     e.moveOn();
                     for (Run r : List.copyOf(e.runs)) {
-                        in(1100, () -> r.host.ended(r.request, r.attempt, Outcome.RESET, 0));
+                        in(1100, () -> r.host.ended(r.request, r.attempt, AttemptOutcome.RESET, 0));
                     }
                     e.runs.clear();
                     e.share();
@@ -498,11 +487,11 @@
                     e.upSince = now;
                     hosts.forEach(h -> in(
                             TOLD_MS * (1 + random.nextDouble()) / 2,
-                            () -> h.tell(new Front.ListChange(false, List.of(e.listed())))));
+                            () -> h.tell(new SchedulerEvent.EndpointsChanged(false, List.of(e.listed())))));
                 }));
     }
 
-    /** @return the part of what was asked from one second to another that was served, late or not */
+    /** Returns the part of what was asked from one second to another that was served, late or not. */
     double served(int type, int from, int to) {
         double[] sum = new double[3];
         seconds.subMap(from, to).values().forEach(rows -> {
--- a/src/measure/java/lineward/spool/store/SpoolFixture.java
+++ b/src/measure/java/lineward/spool/store/SpoolFixture.java
@@ -34,14 +34,14 @@
         }
     }
 
-    /** @return megabytes of the files in a folder */
+    /** Returns megabytes of the files in a folder. */
     public static long megabytes(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.mapToLong(f -> f.toFile().length()).sum() >> 20;
         }
     }
 
-    /** @return blocks that were read and are not what was written, over so many seeded cuts and flips */
+    /** Returns blocks that were read and are not what was written, over so many seeded cuts and flips. */
     public static int wrongBytes(Path folder, Random random, int times) throws IOException {
         int wrong = 0;
         Path file = folder.resolve("spoilt" + SpoolFolder.ENDING);
--- a/src/test/java/lineward/LayersTest.java
+++ b/src/test/java/lineward/LayersTest.java
@@ -10,10 +10,10 @@
 /** A floor may use those below it and itself, never one above. */
 public class LayersTest {
     private static final String[][] FLOORS = {
-        {"module", "peatwick.."},
-        {"core", "lineward.core..", "lineward.front.."},
+        {"module", "lineward.scheduling.."},
+        {"core", "lineward.core..", "lineward.frontend.."},
         {"subsystems", "lineward.spool.."},
-        {"wires", "lineward.engine..", "lineward.journal..", "lineward.peers.."},
+        {"wires", "lineward.engine..", "lineward.discovery..", "lineward.gossip.."},
         {"process", "lineward.lifecycle..", "lineward.operations..", "lineward.telemetry.."},
         {"protocols", "lineward.thrift..", "lineward.mysql.."},
         {"app", "lineward.app.."}
@@ -23,7 +23,7 @@
     public void noFloorUsesOneAboveIt() {
         JavaClasses classes = new ClassFileImporter()
                 .withImportOption(new ImportOption.DoNotIncludeTests())
-                .importPackages("lineward", "peatwick");
+                .importPackages("lineward");
         LayeredArchitecture floors = Architectures.layeredArchitecture().consideringOnlyDependenciesInLayers();
         for (String[] floor : FLOORS) {
             String[] packages = new String[floor.length - 1];
--- a/src/test/java/lineward/Program.java
+++ b/src/test/java/lineward/Program.java
@@ -47,12 +47,12 @@
         return command;
     }
 
-    /** @return the port of its first listener, once it listens */
+    /** Returns the port of its first listener, once it listens. */
     public int port() {
         return portIn(LISTENS);
     }
 
-    /** @return the port where operators call */
+    /** Returns the port where operators call. */
     public int operations() {
         return portIn(OPERATIONS);
     }
@@ -76,12 +76,12 @@
         return handle.isAlive();
     }
 
-    /** @return the descriptors that it holds */
+    /** Returns the descriptors that it holds. */
     public int descriptors() {
         return Path.of("/proc/" + handle.pid() + "/fd").toFile().list().length;
     }
 
-    /** @return the memory that it holds, in MB */
+    /** Returns the memory that it holds, in MB. */
     public int memoryMb() throws IOException {
         return Files.readAllLines(Path.of("/proc/" + handle.pid() + "/status")).stream()
                 .filter(line -> line.startsWith("VmRSS"))
@@ -107,7 +107,7 @@
                 .waitFor();
     }
 
-    /** @return its exit status, once it has ended */
+    /** Returns its exit status, once it has ended. */
     public int status() throws InterruptedException {
         if (!process.waitFor(30, TimeUnit.SECONDS)) {
             throw new AssertionError("the program has not ended:\n" + log());
--- a/src/test/java/lineward/SocketHolder.java
+++ b/src/test/java/lineward/SocketHolder.java
@@ -54,7 +54,7 @@
         return Integer.parseInt(line.toString());
     }
 
-    /** @return the port that the socket listens on */
+    /** Returns the port that the socket listens on. */
     public int port() {
         return port;
     }
--- a/src/test/java/lineward/core/CoreTest.java
+++ b/src/test/java/lineward/core/CoreTest.java
@@ -8,31 +8,36 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import lineward.scheduling.AttemptOutcome;
+import lineward.scheduling.EndpointState;
+import lineward.scheduling.ProgressKind;
+import lineward.scheduling.Scheduler;
+import lineward.scheduling.SchedulerAction;
+import lineward.scheduling.SchedulerEvent;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peatwick.Front;
 
 /** The core without a wire: tables, deadlines, statements, the planner's bookkeeping. */
 public class CoreTest {
     @Test
     public void aStaleIdFindsNothingThoughItsSlotIsInUseAgain() {
-        SlotTable<String> table = new SlotTable<>(1);
+        GenerationalTable<String> table = new GenerationalTable<>(1);
         long first = table.add("a");
-        assertEquals(table.add("b"), SlotTable.FULL);
+        assertEquals(table.add("b"), GenerationalTable.FULL);
         table.release(first);
         table.release(first);
         long second = table.add("c");
         assertNotEquals(second, first);
         assertNull(table.get(first));
-        assertNull(table.get(SlotTable.FULL));
+        assertNull(table.get(GenerationalTable.FULL));
         assertEquals(table.get(second), "c");
         assertEquals(table.size(), 1);
     }
 
     @Test
     public void deadlinesRunInOrderOnceAndCanBeTakenBack() {
-        Deadlines deadlines = new Deadlines();
+        DeadlineQueue deadlines = new DeadlineQueue();
         List<String> ran = new ArrayList<>();
         deadlines.add(20, at -> ran.add("c"));
         deadlines.add(10, at -> ran.add("a"));
@@ -73,19 +78,19 @@
     }
 
     /** A module that notes what it hears and says what it is told to. */
-    private static final class Script implements Front {
-        final List<Event> heard = new ArrayList<>();
-        List<Action> next = List.of();
+    private static final class Script implements Scheduler {
+        final List<SchedulerEvent> heard = new ArrayList<>();
+        List<SchedulerAction> next = List.of();
 
         @Override
-        public int avoided() {
+        public int excludedEngines() {
             return 0;
         }
 
         @Override
-        public List<Action> decide(double now, List<? extends Event> events) {
+        public List<SchedulerAction> decide(double now, List<? extends SchedulerEvent> events) {
             heard.addAll(events);
-            List<Action> said = next;
+            List<SchedulerAction> said = next;
             next = List.of();
             return said;
         }
@@ -101,13 +106,13 @@
 
     private static final class Silent implements Tracer<String> {
         @Override
-        public void requestTaken(String exchange) {}
+        public void requestAdmitted(String exchange) {}
 
         @Override
         public void attemptStarted(String exchange, int attempt, String engine) {}
 
         @Override
-        public void attemptEnded(String exchange, int attempt, Front.Outcome outcome) {}
+        public void attemptEnded(String exchange, int attempt, AttemptOutcome outcome) {}
 
         @Override
         public void requestEnded(String exchange, Ending ending) {}
@@ -117,142 +122,154 @@
     }
 
     private Script module;
-    private Planner<String> planner;
+    private Coordinator<String> planner;
 
     @BeforeMethod
     public void begin() {
         module = new Script();
-        planner = new Planner<>(module, 2, 6, new Silent());
+        planner = new Coordinator<>(module, 2, 6, new Silent());
     }
 
     private long takeAndSend(double now, double ttl) {
-        planner.list(true, List.of(engine("s-1", Front.Condition.READY)));
-        long id = planner.take(now, new Demand(0, 0, ttl, 0, 0, 0, false), "r");
+        planner.endpointsChanged(true, List.of(engine("s-1", EndpointState.READY)));
+        long id = planner.admit(now, new RequestAttributes(0, 0, ttl, 0, 0, 0, false), "r");
         planner.tick(now);
         module.next = List.of(
-                new Front.SetLimits(id, 64, 2),
-                new Front.Send(
-                        id, module.last(Front.ListChange.class).engines().get(0).engine(), 0));
-        planner.list(false, List.of());
+                new SchedulerAction.SetResourceLimits(id, 64, 2),
+                new SchedulerAction.StartAttempt(
+                        id,
+                        module.last(SchedulerEvent.EndpointsChanged.class)
+                                .endpoints()
+                                .get(0)
+                                .engine(),
+                        0));
+        planner.endpointsChanged(false, List.of());
         List<Command<String>> commands = planner.tick(now);
-        Command.Start<String> start = (Command.Start<String>) commands.get(0);
-        assertEquals(start, new Command.Start<>("r", id, 0, "s-1", Math.round(ttl - 10), (long) (ttl - 10), 64, 2));
+        Command.StartAttempt<String> start = (Command.StartAttempt<String>) commands.get(0);
+        assertEquals(
+                start, new Command.StartAttempt<>("r", id, 0, "s-1", Math.round(ttl - 10), (long) (ttl - 10), 64, 2));
         return id;
     }
 
     @Test
     public void aRequestIsServedOnceAndItsSlotIsFreeThen() {
         long id = takeAndSend(1000, 500);
-        assertEquals(planner.open(), 1);
-        assertTrue(planner.ended(id, 0, Front.Outcome.OK));
-        assertFalse(planner.ended(id, 0, Front.Outcome.OK));
-        assertEquals(planner.open(), 0);
-        planner.abort(id);
+        assertEquals(planner.openRequests(), 1);
+        assertTrue(planner.attemptEnded(id, 0, AttemptOutcome.OK));
+        assertFalse(planner.attemptEnded(id, 0, AttemptOutcome.OK));
+        assertEquals(planner.openRequests(), 0);
+        planner.cancelRequest(id);
         planner.tick(1001);
-        assertTrue(module.last(Front.Verdict.class).ended());
-        assertNull(module.last(Front.Aborted.class));
+        assertTrue(module.last(SchedulerEvent.AttemptEnded.class).requestCompleted());
+        assertNull(module.last(SchedulerEvent.RequestCancelled.class));
     }
 
     @Test
     public void anAttemptTimesOutAheadOfTheClient() {
         long id = takeAndSend(2000, 300);
         planner.tick(2289);
-        assertNull(last(Front.Outcome.TIMEOUT));
+        assertNull(last(AttemptOutcome.TIMEOUT));
         List<Command<String>> commands = planner.tick(2290);
-        assertEquals(commands, List.of(new Command.Stop<>("r", id, 0, "s-1")));
-        assertEquals(last(Front.Outcome.TIMEOUT).request(), id);
-        module.next = List.of(new Front.Refuse(id, 125));
-        planner.list(false, List.of());
-        assertEquals(planner.tick(2291), List.of(new Command.Refuse<>("r", 125)));
+        assertEquals(commands, List.of(new Command.CancelAttempt<>("r", id, 0, "s-1")));
+        assertEquals(last(AttemptOutcome.TIMEOUT).request(), id);
+        module.next = List.of(new SchedulerAction.Reject(id, 125));
+        planner.endpointsChanged(false, List.of());
+        assertEquals(planner.tick(2291), List.of(new Command.Reject<>("r", 125)));
     }
 
     /** Guards against a rerun that overtakes the word to give up: the end is told only some time after it. */
     @Test
     public void aCancelledAttemptEndsOnlyWhenTheWordIsThere() {
         long id = takeAndSend(3000, 5000);
-        module.next = List.of(new Front.Cancel(id, 0), new Front.Cancel(id, 0));
-        planner.list(false, List.of());
-        assertEquals(planner.tick(3100), List.of(new Command.Stop<>("r", id, 0, "s-1")));
+        module.next = List.of(new SchedulerAction.CancelAttempt(id, 0), new SchedulerAction.CancelAttempt(id, 0));
+        planner.endpointsChanged(false, List.of());
+        assertEquals(planner.tick(3100), List.of(new Command.CancelAttempt<>("r", id, 0, "s-1")));
         planner.tick(3105);
-        assertNull(last(Front.Outcome.CANCELLED));
+        assertNull(last(AttemptOutcome.CANCELLED));
         planner.tick(3106);
-        assertEquals(last(Front.Outcome.CANCELLED).request(), id);
+        assertEquals(last(AttemptOutcome.CANCELLED).request(), id);
     }
 
     @Test
     public void aNoteIsPassedOnOnlyWhileItsAttemptIsOut() {
         long id = takeAndSend(4000, 5000);
-        planner.noted(id, 0, Front.NoteKind.PROGRESS, 0.5);
-        planner.noted(id, 1, Front.NoteKind.PROGRESS, 0.6);
+        planner.attemptProgressed(id, 0, ProgressKind.RATIO_DONE, 0.5);
+        planner.attemptProgressed(id, 1, ProgressKind.RATIO_DONE, 0.6);
         planner.tick(4001);
-        assertEquals(module.last(Front.Note.class), new Front.Note(id, 0, Front.NoteKind.PROGRESS, 0.5));
-        module.next = List.of(new Front.Cancel(id, 0));
-        planner.list(false, List.of());
+        assertEquals(
+                module.last(SchedulerEvent.AttemptProgress.class),
+                new SchedulerEvent.AttemptProgress(id, 0, ProgressKind.RATIO_DONE, 0.5));
+        module.next = List.of(new SchedulerAction.CancelAttempt(id, 0));
+        planner.endpointsChanged(false, List.of());
         planner.tick(4002);
-        planner.noted(id, 0, Front.NoteKind.PROGRESS, 0.7);
+        planner.attemptProgressed(id, 0, ProgressKind.RATIO_DONE, 0.7);
         planner.tick(4003);
-        assertEquals(module.last(Front.Note.class).amount(), 0.5, "none behind the word to give up");
+        assertEquals(
+                module.last(SchedulerEvent.AttemptProgress.class).amount(), 0.5, "none behind the word to give up");
     }
 
     /** One probe an engine at a time; the first answer counts, or its time is up. */
     @Test
     public void aProbeEndsOnceByItsAnswerOrByItsTime() {
-        planner.list(true, List.of(engine("s-1", Front.Condition.READY)));
+        planner.endpointsChanged(true, List.of(engine("s-1", EndpointState.READY)));
         planner.tick(1000);
-        long number = module.last(Front.ListChange.class).engines().get(0).engine();
+        long number = module.last(SchedulerEvent.EndpointsChanged.class)
+                .endpoints()
+                .get(0)
+                .engine();
         List<Command<String>> asked = probe(1000, number, number);
-        assertEquals(asked, List.of(new Command.Probe<>("s-1")));
-        planner.probed(1040, "s-1", Front.Outcome.OK, new double[] {3});
-        planner.probed(1050, "s-1", Front.Outcome.ERROR, new double[0]);
-        planner.probed(1050, "s-2", Front.Outcome.ERROR, new double[0]);
+        assertEquals(asked, List.of(new Command.CheckHealth<>("s-1")));
+        planner.healthCheckCompleted(1040, "s-1", AttemptOutcome.OK, new double[] {3});
+        planner.healthCheckCompleted(1050, "s-1", AttemptOutcome.ERROR, new double[0]);
+        planner.healthCheckCompleted(1050, "s-2", AttemptOutcome.ERROR, new double[0]);
         planner.tick(2000);
-        Front.Probed first = module.last(Front.Probed.class);
-        assertEquals(first.outcome() + " " + first.latency() + " " + first.report()[0], "OK 40.0 3.0");
+        SchedulerEvent.HealthCheckCompleted first = module.last(SchedulerEvent.HealthCheckCompleted.class);
+        assertEquals(first.outcome() + " " + first.latencyMs() + " " + first.loadReport()[0], "OK 40.0 3.0");
         probe(3000, number);
         planner.tick(3249);
-        assertEquals(module.last(Front.Probed.class), first);
+        assertEquals(module.last(SchedulerEvent.HealthCheckCompleted.class), first);
         planner.tick(3250);
-        assertEquals(module.last(Front.Probed.class).outcome(), Front.Outcome.TIMEOUT);
+        assertEquals(module.last(SchedulerEvent.HealthCheckCompleted.class).outcome(), AttemptOutcome.TIMEOUT);
     }
 
     private List<Command<String>> probe(double now, long... engines) {
         module.next = java.util.Arrays.stream(engines)
-                .<Front.Action>mapToObj(Front.Probe::new)
+                .<SchedulerAction>mapToObj(SchedulerAction.StartHealthCheck::new)
                 .toList();
-        planner.list(false, List.of());
+        planner.endpointsChanged(false, List.of());
         return planner.tick(now);
     }
 
     @Test
     public void enginesThatAreGoneAreForgotten() {
         for (int i = 0; i < 100; i++) {
-            planner.list(false, List.of(engine("a" + i, Front.Condition.READY)));
-            planner.list(false, List.of(engine("a" + i, Front.Condition.GONE)));
+            planner.endpointsChanged(false, List.of(engine("a" + i, EndpointState.READY)));
+            planner.endpointsChanged(false, List.of(engine("a" + i, EndpointState.GONE)));
         }
-        assertEquals(planner.engines(), 0);
-        planner.list(false, List.of(engine("b", Front.Condition.READY)));
-        planner.list(true, List.of(engine("c", Front.Condition.DRAINING)));
-        assertEquals(planner.engines(), 1);
+        assertEquals(planner.listedEngines(), 0);
+        planner.endpointsChanged(false, List.of(engine("b", EndpointState.READY)));
+        planner.endpointsChanged(true, List.of(engine("c", EndpointState.DRAINING)));
+        assertEquals(planner.listedEngines(), 1);
     }
 
-    private static EngineEntry engine(String id, Front.Condition condition) {
-        return new EngineEntry(id, "127.0.0.1:1", 0, 1, 0, condition, 0, 0);
+    private static EngineEndpoint engine(String id, EndpointState condition) {
+        return new EngineEndpoint(id, "127.0.0.1:1", 0, 1, 0, condition, 0, 0);
     }
 
     @Test
     public void aTableThatIsFullTakesNothingMore() {
-        Demand demand = new Demand(0, 0, 100, 0, 0, 0, false);
-        long first = planner.take(0, demand, "a");
-        planner.take(0, demand, "b");
-        assertEquals(planner.take(0, demand, "c"), SlotTable.FULL);
-        planner.abort(first);
-        assertNotEquals(planner.take(0, demand, "d"), SlotTable.FULL);
+        RequestAttributes demand = new RequestAttributes(0, 0, 100, 0, 0, 0, false);
+        long first = planner.admit(0, demand, "a");
+        planner.admit(0, demand, "b");
+        assertEquals(planner.admit(0, demand, "c"), GenerationalTable.FULL);
+        planner.cancelRequest(first);
+        assertNotEquals(planner.admit(0, demand, "d"), GenerationalTable.FULL);
     }
 
-    private Front.Verdict last(Front.Outcome outcome) {
+    private SchedulerEvent.AttemptEnded last(AttemptOutcome outcome) {
         return module.heard.stream()
-                .filter(e -> e instanceof Front.Verdict v && v.outcome() == outcome)
-                .map(Front.Verdict.class::cast)
+                .filter(e -> e instanceof SchedulerEvent.AttemptEnded v && v.outcome() == outcome)
+                .map(SchedulerEvent.AttemptEnded.class::cast)
                 .reduce((a, b) -> b)
                 .orElse(null);
     }
--- a/src/test/java/lineward/journal/EngineListTest.java
+++ b/src/test/java/lineward/discovery/EngineListTest.java
@@ -1,4 +1,4 @@
-package lineward.journal;
+package lineward.discovery;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.List;
-import lineward.core.EngineEntry;
+import lineward.core.EngineEndpoint;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -17,9 +17,9 @@
     private static final String ONE = "{'instanceId':'s-1','hostPort':'127.0.0.1:9','zone':'b','machineType':"
             + "'std','cell':2,'lifecycle':'ready','weight':4,'startedAtMs':7}";
     private final List<String> seen = new ArrayList<>();
-    private final EngineList list = new EngineList(List.of("std"), List.of("a", "b"), (whole, entries) -> {
-        for (EngineEntry e : entries) {
-            seen.add(whole + " " + e.id() + " " + e.zone() + " " + e.condition() + " " + e.startedAtMs());
+    private final EndpointList list = new EndpointList(List.of("std"), List.of("a", "b"), (whole, entries) -> {
+        for (EngineEndpoint e : entries) {
+            seen.add(whole + " " + e.id() + " " + e.zone() + " " + e.state() + " " + e.startedAtMs());
         }
     });
 
@@ -34,9 +34,9 @@
 
     @Test
     public void changesAreMergedAndEventsCountOnce() throws JsonProcessingException {
-        list.take(json(answer(1, true, ONE)));
-        list.take(json(answer(1, true, ONE)));
-        list.take(json(answer(2, false, "{'instanceId':'s-1','lifecycle':'draining'}")));
+        list.apply(json(answer(1, true, ONE)));
+        list.apply(json(answer(1, true, ONE)));
+        list.apply(json(answer(2, false, "{'instanceId':'s-1','lifecycle':'draining'}")));
         assertEquals(list.position(), 2);
         assertEquals(seen, List.of("true s-1 1 READY 7.0", "false s-1 1 DRAINING 7.0"));
     }
@@ -59,7 +59,7 @@
     public void whatCannotBeUsedLeavesTheListAsItWas(String answer) throws JsonProcessingException {
         long before = list.position();
         JsonNode read = json(answer);
-        assertThrows(IllegalArgumentException.class, () -> list.take(read));
+        assertThrows(IllegalArgumentException.class, () -> list.apply(read));
         assertEquals(list.position(), before);
     }
 }
--- a/src/test/java/lineward/journal/JournalPollTest.java
+++ b/src/test/java/lineward/discovery/JournalPollTest.java
@@ -1,4 +1,4 @@
-package lineward.journal;
+package lineward.discovery;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -24,7 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import lineward.Program;
-import lineward.core.FrontClock;
+import lineward.core.MonotonicClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -130,14 +130,14 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<Service> services = new ArrayList<>();
-    private EngineList list;
+    private EndpointList list;
     private Path file;
-    private JournalPoll poll;
+    private DiscoveryClient poll;
 
     @BeforeMethod
     public void makeFile() throws IOException {
         file = Files.createTempFile("journal", ".txt");
-        list = new EngineList(List.of(), List.of(), (whole, entries) -> {});
+        list = new EndpointList(List.of(), List.of(), (whole, entries) -> {});
     }
 
     @AfterMethod
@@ -174,7 +174,7 @@
     }
 
     private void start(String address) {
-        poll = new JournalPoll(loop, address, list, this::read, new FrontClock());
+        poll = new DiscoveryClient(loop, address, list, this::read, new MonotonicClock());
         tick();
     }
 
@@ -191,7 +191,7 @@
     }
 
     private void hangUp() {
-        loop.submit(poll::hangUp).syncUninterruptibly();
+        loop.submit(poll::reloadAddress).syncUninterruptibly();
     }
 
     private long position() {
--- a/src/test/java/lineward/journal/PollPolicyTest.java
+++ b/src/test/java/lineward/discovery/PollPolicyTest.java
@@ -1,4 +1,4 @@
-package lineward.journal;
+package lineward.discovery;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -68,7 +68,7 @@
             double signal = when + (random.nextInt(4) == 0 ? -200 * random.nextDouble() : 0);
             at(when - 1, () -> file = null);
             if (told) {
-                at(signal, () -> policy.hangUp(now));
+                at(signal, () -> policy.reloadAddress(now));
             }
             at(when + broken, () -> {
                 String old = file == null ? policy.address() : file;
--- a/src/test/java/lineward/engine/EndTest.java
+++ b/src/test/java/lineward/engine/EndTest.java
@@ -25,40 +25,41 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import lineward.Program;
+import lineward.scheduling.AttemptOutcome;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peatwick.Front.Outcome;
 
 /** Every end that an attempt can have on the wire, and whether the request may have run there. */
 public class EndTest {
     /** Only behind these may what is unsafe to repeat go out again. */
-    private static final Set<End> NEVER_RAN = EnumSet.of(End.SHED, End.LATE, End.UNREACHED, End.UNSENT, End.CUT_SHORT);
+    private static final Set<AttemptEnd> NEVER_RAN =
+            EnumSet.of(AttemptEnd.SHED, AttemptEnd.LATE, AttemptEnd.UNREACHED, AttemptEnd.UNSENT, AttemptEnd.CUT_SHORT);
 
     @Test
     public void eachEndSaysWhetherItMayHaveRun() {
-        for (End end : End.values()) {
-            assertEquals(end.outcome.mayHaveRun, !NEVER_RAN.contains(end), end.name());
+        for (AttemptEnd end : AttemptEnd.values()) {
+            assertEquals(end.outcome.mayHaveRun(), !NEVER_RAN.contains(end), end.name());
         }
     }
 
     @DataProvider
     public Object[][] replies() {
         return new Object[][] {
-            {"00aa HIT total=1 6\r\na\tb\tc\n\r\n", Outcome.OK},
-            {"00aa SHED - 0\r\n\r\n", Outcome.FULL},
-            {"00aa LATE - 0\r\n\r\n", Outcome.FULL},
-            {"00aa FAULT - 0\r\n\r\n", Outcome.ERROR},
-            {"00aa HIT - 0\r\n\r\n", Outcome.ERROR},
-            {"00aa HIT total=2 6\r\na\tb\tc\n\r\n00aa FAULT - 0\r\n\r\n", Outcome.ERROR},
-            {"00aa HIT total=1 3\r\na\tb\r\n", Outcome.ERROR},
-            {"what is this\r\n", Outcome.ERROR}
+            {"00aa HIT total=1 6\r\na\tb\tc\n\r\n", AttemptOutcome.OK},
+            {"00aa SHED - 0\r\n\r\n", AttemptOutcome.REJECTED},
+            {"00aa LATE - 0\r\n\r\n", AttemptOutcome.REJECTED},
+            {"00aa FAULT - 0\r\n\r\n", AttemptOutcome.ERROR},
+            {"00aa HIT - 0\r\n\r\n", AttemptOutcome.ERROR},
+            {"00aa HIT total=2 6\r\na\tb\tc\n\r\n00aa FAULT - 0\r\n\r\n", AttemptOutcome.ERROR},
+            {"00aa HIT total=1 3\r\na\tb\r\n", AttemptOutcome.ERROR},
+            {"what is this\r\n", AttemptOutcome.ERROR}
         };
     }
 
     @Test(dataProvider = "replies")
-    public void eachAnswerHasItsEnd(String reply, Outcome outcome) {
+    public void eachAnswerHasItsEnd(String reply, AttemptOutcome outcome) {
         Heard heard = new Heard();
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         EmbeddedChannel channel = channel(link);
         link.start(heard.run);
         channel.writeInbound(Unpooled.copiedBuffer(reply, StandardCharsets.US_ASCII));
@@ -68,7 +69,7 @@
         channel.finishAndReleaseAll();
     }
 
-    private static EmbeddedChannel channel(Link link) {
+    private static EmbeddedChannel channel(EngineConnection link) {
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
         link.connecting(channel);
         channel.pipeline().addLast(link);
@@ -85,7 +86,7 @@
     @Test(dataProvider = "writes")
     public void aRequestIsOutOnceTheSocketHasItsLastByte(int taken, boolean whole) {
         Heard heard = new Heard();
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         EmbeddedChannel channel = channel(link);
         channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
             private int writes;
@@ -107,11 +108,12 @@
 
     @DataProvider
     public Object[][] breaks() {
-        return new Object[][] {{false, Outcome.FULL}, {true, Outcome.RESET}};
+        return new Object[][] {{false, AttemptOutcome.REJECTED}, {true, AttemptOutcome.RESET}};
     }
 
     @Test(dataProvider = "breaks")
-    public void aBrokenConnectionProvesNothingOnceTheRequestWasOut(boolean whole, Outcome outcome) throws IOException {
+    public void aBrokenConnectionProvesNothingOnceTheRequestWasOut(boolean whole, AttemptOutcome outcome)
+            throws IOException {
         Heard heard = new Heard();
         heard.run.sentWhole = whole;
         withPool(pool -> pool.lost(List.of(heard.run)), heard);
@@ -122,7 +124,7 @@
     public void aRefusedConnectionProvesThatNothingRan() throws IOException {
         Heard heard = new Heard();
         withPool(pool -> pool.start(heard.run), heard);
-        assertEquals(heard.outcomes, List.of(Outcome.CONNECT_FAILED));
+        assertEquals(heard.outcomes, List.of(AttemptOutcome.CONNECT_FAILED));
     }
 
     private static void withPool(Consumer<EnginePool> act, Heard heard) throws IOException {
@@ -134,7 +136,7 @@
         try {
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
             EnginePool pool = new EnginePool(
-                    bootstrap, nobody, new EngineFleet.Limits(250, 30_000, 10, 100, false), () -> true, () -> {});
+                    bootstrap, nobody, new EngineCluster.Limits(250, 30_000, 10, 100, false), () -> true, () -> {});
             loop.execute(() -> act.accept(pool));
             Program.await("an end", () -> !heard.outcomes.isEmpty());
         } finally {
@@ -142,19 +144,19 @@
         }
     }
 
-    private static final class Heard implements Run.Listener {
-        final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
-        final Run run = new Run(
+    private static final class Heard implements QueryAttempt.Listener {
+        final List<AttemptOutcome> outcomes = new CopyOnWriteArrayList<>();
+        final QueryAttempt run = new QueryAttempt(
                 "00aa",
                 "look",
                 Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII),
-                new Run.Times(1000, 1000),
+                new QueryAttempt.Timing(1000, 1000),
                 0,
                 1,
                 this);
 
         @Override
-        public void ended(Outcome outcome, ByteBuf result) {
+        public void ended(AttemptOutcome outcome, ByteBuf result) {
             outcomes.add(outcome);
             if (result != null) {
                 result.release();
--- a/src/test/java/lineward/engine/LinkTest.java
+++ b/src/test/java/lineward/engine/LinkTest.java
@@ -12,8 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import lineward.scheduling.AttemptOutcome;
 import org.testng.annotations.Test;
-import peatwick.Front;
 
 /** What a connection to an engine does with its runs. */
 public class LinkTest {
@@ -33,10 +33,10 @@
     /** A client takes its request back in the very turn in which the connection comes up. */
     @Test
     public void aRunKeepsItsStatementThoughItsRequestIsOver() {
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         ByteBuf statement = statement("select 1");
-        List<Front.Outcome> outcomes = new ArrayList<>();
-        Run run = run(statement, outcomes);
+        List<AttemptOutcome> outcomes = new ArrayList<>();
+        QueryAttempt run = run(statement, outcomes);
         link.start(run);
         statement.release();
         ByteBuf next = statement("delete 2");
@@ -51,12 +51,12 @@
 
     @Test
     public void whatWaitsForAConnectionIsTakenBackAndNeverGoesOut() {
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         ByteBuf statement = statement("select 1");
-        List<Front.Outcome> outcomes = new ArrayList<>();
+        List<AttemptOutcome> outcomes = new ArrayList<>();
         link.start(run(statement, outcomes));
         link.recall();
-        assertEquals(outcomes, List.of(Front.Outcome.FULL));
+        assertEquals(outcomes, List.of(AttemptOutcome.REJECTED));
         assertEquals(written(up(link)), "");
         assertEquals(statement.refCnt(), 1, "the request's own");
         statement.release();
@@ -65,48 +65,49 @@
     /** Danger: engines forget keys; a repeat whose connection came up too late would run a second time. */
     @Test
     public void whatMayBeginNoLongerDoesNotGoOut() {
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         ByteBuf statement = statement("select 1");
-        List<Front.Outcome> outcomes = new ArrayList<>();
+        List<AttemptOutcome> outcomes = new ArrayList<>();
         link.start(run(statement, outcomes, 0));
         assertEquals(written(up(link)), "");
-        assertEquals(outcomes, List.of(Front.Outcome.FULL));
+        assertEquals(outcomes, List.of(AttemptOutcome.REJECTED));
         statement.release();
     }
 
     /** An engine that turns all away must not have ids pile up here. */
     @Test
     public void whatIsKeptOfEndedRunsIsBounded() {
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         EmbeddedChannel channel = up(link);
         channel.pipeline().addFirst(new ReplyDecoder());
         ByteBuf statement = statement("select 1");
-        for (int i = 0; i < Link.MOST_SPENT; i++) {
+        for (int i = 0; i < EngineConnection.MOST_SPENT; i++) {
             String id = String.format("%016x", i);
             assertEquals(link.takes(id, 10), true, "run " + i);
-            link.start(new Run(id, "look", statement, new Run.Times(60_000, 60_000), 0, 1, (o, r) -> {}));
+            link.start(new QueryAttempt(
+                    id, "look", statement, new QueryAttempt.Timing(60_000, 60_000), 0, 1, (o, r) -> {}));
             channel.writeInbound(statement(id + " SHED - 0\r\n\r\n"));
         }
         assertEquals(link.takes("ffff", 10), false);
         statement.release();
     }
 
-    private static Run run(ByteBuf statement, List<Front.Outcome> outcomes) {
+    private static QueryAttempt run(ByteBuf statement, List<AttemptOutcome> outcomes) {
         return run(statement, outcomes, 1000);
     }
 
-    private static Run run(ByteBuf statement, List<Front.Outcome> outcomes, long beginWithinMs) {
-        return new Run(
+    private static QueryAttempt run(ByteBuf statement, List<AttemptOutcome> outcomes, long beginWithinMs) {
+        return new QueryAttempt(
                 "00aa",
                 "look",
                 statement,
-                new Run.Times(1000, beginWithinMs),
+                new QueryAttempt.Timing(1000, beginWithinMs),
                 0,
                 1,
                 (outcome, result) -> outcomes.add(outcome));
     }
 
-    private static EmbeddedChannel up(Link link) {
+    private static EmbeddedChannel up(EngineConnection link) {
         ChannelHandler connector = new ChannelInboundHandlerAdapter() {
             @Override
             public void handlerAdded(ChannelHandlerContext ctx) {
--- a/src/test/java/lineward/engine/ProbeTest.java
+++ b/src/test/java/lineward/engine/ProbeTest.java
@@ -18,7 +18,7 @@
 
     private EmbeddedChannel asked(String word) {
         heard.clear();
-        Link link = new Link(Rehearsal.NOBODY);
+        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
         link.connecting(channel);
         channel.pipeline().addLast(link);
--- a/src/test/java/lineward/front/ClientTableTest.java
+++ b/src/test/java/lineward/frontend/ClientTableTest.java
@@ -1,4 +1,4 @@
-package lineward.front;
+package lineward.frontend;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -19,7 +19,7 @@
     @Test(dataProvider = "chances")
     public void someAreClosedAtATime(double chance, int least, int most) {
         List<Integer> closed = new ArrayList<>();
-        ClientTable.closeSome(IntStream.range(0, 1000).boxed().toList(), chance, closed::add);
+        ClientRegistry.closeSome(IntStream.range(0, 1000).boxed().toList(), chance, closed::add);
         assertTrue(closed.size() >= least && closed.size() <= most, closed.size() + " closed");
     }
 
@@ -27,20 +27,20 @@
     public void theLongestSilentMakesRoomAndWhoWaitsNeverDoes() {
         List<String> closed = new ArrayList<>();
         List<String> left = new ArrayList<>();
-        ClientTable<String> table = new ClientTable<>(3, () -> 0, closed::add, left::add);
-        table.arrived("waits");
-        table.waits("waits");
-        table.arrived("first");
-        table.arrived("second");
-        table.arrived("third");
+        ClientRegistry<String> table = new ClientRegistry<>(3, () -> 0, closed::add, left::add);
+        table.connected("waits");
+        table.markWaiting("waits");
+        table.connected("first");
+        table.connected("second");
+        table.connected("third");
         assertEquals(closed, List.of("first"));
         table.closeSilent(0);
         assertEquals(closed, List.of("first"), "silence alone ends a connection in order");
         assertEquals(left, List.of("second", "third"));
         assertEquals(table.all(), List.of("waits"));
         assertEquals(table.size(), 3, "both are here until they are gone");
-        table.left("second");
-        table.waits("third");
+        table.disconnected("second");
+        table.markWaiting("third");
         assertEquals(table.all(), List.of("waits", "third"), "it spoke first");
     }
 
@@ -49,10 +49,10 @@
     public void thoseThatLeaveInOrderAreFew() {
         List<Integer> closed = new ArrayList<>();
         List<Integer> left = new ArrayList<>();
-        ClientTable<Integer> table = new ClientTable<>(64, () -> 0, closed::add, left::add);
+        ClientRegistry<Integer> table = new ClientRegistry<>(64, () -> 0, closed::add, left::add);
         for (int i = 0; i < 64 + 6; i++) {
-            table.arrived(i);
-            table.rests(i);
+            table.connected(i);
+            table.markIdle(i);
         }
         assertEquals(left, List.of(0, 1, 2, 3));
         assertEquals(closed, List.of(4, 5));
--- a/src/test/java/lineward/front/LingeringCloseTest.java
+++ b/src/test/java/lineward/frontend/LingeringCloseTest.java
@@ -1,4 +1,4 @@
-package lineward.front;
+package lineward.frontend;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
--- a/src/test/java/lineward/peers/PeerSocketTest.java
+++ b/src/test/java/lineward/gossip/PeerSocketTest.java
@@ -1,4 +1,4 @@
-package lineward.peers;
+package lineward.gossip;
 
 import static org.testng.Assert.assertEquals;
 
@@ -26,7 +26,7 @@
     private EventLoopGroup loop;
     private DatagramSocket peer;
     private DatagramSocket stranger;
-    private PeerSocket socket;
+    private GossipSocket socket;
     private InetSocketAddress here;
 
     @BeforeMethod
@@ -36,7 +36,7 @@
         peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         InetSocketAddress other = new InetSocketAddress(peer.getLocalAddress(), peer.getLocalPort());
-        socket = new PeerSocket(
+        socket = new GossipSocket(
                 Map.of(other, 3), other, (from, octets) -> heard.add(from + ":" + octets.length + ":" + octets[0]));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         here = (InetSocketAddress)
@@ -59,9 +59,9 @@
     @Test
     public void onlyPeersAreHeardAndOnlyWordsThatAreShortEnough() throws IOException {
         say(stranger, 4, 1);
-        say(peer, PeerSocket.LONGEST + 1, 2);
+        say(peer, GossipSocket.MAX_PAYLOAD + 1, 2);
         say(peer, 4000, 3);
-        say(peer, PeerSocket.LONGEST, 4);
+        say(peer, GossipSocket.MAX_PAYLOAD, 4);
         say(peer, 1, 5);
         say(peer, 1, 5);
         Program.await("three words", () -> heard.size() >= 3);
@@ -71,21 +71,21 @@
     @Test
     public void aWordThatIsTooLongNeverGoesOut() throws IOException {
         loop.execute(() -> {
-            socket.announce(new byte[PeerSocket.LONGEST + 1]);
-            socket.announce(new byte[PeerSocket.LONGEST]);
+            socket.broadcast(new byte[GossipSocket.MAX_PAYLOAD + 1]);
+            socket.broadcast(new byte[GossipSocket.MAX_PAYLOAD]);
         });
         DatagramPacket got = new DatagramPacket(new byte[1024], 1024);
         peer.setSoTimeout(10_000);
         peer.receive(got);
-        assertEquals(got.getLength(), PeerSocket.LONGEST);
+        assertEquals(got.getLength(), GossipSocket.MAX_PAYLOAD);
         assertEquals(got.getSocketAddress(), here);
-        assertEquals(Arrays.copyOf(got.getData(), got.getLength()).length, PeerSocket.LONGEST);
+        assertEquals(Arrays.copyOf(got.getData(), got.getLength()).length, GossipSocket.MAX_PAYLOAD);
     }
 
     /** Two processes of one front end at an upgrade: both have the address. */
     @Test
     public void aSecondProcessOpensTheSameAddress() {
-        PeerSocket second = new PeerSocket(Map.of(), here, (from, octets) -> {});
+        GossipSocket second = new GossipSocket(Map.of(), here, (from, octets) -> {});
         assertEquals(second.open(loop, here).syncUninterruptibly().channel().localAddress(), here);
     }
 
--- a/src/test/java/lineward/lifecycle/HandOverTest.java
+++ b/src/test/java/lineward/lifecycle/HandOverTest.java
@@ -17,7 +17,7 @@
 
 /** What operators said reaches the other process; what can't be trusted does no harm. */
 public class HandOverTest {
-    private static final class Heard implements HandOver.Listener {
+    private static final class Heard implements HotRestart.Listener {
         private final List<String> lines = new ArrayList<>();
 
         @Override
@@ -47,19 +47,19 @@
         Files.delete(directory);
     }
 
-    private HandOver process(Heard heard) {
+    private HotRestart process(Heard heard) {
         now++; // Each process has a file of its own, named after its start.
-        return new HandOver(directory, "n1", () -> now, heard);
+        return new HotRestart(directory, "n1", () -> now, heard);
     }
 
     @Test
     public void theLaterWordHoldsInBothAndOutlivesTheFirstProcess() {
         Heard first = new Heard();
-        HandOver old = process(first);
+        HotRestart old = process(first);
         old.say("s-1", true);
         old.say("s-2", true);
         Heard second = new Heard();
-        HandOver next = process(second);
+        HotRestart next = process(second);
         next.look();
         next.write();
         assertEquals(second.lines, List.of("s-1 out", "s-2 out", "part 0.5"));
@@ -103,7 +103,7 @@
                 directory.resolve("lineward-n2-77-99.engines.json"),
                 "{\"at\":1000000,\"engines\":{\"s-2\":{\"out\":true,\"since\":999000}}}");
         Heard heard = new Heard();
-        HandOver next = process(heard);
+        HotRestart next = process(heard);
         next.look();
         assertEquals(next.isOut("s-1"), taken);
         assertFalse(next.isOut("s-2"), "another front end's");
@@ -115,7 +115,7 @@
     public void withoutADirectoryItHoldsHereAlone() {
         for (Path none : new Path[] {null, directory.resolve("missing")}) {
             Heard heard = new Heard();
-            HandOver alone = new HandOver(none, "n1", () -> now, heard);
+            HotRestart alone = new HotRestart(none, "n1", () -> now, heard);
             alone.look();
             alone.say("s-1", true);
             alone.leave();
--- a/src/test/java/lineward/mysql/CustomersTest.java
+++ b/src/test/java/lineward/mysql/CustomersTest.java
@@ -48,7 +48,7 @@
         return new StandInClient(program.port());
     }
 
-    /** @return what a customer finds who has set nothing */
+    /** Returns what a customer finds who has set nothing. */
     private StandInEngine.Seen next() throws IOException {
         try (StandInClient client = client()) {
             assertEquals(client.query("select rows=1 of the next").rows().size(), 1);
--- a/src/test/java/lineward/mysql/StandInClient.java
+++ b/src/test/java/lineward/mysql/StandInClient.java
@@ -147,7 +147,7 @@
     }
 
     /**
-     * @return the rows of the result that comes, which are passed over; -1 if an error came in their place
+     * Returns the rows of the result that comes, which are passed over; -1 if an error came in their place.
      */
     int count() throws IOException {
         byte[] first = wire.read();
--- a/src/test/java/lineward/mysql/StandInEngine.java
+++ b/src/test/java/lineward/mysql/StandInEngine.java
@@ -80,7 +80,7 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** @return from the last byte of the last long result until the next command came; or up to that limit */
+    /** Returns from the last byte of the last long result until the next command came; or up to that limit. */
     double releasedAfterMs(long limit) {
         long next = nextCommandAt > lastByteAt ? nextCommandAt : limit;
         return (next - lastByteAt) / 1e6;
--- a/src/test/java/lineward/operations/Operator.java
+++ b/src/test/java/lineward/operations/Operator.java
@@ -17,7 +17,7 @@
         this.port = program.operations();
     }
 
-    /** @return what comes back for these bytes until the connection ends */
+    /** Returns what comes back for these bytes until the connection ends. */
     Answer raw(String bytes) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(10_000);
@@ -37,7 +37,7 @@
         return raw("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
-    /** @return whether the program says that it is ready */
+    /** Returns whether the program says that it is ready. */
     public boolean isReady() {
         try {
             return get("/ops/readiness").status() == 200;
--- a/src/test/java/peatwick/ActionDigest.java
+++ b/src/test/java/lineward/scheduling/ActionDigest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import java.nio.ByteBuffer;
 import java.security.MessageDigest;
@@ -41,26 +41,26 @@
     }
 
     /** Takes in one action of the decision module. */
-    public void add(Front.Action action) {
-        if (action instanceof Front.Send a) {
-            add('S', a.request(), a.engine(), a.maxWait(), a.beginWithin());
-        } else if (action instanceof Front.Cancel a) {
+    public void add(SchedulerAction action) {
+        if (action instanceof SchedulerAction.StartAttempt a) {
+            add('S', a.request(), a.engine(), a.maxWaitMs(), a.startWithinMs());
+        } else if (action instanceof SchedulerAction.CancelAttempt a) {
             add('C', a.request(), a.attempt());
-        } else if (action instanceof Front.Refuse a) {
-            add('R', a.request(), a.retryAfter());
-        } else if (action instanceof Front.Fail a) {
+        } else if (action instanceof SchedulerAction.Reject a) {
+            add('R', a.request(), a.retryAfterMs());
+        } else if (action instanceof SchedulerAction.Fail a) {
             add('F', a.request());
-        } else if (action instanceof Front.SetLimits a) {
+        } else if (action instanceof SchedulerAction.SetResourceLimits a) {
             add('L', a.request(), a.grantMb(), a.priority());
-        } else if (action instanceof Front.Announce a) {
-            add('A', a.octets());
-        } else if (action instanceof Front.Probe a) {
+        } else if (action instanceof SchedulerAction.BroadcastGossip a) {
+            add('A', a.payload());
+        } else if (action instanceof SchedulerAction.StartHealthCheck a) {
             add('P', a.engine());
-        } else if (action instanceof Front.After a) {
-            add('T', a.delay(), a.token());
-        } else if (action instanceof Front.Subscribe) {
+        } else if (action instanceof SchedulerAction.ScheduleTimer a) {
+            add('T', a.delayMs(), a.token());
+        } else if (action instanceof SchedulerAction.WatchEndpoints) {
             add('W');
-        } else if (action instanceof Front.Log) {
+        } else if (action instanceof SchedulerAction.LogMessage) {
             add('O');
         } else {
             throw new IllegalArgumentException("no tag for " + action);
--- a/src/test/java/peatwick/BlameTest.java
+++ b/src/test/java/lineward/scheduling/BlameTest.java
@@ -1,17 +1,16 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peatwick.Front.Outcome;
 
 /** Whose fault an error or a reset is: the request's, the connection's or the engine's. */
 public class BlameTest {
     private static long suspicions(Scene s) {
-        return s.all(Front.Log.class).stream()
-                .filter(l -> l.text().contains("suspected"))
+        return s.all(SchedulerAction.LogMessage.class).stream()
+                .filter(l -> l.text().contains("ejected"))
                 .count();
     }
 
@@ -21,9 +20,9 @@
         for (int id = 1; id <= 20; id++) {
             s.ask(id, 0);
             int attempts = 0;
-            while (s.last(Front.Refuse.class).isEmpty()) {
-                assertEquals(s.last(Front.Send.class).size(), 1);
-                s.verdict(id, attempts++, Outcome.ERROR);
+            while (s.last(SchedulerAction.Reject.class).isEmpty()) {
+                assertEquals(s.last(SchedulerAction.StartAttempt.class).size(), 1);
+                s.verdict(id, attempts++, AttemptOutcome.ERROR);
             }
             assertEquals(attempts, 3);
         }
@@ -39,9 +38,9 @@
             int attempt = 0;
             while (s.sentTo() == 1) {
                 there++;
-                s.verdict(id, attempt++, Outcome.ERROR);
+                s.verdict(id, attempt++, AttemptOutcome.ERROR);
             }
-            s.verdict(id, attempt, Outcome.OK);
+            s.verdict(id, attempt, AttemptOutcome.OK);
         }
         assertTrue(there <= 3, there + " of 40");
     }
@@ -61,10 +60,10 @@
             s.ask(id, 0);
             int attempt = 0;
             while (s.sentTo() == 1 && there++ % 2 == 0) {
-                s.verdict(id, attempt++, Outcome.ERROR);
+                s.verdict(id, attempt++, AttemptOutcome.ERROR);
             }
             s.pass(50);
-            s.verdict(id, attempt, Outcome.OK);
+            s.verdict(id, attempt, AttemptOutcome.OK);
         }
         assertEquals(suspicions(s), 0);
         assertTrue(there < requests / 6, there + " of " + requests + " at one of four");
@@ -78,13 +77,13 @@
             s.ask(id, 0);
         }
         for (int id = 1; id <= resets; id++) {
-            s.verdict(id, 0, Outcome.RESET).tell(new Front.Aborted(id));
+            s.verdict(id, 0, AttemptOutcome.RESET).tell(new SchedulerEvent.RequestCancelled(id));
         }
-        int before = s.all(Front.Send.class).size();
+        int before = s.all(SchedulerAction.StartAttempt.class).size();
         for (int id = 101; id <= 110; id++) {
             s.ask(id, 0, 0, 2000, 5000);
         }
-        return s.all(Front.Send.class).size() - before;
+        return s.all(SchedulerAction.StartAttempt.class).size() - before;
     }
 
     @Test
--- a/src/test/java/peatwick/ColdFleetTest.java
+++ b/src/test/java/lineward/scheduling/ColdFleetTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
@@ -14,12 +14,6 @@
 import java.util.Random;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peatwick.Front.Condition;
-import peatwick.Front.Effect;
-import peatwick.Front.Listed;
-import peatwick.Front.Outcome;
-import peatwick.Front.RequestClass;
-import peatwick.Front.Scope;
 
 /**
  * Fleets that can't talk share a cold engine's budget: fronts hear of the start at different moments, some
@@ -27,14 +21,25 @@
  */
 public class ColdFleetTest {
     private static final List<RequestClass> CLASSES = List.of(
-            new RequestClass(500, 2, 2500, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, null, null, false, false, 1),
             new RequestClass(
-                    3000, 2.5, 15_000, 12, 0.4, Effect.SAFE, Scope.ALL, 0, false, null, null, false, false, 3));
+                    new RequestClass.Objective(500, 2, 2500, 1, 0.1),
+                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Placement(null, null),
+                    new RequestClass.Workload(false, false, 1)),
+            new RequestClass(
+                    new RequestClass.Objective(3000, 2.5, 15_000, 12, 0.4),
+                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Placement(null, null),
+                    new RequestClass.Workload(false, false, 3)));
     private static final double[] WORK = {100, 3000};
     private static final double REPORTS = 0.15;
     private static final double MEAN = (1 - REPORTS) * WORK[0] + REPORTS * WORK[1];
-    private static final Front.Rules RULES = new Front.Rules(1000, 15_000, 0.34, 2.5, 1500, 0, 0, 0, 0);
-    private static final Front.Kind KIND = new Front.Kind(8, 16_000);
+    private static final SchedulerSettings.Rules RULES = new SchedulerSettings.Rules(
+            1000,
+            new SchedulerSettings.SlowStartRule(15_000, 0.34, 2.5, 1500),
+            0,
+            new SchedulerSettings.RetryBudget(0, 0, 0));
+    private static final EngineKind KIND = new EngineKind(8, 16_000);
     /** Part of the cores at which an engine is at its capacity. */
     private static final double BUSY = 0.85;
 
@@ -53,7 +58,7 @@
         void sent(double age, double work) {
             sends.add(new double[] {age, work / MEAN});
             used += work / MEAN;
-            while (sends.peek()[0] <= age - RULES.fallMs()) {
+            while (sends.peek()[0] <= age - RULES.slowStart().windowMs()) {
                 used -= sends.poll()[1];
             }
             double n = allowed(sends.peek()[0]);
@@ -64,10 +69,17 @@
             }
         }
 
-        /** @return requests of mean work that it bears in a window that begins at that age */
+        /** Returns requests of mean work that it bears in a window that begins at that age. */
         static double allowed(double age) {
-            double warm = RULES.coldShare() + (1 - RULES.coldShare()) * Math.min(1, age / RULES.coldMs());
-            return RULES.overloadFactor() * KIND.cores() * BUSY * warm * RULES.fallMs() / MEAN;
+            double warm = RULES.slowStart().initialRatio()
+                    + (1 - RULES.slowStart().initialRatio())
+                            * Math.min(1, age / RULES.slowStart().durationMs());
+            return RULES.slowStart().overloadFactor()
+                    * KIND.cores()
+                    * BUSY
+                    * warm
+                    * RULES.slowStart().windowMs()
+                    / MEAN;
         }
     }
 
@@ -76,7 +88,7 @@
     /** A fleet on one clock. */
     private static final class Fleet {
         private final int fronts;
-        private final Front.Rules rules;
+        private final SchedulerSettings.Rules rules;
         private final Random random;
         private final PriorityQueue<Due> agenda =
                 new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
@@ -91,7 +103,7 @@
         int repeats;
 
         /** @param rules that each front is told */
-        Fleet(int fronts, Front.Rules rules, int seed) {
+        Fleet(int fronts, SchedulerSettings.Rules rules, int seed) {
             this.fronts = fronts;
             this.rules = rules;
             random = new Random(seed * 7919L + fronts);
@@ -112,7 +124,8 @@
         }
 
         Fleet play() {
-            while (!agenda.isEmpty() && agenda.peek().at < START + RULES.coldMs()) {
+            while (!agenda.isEmpty()
+                    && agenda.peek().at < START + RULES.slowStart().durationMs()) {
                 Due due = agenda.poll();
                 now = due.at;
                 due.task.run();
@@ -128,11 +141,11 @@
             agenda.add(new Due(now + ms, turns++, task));
         }
 
-        private List<Listed> list(boolean started) {
-            List<Listed> list = new ArrayList<>();
+        private List<Endpoint> list(boolean started) {
+            List<Endpoint> list = new ArrayList<>();
             for (int id = 1; id <= engines; id++) {
                 if (id > cold || started) {
-                    list.add(new Listed(id, 0, 1, id > cold ? 0 : START, Condition.READY, 0, 0));
+                    list.add(new Endpoint(id, 0, 1, id > cold ? 0 : START, EndpointState.READY, 0, 0));
                 }
             }
             return list;
@@ -147,7 +160,7 @@
             /** The attempt of each request that is out. */
             private final Map<Long, Integer> out = new HashMap<>();
 
-            private Control module;
+            private SpeculativeScheduler module;
             private int life;
 
             Host(int ordinal, double perMs) {
@@ -157,9 +170,11 @@
 
             void begin() {
                 live(false);
-                in(random.nextDouble() * HEARD_BY_MS, () -> tell(new Front.ListChange(true, list(true))));
+                in(
+                        random.nextDouble() * HEARD_BY_MS,
+                        () -> tell(new SchedulerEvent.EndpointsChanged(true, list(true))));
                 if (random.nextInt(4) == 0) {
-                    in(random.nextDouble() * RULES.coldMs(), () -> live(true));
+                    in(random.nextDouble() * RULES.slowStart().durationMs(), () -> live(true));
                 }
                 arrive();
             }
@@ -169,28 +184,23 @@
                 works.clear();
                 attempts.clear();
                 out.clear();
-                Front.Limits limits = new Front.Limits(
-                        true, false, false, true, 2000, 6, true, true, 0.4, Front.WhenShort.PAGE, 0, false);
-                module = new Control(
-                        new Front.Settings(
+                SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
+                        new SchedulerSettings.Capabilities(true, false, false, true, true, true, false),
+                        new SchedulerSettings.AttemptLimits(6, 2000, 0),
+                        new SchedulerSettings.MemoryLimits(0.4, MemoryShortage.PAGE));
+                module = new SpeculativeScheduler(
+                        new SchedulerSettings(
                                 CLASSES,
                                 List.of(KIND),
-                                1,
-                                0,
-                                fronts,
-                                ordinal,
+                                new SchedulerSettings.FleetPosition(1, 0, fronts, ordinal),
                                 limits,
                                 rules,
-                                List.of(),
-                                false,
-                                false,
-                                0,
-                                false,
+                                new SchedulerSettings.Reporting(List.of(), false),
+                                new SchedulerSettings.Discovery(false, 0, false),
                                 Scene.FREE,
-                                List.of(),
-                                1),
+                                new SchedulerSettings.Quotas(List.of(), 1)),
                         random.nextLong());
-                tell(new Front.ListChange(true, list(started)));
+                tell(new SchedulerEvent.EndpointsChanged(true, list(started)));
             }
 
             private void arrive() {
@@ -199,11 +209,11 @@
                     double work = WORK[type] * Math.exp(random.nextGaussian() - 0.5);
                     long id = ++ids;
                     works.put(id, work);
-                    tell(new Front.Arrival(
+                    tell(new SchedulerEvent.RequestArrived(
                             id,
                             type,
                             0,
-                            CLASSES.get(type).deadline(),
+                            CLASSES.get(type).objective().deadlineMs(),
                             work * Math.exp(0.4 * random.nextGaussian()),
                             100,
                             1,
@@ -213,14 +223,14 @@
                 });
             }
 
-            private void tell(Front.Event event) {
-                for (Front.Action action : module.decide(now, List.of(event))) {
-                    if (action instanceof Front.After after) {
-                        mine(after.delay(), () -> tell(new Front.Wake(after.token())));
-                    } else if (action instanceof Front.Send send) {
+            private void tell(SchedulerEvent event) {
+                for (SchedulerAction action : module.decide(now, List.of(event))) {
+                    if (action instanceof SchedulerAction.ScheduleTimer after) {
+                        mine(after.delayMs(), () -> tell(new SchedulerEvent.TimerFired(after.token())));
+                    } else if (action instanceof SchedulerAction.StartAttempt send) {
                         send(send);
-                    } else if (action instanceof Front.Cancel cancel) {
-                        mine(6, () -> ended(cancel.request(), cancel.attempt(), Outcome.CANCELLED));
+                    } else if (action instanceof SchedulerAction.CancelAttempt cancel) {
+                        mine(6, () -> ended(cancel.request(), cancel.attempt(), AttemptOutcome.CANCELLED));
                     }
                 }
             }
@@ -235,7 +245,7 @@
                 });
             }
 
-            private void send(Front.Send send) {
+            private void send(SchedulerAction.StartAttempt send) {
                 double work = works.get(send.request());
                 int attempt = attempts.merge(send.request(), 1, Integer::sum) - 1;
                 out.put(send.request(), attempt);
@@ -245,15 +255,18 @@
                     budgets.computeIfAbsent(send.engine(), id -> new Budget()).sent(now - START, work);
                 }
                 boolean fails = random.nextDouble() < REPEATS;
-                Outcome outcome = fails ? random.nextBoolean() ? Outcome.FULL : Outcome.RESET : Outcome.OK;
+                AttemptOutcome outcome = fails
+                        ? random.nextBoolean() ? AttemptOutcome.REJECTED : AttemptOutcome.RESET
+                        : AttemptOutcome.OK;
                 mine(
                         fails ? 5 : work / (work > 1000 ? 3 : 1) * (1 + random.nextDouble()),
                         () -> ended(send.request(), attempt, outcome));
             }
 
-            private void ended(long request, int attempt, Outcome outcome) {
+            private void ended(long request, int attempt, AttemptOutcome outcome) {
                 if (out.remove(request, attempt)) {
-                    tell(new Front.Verdict(request, attempt, outcome, outcome == Outcome.OK, 0, 0, new double[0]));
+                    tell(new SchedulerEvent.AttemptEnded(
+                            request, attempt, outcome, outcome == AttemptOutcome.OK, 0, 0, new double[0]));
                 }
             }
         }
@@ -278,8 +291,15 @@
     /** Fronts that are told of no bound push a cold engine over: the check is sharp enough to see it. */
     @Test
     public void theCheckFindsAFleetThatKeepsNoBudget() {
-        Front.Rules none =
-                new Front.Rules(RULES.drainGrace(), RULES.coldMs(), RULES.coldShare(), 0, RULES.fallMs(), 0, 0, 0, 0);
+        SchedulerSettings.Rules none = new SchedulerSettings.Rules(
+                RULES.drainGraceMs(),
+                new SchedulerSettings.SlowStartRule(
+                        RULES.slowStart().durationMs(),
+                        RULES.slowStart().initialRatio(),
+                        0,
+                        RULES.slowStart().windowMs()),
+                0,
+                new SchedulerSettings.RetryBudget(0, 0, 0));
         assertThrows(AssertionError.class, () -> new Fleet(100, none, 1).play());
     }
 
@@ -294,7 +314,7 @@
         assertThrows(AssertionError.class, () -> budget.sent(1, MEAN));
         Budget later = new Budget();
         for (int i = 0; i < 10 * most; i++) {
-            later.sent(i * RULES.fallMs() / most * 1.01, MEAN);
+            later.sent(i * RULES.slowStart().windowMs() / most * 1.01, MEAN);
         }
         assertFalse(later.worst < 0.9, "close to its bound: " + later.worst);
     }
--- /dev/null
+++ b/src/test/java/lineward/scheduling/DecisionDigestTest.java
@@ -0,0 +1,114 @@
+package lineward.scheduling;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Holds every decision of the module, its order and each random draw: digests of all actions on seeded days,
+ * recorded from one version of the module. A change that means to decide otherwise records new ones and
+ * says so.
+ * The digests hold on the processors that Java's mathematical intrinsics treat alike (x86-64).
+ */
+public class DecisionDigestTest {
+    private static final int ENGINES = 9;
+    private static final int LEAST_ACTIONS = 1_000;
+
+    private enum Site {
+        PLAIN,
+        REPORTING,
+        STRICT
+    }
+
+    @DataProvider
+    public Object[][] days() {
+        return new Object[][] {
+            {Site.PLAIN, 2, 1, "b3a9243237db4807"},
+            {Site.PLAIN, 14, 2, "c24cb3a5f081a43d"},
+            {Site.PLAIN, 100, 3, "a969577b7c227aa4"},
+            {Site.REPORTING, 2, 4, "4972cd1db8c1ab41"},
+            {Site.REPORTING, 14, 5, "cb7e60480bbf4254"},
+            {Site.REPORTING, 100, 6, "6fa3fde34f7fa07e"},
+            {Site.STRICT, 2, 7, "36b35d8ea3b44e42"},
+            {Site.STRICT, 14, 8, "d62a40e97890ec62"},
+            {Site.STRICT, 100, 9, "ada89684cc213cc2"},
+            {Site.PLAIN, 3, 10, "91c03e5ce0ab5cf1"},
+            {Site.REPORTING, 4, 11, "d2cfcadf3de70a6f"},
+            {Site.STRICT, 1, 12, "f712dbe516dd42ad"},
+        };
+    }
+
+    @Test(dataProvider = "days")
+    public void theDecisionsOfADayAreThoseRecorded(Site site, int fronts, long seed, String recorded) {
+        SeededDay day = new SeededDay(settings(site, fronts), ENGINES, seed).play();
+        assertTrue(day.actions() > LEAST_ACTIONS, "only " + day.actions() + " actions");
+        assertEquals(day.digest(), recorded);
+    }
+
+    private static SchedulerSettings settings(Site site, int fronts) {
+        List<LoadReportField> report = site == Site.REPORTING
+                ? List.of(LoadReportField.IN_FLIGHT, LoadReportField.MEMORY, LoadReportField.LATENCY)
+                : List.of();
+        return new SchedulerSettings(
+                classes(),
+                List.of(new EngineKind(4, 8_000), new EngineKind(8, 16_000), new EngineKind(6, 0)),
+                new SchedulerSettings.FleetPosition(3, 1, fronts, fronts / 2),
+                limits(site),
+                rules(site),
+                new SchedulerSettings.Reporting(report, false),
+                new SchedulerSettings.Discovery(site == Site.STRICT, 5_000, false),
+                new SchedulerSettings.Costs(0.001, 0.0001),
+                new SchedulerSettings.Quotas(List.of(), 0.2));
+    }
+
+    private static List<RequestClass> classes() {
+        return List.of(
+                requestClass(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false, null, null, false, true, 1),
+                requestClass(Idempotence.NON_IDEMPOTENT, DeduplicationScope.ALL, 0, true, null, null, true, false, 2),
+                requestClass(
+                        Idempotence.BY_KEY, DeduplicationScope.ALL, 900, false, null, List.of(0, 1), false, false, 1),
+                requestClass(Idempotence.BY_KEY, DeduplicationScope.ZONE, 4_000, true, null, null, false, false, 2),
+                requestClass(
+                        Idempotence.BY_KEY, DeduplicationScope.CELL, 2_000, false, List.of(0, 2), null, false, true, 1),
+                requestClass(
+                        Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false, List.of(1), null, true, false, 4));
+    }
+
+    private static RequestClass requestClass(
+            Idempotence effect,
+            DeduplicationScope scope,
+            double keyTtl,
+            boolean inOrder,
+            List<Integer> kinds,
+            List<Integer> zones,
+            boolean load,
+            boolean waitsForLoads,
+            int threads) {
+        return new RequestClass(
+                new RequestClass.Objective(900, 1.5, 5_000, threads, load ? 0.4 : 0),
+                new RequestClass.Repeatability(effect, scope, keyTtl, inOrder),
+                new RequestClass.Placement(kinds, zones),
+                new RequestClass.Workload(load, waitsForLoads, threads));
+    }
+
+    private static SchedulerSettings.Limits limits(Site site) {
+        boolean reporting = site == Site.REPORTING;
+        boolean strict = site == Site.STRICT;
+        return new SchedulerSettings.Limits(
+                new SchedulerSettings.Capabilities(true, reporting, false, !strict, !strict, !strict, reporting),
+                new SchedulerSettings.AttemptLimits(strict ? 3 : 4, 400, strict ? 0 : 400),
+                new SchedulerSettings.MemoryLimits(0.4, strict ? MemoryShortage.PAGE : MemoryShortage.WAIT));
+    }
+
+    private static SchedulerSettings.Rules rules(Site site) {
+        boolean strict = site == Site.STRICT;
+        return new SchedulerSettings.Rules(
+                1_000,
+                new SchedulerSettings.SlowStartRule(6_000, 0.3, strict ? 2 : 4, 1_000),
+                400,
+                new SchedulerSettings.RetryBudget(strict ? 4_000 : 0, 3, 0.15));
+    }
+}
--- a/src/test/java/peatwick/FleetRoomTest.java
+++ b/src/test/java/lineward/scheduling/FleetRoomTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -15,51 +15,34 @@
     /** What a full fleet runs at: threads a core, and what a front may take over an even part. */
     private static final double FULL = 1.5 * 1.3;
 
-    private static Front.RequestClass report() {
-        return new Front.RequestClass(
-                3000,
-                2.5,
-                15000,
-                12,
-                0.4,
-                Front.Effect.SAFE,
-                Front.Scope.ALL,
-                0,
-                false,
-                null,
-                null,
-                false,
-                false,
-                THREADS);
+    private static RequestClass report() {
+        return new RequestClass(
+                new RequestClass.Objective(3000, 2.5, 15000, 12, 0.4),
+                new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                new RequestClass.Placement(null, null),
+                new RequestClass.Workload(false, false, THREADS));
     }
 
     static Scene front(int fronts, int ordinal, int engines) {
-        List<Front.Listed> list = new ArrayList<>();
+        List<Endpoint> list = new ArrayList<>();
         for (int id = 1; id <= engines; id++) {
-            list.add(new Front.Listed(id, 0, 1, 0, Front.Condition.READY, 0, 0));
+            list.add(new Endpoint(id, 0, 1, 0, EndpointState.READY, 0, 0));
         }
-        return new Scene(new Front.Settings(
+        return new Scene(new SchedulerSettings(
                         List.of(Scene.look(), report()),
-                        List.of(new Front.Kind(CORES, 16000)),
-                        1,
-                        0,
-                        fronts,
-                        ordinal,
+                        List.of(new EngineKind(CORES, 16000)),
+                        new SchedulerSettings.FleetPosition(1, 0, fronts, ordinal),
                         Scene.limits(6),
                         Scene.rules(),
-                        List.of(),
-                        false,
-                        false,
-                        0,
-                        false,
+                        new SchedulerSettings.Reporting(List.of(), false),
+                        new SchedulerSettings.Discovery(false, 0, false),
                         Scene.FREE,
-                        List.of(),
-                        1))
-                .tell(new Front.ListChange(true, list));
+                        new SchedulerSettings.Quotas(List.of(), 1)))
+                .tell(new SchedulerEvent.EndpointsChanged(true, list));
     }
 
     private static int threads(Scene s) {
-        return s.all(Front.Send.class).size() * THREADS;
+        return s.all(SchedulerAction.StartAttempt.class).size() * THREADS;
     }
 
     @DataProvider
@@ -97,9 +80,9 @@
         for (int id = 1; id <= 3 * engines; id++) {
             s.ask(id, 1, 0, 9000, 15000);
         }
-        int before = s.all(Front.Send.class).size();
+        int before = s.all(SchedulerAction.StartAttempt.class).size();
         s.ask(1000, 0, 0, 100, 5000);
-        assertEquals(s.all(Front.Send.class).size(), before + 1);
+        assertEquals(s.all(SchedulerAction.StartAttempt.class).size(), before + 1);
     }
 
     /** Past a full part the class worth most goes on within its share; it does not fill the part again. */
@@ -113,9 +96,10 @@
             s.ask(1000 + id, 0, 0, 100, 5000);
         }
         double part = FULL * CORES * engines / fronts;
-        long lookUps =
-                s.all(Front.Send.class).stream().filter(x -> x.request() > 1000).count();
-        long reports = s.all(Front.Send.class).size() - lookUps;
+        long lookUps = s.all(SchedulerAction.StartAttempt.class).stream()
+                .filter(x -> x.request() > 1000)
+                .count();
+        long reports = s.all(SchedulerAction.StartAttempt.class).size() - lookUps;
         assertTrue(lookUps >= 1 && reports >= 1, "both go out");
         assertTrue(lookUps + reports * THREADS <= part * 1.3 + THREADS, lookUps + " and " + reports);
     }
@@ -131,7 +115,7 @@
         for (int id = 201; id <= 300; id++) {
             s.ask(id, 0, 0, 100, 5000).pass(25);
         }
-        assertTrue(s.all(Front.Send.class).stream().anyMatch(x -> x.request() == 1000));
+        assertTrue(s.all(SchedulerAction.StartAttempt.class).stream().anyMatch(x -> x.request() == 1000));
     }
 
     @DataProvider
@@ -142,12 +126,16 @@
     /** Where engines page, memory counts as used up to the need alone, and a spill costs the most. */
     @Test
     public void whereEnginesPageAllThatAnEngineGivesIsGranted() {
-        for (Front.WhenShort when : Front.WhenShort.values()) {
-            Front.Limits limits = new Front.Limits(true, false, false, true, 500, 4, true, true, 0.4, when, 0, false);
+        for (MemoryShortage when : MemoryShortage.values()) {
+            SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
+                    new SchedulerSettings.Capabilities(true, false, false, true, true, true, false),
+                    new SchedulerSettings.AttemptLimits(4, 500, 0),
+                    new SchedulerSettings.MemoryLimits(0.4, when));
             Scene s = new Scene(Scene.settings(limits, Scene.rules(), report())).engines(1, 2);
             s.ask(1, 0);
-            double granted = s.all(Front.SetLimits.class).get(0).grantMb();
-            assertEquals(granted, when == Front.WhenShort.PAGE ? 0.4 * 16_000 : 100 * 1.25, 1e-6, "" + when);
+            double granted =
+                    s.all(SchedulerAction.SetResourceLimits.class).get(0).grantMb();
+            assertEquals(granted, when == MemoryShortage.PAGE ? 0.4 * 16_000 : 100 * 1.25, 1e-6, "" + when);
         }
     }
 
@@ -156,16 +144,16 @@
     public void aPartDoesNotGrowWhileReportsStayOut() {
         Scene s = front(20, 0, 30);
         for (int id = 1; id <= 40; id++) {
-            s.ask(id, 0, 0, 200, 5000).pass(100).verdict(id, 0, Front.Outcome.OK);
+            s.ask(id, 0, 0, 200, 5000).pass(100).verdict(id, 0, AttemptOutcome.OK);
         }
         for (int id = 101; id <= 140; id++) {
             s.ask(id, 1, 0, 900, 15000);
         }
         for (int id = 200; id <= 300; id++) {
-            s.ask(id, 0, 0, 200, 5000).pass(100).verdict(id, 0, Front.Outcome.OK);
+            s.ask(id, 0, 0, 200, 5000).pass(100).verdict(id, 0, AttemptOutcome.OK);
         }
-        long reports = s.all(Front.Send.class).stream()
-                .map(Front.Send::request)
+        long reports = s.all(SchedulerAction.StartAttempt.class).stream()
+                .map(SchedulerAction.StartAttempt::request)
                 .filter(id -> id > 100 && id <= 140)
                 .distinct()
                 .count();
--- a/src/test/java/peatwick/HeldOutTest.java
+++ b/src/test/java/lineward/scheduling/HeldOutTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -6,27 +6,25 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peatwick.Front.Condition;
-import peatwick.Front.HeldOut;
-import peatwick.Front.ListChange;
-import peatwick.Front.Listed;
-import peatwick.Front.Outcome;
-import peatwick.Front.Send;
 
 /** An engine held out by order gets nothing, and is used again when called back. */
 public class HeldOutTest {
-    private static Listed listed(Condition condition, double upSince) {
-        return new Listed(1, 0, 1, upSince, condition, 0, 1);
+    private static Endpoint listed(EndpointState condition, double upSince) {
+        return new Endpoint(1, 0, 1, upSince, condition, 0, 1);
     }
 
     /** What the list may say of an engine that is held out. */
     @DataProvider
     public Object[][] lists() {
-        ListChange gone = new ListChange(false, List.of(listed(Condition.GONE, 0)));
-        ListChange missing = new ListChange(true, List.of(Scene.engine(2)));
-        ListChange back = new ListChange(false, List.of(listed(Condition.READY, 0)));
-        ListChange anew = new ListChange(false, List.of(listed(Condition.READY, 900)));
-        ListChange whole = new ListChange(true, List.of(Scene.engine(1), Scene.engine(2)));
+        SchedulerEvent.EndpointsChanged gone =
+                new SchedulerEvent.EndpointsChanged(false, List.of(listed(EndpointState.GONE, 0)));
+        SchedulerEvent.EndpointsChanged missing = new SchedulerEvent.EndpointsChanged(true, List.of(Scene.engine(2)));
+        SchedulerEvent.EndpointsChanged back =
+                new SchedulerEvent.EndpointsChanged(false, List.of(listed(EndpointState.READY, 0)));
+        SchedulerEvent.EndpointsChanged anew =
+                new SchedulerEvent.EndpointsChanged(false, List.of(listed(EndpointState.READY, 900)));
+        SchedulerEvent.EndpointsChanged whole =
+                new SchedulerEvent.EndpointsChanged(true, List.of(Scene.engine(1), Scene.engine(2)));
         return new Object[][] {
             {List.of()},
             {List.of(gone)},
@@ -39,47 +37,47 @@
     }
 
     @Test(dataProvider = "lists")
-    public void noListLetsItInAgain(List<ListChange> lists) {
+    public void noListLetsItInAgain(List<SchedulerEvent.EndpointsChanged> lists) {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2);
-        s.tell(new HeldOut(1, true, s.now));
-        for (ListChange change : lists) {
+        s.tell(new SchedulerEvent.MaintenanceChanged(1, true, s.now));
+        for (SchedulerEvent.EndpointsChanged change : lists) {
             s.pass(2000);
             s.tell(change);
         }
         for (int i = 0; i < 40; i++) {
             s.ask(10 + i, 0);
-            s.verdict(10 + i, 0, i % 5 == 0 ? Outcome.ERROR : Outcome.OK);
+            s.verdict(10 + i, 0, i % 5 == 0 ? AttemptOutcome.ERROR : AttemptOutcome.OK);
             s.pass(25);
         }
-        assertTrue(s.all(Send.class).size() >= 40);
-        assertTrue(s.all(Send.class).stream().noneMatch(send -> send.engine() == 1));
+        assertTrue(s.all(SchedulerAction.StartAttempt.class).size() >= 40);
+        assertTrue(s.all(SchedulerAction.StartAttempt.class).stream().noneMatch(send -> send.engine() == 1));
     }
 
     @Test
     public void anEngineTheListHasNotYetIsHeldOutWhenItComes() {
         Scene s = new Scene(Scene.settings(Scene.look()));
-        s.tell(new HeldOut(1, true, s.now)).pass(100);
-        assertEquals(s.control.avoided(), 0);
+        s.tell(new SchedulerEvent.MaintenanceChanged(1, true, s.now)).pass(100);
+        assertEquals(s.control.excludedEngines(), 0);
         s.engines(1).ask(5, 0).pass(1000);
-        assertEquals(s.all(Send.class).size(), 0);
-        assertEquals(s.control.avoided(), 1);
-        s.tell(new HeldOut(1, false, s.now));
+        assertEquals(s.all(SchedulerAction.StartAttempt.class).size(), 0);
+        assertEquals(s.control.excludedEngines(), 1);
+        s.tell(new SchedulerEvent.MaintenanceChanged(1, false, s.now));
         assertEquals(s.sentTo(), 1, "what is held goes out with the call back");
-        assertEquals(s.control.avoided(), 0);
+        assertEquals(s.control.excludedEngines(), 0);
     }
 
     @Test
     public void calledBackItIsUsedAtOnceAsAColdEngineThoughOthersAreFree() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3, 4);
-        s.tell(new HeldOut(1, true, s.now)).pass(30_000);
-        s.tell(new HeldOut(1, false, s.now));
+        s.tell(new SchedulerEvent.MaintenanceChanged(1, true, s.now)).pass(30_000);
+        s.tell(new SchedulerEvent.MaintenanceChanged(1, false, s.now));
         int there = 0;
         for (int i = 0; i < 60; i++) {
             s.ask(10 + i, 0);
             there += s.sentTo() == 1 ? 1 : 0;
             assertTrue(i > 0 || there == 1, "the first goes there");
             if (i == 0) {
-                s.verdict(10, 0, Outcome.OK);
+                s.verdict(10, 0, AttemptOutcome.OK);
             }
         }
         double budget = 0.4 * 3 * 0.33 * 8 * 1000;
@@ -96,26 +94,26 @@
     public void theColdBudgetGrowsAsAnEngineWarmsWhoseStartWasTold(int age, int sent) {
         Scene s = new Scene(Scene.settings(Scene.look())).engines();
         s.now += 20_000;
-        s.tell(new ListChange(true, List.of(listed(Condition.READY, s.now - age))));
+        s.tell(new SchedulerEvent.EndpointsChanged(true, List.of(listed(EndpointState.READY, s.now - age))));
         for (int i = 0; i < 40; i++) {
             s.ask(10 + i, 0, 0, 1000, 5000);
         }
-        assertEquals(s.all(Send.class).size(), sent);
+        assertEquals(s.all(SchedulerAction.StartAttempt.class).size(), sent);
     }
 
     @Test
     public void twoProcessesShareTheColdBudget() {
         Scene alone = new Scene(Scene.settings(Scene.look()));
         Scene both = new Scene(Scene.settings(Scene.look()));
-        both.tell(new Front.Part(0.5));
+        both.tell(new SchedulerEvent.QuotaChanged(0.5));
         long[] sent = new long[2];
         for (int k = 0; k < 2; k++) {
             Scene s = k == 0 ? alone : both;
-            s.engines(1).pass(5000).tell(new HeldOut(1, false, s.now));
+            s.engines(1).pass(5000).tell(new SchedulerEvent.MaintenanceChanged(1, false, s.now));
             for (int i = 0; i < 40; i++) {
                 s.ask(10 + i, 0, 0, 1000, 5000);
             }
-            sent[k] = s.all(Send.class).size();
+            sent[k] = s.all(SchedulerAction.StartAttempt.class).size();
         }
         assertTrue(sent[1] > 0 && sent[1] <= sent[0] / 2 + 1 && sent[0] > sent[1], sent[0] + " " + sent[1]);
     }
--- a/src/test/java/peatwick/ManyFrontsTest.java
+++ b/src/test/java/lineward/scheduling/ManyFrontsTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,10 +10,6 @@
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import peatwick.Front.Condition;
-import peatwick.Front.Listed;
-import peatwick.Front.Outcome;
-import peatwick.Front.Send;
 
 /** Modules that cannot talk keep a cold engine's budget together, and use it. */
 class ManyFrontsTest {
@@ -21,23 +17,24 @@
 
     private record Sent(double at, double work) {}
 
-    private record Due(double at, int front, Front.Event event) {}
+    private record Due(double at, int front, SchedulerEvent event) {}
 
     private final Map<Long, Double> costs = new HashMap<>();
 
     /** Each attempt is answered after its work; wakes come when asked for. */
     private void note(
-            int front, List<Front.Action> actions, double now, PriorityQueue<Due> out, List<List<Sent>> sent) {
-        for (Front.Action action : actions) {
-            if (action instanceof Send send) {
+            int front, List<SchedulerAction> actions, double now, PriorityQueue<Due> out, List<List<Sent>> sent) {
+        for (SchedulerAction action : actions) {
+            if (action instanceof SchedulerAction.StartAttempt send) {
                 double cost = costs.get(send.request());
                 sent.get((int) send.engine()).add(new Sent(now, cost));
                 out.add(new Due(
                         now + cost,
                         front,
-                        new Front.Verdict(send.request(), 0, Outcome.OK, true, 0, 0, new double[0])));
-            } else if (action instanceof Front.After after) {
-                out.add(new Due(now + after.delay(), front, new Front.Wake(after.token())));
+                        new SchedulerEvent.AttemptEnded(
+                                send.request(), 0, AttemptOutcome.OK, true, 0, 0, new double[0])));
+            } else if (action instanceof SchedulerAction.ScheduleTimer after) {
+                out.add(new Due(now + after.delayMs(), front, new SchedulerEvent.TimerFired(after.token())));
             }
         }
     }
@@ -46,37 +43,30 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 50, 300})
     void coldEnginesAreUsedAndNotPushedOver(int fronts) {
-        Front.Rules rules = Scene.rules();
+        SchedulerSettings.Rules rules = Scene.rules();
         Random random = new Random(fronts);
         int engines = 10;
         double start = 100_000;
-        List<Listed> list = new ArrayList<>();
+        List<Endpoint> list = new ArrayList<>();
         for (int id = 1; id <= engines; id++) {
-            list.add(new Listed(id, 0, 1, id % 2 == 0 ? start - 100 : 0, Condition.READY, 0, 0));
+            list.add(new Endpoint(id, 0, 1, id % 2 == 0 ? start - 100 : 0, EndpointState.READY, 0, 0));
         }
-        List<Control> modules = new ArrayList<>();
+        List<SpeculativeScheduler> modules = new ArrayList<>();
         for (int i = 0; i < fronts; i++) {
-            Front.RequestClass look = Scene.look();
-            modules.add(new Control(
-                    new Front.Settings(
+            RequestClass look = Scene.look();
+            modules.add(new SpeculativeScheduler(
+                    new SchedulerSettings(
                             List.of(look),
-                            List.of(new Front.Kind(CORES, 0)),
-                            1,
-                            0,
-                            fronts,
-                            i,
+                            List.of(new EngineKind(CORES, 0)),
+                            new SchedulerSettings.FleetPosition(1, 0, fronts, i),
                             Scene.limits(4),
                             rules,
-                            List.of(),
-                            false,
-                            false,
-                            0,
-                            false,
+                            new SchedulerSettings.Reporting(List.of(), false),
+                            new SchedulerSettings.Discovery(false, 0, false),
                             Scene.FREE,
-                            List.of(),
-                            1),
+                            new SchedulerSettings.Quotas(List.of(), 1)),
                     i));
-            modules.get(i).decide(start, List.of(new Front.ListChange(true, list)));
+            modules.get(i).decide(start, List.of(new SchedulerEvent.EndpointsChanged(true, list)));
         }
         List<List<Sent>> cold = new ArrayList<>();
         for (int id = 0; id <= engines; id++) {
@@ -85,7 +75,7 @@
         int asked = 0;
         double answered = start;
         PriorityQueue<Due> out = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
-        for (double now = start; now < start + rules.coldMs() - 200; now += 5) {
+        for (double now = start; now < start + rules.slowStart().durationMs() - 200; now += 5) {
             while (!out.isEmpty() && out.peek().at() <= now) {
                 Due due = out.poll();
                 note(due.front(), modules.get(due.front()).decide(now, List.of(due.event())), now, out, cold);
@@ -98,19 +88,27 @@
                 note(
                         front,
                         modules.get(front)
-                                .decide(now, List.of(new Front.Arrival(id, 0, 0, 5000, cost, 100, 0, false, 0))),
+                                .decide(
+                                        now,
+                                        List.of(new SchedulerEvent.RequestArrived(
+                                                id, 0, 0, 5000, cost, 100, 0, false, 0))),
                         now,
                         out,
                         cold);
             }
             answered = now;
         }
-        double allowed = rules.overloadFactor() * rules.coldShare() * 0.85 * CORES * rules.fallMs();
+        double allowed = rules.slowStart().overloadFactor()
+                * rules.slowStart().initialRatio()
+                * 0.85
+                * CORES
+                * rules.slowStart().windowMs();
         for (int id = 2; id <= engines; id += 2) {
             List<Sent> sends = cold.get(id);
             for (Sent first : sends) {
                 double window = sends.stream()
-                        .filter(s -> s.at() >= first.at() && s.at() < first.at() + rules.fallMs())
+                        .filter(s -> s.at() >= first.at()
+                                && s.at() < first.at() + rules.slowStart().windowMs())
                         .mapToDouble(Sent::work)
                         .sum();
                 assertThat(window).as("engine " + id + " from " + first.at()).isLessThanOrEqualTo(allowed);
@@ -131,44 +129,42 @@
     @ParameterizedTest
     @ValueSource(ints = {50, 300})
     void everyKindIsUsedAndScarceOnesAreLeftToTheBound(int fronts) {
-        List<Front.Kind> kinds = List.of(new Front.Kind(16, 32000), new Front.Kind(12, 24000));
-        List<Listed> list = new ArrayList<>();
+        List<EngineKind> kinds = List.of(new EngineKind(16, 32000), new EngineKind(12, 24000));
+        List<Endpoint> list = new ArrayList<>();
         for (int id = 0; id < 20; id++) {
-            list.add(new Listed(id, id % 2, 1, 0, Condition.READY, 0, 0));
+            list.add(new Endpoint(id, id % 2, 1, 0, EndpointState.READY, 0, 0));
         }
         int[] looks = new int[2];
         for (int i = 0; i < fronts; i++) {
-            List<Front.RequestClass> classes = List.of(Scene.look(), Scene.bound(0));
-            Control module = new Control(
-                    new Front.Settings(
+            List<RequestClass> classes = List.of(Scene.look(), Scene.bound(0));
+            SpeculativeScheduler module = new SpeculativeScheduler(
+                    new SchedulerSettings(
                             classes,
                             kinds,
-                            1,
-                            0,
-                            fronts,
-                            i,
+                            new SchedulerSettings.FleetPosition(1, 0, fronts, i),
                             Scene.limits(4),
                             Scene.rules(),
-                            List.of(),
-                            false,
-                            false,
-                            0,
-                            false,
+                            new SchedulerSettings.Reporting(List.of(), false),
+                            new SchedulerSettings.Discovery(false, 0, false),
                             Scene.FREE,
-                            List.of(),
-                            1),
+                            new SchedulerSettings.Quotas(List.of(), 1)),
                     i);
-            module.decide(0, List.of(new Front.ListChange(true, list)));
+            module.decide(0, List.of(new SchedulerEvent.EndpointsChanged(true, list)));
             for (int n = 1; n <= 10; n++) {
                 double now = n * 1000;
                 int type = n % 2;
-                for (Front.Action action : module.decide(
-                        now, List.of(new Front.Wake(0), new Front.Arrival(n, type, 0, 5000, 200, 300, n, false, 0)))) {
-                    if (action instanceof Send send && type == 0 && n > 2) {
+                for (SchedulerAction action : module.decide(
+                        now,
+                        List.of(
+                                new SchedulerEvent.TimerFired(0),
+                                new SchedulerEvent.RequestArrived(n, type, 0, 5000, 200, 300, n, false, 0)))) {
+                    if (action instanceof SchedulerAction.StartAttempt send && type == 0 && n > 2) {
                         looks[(int) send.engine() % 2]++;
                     }
                 }
-                module.decide(now + 200, List.of(new Front.Verdict(n, 0, Outcome.OK, true, 0, 0, new double[0])));
+                module.decide(
+                        now + 200,
+                        List.of(new SchedulerEvent.AttemptEnded(n, 0, AttemptOutcome.OK, true, 0, 0, new double[0])));
             }
         }
         // Half the work is bound to kind 0, with 16 of 28 cores: a level fleet gives it 1 in 7 of the rest.
@@ -179,43 +175,36 @@
     /** Forty engines and a few answers a second: none tells much alone, together they show a slow fleet. */
     @org.junit.jupiter.api.Test
     void aFrontOfLittleTrafficSeesThatTheFleetIsSlow() {
-        List<Listed> list = new ArrayList<>();
+        List<Endpoint> list = new ArrayList<>();
         for (int id = 1; id <= 40; id++) {
-            list.add(new Listed(id, 0, 1, 0, Condition.READY, 0, 0));
+            list.add(new Endpoint(id, 0, 1, 0, EndpointState.READY, 0, 0));
         }
-        Scene s = new Scene(new Front.Settings(
+        Scene s = new Scene(new SchedulerSettings(
                 List.of(Scene.look()),
-                List.of(new Front.Kind(8, 16000)),
-                1,
-                0,
-                50,
-                7,
+                List.of(new EngineKind(8, 16000)),
+                new SchedulerSettings.FleetPosition(1, 0, 50, 7),
                 Scene.limits(4),
                 Scene.rules(),
-                List.of(),
-                false,
-                false,
-                0,
-                false,
+                new SchedulerSettings.Reporting(List.of(), false),
+                new SchedulerSettings.Discovery(false, 0, false),
                 Scene.FREE,
-                List.of(),
-                1));
-        s.tell(new Front.ListChange(true, list));
+                new SchedulerSettings.Quotas(List.of(), 1)));
+        s.tell(new SchedulerEvent.EndpointsChanged(true, list));
         for (int i = 0; i < 40; i++) {
-            s.ask(i, 0).pass(200).verdict(i, 0, Outcome.OK).pass(100);
+            s.ask(i, 0).pass(200).verdict(i, 0, AttemptOutcome.OK).pass(100);
         }
         s.ask(100, 0, 0, 2000, 5000);
         assertThat(s.sentTo()).as("a long request is sent while all is well").isPositive();
-        s.verdict(100, 0, Outcome.OK).pass(6000);
+        s.verdict(100, 0, AttemptOutcome.OK).pass(6000);
         for (int i = 200; i < 212; i++) {
             s.ask(i, 0);
         }
         s.pass(1000);
         for (int i = 200; i < 212; i++) {
-            s.verdict(i, 0, Outcome.OK);
+            s.verdict(i, 0, AttemptOutcome.OK);
         }
         s.pass(600).ask(300, 0, 0, 2000, 5000);
-        assertThat(s.last(Front.Refuse.class))
+        assertThat(s.last(SchedulerAction.Reject.class))
                 .as("it cannot meet its aim any more")
                 .hasSize(1);
     }
@@ -227,31 +216,24 @@
         int asked = 0;
         int toDead = 0;
         for (int i = 0; i < Math.min(fronts, 30); i++) {
-            List<Front.Kind> kinds = List.of(new Front.Kind(8, 16000));
-            Scene s = new Scene(new Front.Settings(
+            List<EngineKind> kinds = List.of(new EngineKind(8, 16000));
+            Scene s = new Scene(new SchedulerSettings(
                     List.of(Scene.look()),
                     kinds,
-                    1,
-                    0,
-                    fronts,
-                    i,
+                    new SchedulerSettings.FleetPosition(1, 0, fronts, i),
                     Scene.limits(4),
                     Scene.rules(),
-                    List.of(),
-                    false,
-                    false,
-                    0,
-                    false,
+                    new SchedulerSettings.Reporting(List.of(), false),
+                    new SchedulerSettings.Discovery(false, 0, false),
                     Scene.FREE,
-                    List.of(),
-                    1));
+                    new SchedulerSettings.Quotas(List.of(), 1)));
             s.engines(1, 2, 3, 4, 5, 6, 7, 8);
             for (int id = 1; id <= 60; id++) {
                 s.ask(id, 0);
                 for (int attempt = 0; s.sentTo() > 0; attempt++) {
                     boolean dead = s.sentTo() > 4;
                     toDead += dead && id > 20 ? 1 : 0;
-                    s.verdict(id, attempt, dead ? Outcome.CONNECT_FAILED : Outcome.OK);
+                    s.verdict(id, attempt, dead ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.OK);
                 }
                 asked += id > 20 ? 1 : 0;
                 s.pass(400);
--- a/src/test/java/peatwick/RareClassTest.java
+++ b/src/test/java/lineward/scheduling/RareClassTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -20,17 +20,17 @@
     private static Scene afterReports(int fronts, int engines, int reports) {
         Scene s = FleetRoomTest.front(fronts, 0, engines);
         for (int id = 1; id <= 40; id++) {
-            s.ask(id, 0, 0, 200, 5000).pass(200).verdict(id, 0, Front.Outcome.OK);
+            s.ask(id, 0, 0, 200, 5000).pass(200).verdict(id, 0, AttemptOutcome.OK);
         }
         for (int id = 101; id <= 100 + reports; id++) {
-            s.ask(id, 1, 0, 900, 15_000).pass(USUAL_MS).verdict(id, 0, Front.Outcome.OK);
+            s.ask(id, 1, 0, 900, 15_000).pass(USUAL_MS).verdict(id, 0, AttemptOutcome.OK);
         }
         s.ask(STRAGGLER, 1, 0, 900, 15_000);
         return s;
     }
 
-    private static List<Front.Cancel> cuts(Scene s) {
-        return s.all(Front.Cancel.class).stream()
+    private static List<SchedulerAction.CancelAttempt> cuts(Scene s) {
+        return s.all(SchedulerAction.CancelAttempt.class).stream()
                 .filter(c -> c.request() == STRAGGLER)
                 .toList();
     }
@@ -42,10 +42,10 @@
         assertEquals(cuts(s).size(), 0, "twice as long may be chance");
         s.pass(7 * USUAL_MS);
         assertEquals(cuts(s).size(), 1);
-        s.verdict(STRAGGLER, 0, Front.Outcome.CANCELLED);
-        List<Long> engine = s.all(Front.Send.class).stream()
+        s.verdict(STRAGGLER, 0, AttemptOutcome.CANCELLED);
+        List<Long> engine = s.all(SchedulerAction.StartAttempt.class).stream()
                 .filter(x -> x.request() == STRAGGLER)
-                .map(Front.Send::engine)
+                .map(SchedulerAction.StartAttempt::engine)
                 .toList();
         assertEquals(engine.size(), 2, "sent again at once");
         assertTrue(!engine.get(0).equals(engine.get(1)), "elsewhere");
--- a/src/test/java/peatwick/SeededDay.java
+++ b/src/test/java/lineward/scheduling/SeededDay.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,7 +21,7 @@
     private static final double MEAN_SERVICE = 180;
     private static final int REPORT_FIELDS = 3;
 
-    private record Due(double at, long order, Front.Event event) {}
+    private record Due(double at, long order, SchedulerEvent event) {}
 
     private static final class Open {
         final double deadline;
@@ -33,8 +33,8 @@
     }
 
     private final Random random;
-    private final Front.Settings settings;
-    private final Front module;
+    private final SchedulerSettings settings;
+    private final Scheduler module;
     private final int engineCount;
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
@@ -44,11 +44,11 @@
     private long order;
     private int actions;
 
-    SeededDay(Front.Settings settings, int engineCount, long seed) {
+    SeededDay(SchedulerSettings settings, int engineCount, long seed) {
         this.settings = settings;
         this.engineCount = engineCount;
         this.random = new Random(seed);
-        this.module = new Control(settings, seed);
+        this.module = new SpeculativeScheduler(settings, seed);
     }
 
     /** Plays the day to its end. */
@@ -58,16 +58,16 @@
         schedulePeers();
         while (!queue.isEmpty() && queue.peek().at() < DAY_ENDS) {
             double now = queue.peek().at();
-            List<Front.Event> batch = new ArrayList<>();
+            List<SchedulerEvent> batch = new ArrayList<>();
             while (!queue.isEmpty() && queue.peek().at() == now) {
                 takeIn(queue.poll().event(), now, batch);
             }
-            for (Front.Action action : module.decide(now, batch)) {
+            for (SchedulerAction action : module.decide(now, batch)) {
                 actions++;
                 digest.add(action);
                 perform(action, now);
             }
-            digest.add('N', now, module.avoided());
+            digest.add('N', now, module.excludedEngines());
         }
         return this;
     }
@@ -80,36 +80,38 @@
         return digest.toHex();
     }
 
-    private void schedule(double at, Front.Event event) {
+    private void schedule(double at, SchedulerEvent event) {
         queue.add(new Due(at, order++, event));
     }
 
-    private Front.Listed listed(long engine, Front.Condition condition, double upSince) {
+    private Endpoint listed(long engine, EndpointState condition, double upSince) {
         int kind = (int) (engine % settings.kinds().size());
-        int zone = (int) (engine % Math.max(1, settings.zones()));
-        return new Front.Listed(engine, kind, 1, upSince, condition, zone, (int) (engine / 2 % 3));
+        int zone = (int) (engine % Math.max(1, settings.position().zones()));
+        return new Endpoint(engine, kind, 1, upSince, condition, zone, (int) (engine / 2 % 3));
     }
 
     private void scheduleEndpoints() {
-        List<Front.Listed> list = new ArrayList<>();
+        List<Endpoint> list = new ArrayList<>();
         for (long engine = 1; engine <= engineCount; engine++) {
-            list.add(listed(engine, Front.Condition.READY, engine % 5 == 0 ? START - 500 : 0));
+            list.add(listed(engine, EndpointState.READY, engine % 5 == 0 ? START - 500 : 0));
         }
-        schedule(START, new Front.ListChange(true, list));
+        schedule(START, new SchedulerEvent.EndpointsChanged(true, list));
         for (int i = 0; i < 24; i++) {
             double at = START + random.nextDouble() * ARRIVALS_UNTIL;
             long engine = 1 + random.nextInt(engineCount);
-            Front.Condition condition = Front.Condition.values()[random.nextInt(3)];
-            schedule(at, new Front.ListChange(false, List.of(listed(engine, condition, 0))));
-            schedule(at + 700, new Front.ListChange(false, List.of(listed(engine, Front.Condition.READY, at + 600))));
+            EndpointState condition = EndpointState.values()[random.nextInt(3)];
+            schedule(at, new SchedulerEvent.EndpointsChanged(false, List.of(listed(engine, condition, 0))));
+            schedule(
+                    at + 700,
+                    new SchedulerEvent.EndpointsChanged(false, List.of(listed(engine, EndpointState.READY, at + 600))));
         }
-        schedule(START + 9_000, new Front.ListChange(true, list));
-        schedule(START + 5_000, new Front.ListFailed());
-        schedule(START + 6_000, new Front.HeldOut(2, true, START + 6_000));
-        schedule(START + 9_500, new Front.HeldOut(2, false, START + 9_500));
-        schedule(START + 7_000, new Front.HeldOut(engineCount + 9, true, START + 7_000));
-        schedule(START + 11_000, new Front.Part(0.5));
-        schedule(START + 14_000, new Front.Part(1));
+        schedule(START + 9_000, new SchedulerEvent.EndpointsChanged(true, list));
+        schedule(START + 5_000, new SchedulerEvent.DiscoveryFailed());
+        schedule(START + 6_000, new SchedulerEvent.MaintenanceChanged(2, true, START + 6_000));
+        schedule(START + 9_500, new SchedulerEvent.MaintenanceChanged(2, false, START + 9_500));
+        schedule(START + 7_000, new SchedulerEvent.MaintenanceChanged(engineCount + 9, true, START + 7_000));
+        schedule(START + 11_000, new SchedulerEvent.QuotaChanged(0.5));
+        schedule(START + 14_000, new SchedulerEvent.QuotaChanged(1));
         silentUntil.put(3L, START + 8_000);
     }
 
@@ -123,7 +125,7 @@
             double cost = random.nextInt(4) == 0 ? 0 : 50 + random.nextInt(700);
             schedule(
                     at,
-                    new Front.Arrival(
+                    new SchedulerEvent.RequestArrived(
                             request,
                             type,
                             key,
@@ -134,39 +136,39 @@
                             random.nextInt(9) == 0,
                             random.nextInt(2)));
             if (random.nextInt(20) == 0) {
-                schedule(at + random.nextInt(900), new Front.Aborted(request));
+                schedule(at + random.nextInt(900), new SchedulerEvent.RequestCancelled(request));
             }
         }
     }
 
     private void schedulePeers() {
-        for (int i = 0; i < 60 && settings.limits().peers(); i++) {
+        for (int i = 0; i < 60 && settings.limits().capabilities().gossip(); i++) {
             byte[] octets = new byte[random.nextInt(60)];
             random.nextBytes(octets);
-            schedule(START + random.nextDouble() * ARRIVALS_UNTIL, new Front.PeerSays(i % 3, octets));
+            schedule(START + random.nextDouble() * ARRIVALS_UNTIL, new SchedulerEvent.GossipReceived(i % 3, octets));
         }
     }
 
-    private void takeIn(Front.Event event, double now, List<Front.Event> batch) {
-        if (event instanceof Front.Arrival arrival) {
-            requests.put(arrival.request(), new Open(now + arrival.timeLeft()));
+    private void takeIn(SchedulerEvent event, double now, List<SchedulerEvent> batch) {
+        if (event instanceof SchedulerEvent.RequestArrived arrival) {
+            requests.put(arrival.request(), new Open(now + arrival.timeLeftMs()));
         }
         batch.add(event);
     }
 
-    private void perform(Front.Action action, double now) {
-        if (action instanceof Front.Send send) {
+    private void perform(SchedulerAction action, double now) {
+        if (action instanceof SchedulerAction.StartAttempt send) {
             start(send, now);
-        } else if (action instanceof Front.Cancel cancel) {
+        } else if (action instanceof SchedulerAction.CancelAttempt cancel) {
             cancel(cancel, now);
-        } else if (action instanceof Front.Probe probe) {
+        } else if (action instanceof SchedulerAction.StartHealthCheck probe) {
             answerProbe(probe, now);
-        } else if (action instanceof Front.After after) {
-            schedule(now + after.delay(), new Front.Wake(after.token()));
+        } else if (action instanceof SchedulerAction.ScheduleTimer after) {
+            schedule(now + after.delayMs(), new SchedulerEvent.TimerFired(after.token()));
         }
     }
 
-    private void start(Front.Send send, double now) {
+    private void start(SchedulerAction.StartAttempt send, double now) {
         Open open = requests.get(send.request());
         int attempt = open.attempts++;
         double service = MEAN_SERVICE * -Math.log(1 - random.nextDouble());
@@ -174,10 +176,10 @@
         double silence = silentUntil.getOrDefault(send.engine(), 0.0);
         double end = Math.max(now + 5 + service, silence > now ? silence + service : 0);
         scheduleNotes(send.request(), attempt, now, Math.min(end, open.deadline), silence > now);
-        Front.Outcome outcome = drawOutcome();
+        AttemptOutcome outcome = drawOutcome();
         if (end >= open.deadline) {
             end = Math.max(now, open.deadline);
-            outcome = Front.Outcome.TIMEOUT;
+            outcome = AttemptOutcome.TIMEOUT;
         }
         schedule(end, verdict(send.request(), attempt, outcome));
     }
@@ -187,54 +189,55 @@
             return;
         }
         if (random.nextInt(6) == 0) {
-            Front.NoteKind kind = Front.NoteKind.values()[1 + random.nextInt(3)];
-            schedule(from + 3, new Front.Note(request, attempt, kind, random.nextInt(300)));
+            ProgressKind kind = ProgressKind.values()[1 + random.nextInt(3)];
+            schedule(from + 3, new SchedulerEvent.AttemptProgress(request, attempt, kind, random.nextInt(300)));
         }
-        double every = settings.limits().notesEvery();
+        double every = settings.limits().attempts().progressIntervalMs();
         for (double at = from + every; every > 0 && at < until; at += every) {
             double done = (at - from) / (until - from) * (0.6 + 0.4 * random.nextDouble());
-            schedule(at, new Front.Note(request, attempt, Front.NoteKind.PROGRESS, done));
+            schedule(at, new SchedulerEvent.AttemptProgress(request, attempt, ProgressKind.RATIO_DONE, done));
         }
         if (random.nextInt(15) == 0) {
-            schedule(until - 1, new Front.Opened(request, attempt));
+            schedule(until - 1, new SchedulerEvent.ResponseStarted(request, attempt));
         }
     }
 
-    private Front.Outcome drawOutcome() {
+    private AttemptOutcome drawOutcome() {
         return switch (random.nextInt(40)) {
-            case 0, 1 -> Front.Outcome.ERROR;
-            case 2, 3 -> Front.Outcome.FULL;
-            case 4 -> Front.Outcome.CONNECT_FAILED;
-            case 5, 6 -> Front.Outcome.RESET;
-            case 7 -> Front.Outcome.MOOT;
-            default -> Front.Outcome.OK;
+            case 0, 1 -> AttemptOutcome.ERROR;
+            case 2, 3 -> AttemptOutcome.REJECTED;
+            case 4 -> AttemptOutcome.CONNECT_FAILED;
+            case 5, 6 -> AttemptOutcome.RESET;
+            case 7 -> AttemptOutcome.NOT_STARTED;
+            default -> AttemptOutcome.OK;
         };
     }
 
-    private Front.Verdict verdict(long request, int attempt, Front.Outcome outcome) {
-        boolean tells = outcome == Front.Outcome.OK && random.nextBoolean();
+    private SchedulerEvent.AttemptEnded verdict(long request, int attempt, AttemptOutcome outcome) {
+        boolean tells = outcome == AttemptOutcome.OK && random.nextBoolean();
         double work = tells ? 40 + random.nextInt(900) : 0;
         double memory = tells ? 20 + random.nextInt(1_800) : 0;
-        return new Front.Verdict(request, attempt, outcome, outcome == Front.Outcome.OK, work, memory, new double[0]);
+        return new SchedulerEvent.AttemptEnded(
+                request, attempt, outcome, outcome == AttemptOutcome.OK, work, memory, new double[0]);
     }
 
     /** The word of a cancelled attempt's end may cross its own end; the module passes the second one over. */
-    private void cancel(Front.Cancel cancel, double now) {
-        Front.Outcome outcome = random.nextInt(10) == 0 ? Front.Outcome.OK : Front.Outcome.CANCELLED;
+    private void cancel(SchedulerAction.CancelAttempt cancel, double now) {
+        AttemptOutcome outcome = random.nextInt(10) == 0 ? AttemptOutcome.OK : AttemptOutcome.CANCELLED;
         schedule(now + 1 + random.nextInt(40), verdict(cancel.request(), cancel.attempt(), outcome));
     }
 
-    private void answerProbe(Front.Probe probe, double now) {
+    private void answerProbe(SchedulerAction.StartHealthCheck probe, double now) {
         double[] report = new double[REPORT_FIELDS];
         for (int i = 0; i < report.length; i++) {
             report[i] = random.nextDouble() * (i == 0 ? 12 : 1);
         }
-        Front.Outcome outcome = switch (random.nextInt(20)) {
-            case 0 -> Front.Outcome.TIMEOUT;
-            case 1 -> Front.Outcome.FULL;
-            default -> Front.Outcome.OK;
+        AttemptOutcome outcome = switch (random.nextInt(20)) {
+            case 0 -> AttemptOutcome.TIMEOUT;
+            case 1 -> AttemptOutcome.REJECTED;
+            default -> AttemptOutcome.OK;
         };
-        double takes = outcome == Front.Outcome.TIMEOUT ? 250 : 2 + random.nextInt(20);
-        schedule(now + takes, new Front.Probed(probe.engine(), outcome, takes, report));
+        double takes = outcome == AttemptOutcome.TIMEOUT ? 250 : 2 + random.nextInt(20);
+        schedule(now + takes, new SchedulerEvent.HealthCheckCompleted(probe.engine(), outcome, takes, report));
     }
 }
--- a/src/test/java/peatwick/SeededRulesTest.java
+++ b/src/test/java/lineward/scheduling/SeededRulesTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
@@ -6,7 +6,6 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peatwick.Front.Outcome;
 
 /** Days of fleets of several sizes with loads that must not run twice and few further attempts. */
 public class SeededRulesTest {
@@ -36,15 +35,15 @@
 
     @DataProvider
     public Object[][] faults() {
-        Front.Action send = new Front.Send(1, 7, 0);
+        SchedulerAction send = new SchedulerAction.StartAttempt(1, 7, 0);
         return new Object[][] {
             {"two out", 0, List.of(send, send)},
-            {"unsafe again", 0, List.of(send, Outcome.RESET, send)},
-            {"unsafe refused", 0, List.of(send, Outcome.TIMEOUT, new Front.Refuse(1, 0))},
-            {"unsafe refused while out", 0, List.of(send, new Front.Refuse(1, 0))},
-            {"two answers", 0, List.of(new Front.Refuse(1, 0), new Front.Fail(1))},
-            {"behind its end", 0, List.of(new Front.Fail(1), send)},
-            {"over its ration", 1, List.of(send, Outcome.FULL, send, Outcome.FULL, send)}
+            {"unsafe again", 0, List.of(send, AttemptOutcome.RESET, send)},
+            {"unsafe refused", 0, List.of(send, AttemptOutcome.TIMEOUT, new SchedulerAction.Reject(1, 0))},
+            {"unsafe refused while out", 0, List.of(send, new SchedulerAction.Reject(1, 0))},
+            {"two answers", 0, List.of(new SchedulerAction.Reject(1, 0), new SchedulerAction.Fail(1))},
+            {"behind its end", 0, List.of(new SchedulerAction.Fail(1), send)},
+            {"over its ration", 1, List.of(send, AttemptOutcome.REJECTED, send, AttemptOutcome.REJECTED, send)}
         };
     }
 
@@ -56,15 +55,19 @@
     }
 
     private static void play(int type, List<Object> steps) {
-        Front.Rules rules = new Front.Rules(1000, 15_000, 0.33, 3, 1000, 0, 10_000, 1, 0.2);
+        SchedulerSettings.Rules rules = new SchedulerSettings.Rules(
+                1000,
+                new SchedulerSettings.SlowStartRule(15_000, 0.33, 3, 1000),
+                0,
+                new SchedulerSettings.RetryBudget(10_000, 1, 0.2));
         RuleChecker checker = new RuleChecker(Scene.settings(Scene.limits(4), rules, Scene.load(), Scene.look()));
-        checker.heard(0, new Front.Arrival(1, type, 0, 5000, 0, 0, 0, false, 0));
+        checker.heard(0, new SchedulerEvent.RequestArrived(1, type, 0, 5000, 0, 0, 0, false, 0));
         int attempt = 0;
         for (Object step : steps) {
-            if (step instanceof Outcome o) {
-                checker.heard(1, new Front.Verdict(1, attempt++, o, false, 0, 0, new double[0]));
+            if (step instanceof AttemptOutcome o) {
+                checker.heard(1, new SchedulerEvent.AttemptEnded(1, attempt++, o, false, 0, 0, new double[0]));
             } else {
-                checker.did(1, (Front.Action) step);
+                checker.did(1, (SchedulerAction) step);
             }
         }
     }
--- a/src/test/java/peatwick/ZoneLossTest.java
+++ b/src/test/java/lineward/scheduling/ZoneLossTest.java
@@ -1,4 +1,4 @@
-package peatwick;
+package lineward.scheduling;
 
 import static org.testng.Assert.assertTrue;
 
--- a/src/test/java/peatwick/adapter/AdapterTest.java
+++ b/src/test/java/lineward/scheduling/simulator/AdapterTest.java
@@ -1,4 +1,4 @@
-package peatwick.adapter;
+package lineward.scheduling.simulator;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -8,8 +8,11 @@
 import java.io.PrintStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import lineward.scheduling.Idempotence;
+import lineward.scheduling.SchedulerAction;
+import lineward.scheduling.SchedulerEvent;
+import lineward.scheduling.SchedulerSettings;
 import org.junit.jupiter.api.Test;
-import peatwick.Front;
 
 class AdapterTest {
     private static final String SETTINGS = "{\"classes\":[{\"aim\":1000,\"deadline\":5000,"
@@ -115,11 +118,11 @@
 
     @Test
     void settingsKeepTheirMeaning() {
-        Front.Settings s = SettingsReader.read(SETTINGS);
-        assertThat(s.classes().get(0).effect()).isEqualTo(Front.Effect.SAFE);
-        assertThat(s.classes().get(0).onlyKinds()).isNull();
-        assertThat(s.rules().extraWindow()).isZero();
-        assertThat(s.limits().maxAttempts()).isEqualTo(3);
+        SchedulerSettings s = SettingsReader.read(SETTINGS);
+        assertThat(s.classes().get(0).repeatability().idempotence()).isEqualTo(Idempotence.IDEMPOTENT);
+        assertThat(s.classes().get(0).placement().kinds()).isNull();
+        assertThat(s.rules().retryBudget().windowMs()).isZero();
+        assertThat(s.limits().attempts().maxPerRequest()).isEqualTo(3);
         assertThatThrownBy(() -> SettingsReader.read("{\"classes\":[]}")).hasMessageContaining("classes");
         assertThatThrownBy(() -> SettingsReader.read(SETTINGS.replace("\"value\"", "\"runs-on\":[\"q\"],\"value\"")))
                 .hasMessageContaining("unknown kind");
@@ -127,19 +130,19 @@
 
     @Test
     void theCustomerAndTheWordsOfPeersArePassedOn() {
-        java.util.List<Front.Event> seen = new java.util.ArrayList<>();
+        java.util.List<SchedulerEvent> seen = new java.util.ArrayList<>();
         BatchReader.Sink sink = new BatchReader.Sink() {
             @Override
-            public void turn(int instance) {}
+            public void selectInstance(int instance) {}
 
             @Override
-            public void open(long seed, String settings) {}
+            public void openInstance(long seed, String settings) {}
 
             @Override
-            public void killed() {}
+            public void killInstance() {}
 
             @Override
-            public void event(Front.Event event) {
+            public void event(SchedulerEvent event) {
                 seen.add(event);
             }
         };
@@ -157,12 +160,12 @@
                         .putDouble(0),
                 record(0x1c).putInt(4).putInt(1).putInt(2));
         new BatchReader().read(3, ByteBuffer.wrap(batch).slice(8, batch.length - 8), sink);
-        assertThat(((Front.Arrival) seen.get(0)).customer()).isEqualTo(2);
-        Front.PeerSays word = (Front.PeerSays) seen.get(1);
-        assertThat(word.from()).isEqualTo(4);
-        assertThat(word.octets()).containsExactly(8, 7);
+        assertThat(((SchedulerEvent.RequestArrived) seen.get(0)).tenant()).isEqualTo(2);
+        SchedulerEvent.GossipReceived word = (SchedulerEvent.GossipReceived) seen.get(1);
+        assertThat(word.sender()).isEqualTo(4);
+        assertThat(word.payload()).containsExactly(8, 7);
         ReplyWriter writer = new ReplyWriter();
-        writer.write(java.util.List.of(new Front.Announce(new byte[] {5, 6})));
+        writer.write(java.util.List.of(new SchedulerAction.BroadcastGossip(new byte[] {5, 6})));
         ByteBuffer reply = ByteBuffer.wrap(writer.frame());
         assertThat(reply.get(8)).isEqualTo((byte) 0x17);
         assertThat(reply.getInt(9)).as("to every peer").isEqualTo(-1);
--- a/src/test/java/lineward/spool/store/SegmentTest.java
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -58,7 +58,7 @@
         return segment.path();
     }
 
-    /** @return whether the file is taken in and every block that can be read is right */
+    /** Returns whether the file is taken in and every block that can be read is right. */
     private static boolean servesWrongBytes(Path file, List<byte[]> blocks) {
         Segment.Found found;
         try {
--- a/src/test/java/lineward/thrift/ClientGoneTest.java
+++ b/src/test/java/lineward/thrift/ClientGoneTest.java
@@ -56,7 +56,7 @@
         }
     }
 
-    /** @return the id of a request that is served now: what could go out before it has gone out */
+    /** Returns the id of a request that is served now: what could go out before it has gone out. */
     private String servedNow() throws IOException {
         try (StandInCaller other = platform.caller()) {
             Map<String, String> fields = StandInCaller.fields(9000);
--- a/src/test/java/lineward/thrift/EngineConnectionTest.java
+++ b/src/test/java/lineward/thrift/EngineConnectionTest.java
@@ -115,7 +115,7 @@
         }
     }
 
-    /** @return what the program has logged since it listens: its rehearsal is no engine's matter */
+    /** Returns what the program has logged since it listens: its rehearsal is no engine's matter. */
     private String logged() {
         String log = platform.program.log();
         return log.substring(log.indexOf("listening on"));
--- a/src/test/java/lineward/thrift/LateListener.java
+++ b/src/test/java/lineward/thrift/LateListener.java
@@ -44,7 +44,7 @@
         Program.await("a connection on its way", this::isConnecting);
     }
 
-    /** @return whether somebody's connection here is on its way up */
+    /** Returns whether somebody's connection here is on its way up. */
     boolean isConnecting() {
         String end = String.format(":%04X %s", port(), SYN_SENT);
         try {
--- a/src/test/java/lineward/thrift/Platform.java
+++ b/src/test/java/lineward/thrift/Platform.java
@@ -74,7 +74,7 @@
         program.port();
     }
 
-    /** @return the journal's words on engines that they all are in that state */
+    /** Returns the journal's words on engines that they all are in that state. */
     String[] engines(int first, int last, String state) {
         return IntStream.rangeClosed(first, last)
                 .boxed()
@@ -104,7 +104,7 @@
                 .replace("\"threads-by-class\":[1]", "\"threads-by-class\":[1,1]");
     }
 
-    /** @return requests that have come to the two engines */
+    /** Returns requests that have come to the two engines. */
     long wants() {
         return one.count("want") + two.count("want");
     }
--- a/src/test/java/lineward/thrift/StandInCaller.java
+++ b/src/test/java/lineward/thrift/StandInCaller.java
@@ -66,7 +66,7 @@
         return seqid;
     }
 
-    /** @return the next request, whole with its length */
+    /** Returns the next request, whole with its length. */
     byte[] bytes(Map<String, String> fields, String statement) throws IOException {
         byte[] message = message(fields, statement, new byte[0]);
         return framed(message);
@@ -120,7 +120,7 @@
         out.write(bytes);
     }
 
-    /** @return whether the connection has ended, or does so before an answer and the time-out */
+    /** Returns whether the connection has ended, or does so before an answer and the time-out. */
     boolean isClosed() throws IOException {
         try {
             return in.read() < 0;
--- a/src/test/java/lineward/thrift/StandInJournal.java
+++ b/src/test/java/lineward/thrift/StandInJournal.java
@@ -37,17 +37,17 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
-    /** @return the polls that have come */
+    /** Returns the polls that have come. */
     int polls() {
         return polls;
     }
 
-    /** @return the number of the last event that the program knows */
+    /** Returns the number of the last event that the program knows. */
     int told() {
         return told;
     }
 
-    /** @return the number of the last event */
+    /** Returns the number of the last event. */
     synchronized int last() {
         return events.size();
     }
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -106,12 +106,12 @@
         }
     }
 
-    /** @return whether nothing that has come is still to be answered by its mode */
+    /** Returns whether nothing that has come is still to be answered by its mode. */
     boolean isQuiet() {
         return answering.get() == 0;
     }
 
-    /** @return the ids of the requests that have come, in their order */
+    /** Returns the ids of the requests that have come, in their order. */
     List<String> ids() {
         return heard.stream()
                 .filter(line -> line.startsWith("want "))
