--- a/src/main/java/lineward/core/ActionExecutor.java
+++ b/src/main/java/lineward/core/ActionExecutor.java
@@ -6,7 +6,8 @@
 import lineward.scheduling.SchedulerEvent;
 
 /**
- * Turns the scheduler's actions into commands and deadlines. Actions on requests that are no more are ignored.
+ * Turns the scheduler's actions into commands and deadlines. Actions on requests that are no more are
+ * ignored.
  *
  * @param <X> the protocol's own record of a request
  */
@@ -54,14 +55,14 @@
         return start.maxWaitMs() > 0 ? Math.min(atMs, nowMs + start.maxWaitMs()) : atMs;
     }
 
-    private Command<X> startCommand(TrackedRequest<X> request, int index, double timeoutMs, double startWithinMs) {
+    private Command<X> startCommand(TrackedRequest<X> request, int index, double timeoutMs, double withinMs) {
         return new Command.StartAttempt<>(
                 request.exchange,
                 request.id,
                 index,
                 request.attempts.get(index).engine,
                 Math.max(1, Math.round(timeoutMs)),
-                (long) Math.min(timeoutMs, startWithinMs),
+                (long) Math.min(timeoutMs, withinMs),
                 request.grantMb,
                 request.priority);
     }
@@ -86,11 +87,13 @@
         attempt.cancelled = true;
         coordinator.addCommand(cancelCommand(request, cancel.attempt()));
         coordinator.deadlines().cancel(attempt.deadline);
-        attempt.deadline = coordinator
-                .deadlines()
-                .add(
-                        nowMs + cancelTakesMs,
-                        atMs -> coordinator.attemptEnded(request.id, cancel.attempt(), AttemptOutcome.CANCELLED));
+        int index = cancel.attempt();
+        double endsAtMs = nowMs + cancelTakesMs;
+        attempt.deadline = coordinator.deadlines().add(endsAtMs, atMs -> endCancelled(request, index));
+    }
+
+    private void endCancelled(TrackedRequest<X> request, int index) {
+        coordinator.attemptEnded(request.id, index, AttemptOutcome.CANCELLED);
     }
 
     @Override
@@ -153,7 +156,8 @@
     @Override
     public void scheduleTimer(SchedulerAction.ScheduleTimer timer) {
         double atMs = nowMs + timer.delayMs();
-        coordinator.deadlines().add(atMs, now -> coordinator.addEvent(new SchedulerEvent.TimerFired(timer.token())));
+        SchedulerEvent fired = new SchedulerEvent.TimerFired(timer.token());
+        coordinator.deadlines().add(atMs, now -> coordinator.addEvent(fired));
     }
 
     /** Discovery pushes endpoints here: there is nothing to ask for. */
--- a/src/main/java/lineward/core/Command.java
+++ b/src/main/java/lineward/core/Command.java
@@ -41,7 +41,8 @@
     }
 
     /** Give an attempt in flight a new priority. */
-    record ChangePriority<X>(X exchange, long request, int attempt, String engine, int priority) implements Command<X> {
+    record ChangePriority<X>(X exchange, long request, int attempt, String engine, int priority /* 0 to 3 */)
+            implements Command<X> {
         @Override
         public void executeBy(Forwarder<X> forwarder) {
             forwarder.changePriority(this);
@@ -57,6 +58,7 @@
     }
 
     /** Send these bytes to every other front end of the tier; they may be lost. */
+    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
     record BroadcastGossip<X>(byte[] payload) implements Command<X> {
         @Override
         public void executeBy(Forwarder<X> forwarder) {
--- a/src/main/java/lineward/core/Coordinator.java
+++ b/src/main/java/lineward/core/Coordinator.java
@@ -10,8 +10,9 @@
 import lineward.scheduling.SchedulerEvent;
 
 /**
- * Drives the scheduler of one pool of engines: takes events in, batches them until the next tick and hands the
- * scheduler's actions out as commands. It knows no protocol; the clock comes with each call and never goes back.
+ * Drives the scheduler of one pool of engines: takes events in, batches them until the next tick and hands
+ * the scheduler's actions out as commands. It knows no protocol; the clock comes with each call and never
+ * goes back.
  *
  * @param <X> the protocol's own record of a request
  */
@@ -121,7 +122,8 @@
     }
 
     /**
-     * The response has begun to reach the client: the attempt is the client's now, and no deadline counts for it.
+     * The response has begun to reach the client: the attempt is the client's now, and no deadline counts for
+     * it.
      *
      * @return false if the request is completed, or the attempt has ended or is being cancelled
      */
@@ -147,10 +149,10 @@
     }
 
     /** An engine has answered a health check; late and unsolicited answers are ignored. */
-    public void healthCheckCompleted(double nowMs, String engine, AttemptOutcome outcome, double[] loadReport) {
+    public void healthCheckCompleted(double nowMs, String engine, AttemptOutcome outcome, double[] report) {
         Long number = engines.existingNumber(engine);
         if (number != null) {
-            healthChecks.complete(nowMs, number, outcome, loadReport);
+            healthChecks.complete(nowMs, number, outcome, report);
         }
     }
 
@@ -204,7 +206,9 @@
         return !events.isEmpty();
     }
 
-    /** Runs what is due, lets the scheduler decide on all that came in, and hands out its commands in order. */
+    /**
+     * Runs what is due, lets the scheduler decide on all that came in, and hands out its commands in order.
+     */
     public List<Command<X>> tick(double nowMs) {
         deadlines.runDue(nowMs);
         if (!events.isEmpty()) {
--- a/src/main/java/lineward/core/EngineNumbers.java
+++ b/src/main/java/lineward/core/EngineNumbers.java
@@ -8,9 +8,9 @@
 import lineward.scheduling.EndpointState;
 
 /**
- * The scheduler's numbers of engines, and which engines are known: listed, or under maintenance. A number is the same
- * at every front end, as the turns at a cold engine go by these numbers. Numbers of engines that are no longer known
- * are forgotten: engines come under ever new ids.
+ * The scheduler's numbers of engines, and which engines are known: listed, or under maintenance. A number is
+ * the same at every front end, as the turns at a cold engine go by these numbers. Numbers of engines that are
+ * no longer known are forgotten: engines come under ever new ids.
  */
 final class EngineNumbers {
     /** FNV-1a. */
--- a/src/main/java/lineward/core/Forwarder.java
+++ b/src/main/java/lineward/core/Forwarder.java
@@ -15,7 +15,10 @@
     /** Sends the engine a new priority. */
     void changePriority(Command.ChangePriority<X> command);
 
-    /** Checks an engine's health; its answer goes to {@link Coordinator#healthCheckCompleted}, silence nowhere. */
+    /**
+     * Checks an engine's health; its answer goes to {@link Coordinator#healthCheckCompleted}, silence
+     * nowhere.
+     */
     void checkHealth(Command.CheckHealth<X> command);
 
     /** Sends bytes to the other front ends; theirs go to {@link Coordinator#gossipReceived}. */
--- a/src/main/java/lineward/core/GenerationalTable.java
+++ b/src/main/java/lineward/core/GenerationalTable.java
@@ -65,7 +65,7 @@
         return slots.size() - free.size();
     }
 
-    /** @param visitor is shown every value held, in the order of the slots */
+    /** Shows the visitor every value, in the order of the slots. */
     public void forEach(Consumer<? super T> visitor) {
         for (Slot<T> slot : List.copyOf(slots)) {
             if (slot.value() != null) {
--- a/src/main/java/lineward/core/HealthChecks.java
+++ b/src/main/java/lineward/core/HealthChecks.java
@@ -32,12 +32,15 @@
         if (inFlight.containsKey(engine)) {
             return false;
         }
-        DeadlineQueue.Entry timeout =
-                deadlines.add(nowMs + TIMEOUT_MS, atMs -> complete(atMs, engine, AttemptOutcome.TIMEOUT, NO_REPORT));
+        DeadlineQueue.Entry timeout = deadlines.add(nowMs + TIMEOUT_MS, atMs -> timeOut(atMs, engine));
         inFlight.put(engine, new Check(nowMs, timeout));
         return true;
     }
 
+    private void timeOut(double nowMs, long engine) {
+        complete(nowMs, engine, AttemptOutcome.TIMEOUT, NO_REPORT);
+    }
+
     /** Takes in the end of a check; late and unsolicited ones are ignored. */
     void complete(double nowMs, long engine, AttemptOutcome outcome, double[] loadReport) {
         Check check = inFlight.remove(engine);
--- a/src/main/java/lineward/core/SqlTokens.java
+++ b/src/main/java/lineward/core/SqlTokens.java
@@ -29,10 +29,10 @@
             char c = text.charAt(at);
             if (Character.isWhitespace(c)) {
                 at++;
-            } else if (c == '#' || c == '-' && peek(1) == '-' && peek(2) <= ' ') {
+            } else if (c == '#' || isDashComment(c)) {
                 skipTo("\n");
             } else if (c == '/' && peek(1) == '*') {
-                boolean runs = peek(2) == '!' || Character.toUpperCase(peek(2)) == 'M' && peek(3) == '!';
+                boolean runs = peek(2) == '!' || (Character.toUpperCase(peek(2)) == 'M' && peek(3) == '!');
                 skipTo("*/");
                 if (runs) {
                     return found(Kind.EXECUTABLE_COMMENT, "");
@@ -96,6 +96,10 @@
         return true;
     }
 
+    private boolean isDashComment(char c) {
+        return c == '-' && peek(1) == '-' && peek(2) <= ' ';
+    }
+
     private char peek(int ahead) {
         return at + ahead < text.length() ? text.charAt(at + ahead) : '\n';
     }
--- a/src/main/java/lineward/scheduling/AdmissionPolicy.java
+++ b/src/main/java/lineward/scheduling/AdmissionPolicy.java
@@ -62,6 +62,6 @@
         double fitMs = MIN_FIT_RATIO * request.expectedRunMs();
         boolean queuedTooLong = notStarted && context.nowMs() + fitMs > request.objectiveAtMs;
         double worthlessAtMs = request.objectiveAtMs + LATE_GRACE_RATIO * objective.latencyMs();
-        return queuedTooLong || objective.lateValueRatio() == 0 && context.nowMs() > worthlessAtMs;
+        return queuedTooLong || (objective.lateValueRatio() == 0 && context.nowMs() > worthlessAtMs);
     }
 }
--- a/src/main/java/lineward/scheduling/Attempt.java
+++ b/src/main/java/lineward/scheduling/Attempt.java
@@ -57,7 +57,9 @@
         waitingSinceMs = nowMs;
     }
 
-    /** Returns whether the next attempt of its request relaunches work that was cancelled for its slowness. */
+    /**
+     * Returns whether the next attempt of its request relaunches work that was cancelled for its slowness.
+     */
     boolean isRelaunchedAfterCancel() {
         return cancelRequested && !recoveryProbe && !migrating;
     }
--- a/src/main/java/lineward/scheduling/AttemptOutcomes.java
+++ b/src/main/java/lineward/scheduling/AttemptOutcomes.java
@@ -1,6 +1,8 @@
 package lineward.scheduling;
 
-/** Takes in the ends of attempts: books them, has them learned from, and queues the request again or ends it. */
+/**
+ * Takes in the ends of attempts: books them, has them learned from, and queues the request again or ends it.
+ */
 final class AttemptOutcomes {
     private final SchedulerContext context;
     private final OutcomeLearning learning;
@@ -58,7 +60,9 @@
         }
     }
 
-    /** Queues the request for another attempt where the policy allows one; else it gets its answer at once. */
+    /**
+     * Queues the request for another attempt where the policy allows one; else it gets its answer at once.
+     */
     private void retryOrGiveUp(Attempt attempt, AttemptOutcome outcome) {
         TrackedRequest request = attempt.request;
         if (!retries.mayRetry(request, outcome)) {
--- a/src/main/java/lineward/scheduling/ConcurrencyLimits.java
+++ b/src/main/java/lineward/scheduling/ConcurrencyLimits.java
@@ -44,7 +44,9 @@
         return quota;
     }
 
-    /** Returns the ratio of an engine's load that this front end does not see: near 1 for hundreds of them. */
+    /**
+     * Returns the ratio of an engine's load that this front end does not see: near 1 for hundreds of them.
+     */
     double unseenLoadRatio() {
         return Math.max(0, 1 - SMALL_FLEET / frontEnds);
     }
@@ -88,11 +90,11 @@
     }
 
     /**
-     * Returns whether a request fits into this front end's quota of all engines. Where its quota of an engine is
-     * less than one request it may still send one, and of a hundred front ends each would fill every engine. Past
-     * a full quota each class is sent within its ratio of the value asked for: else what is worth more would fill
-     * the quota a second time and jam the engines for all. A class with nothing in flight waits for the time that
-     * its quota takes.
+     * Returns whether a request fits into this front end's quota of all engines. Where its quota of an engine
+     * is less than one request it may still send one, and of a hundred front ends each would fill every
+     * engine. Past a full quota each class is sent within its ratio of the value asked for: else what is
+     * worth more would fill the quota a second time and jam the engines for all. A class with nothing in
+     * flight waits for the time that its quota takes.
      */
     boolean withinFleetQuota(TrackedRequest request, Predicate<Engine> isUsable) {
         if (reports.areShared() && frontEnds <= SMALL_FLEET) {
--- a/src/main/java/lineward/scheduling/Engine.java
+++ b/src/main/java/lineward/scheduling/Engine.java
@@ -109,8 +109,8 @@
     }
 
     /**
-     * Returns since when it may be warming up. An engine that broke off or refused connections may be back, cold,
-     * long before service discovery says so.
+     * Returns since when it may be warming up. An engine that broke off or refused connections may be back,
+     * cold, long before service discovery says so.
      */
     double warmUpStartMs() {
         return Math.max(announcedStartMs(), connectionLostMs);
--- a/src/main/java/lineward/scheduling/EngineCapacity.java
+++ b/src/main/java/lineward/scheduling/EngineCapacity.java
@@ -36,8 +36,8 @@
     }
 
     /**
-     * Returns the ratio that it has at least. An engine warms up by time, but only from a start that was announced:
-     * one that broke off may be back at any time since.
+     * Returns the ratio that it has at least. An engine warms up by time, but only from a start that was
+     * announced: one that broke off may be back at any time since.
      */
     double certainRatio(Engine engine) {
         if (engine.connectionLostMs > engine.announcedStartMs()) {
@@ -52,7 +52,9 @@
         return request.expectedRunMs() / rule.initialRatio();
     }
 
-    /** Returns an engine's speed against the fleet's; one that warms up counts as what it has of its capacity. */
+    /**
+     * Returns an engine's speed against the fleet's; one that warms up counts as what it has of its capacity.
+     */
     double speed(Engine engine) {
         double nowMs = context.nowMs();
         double relative = Math.min(MAX_SPEED, context.fleet.slowdown() / engine.slowdown(nowMs));
--- a/src/main/java/lineward/scheduling/EngineSelector.java
+++ b/src/main/java/lineward/scheduling/EngineSelector.java
@@ -1,6 +1,8 @@
 package lineward.scheduling;
 
-/** Selects the engine of an attempt: the least loaded of those that may take it, with ties broken at random. */
+/**
+ * Selects the engine of an attempt: the least loaded of those that may take it, with ties broken at random.
+ */
 final class EngineSelector {
     /** Load by which engines of one kind differ unseen: the spread that chance alone makes. */
     private static final double UNSEEN_SPREAD = 0.3;
@@ -72,7 +74,8 @@
         double bestScore = Double.POSITIVE_INFINITY;
         for (Engine engine : context.engines.values()) {
             boolean probe = outliers.mayProbe(engine, request);
-            if (isCandidate(engine, request, probe, useEjected, allowed)) {
+            boolean usable = !engine.ejected || probe || (useEjected && outliers.isDueForProbe(engine));
+            if (isCandidate(engine, request, usable, allowed)) {
                 double spread = spread(request.type, engine);
                 double score = mustBeUsed(engine, probe && !useEjected)
                         ? Double.NEGATIVE_INFINITY
@@ -86,25 +89,23 @@
         return best;
     }
 
-    private boolean isCandidate(Engine engine, TrackedRequest request, boolean probe, boolean useEjected, int allowed) {
-        if (engine.ejected && !probe && !(useEjected && outliers.isDueForProbe(engine))) {
-            return false;
-        }
+    private boolean isCandidate(Engine engine, TrackedRequest request, boolean usable, int allowed) {
         boolean triedBefore = request.triedEngines.contains(engine) && allowed > request.triedEngines.size();
-        return !isHealthCheckLate(engine)
+        return usable
+                && !isHealthCheckOverdue(engine)
                 && !triedBefore
                 && limits.hasCapacity(engine, request)
                 && retries.mayStart(request, engine);
     }
 
-    private boolean isHealthCheckLate(Engine engine) {
+    private boolean isHealthCheckOverdue(Engine engine) {
         double startedMs = engine.healthCheckStartedMs;
         return startedMs > 0 && context.nowMs() - startedMs >= MAX_HEALTH_CHECK_MS;
     }
 
     /** A cold engine never looks best; what was released from maintenance must be used all the same. */
     private static boolean mustBeUsed(Engine engine, boolean probe) {
-        return probe || engine.awaitingFirstAnswer && engine.attempts.isEmpty();
+        return probe || (engine.awaitingFirstAnswer && engine.attempts.isEmpty());
     }
 
     /** Draws by how much an engine looks better than it is seen to be (Gumbel noise, by free capacity). */
@@ -116,8 +117,9 @@
     }
 
     /**
-     * Returns the cores that other classes' placements leave to this class there; engines are drawn in proportion.
-     * Of hundreds of front ends each sees every engine empty, and would take what looks best to all.
+     * Returns the cores that other classes' placements leave to this class there; engines are drawn in
+     * proportion. Of hundreds of front ends each sees every engine empty, and would take what looks best to
+     * all.
      */
     private double freeCores(ClassState type, Engine engine) {
         double boundRatio = 0;
@@ -152,7 +154,8 @@
 
     private double threadLoad(TrackedRequest request, Engine engine) {
         double unseen = reports.threadsPerCore() * limits.unseenLoadRatio() * engine.cores;
-        double threads = reports.areFresh(engine) ? reports.threadsAt(engine) : engine.threadsInFlight + unseen;
+        boolean reported = reports.areFresh(engine);
+        double threads = reported ? reports.threadsAt(engine) : engine.threadsInFlight + unseen;
         double withRequest = threads + request.threads() + BASE_LOAD_RATIO * engine.cores;
         return withRequest / (engine.cores * capacity.speed(engine));
     }
--- a/src/main/java/lineward/scheduling/FleetServiceTimes.java
+++ b/src/main/java/lineward/scheduling/FleetServiceTimes.java
@@ -1,6 +1,8 @@
 package lineward.scheduling;
 
-/** First runs of all classes together, in units of their estimates: stands in for a class with few of its own. */
+/**
+ * First runs of all classes together, in units of their estimates: stands in for a class with few of its own.
+ */
 final class FleetServiceTimes {
     /** Answers of this last while tell the fleet's slowdown: shorter than a fault, some answers long. */
     static final double RECENT_MS = 5_000;
--- a/src/main/java/lineward/scheduling/GossipCodec.java
+++ b/src/main/java/lineward/scheduling/GossipCodec.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * The bytes of gossip: load reports of engines, each an engine's id folded to two bytes and its values in a byte
- * each. Reports are collected until they are sent.
+ * The bytes of gossip: load reports of engines, each an engine's id folded to two bytes and its values in a
+ * byte each. Reports are collected until they are sent.
  */
 final class GossipCodec {
     /** Bytes of the longest message that the platform takes. */
@@ -16,6 +16,7 @@
     private static final int MAX_BYTE = 255;
 
     /** One engine's load report; the values are those of the report. */
+    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
     record EngineReport(int gossipId, double[] values) {}
 
     private final double[] scales;
--- a/src/main/java/lineward/scheduling/Idempotence.java
+++ b/src/main/java/lineward/scheduling/Idempotence.java
@@ -4,7 +4,10 @@
 public enum Idempotence {
     /** Always. */
     IDEMPOTENT,
-    /** Where engines drop duplicates by an idempotency key, for a time and within a {@link DeduplicationScope}. */
+    /**
+     * Where engines drop duplicates by an idempotency key, for a time and within a {@link
+     * DeduplicationScope}.
+     */
     BY_KEY,
     /** Never. */
     NON_IDEMPOTENT
--- a/src/main/java/lineward/scheduling/KeyOrder.java
+++ b/src/main/java/lineward/scheduling/KeyOrder.java
@@ -37,7 +37,8 @@
         if (!request.isOrdered()) {
             return true;
         }
-        return queues.isFirst(request.key, request) && (!request.attempts.isEmpty() || isSettled(request.key));
+        boolean started = !request.attempts.isEmpty();
+        return queues.isFirst(request.key, request) && (started || isSettled(request.key));
     }
 
     private boolean isSettled(long key) {
--- a/src/main/java/lineward/scheduling/LoadReportPolling.java
+++ b/src/main/java/lineward/scheduling/LoadReportPolling.java
@@ -62,7 +62,8 @@
     private double intervalMs(int engines) {
         SchedulerSettings.Costs costs = context.settings.costs();
         int frontEnds = context.settings.position().frontEnds();
-        double gossipCost = costs.gossip() * reports.gossipBytes() * (frontEnds - 1) / GossipCodec.MAX_PAYLOAD;
+        double gossipBytes = costs.gossip() * reports.gossipBytes() * (frontEnds - 1);
+        double gossipCost = gossipBytes / GossipCodec.MAX_PAYLOAD;
         double seenForMs = Math.max(MIN_TRAFFIC_WINDOW_MS, context.nowMs() - context.startedMs());
         double requestsPerMs = Math.max(1, requestsSeen) / seenForMs;
         double evenMs = MIN_INTERVAL_MS * frontEnds / (engines + 1);
--- a/src/main/java/lineward/scheduling/LoadReports.java
+++ b/src/main/java/lineward/scheduling/LoadReports.java
@@ -94,7 +94,12 @@
 
     private boolean hasRecentCheck(double withinMs) {
         double nowMs = context.nowMs();
-        return context.engines.values().stream().anyMatch(engine -> nowMs - engine.healthCheckStartedMs < withinMs);
+        for (Engine engine : context.engines.values()) {
+            if (nowMs - engine.healthCheckStartedMs < withinMs) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Reads gossip, which may be late or of engines not known here; those are ignored. */
--- a/src/main/java/lineward/scheduling/OutcomeLearning.java
+++ b/src/main/java/lineward/scheduling/OutcomeLearning.java
@@ -64,7 +64,10 @@
         }
     }
 
-    /** A first run cut short leaves the curve at tau at the earliest: else stragglers would fade from its tail. */
+    /**
+     * A first run cut short leaves the curve at tau at the earliest: else stragglers would fade from its
+     * tail.
+     */
     private void learnCensoredRun(Attempt attempt) {
         if (!attempt.firstRun || attempt.migrating) {
             return;
--- a/src/main/java/lineward/scheduling/OutlierDetector.java
+++ b/src/main/java/lineward/scheduling/OutlierDetector.java
@@ -18,7 +18,10 @@
     private static final double MISSED_PROGRESS_INTERVALS = 1.55;
     /** Time between recovery probes to an ejected engine. */
     private static final double RECOVERY_PROBE_INTERVAL_MS = 700;
-    /** Recovery probes earned by each request admitted, and how many are saved up: those of all front ends add up. */
+    /**
+     * Recovery probes earned by each request admitted, and how many are saved up: those of all front ends add
+     * up.
+     */
     private static final double RECOVERY_PROBES_PER_REQUEST = 0.1;
 
     private static final double MAX_RECOVERY_PROBES = 2;
@@ -86,9 +89,10 @@
             double usualMs = attempt.request.expectedRunMs() * attempt.request.type.model.slowdown();
             overdue |= outMs > OVERDUE_FACTOR * usualMs + SILENCE_MS;
             unanswered += outMs > Math.max(SILENCE_MS, usualMs) ? 1 : 0;
-            boolean missed = intervalMs > 0 && Math.min(outMs, silentMs) > intervalMs * MISSED_PROGRESS_INTERVALS;
+            double quietMs = Math.min(outMs, silentMs);
+            boolean missed = intervalMs > 0 && quietMs > intervalMs * MISSED_PROGRESS_INTERVALS;
             boolean progressIsDue = intervalMs == 0 || silentMs > intervalMs;
-            if (missed || overdue && unanswered > 1 && progressIsDue) {
+            if (missed || (overdue && unanswered > 1 && progressIsDue)) {
                 return true;
             }
         }
@@ -120,8 +124,8 @@
     }
 
     /**
-     * A request has met an error. One that every engine answers with an error would make all of them look bad:
-     * the second error takes the first one back.
+     * A request has met an error. One that every engine answers with an error would make all of them look
+     * bad: the second error takes the first one back.
      */
     void attributeError(TrackedRequest request, Engine engine) {
         request.errors++;
--- a/src/main/java/lineward/scheduling/RequestClass.java
+++ b/src/main/java/lineward/scheduling/RequestClass.java
@@ -7,7 +7,11 @@
 import java.util.List;
 
 /** One class of requests, as the settings describe it. */
-public record RequestClass(Objective objective, Repeatability repeatability, Placement placement, Workload workload) {
+public record RequestClass(
+        Objective objective,
+        Repeatability repeatability,
+        Placement placement,
+        Workload workload /* how it runs there */) {
 
     /**
      * When an answer is wanted and what it is worth.
@@ -19,7 +23,11 @@
      * @param lateValueRatio the ratio of it that a late answer is worth
      */
     public record Objective(
-            double latencyMs, double latencyPerWork, double deadlineMs, double priorityWeight, double lateValueRatio) {
+            double latencyMs,
+            double latencyPerWork,
+            double deadlineMs,
+            double priorityWeight,
+            double lateValueRatio /* 0 to 1 */) {
         /** Checks the ranges. */
         public Objective {
             requireNotNegative("classes: aim", latencyMs);
@@ -37,7 +45,11 @@
      * @param keyTtlMs how long they do
      * @param inOrder whether requests of one key run one after another, in order of arrival
      */
-    public record Repeatability(Idempotence idempotence, DeduplicationScope scope, double keyTtlMs, boolean inOrder) {
+    public record Repeatability(
+            Idempotence idempotence,
+            DeduplicationScope scope,
+            double keyTtlMs /* 0: none */,
+            boolean inOrder /* of a key */) {
         /** Checks the ranges. */
         public Repeatability {
             require(idempotence != null, "classes: effect", idempotence, "a known word");
@@ -48,7 +60,7 @@
         /** Returns whether a repeat is harmless at whatever engine, for a time at least. */
         boolean isRepeatableAnywhere() {
             return idempotence == Idempotence.IDEMPOTENT
-                    || idempotence == Idempotence.BY_KEY && scope == DeduplicationScope.ALL;
+                    || (idempotence == Idempotence.BY_KEY && scope == DeduplicationScope.ALL);
         }
     }
 
@@ -84,7 +96,7 @@
 
         /** Returns whether the two delay each other on one engine if they use one table group. */
         boolean conflictsWith(Workload other) {
-            return load && (other.waitsForLoads || other.load) || other.load && waitsForLoads;
+            return (load && (other.waitsForLoads || other.load)) || (other.load && waitsForLoads);
         }
     }
 }
--- a/src/main/java/lineward/scheduling/ResourceLimits.java
+++ b/src/main/java/lineward/scheduling/ResourceLimits.java
@@ -72,8 +72,8 @@
 
     /** Learns from the memory that a request turned out to need, as a multiple of its estimate. */
     void recordNeed(ClassState type, double factor) {
-        type.grantFactor *=
-                factor > type.grantFactor ? 1 + NEED_STEP * NEED_QUANTILE : 1 - NEED_STEP * (1 - NEED_QUANTILE);
+        boolean tooSmall = factor > type.grantFactor;
+        type.grantFactor *= tooSmall ? 1 + NEED_STEP * NEED_QUANTILE : 1 - NEED_STEP * (1 - NEED_QUANTILE);
     }
 
     /** Learns from a request that spilled to disk. */
--- a/src/main/java/lineward/scheduling/RetryPolicy.java
+++ b/src/main/java/lineward/scheduling/RetryPolicy.java
@@ -41,7 +41,9 @@
         return request.attempts.size() < context.settings.attempts().maxPerRequest();
     }
 
-    /** Returns the time within which an attempt must start: later it might run a second time, unrecognised. */
+    /**
+     * Returns the time within which an attempt must start: later it might run a second time, unrecognised.
+     */
     double startWithinMs(TrackedRequest request) {
         if (request.firstEngineRunOn == null || request.isIdempotent()) {
             return Double.POSITIVE_INFINITY;
--- a/src/main/java/lineward/scheduling/SchedulerAction.java
+++ b/src/main/java/lineward/scheduling/SchedulerAction.java
@@ -45,7 +45,8 @@
      * @param maxWaitMs how long it may take at most; 0: no bound of its own
      * @param startWithinMs later than this it must not reach the engine any more, as it might run twice
      */
-    record StartAttempt(long request, long engine, double maxWaitMs, double startWithinMs) implements SchedulerAction {
+    record StartAttempt(long request, long engine, double maxWaitMs /* 0: none */, double startWithinMs)
+            implements SchedulerAction {
         /** Creates an attempt that may start at any time. */
         public StartAttempt(long request, long engine, double maxWaitMs) {
             this(request, engine, maxWaitMs, Double.POSITIVE_INFINITY);
@@ -107,6 +108,7 @@
     }
 
     /** Sends bytes to every other front end; they may be lost. */
+    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
     record BroadcastGossip(byte[] payload) implements SchedulerAction {
         @Override
         public void dispatchTo(Handler handler) {
--- a/src/main/java/lineward/scheduling/SchedulerContext.java
+++ b/src/main/java/lineward/scheduling/SchedulerContext.java
@@ -8,8 +8,9 @@
 import java.util.TreeMap;
 
 /**
- * What the mechanisms of one scheduler share: its settings, the state of engines, requests and classes, the time of
- * the present turn and the actions decided in it. Engines and requests are always walked in the same order.
+ * What the mechanisms of one scheduler share: its settings, the state of engines, requests and classes, the
+ * time of the present turn and the actions decided in it. Engines and requests are always walked in the same
+ * order.
  */
 final class SchedulerContext {
     private static final double LOG_INTERVAL_MS = 1_000;
--- a/src/main/java/lineward/scheduling/SchedulerEvent.java
+++ b/src/main/java/lineward/scheduling/SchedulerEvent.java
@@ -68,12 +68,13 @@
     }
 
     /**
-     * An operator takes an engine out, whatever service discovery says, or releases it. The engine need not be
-     * listed.
+     * An operator takes an engine out, whatever service discovery says, or releases it. The engine need not
+     * be listed.
      *
      * @param sinceMs when the operator said so
      */
-    record MaintenanceChanged(long engine, boolean underMaintenance, double sinceMs) implements SchedulerEvent {
+    record MaintenanceChanged(long engine, boolean underMaintenance, double sinceMs /* Unix time */)
+            implements SchedulerEvent {
         @Override
         public void dispatchTo(Handler handler) {
             handler.maintenanceChanged(this);
@@ -134,7 +135,8 @@
      *
      * @param amount the ratio that is done, or the megabytes that are missing
      */
-    record AttemptProgress(long request, int attempt, ProgressKind kind, double amount) implements SchedulerEvent {
+    record AttemptProgress(long request, int attempt, ProgressKind kind, double amount /* by its kind */)
+            implements SchedulerEvent {
         @Override
         public void dispatchTo(Handler handler) {
             handler.attemptProgressed(this);
@@ -149,6 +151,7 @@
      * @param memoryMb the memory that it needed; 0: not reported
      * @param loadReport the engine's load report, empty if none came with it
      */
+    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
     record AttemptEnded(
             long request,
             int attempt,
@@ -173,6 +176,7 @@
     }
 
     /** A health check has completed; the load report is empty if none came with it. */
+    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
     record HealthCheckCompleted(long engine, AttemptOutcome outcome, double latencyMs, double[] loadReport)
             implements SchedulerEvent {
         @Override
@@ -190,6 +194,7 @@
     }
 
     /** Gossip of another front end, which may be late or no longer run. */
+    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
     record GossipReceived(int sender, byte[] payload) implements SchedulerEvent {
         @Override
         public void dispatchTo(Handler handler) {
--- a/src/main/java/lineward/scheduling/SchedulerSettings.java
+++ b/src/main/java/lineward/scheduling/SchedulerSettings.java
@@ -110,7 +110,8 @@
     /**
      * How engines grant memory.
      *
-     * @param maxGrantRatio the ratio of an engine's memory that one request gets at most, more than 0 and up to 1
+     * @param maxGrantRatio the ratio of an engine's memory that one request gets at most, more than 0 and up
+     *     to 1
      */
     public record MemoryLimits(double maxGrantRatio, MemoryShortage shortage) {
         /** Checks the ranges. */
@@ -126,7 +127,11 @@
      * @param drainGraceMs how long after a drain was announced the engine may still get requests
      * @param settleMs how long a key rests after an indeterminate outcome
      */
-    public record Rules(double drainGraceMs, SlowStartRule slowStart, double settleMs, RetryBudget retryBudget) {
+    public record Rules(
+            double drainGraceMs,
+            SlowStartRule slowStart,
+            double settleMs /* 0: none */,
+            RetryBudget retryBudget /* of all */) {
         /** Checks the ranges. */
         public Rules {
             requireNotNegative("rules: drain grace", drainGraceMs);
@@ -139,11 +144,12 @@
      *
      * @param durationMs how long it warms up
      * @param initialRatio ratio of its capacity that it has at the start
-     * @param overloadFactor work sent within the window, as a multiple of its present capacity, that it survives;
-     *     0: any
+     * @param overloadFactor work sent within the window, as a multiple of its present capacity, that it
+     *     survives; 0: any
      * @param windowMs the window
      */
-    public record SlowStartRule(double durationMs, double initialRatio, double overloadFactor, double windowMs) {
+    public record SlowStartRule(
+            double durationMs, double initialRatio, double overloadFactor /* 0: any */, double windowMs) {
         /** Checks the ranges. */
         public SlowStartRule {
             requireNotNegative("rules: cold time", durationMs);
--- a/src/main/java/lineward/scheduling/ServiceTimeModel.java
+++ b/src/main/java/lineward/scheduling/ServiceTimeModel.java
@@ -138,15 +138,16 @@
     /**
      * Lets what was measured fade and recomputes the slowdown and the curve.
      *
-     * @param inFlight run times so far of the first runs in flight: of a class that crowding holds up, answers come
-     *     from the few that it spares
+     * @param inFlight run times so far of the first runs in flight: of a class that crowding holds up,
+     *     answers come from the few that it spares
      */
     void recompute(double nowMs, List<Double> inFlight) {
         double kept = ratioKept(nowMs - decayedAtMs);
         decayedAtMs = nowMs;
         firstRuns.decay(kept);
         completedRuns *= kept;
-        slowdown = Math.max(1, Math.exp(recentLogSlowdown.median(nowMs, PRIOR_ANSWERS, slowInFlight(inFlight))));
+        double logSlowdown = recentLogSlowdown.median(nowMs, PRIOR_ANSWERS, slowInFlight(inFlight));
+        slowdown = Math.max(1, Math.exp(logSlowdown));
         meanRatio = firstRuns.recompute(
                 inFlight.stream().map(ratio -> ratio / slowdown).toList());
     }
--- a/src/main/java/lineward/scheduling/SlowStart.java
+++ b/src/main/java/lineward/scheduling/SlowStart.java
@@ -4,7 +4,9 @@
 final class SlowStart {
     /** Front ends that use a cold engine at once: enough to fill it, few enough for a request each. */
     private static final int FRONT_ENDS_PER_SLOT = 4;
-    /** Ratio of the budget that is used: capacity is estimated with cores not quite busy, and cores differ. */
+    /**
+     * Ratio of the budget that is used: capacity is estimated with cores not quite busy, and cores differ.
+     */
     private static final double BUDGET_RATIO = 0.4;
 
     private final SchedulerContext context;
@@ -59,8 +61,8 @@
     }
 
     /**
-     * A process that just started has forgotten what it sent there a moment ago. One that takes over from another
-     * process has its half of the budget, and the whole of it one window later.
+     * A process that just started has forgotten what it sent there a moment ago. One that takes over from
+     * another process has its half of the budget, and the whole of it one window later.
      */
     private boolean hasForgottenItsSends(Engine engine) {
         double startedMs = context.startedMs();
--- a/src/main/java/lineward/scheduling/SpeculativeCancellation.java
+++ b/src/main/java/lineward/scheduling/SpeculativeCancellation.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Cancels an attempt past its class's tau, the time that minimises the load, so that it is relaunched elsewhere;
- * migrates attempts that wait at a full engine.
+ * Cancels an attempt past its class's tau, the time that minimises the load, so that it is relaunched
+ * elsewhere; migrates attempts that wait at a full engine.
  */
 final class SpeculativeCancellation {
     /** Ratio of requests never cancelled, so that the tail stays seen; each may cost a whole straggler. */
@@ -82,7 +82,9 @@
         return typicalRatio * Math.exp(bounded);
     }
 
-    /** Cancels an attempt that is past tau, or stuck at an engine that does no work; returns whether it did. */
+    /**
+     * Cancels an attempt that is past tau, or stuck at an engine that does no work; returns whether it did.
+     */
     boolean cancelIfDue(Attempt attempt) {
         boolean due = mayCancel(attempt) && isDue(attempt);
         if (due) {
@@ -115,7 +117,8 @@
             return hasCapacityElsewhere(attempt);
         }
         // An engine that stands still but reports progress is not silent; its relaunches would never end.
-        if (request.relaunched && !attempt.waiting && remainingMs(attempt) > STANDSTILL_RELAUNCHES * relaunchMs) {
+        double standstillMs = STANDSTILL_RELAUNCHES * relaunchMs;
+        if (request.relaunched && !attempt.waiting && remainingMs(attempt) > standstillMs) {
             return hasCapacityElsewhere(attempt);
         }
         return isSubjectToTau(attempt) && isPastTau(attempt, relaunchMs) && hasCapacityElsewhere(attempt);
@@ -147,7 +150,7 @@
         double remainingMs = remainingMs(attempt);
         attempt.cancelledEarly = !past && remainingMs > EARLY_CANCEL_RELAUNCHES * relaunchMs;
         attempt.predictedRunMs = runMs + remainingMs;
-        return past && remainingMs >= relaunchMs || attempt.cancelledEarly;
+        return (past && remainingMs >= relaunchMs) || attempt.cancelledEarly;
     }
 
     private boolean hasFreshProgress(Attempt attempt) {
@@ -196,7 +199,9 @@
                 && hasCapacityElsewhere(attempt);
     }
 
-    /** Returns whether another healthy engine could take the relaunch now: else they heap up on busy engines. */
+    /**
+     * Returns whether another healthy engine could take the relaunch now: else they heap up on busy engines.
+     */
     private boolean hasCapacityElsewhere(Attempt attempt) {
         TrackedRequest request = attempt.request;
         if (budget.left() < 1 + cancelsInFlight() || mayOutliveItsKey(request)) {
--- a/src/main/java/lineward/scheduling/SpeculativeScheduler.java
+++ b/src/main/java/lineward/scheduling/SpeculativeScheduler.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * The scheduler of one pool of engines: takes events in and hands each to the mechanism that it concerns, sweeps
- * over what is in flight every {@value #SWEEP_INTERVAL_MS} ms, and dispatches what is queued. Time comes from events
- * only, chance from the seed only, and all loops run in a fixed order.
+ * The scheduler of one pool of engines: takes events in and hands each to the mechanism that it concerns,
+ * sweeps over what is in flight every {@value #SWEEP_INTERVAL_MS} ms, and dispatches what is queued. Time
+ * comes from events only, chance from the seed only, and all loops run in a fixed order.
  */
 public final class SpeculativeScheduler implements Scheduler, SchedulerEvent.Handler {
     /** Time between sweeps: short against any objective, long against the cost of one. */
@@ -56,14 +56,18 @@
         lifecycle = new RequestLifecycle(context, retries, keyOrder);
         resources = new ResourceLimits(context);
         cancellation = new SpeculativeCancellation(context, limits, retries, budget, slowStart, lifecycle);
-        EngineSelector selector = new EngineSelector(context, limits, retries, outliers, slowStart, reports, capacity);
+        EngineSelector engineSelector = newSelector(retries, capacity);
         AttemptStarter starter = new AttemptStarter(context, retries, budget, outliers, resources);
-        queue = new AdmissionQueue(context, admission, selector, keyOrder, lifecycle, starter);
+        queue = new AdmissionQueue(context, admission, engineSelector, keyOrder, lifecycle, starter);
         OutcomeLearning learning = new OutcomeLearning(context, outliers, resources);
         outcomes = new AttemptOutcomes(context, learning, retries, keyOrder, lifecycle, queue);
         watchPending = settings.discovery().watch();
     }
 
+    private EngineSelector newSelector(RetryPolicy retries, EngineCapacity capacity) {
+        return new EngineSelector(context, limits, retries, outliers, slowStart, reports, capacity);
+    }
+
     @Override
     public List<SchedulerAction> decide(double nowMs, List<? extends SchedulerEvent> events) {
         context.beginTurn(nowMs);
--- a/src/main/java/lineward/scheduling/SurvivalCurve.java
+++ b/src/main/java/lineward/scheduling/SurvivalCurve.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * A bounded, decaying histogram of run times, some of them censored, with its Kaplan-Meier curve. How fine and how
- * long it is, and what follows from it, is the caller's to say.
+ * A bounded, decaying histogram of run times, some of them censored, with its Kaplan-Meier curve. How fine
+ * and how long it is, and what follows from it, is the caller's to say.
  */
 final class SurvivalCurve {
     private static final double NOTHING = 1e-9;
@@ -40,9 +40,9 @@
     }
 
     /**
-     * Recomputes the curve. A censored run tells only that it took longer, so it leaves the set at risk where it
-     * was cancelled; dropping it would hide the tail, completing it would invent an end. Runs in flight count
-     * likewise.
+     * Recomputes the curve. A censored run tells only that it took longer, so it leaves the set at risk where
+     * it was cancelled; dropping it would hide the tail, completing it would invent an end. Runs in flight
+     * count likewise.
      *
      * @return the area under the curve, as far as anything was seen
      */
--- a/src/main/java/lineward/scheduling/TrackedRequest.java
+++ b/src/main/java/lineward/scheduling/TrackedRequest.java
@@ -44,13 +44,12 @@
     int errors;
     Engine firstEngineInError;
 
-    TrackedRequest(
-            SchedulerEvent.RequestArrived arrival, ClassState type, boolean exemptFromCancellation, double nowMs) {
+    TrackedRequest(SchedulerEvent.RequestArrived arrival, ClassState type, boolean exempt, double nowMs) {
         this.id = arrival.request();
         this.key = arrival.key();
         this.tableGroup = arrival.tableGroup();
         this.type = type;
-        this.exemptFromCancellation = exemptFromCancellation;
+        this.exemptFromCancellation = exempt;
         this.admittedAtMs = nowMs;
         this.deadlineMs = nowMs + arrival.timeLeftMs();
         this.estimatedWorkMs = arrival.estimatedWorkMs();
--- a/src/main/java/lineward/scheduling/simulator/BatchReader.java
+++ b/src/main/java/lineward/scheduling/simulator/BatchReader.java
@@ -48,7 +48,11 @@
         void event(SchedulerEvent event);
     }
 
-    private final List<List<Endpoint>> endpointLists = new ArrayList<>(Collections.nCopies(MAX_ENDPOINT_LISTS, null));
+    private final List<List<Endpoint>> endpointLists = new ArrayList<>();
+
+    BatchReader() {
+        endpointLists.addAll(Collections.nCopies(MAX_ENDPOINT_LISTS, null));
+    }
 
     /**
      * Reads a batch.
@@ -59,7 +63,8 @@
     void read(int count, ByteBuffer body, Sink sink) {
         long end = CLOCK_BYTES + (long) count * EventRecord.LENGTH;
         if (count < 0 || end > body.limit()) {
-            throw new WireException("batch of " + Integer.toUnsignedLong(count) + " records does not fit its length");
+            long records = Integer.toUnsignedLong(count);
+            throw new WireException("batch of " + records + " records does not fit its length");
         }
         ByteBuffer tail = body.slice((int) end, body.limit() - (int) end);
         boolean selected = false;
@@ -68,7 +73,8 @@
             EventRecord entry = new EventRecord(slice);
             selected |= entry.code() == INSTANCE_SELECTED;
             if (!selected && entry.code() != ENDPOINT_LIST) {
-                throw new WireException("record with code " + entry.code() + " stands before any instance was named");
+                String code = "record with code " + entry.code();
+                throw new WireException(code + " stands before any instance was named");
             }
             read(entry, tail, sink);
         }
@@ -193,7 +199,8 @@
         double startedAtMs = entry.doubleFloat(12);
         int zone = entry.unsignedByte(21);
         int cell = entry.unsignedShort(22);
-        return new Endpoint(entry.engine(6), kind, weight, startedAtMs, state(entry.signedByte(20)), zone, cell);
+        EndpointState state = state(entry.signedByte(20));
+        return new Endpoint(entry.engine(6), kind, weight, startedAtMs, state, zone, cell);
     }
 
     private static EndpointState state(byte code) {
--- a/src/main/java/lineward/scheduling/simulator/Main.java
+++ b/src/main/java/lineward/scheduling/simulator/Main.java
@@ -30,7 +30,9 @@
         System.exit(run(System.in, new FileOutputStream(FileDescriptor.out), System.err));
     }
 
-    /** Returns the exit status: 0 after the end of the input, else 1 with a plain line on the error stream. */
+    /**
+     * Returns the exit status: 0 after the end of the input, else 1 with a plain line on the error stream.
+     */
     static int run(InputStream input, OutputStream output, PrintStream errors) {
         try (DataInputStream in = new DataInputStream(new BufferedInputStream(input, INPUT_BUFFER_BYTES))) {
             SchedulerInstances instances = new SchedulerInstances();
@@ -49,8 +51,8 @@
         return 1;
     }
 
-    private static byte[] answer(SchedulerInstances instances, int firstByte, DataInputStream in) throws IOException {
-        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES).put((byte) firstByte);
+    private static byte[] answer(SchedulerInstances instances, int first, InputStream in) throws IOException {
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES).put((byte) first);
         header.put(readFully(in, HEADER_BYTES - 1)).flip();
         int count = header.getInt();
         int length = header.getInt();
@@ -60,7 +62,7 @@
         return instances.answer(count, ByteBuffer.wrap(readFully(in, length)));
     }
 
-    private static byte[] readFully(DataInputStream in, int length) throws IOException {
+    private static byte[] readFully(InputStream in, int length) throws IOException {
         byte[] bytes = in.readNBytes(length);
         if (bytes.length < length) {
             throw new EOFException();
--- a/src/measure/java/lineward/scheduling/FleetDay.java
+++ b/src/measure/java/lineward/scheduling/FleetDay.java
@@ -1,7 +1,12 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.DeduplicationScope.ALL;
+import static lineward.scheduling.Idempotence.IDEMPOTENT;
+import static lineward.scheduling.Idempotence.NON_IDEMPOTENT;
+
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,17 +23,17 @@
     static final List<RequestClass> CLASSES = List.of(
             new RequestClass(
                     new RequestClass.Objective(500, 2, 2500, 1, 0.1),
-                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Repeatability(IDEMPOTENT, ALL, 0, false),
                     new RequestClass.Placement(null, null),
                     new RequestClass.Workload(false, false, 1)),
             new RequestClass(
                     new RequestClass.Objective(3000, 2.5, 15_000, 12, 0.4),
-                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Repeatability(IDEMPOTENT, ALL, 0, false),
                     new RequestClass.Placement(null, null),
                     new RequestClass.Workload(false, false, 3)),
             new RequestClass(
                     new RequestClass.Objective(4000, 2.5, 25_000, 15, 0.5),
-                    new RequestClass.Repeatability(Idempotence.NON_IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Repeatability(NON_IDEMPOTENT, ALL, 0, false),
                     new RequestClass.Placement(null, null),
                     new RequestClass.Workload(true, false, 2)));
 
@@ -95,7 +100,7 @@
     private final Plan plan;
     private final Random random;
     private final PriorityQueue<Due> agenda =
-            new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
+            new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::turn));
     private final List<Engine> engines = new ArrayList<>();
     private final List<Host> hosts = new ArrayList<>();
     private double now;
@@ -112,7 +117,7 @@
         this.random = new Random(plan.seed);
     }
 
-    private final class Run {
+    private static final class Run {
         final Host host;
         final long request;
         final int attempt;
@@ -161,7 +166,8 @@
             double threads = runs.stream()
                     .mapToInt(r -> CLASSES.get(r.type).workload().threads())
                     .sum();
-            double warm = upSince == 0 ? 1 : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS);
+            double warmed = COLD_SHARE + (1 - COLD_SHARE) * (now - upSince) / COLD_MS;
+            double warm = upSince == 0 ? 1 : Math.min(1, warmed);
             double crowd = Math.max(0, threads / (KNEE * CORES) - 1);
             double cores = CORES / (1 + THRASH * crowd);
             runs.forEach(r -> r.rate = 0);
@@ -286,7 +292,8 @@
         }
 
         boolean reaches(Engine e) {
-            boolean apart = plan.cut >= 0 && e.zone != zone && (e.zone == plan.cut || zone == plan.cut) && isOutage();
+            boolean acrossCut = e.zone != zone && (e.zone == plan.cut || zone == plan.cut);
+            boolean apart = plan.cut >= 0 && acrossCut && isOutage();
             return !apart && !e.lost;
         }
 
@@ -311,7 +318,8 @@
         }
 
         private double[] row(Asked a) {
-            return seconds.computeIfAbsent((int) ((a.at - start) / 1000), s -> new double[CLASSES.size()][4])[a.type];
+            int second = (int) ((a.at - start) / 1000);
+            return seconds.computeIfAbsent(second, s -> new double[CLASSES.size()][4])[a.type];
         }
 
         private void perform(SchedulerAction action) {
@@ -324,7 +332,8 @@
                 }
             } else if (action instanceof SchedulerAction.Reject r) {
                 Asked a = open.get(r.request());
-                outcomes.merge((a.attempts.isEmpty() ? "refused unsent " : "refused ") + a.type, 1, Integer::sum);
+                String ending = a.attempts.isEmpty() ? "refused unsent " : "refused ";
+                outcomes.merge(ending + a.type, 1, Integer::sum);
                 a.over = true;
             } else if (action instanceof SchedulerAction.Fail f) {
                 outcomes.merge("failed " + open.get(f.request()).type, 1, Integer::sum);
@@ -414,10 +423,12 @@
     }
 
     private double perMs(double load) {
-        return load
-                * plan.engines
-                * CORES
-                / (MEAN_WORK[0] * (1 - REPORTS - plan.loads) + MEAN_WORK[1] * REPORTS + MEAN_WORK[2] * plan.loads);
+        return load * plan.engines * CORES / meanWork();
+    }
+
+    private double meanWork() {
+        double lookUps = MEAN_WORK[0] * (1 - REPORTS - plan.loads);
+        return lookUps + MEAN_WORK[1] * REPORTS + MEAN_WORK[2] * plan.loads;
     }
 
     private boolean isOutage() {
@@ -510,8 +521,18 @@
     public static void main(String[] args) {
         double[] n = Arrays.stream(args).mapToDouble(Double::parseDouble).toArray();
         for (int seed = 1; seed <= n[3]; seed++) {
-            FleetDay day = new FleetDay(
-                            new Plan((int) n[0], (int) n[1], (int) n[2], n[4], 0.3, 0, 1, 8, 5000, 30_000, seed))
+            FleetDay day = new FleetDay(new Plan(
+                            (int) n[0],
+                            (int) n[1],
+                            (int) n[2],
+                            n[4],
+                            0.3,
+                            0 /* lost */,
+                            1 /* cut */,
+                            8,
+                            5000,
+                            30_000,
+                            seed))
                     .play();
             int last = day.seconds.lastKey() + 1;
             System.out.printf(
--- a/src/measure/java/lineward/scheduling/RuleChecker.java
+++ b/src/measure/java/lineward/scheduling/RuleChecker.java
@@ -50,7 +50,7 @@
             sent(now, requests.get(s.request()));
         } else if (action instanceof SchedulerAction.Reject r) {
             Held h = requests.get(r.request());
-            hold(!unsafe(h) || !h.mayHaveRun && !h.out, "never twice: refused what may have run");
+            hold(!unsafe(h) || (!h.mayHaveRun && !h.out), "never twice: refused what may have run");
             answered(h);
         } else if (action instanceof SchedulerAction.Fail f) {
             answered(requests.get(f.request()));
--- a/src/test/java/lineward/core/CoreTest.java
+++ b/src/test/java/lineward/core/CoreTest.java
@@ -1,5 +1,13 @@
 package lineward.core;
 
+import static lineward.scheduling.AttemptOutcome.CANCELLED;
+import static lineward.scheduling.AttemptOutcome.ERROR;
+import static lineward.scheduling.AttemptOutcome.OK;
+import static lineward.scheduling.AttemptOutcome.TIMEOUT;
+import static lineward.scheduling.EndpointState.DRAINING;
+import static lineward.scheduling.EndpointState.GONE;
+import static lineward.scheduling.EndpointState.READY;
+import static lineward.scheduling.ProgressKind.RATIO_DONE;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
@@ -7,10 +15,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import lineward.scheduling.AttemptOutcome;
 import lineward.scheduling.EndpointState;
-import lineward.scheduling.ProgressKind;
 import lineward.scheduling.Scheduler;
 import lineward.scheduling.SchedulerAction;
 import lineward.scheduling.SchedulerEvent;
@@ -131,7 +139,7 @@
     }
 
     private long takeAndSend(double now, double ttl) {
-        planner.endpointsChanged(true, List.of(engine("s-1", EndpointState.READY)));
+        planner.endpointsChanged(true, List.of(engine("s-1", READY)));
         long id = planner.admit(now, new RequestAttributes(0, 0, ttl, 0, 0, 0, false), "r");
         planner.tick(now);
         module.next = List.of(
@@ -147,7 +155,9 @@
         List<Command<String>> commands = planner.tick(now);
         Command.StartAttempt<String> start = (Command.StartAttempt<String>) commands.get(0);
         assertEquals(
-                start, new Command.StartAttempt<>("r", id, 0, "s-1", Math.round(ttl - 10), (long) (ttl - 10), 64, 2));
+                start,
+                new Command.StartAttempt<>(
+                        "r", id, 0, "s-1", Math.round(ttl - 10), (long) (ttl - 10) /* start */, 64, 2));
         return id;
     }
 
@@ -155,8 +165,8 @@
     public void aRequestIsServedOnceAndItsSlotIsFreeThen() {
         long id = takeAndSend(1000, 500);
         assertEquals(planner.openRequests(), 1);
-        assertTrue(planner.attemptEnded(id, 0, AttemptOutcome.OK));
-        assertFalse(planner.attemptEnded(id, 0, AttemptOutcome.OK));
+        assertTrue(planner.attemptEnded(id, 0, OK));
+        assertFalse(planner.attemptEnded(id, 0, OK));
         assertEquals(planner.openRequests(), 0);
         planner.cancelRequest(id);
         planner.tick(1001);
@@ -168,10 +178,10 @@
     public void anAttemptTimesOutAheadOfTheClient() {
         long id = takeAndSend(2000, 300);
         planner.tick(2289);
-        assertNull(last(AttemptOutcome.TIMEOUT));
+        assertNull(last(TIMEOUT));
         List<Command<String>> commands = planner.tick(2290);
         assertEquals(commands, List.of(new Command.CancelAttempt<>("r", id, 0, "s-1")));
-        assertEquals(last(AttemptOutcome.TIMEOUT).request(), id);
+        assertEquals(last(TIMEOUT).request(), id);
         module.next = List.of(new SchedulerAction.Reject(id, 125));
         planner.endpointsChanged(false, List.of());
         assertEquals(planner.tick(2291), List.of(new Command.Reject<>("r", 125)));
@@ -181,37 +191,36 @@
     @Test
     public void aCancelledAttemptEndsOnlyWhenTheWordIsThere() {
         long id = takeAndSend(3000, 5000);
-        module.next = List.of(new SchedulerAction.CancelAttempt(id, 0), new SchedulerAction.CancelAttempt(id, 0));
+        module.next = Collections.nCopies(2, new SchedulerAction.CancelAttempt(id, 0));
         planner.endpointsChanged(false, List.of());
         assertEquals(planner.tick(3100), List.of(new Command.CancelAttempt<>("r", id, 0, "s-1")));
         planner.tick(3105);
-        assertNull(last(AttemptOutcome.CANCELLED));
+        assertNull(last(CANCELLED));
         planner.tick(3106);
-        assertEquals(last(AttemptOutcome.CANCELLED).request(), id);
+        assertEquals(last(CANCELLED).request(), id);
     }
 
     @Test
     public void aNoteIsPassedOnOnlyWhileItsAttemptIsOut() {
         long id = takeAndSend(4000, 5000);
-        planner.attemptProgressed(id, 0, ProgressKind.RATIO_DONE, 0.5);
-        planner.attemptProgressed(id, 1, ProgressKind.RATIO_DONE, 0.6);
+        planner.attemptProgressed(id, 0, RATIO_DONE, 0.5);
+        planner.attemptProgressed(id, 1, RATIO_DONE, 0.6);
         planner.tick(4001);
         assertEquals(
                 module.last(SchedulerEvent.AttemptProgress.class),
-                new SchedulerEvent.AttemptProgress(id, 0, ProgressKind.RATIO_DONE, 0.5));
+                new SchedulerEvent.AttemptProgress(id, 0, RATIO_DONE, 0.5));
         module.next = List.of(new SchedulerAction.CancelAttempt(id, 0));
         planner.endpointsChanged(false, List.of());
         planner.tick(4002);
-        planner.attemptProgressed(id, 0, ProgressKind.RATIO_DONE, 0.7);
+        planner.attemptProgressed(id, 0, RATIO_DONE, 0.7);
         planner.tick(4003);
-        assertEquals(
-                module.last(SchedulerEvent.AttemptProgress.class).amount(), 0.5, "none behind the word to give up");
+        assertEquals(module.last(SchedulerEvent.AttemptProgress.class).amount(), 0.5, "not after a cancel");
     }
 
     /** One probe an engine at a time; the first answer counts, or its time is up. */
     @Test
     public void aProbeEndsOnceByItsAnswerOrByItsTime() {
-        planner.endpointsChanged(true, List.of(engine("s-1", EndpointState.READY)));
+        planner.endpointsChanged(true, List.of(engine("s-1", READY)));
         planner.tick(1000);
         long number = module.last(SchedulerEvent.EndpointsChanged.class)
                 .endpoints()
@@ -219,9 +228,9 @@
                 .engine();
         List<Command<String>> asked = probe(1000, number, number);
         assertEquals(asked, List.of(new Command.CheckHealth<>("s-1")));
-        planner.healthCheckCompleted(1040, "s-1", AttemptOutcome.OK, new double[] {3});
-        planner.healthCheckCompleted(1050, "s-1", AttemptOutcome.ERROR, new double[0]);
-        planner.healthCheckCompleted(1050, "s-2", AttemptOutcome.ERROR, new double[0]);
+        planner.healthCheckCompleted(1040, "s-1", OK, new double[] {3});
+        planner.healthCheckCompleted(1050, "s-1", ERROR, new double[0]);
+        planner.healthCheckCompleted(1050, "s-2", ERROR, new double[0]);
         planner.tick(2000);
         SchedulerEvent.HealthCheckCompleted first = module.last(SchedulerEvent.HealthCheckCompleted.class);
         assertEquals(first.outcome() + " " + first.latencyMs() + " " + first.loadReport()[0], "OK 40.0 3.0");
@@ -229,7 +238,7 @@
         planner.tick(3249);
         assertEquals(module.last(SchedulerEvent.HealthCheckCompleted.class), first);
         planner.tick(3250);
-        assertEquals(module.last(SchedulerEvent.HealthCheckCompleted.class).outcome(), AttemptOutcome.TIMEOUT);
+        assertEquals(module.last(SchedulerEvent.HealthCheckCompleted.class).outcome(), TIMEOUT);
     }
 
     private List<Command<String>> probe(double now, long... engines) {
@@ -243,12 +252,12 @@
     @Test
     public void enginesThatAreGoneAreForgotten() {
         for (int i = 0; i < 100; i++) {
-            planner.endpointsChanged(false, List.of(engine("a" + i, EndpointState.READY)));
-            planner.endpointsChanged(false, List.of(engine("a" + i, EndpointState.GONE)));
+            planner.endpointsChanged(false, List.of(engine("a" + i, READY)));
+            planner.endpointsChanged(false, List.of(engine("a" + i, GONE)));
         }
         assertEquals(planner.listedEngines(), 0);
-        planner.endpointsChanged(false, List.of(engine("b", EndpointState.READY)));
-        planner.endpointsChanged(true, List.of(engine("c", EndpointState.DRAINING)));
+        planner.endpointsChanged(false, List.of(engine("b", READY)));
+        planner.endpointsChanged(true, List.of(engine("c", DRAINING)));
         assertEquals(planner.listedEngines(), 1);
     }
 
--- a/src/test/java/lineward/core/PlannerDigestTest.java
+++ b/src/test/java/lineward/core/PlannerDigestTest.java
@@ -1,21 +1,32 @@
 package lineward.core;
 
+import static lineward.scheduling.AttemptOutcome.CANCELLED;
+import static lineward.scheduling.AttemptOutcome.CONNECT_FAILED;
+import static lineward.scheduling.AttemptOutcome.ERROR;
+import static lineward.scheduling.AttemptOutcome.OK;
+import static lineward.scheduling.AttemptOutcome.REJECTED;
+import static lineward.scheduling.AttemptOutcome.RESET;
+import static lineward.scheduling.DeduplicationScope.ALL;
+import static lineward.scheduling.EndpointState.READY;
+import static lineward.scheduling.Idempotence.BY_KEY;
+import static lineward.scheduling.Idempotence.IDEMPOTENT;
+import static lineward.scheduling.Idempotence.NON_IDEMPOTENT;
+import static lineward.scheduling.LoadReportField.IN_FLIGHT;
+import static lineward.scheduling.LoadReportField.MEMORY;
+import static lineward.scheduling.ProgressKind.RATIO_DONE;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
 import lineward.scheduling.ActionDigest;
 import lineward.scheduling.AttemptOutcome;
-import lineward.scheduling.DeduplicationScope;
 import lineward.scheduling.EndpointState;
 import lineward.scheduling.EngineKind;
-import lineward.scheduling.Idempotence;
-import lineward.scheduling.LoadReportField;
 import lineward.scheduling.MemoryShortage;
-import lineward.scheduling.ProgressKind;
 import lineward.scheduling.RequestClass;
 import lineward.scheduling.SchedulerSettings;
 import lineward.scheduling.SpeculativeScheduler;
@@ -78,8 +89,8 @@
         private final Random random;
         private final Coordinator<Exchange> planner;
         private final ActionDigest digest = new ActionDigest();
-        private final PriorityQueue<Due> queue = new PriorityQueue<>(
-                (a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+        private final PriorityQueue<Due> queue =
+                new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
         private final List<Long> taken = new ArrayList<>();
         private long order;
         private double now = 1_000;
@@ -92,7 +103,7 @@
         }
 
         String play() {
-            planner.endpointsChanged(true, engines(EndpointState.READY));
+            planner.endpointsChanged(true, engines(READY));
             scheduleDay();
             for (double end = now + DAY_MS + 8_000; now < end; now += TICK_MS) {
                 while (!queue.isEmpty() && queue.peek().at() <= now) {
@@ -125,11 +136,11 @@
                         () -> planner.gossipReceived(1, new byte[] {1, 2, 3, 4, 5, 6, 7, 8}));
             }
             for (int i = 0; i < 10; i++) {
-                EndpointState condition = EndpointState.values()[random.nextInt(3)];
+                EndpointState condition = List.of(EndpointState.values()).get(random.nextInt(3));
                 EngineEndpoint entry = engines(condition).get(random.nextInt(ENGINES));
                 double at = now + random.nextInt(DAY_MS);
                 schedule(at, () -> planner.endpointsChanged(false, List.of(entry)));
-                schedule(at + 800, () -> planner.endpointsChanged(true, engines(EndpointState.READY)));
+                schedule(at + 800, () -> planner.endpointsChanged(true, engines(READY)));
             }
             schedule(now + 4_000, () -> planner.setMaintenance("engine-1", true, now));
             schedule(now + 5_000, () -> planner.setMaintenance("engine-1", false, now));
@@ -150,7 +161,7 @@
                     random.nextInt(5),
                     random.nextInt(8) == 0);
             long id = planner.admit(now, demand, new Exchange(number));
-            digest.add('I', id);
+            digest.add('I', (double) id);
             if (id != GenerationalTable.FULL) {
                 taken.add(id);
             }
@@ -177,14 +188,15 @@
                         c.priority());
                 start(c);
             } else if (command instanceof Command.CancelAttempt<Exchange> c) {
-                digest.add('C', c.exchange().number, c.request(), c.attempt(), engineNumber(c.engine()));
-                schedule(now + random.nextInt(12), () -> end(c.request(), c.attempt(), AttemptOutcome.CANCELLED));
+                double request = c.request();
+                digest.add('C', c.exchange().number, request, c.attempt(), engineNumber(c.engine()));
+                schedule(now + random.nextInt(12), () -> end(c.request(), c.attempt(), CANCELLED));
             } else if (command instanceof Command.Reject<Exchange> c) {
-                digest.add('R', c.exchange().number, c.retryAfterMs());
+                digest.add('R', c.exchange().number, (double) c.retryAfterMs());
             } else if (command instanceof Command.Fail<Exchange> c) {
                 digest.add('F', c.exchange().number);
             } else if (command instanceof Command.ChangePriority<Exchange> c) {
-                digest.add('Q', c.exchange().number, c.request(), c.attempt(), c.priority());
+                digest.add('Q', c.exchange().number, (double) c.request(), c.attempt(), c.priority());
             } else if (command instanceof Command.CheckHealth<Exchange> c) {
                 digest.add('P', engineNumber(c.engine()));
                 answerProbe(c.engine());
@@ -195,21 +207,10 @@
 
         private void start(Command.StartAttempt<Exchange> c) {
             double service = 20 + random.nextInt(random.nextInt(10) == 0 ? 4_000 : 300);
-            AttemptOutcome[] outcomes = {
-                AttemptOutcome.OK,
-                AttemptOutcome.OK,
-                AttemptOutcome.OK,
-                AttemptOutcome.OK,
-                AttemptOutcome.ERROR,
-                AttemptOutcome.REJECTED,
-                AttemptOutcome.CONNECT_FAILED,
-                AttemptOutcome.RESET
-            };
+            AttemptOutcome[] outcomes = {OK, OK, OK, OK, ERROR, REJECTED, CONNECT_FAILED, RESET};
             AttemptOutcome outcome = outcomes[random.nextInt(outcomes.length)];
             if (random.nextInt(4) == 0) {
-                schedule(
-                        now + service / 2,
-                        () -> planner.attemptProgressed(c.request(), c.attempt(), ProgressKind.RATIO_DONE, 0.5));
+                schedule(now + service / 2, () -> reportProgress(c));
             }
             if (random.nextInt(10) == 0) {
                 schedule(
@@ -219,15 +220,17 @@
             schedule(now + service, () -> end(c.request(), c.attempt(), outcome));
         }
 
+        private void reportProgress(Command.StartAttempt<Exchange> c) {
+            planner.attemptProgressed(c.request(), c.attempt(), RATIO_DONE, 0.5);
+        }
+
         private void end(long request, int attempt, AttemptOutcome outcome) {
             digest.add('E', planner.attemptEnded(request, attempt, outcome) ? 1 : 0);
         }
 
         private void answerProbe(String engine) {
             double[] report = {random.nextInt(6), random.nextDouble()};
-            schedule(
-                    now + random.nextInt(400),
-                    () -> planner.healthCheckCompleted(now, engine, AttemptOutcome.OK, report));
+            schedule(now + random.nextInt(400), () -> planner.healthCheckCompleted(now, engine, OK, report));
         }
 
         private static int engineNumber(String engine) {
@@ -237,7 +240,7 @@
         private static List<EngineEndpoint> engines(EndpointState condition) {
             List<EngineEndpoint> entries = new ArrayList<>();
             for (int i = 0; i < ENGINES; i++) {
-                entries.add(new EngineEndpoint("engine-" + i, "127.0.0.1:1", i % 2, 1, 0, condition, i % 2, 0));
+                entries.add(new EngineEndpoint("engine-" + i, "", i % 2, 1, 0, condition, i % 2, 0));
             }
             return entries;
         }
@@ -245,17 +248,17 @@
         private static SchedulerSettings settings(int fronts) {
             RequestClass look = new RequestClass(
                     new RequestClass.Objective(800, 1, 4_000, 1, 0),
-                    new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Repeatability(IDEMPOTENT, ALL, 0, false),
                     new RequestClass.Placement(null, null),
                     new RequestClass.Workload(false, true, 1));
             RequestClass load = new RequestClass(
                     new RequestClass.Objective(2_000, 2, 6_000, 3, 0.5),
-                    new RequestClass.Repeatability(Idempotence.NON_IDEMPOTENT, DeduplicationScope.ALL, 0, false),
+                    new RequestClass.Repeatability(NON_IDEMPOTENT, ALL, 0, false),
                     new RequestClass.Placement(null, null),
                     new RequestClass.Workload(true, false, 2));
             RequestClass keyed = new RequestClass(
                     new RequestClass.Objective(900, 1, 4_000, 2, 0),
-                    new RequestClass.Repeatability(Idempotence.BY_KEY, DeduplicationScope.ALL, 900, false),
+                    new RequestClass.Repeatability(BY_KEY, ALL, 900, false),
                     new RequestClass.Placement(null, null),
                     new RequestClass.Workload(false, true, 1));
             SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
@@ -273,7 +276,7 @@
                     new SchedulerSettings.FleetPosition(2, 0, fronts, 0),
                     limits,
                     rules,
-                    new SchedulerSettings.Reporting(List.of(LoadReportField.IN_FLIGHT, LoadReportField.MEMORY), false),
+                    new SchedulerSettings.Reporting(List.of(IN_FLIGHT, MEMORY), false),
                     new SchedulerSettings.Discovery(false, 0, false),
                     new SchedulerSettings.Costs(0.001, 0.0001),
                     new SchedulerSettings.Quotas(List.of(), 1));
--- a/src/test/java/lineward/scheduling/ActionDigest.java
+++ b/src/test/java/lineward/scheduling/ActionDigest.java
@@ -43,19 +43,19 @@
     /** Takes in one action of the decision module. */
     public void add(SchedulerAction action) {
         if (action instanceof SchedulerAction.StartAttempt a) {
-            add('S', a.request(), a.engine(), a.maxWaitMs(), a.startWithinMs());
+            add('S', (double) a.request(), (double) a.engine(), a.maxWaitMs(), a.startWithinMs());
         } else if (action instanceof SchedulerAction.CancelAttempt a) {
-            add('C', a.request(), a.attempt());
+            add('C', (double) a.request(), a.attempt());
         } else if (action instanceof SchedulerAction.Reject a) {
-            add('R', a.request(), a.retryAfterMs());
+            add('R', (double) a.request(), a.retryAfterMs());
         } else if (action instanceof SchedulerAction.Fail a) {
-            add('F', a.request());
+            add('F', (double) a.request());
         } else if (action instanceof SchedulerAction.SetResourceLimits a) {
-            add('L', a.request(), a.grantMb(), a.priority());
+            add('L', (double) a.request(), a.grantMb(), a.priority());
         } else if (action instanceof SchedulerAction.BroadcastGossip a) {
             add('A', a.payload());
         } else if (action instanceof SchedulerAction.StartHealthCheck a) {
-            add('P', a.engine());
+            add('P', (double) a.engine());
         } else if (action instanceof SchedulerAction.ScheduleTimer a) {
             add('T', a.delayMs(), a.token());
         } else if (action instanceof SchedulerAction.WatchEndpoints) {
--- a/src/test/java/lineward/scheduling/ColdFleetTest.java
+++ b/src/test/java/lineward/scheduling/ColdFleetTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -91,7 +92,7 @@
         private final SchedulerSettings.Rules rules;
         private final Random random;
         private final PriorityQueue<Due> agenda =
-                new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
+                new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::turn));
         private final int cold;
         private final int engines;
         private final Map<Long, Budget> budgets = new HashMap<>();
@@ -133,10 +134,6 @@
             return this;
         }
 
-        double worst() {
-            return budgets.values().stream().mapToDouble(b -> b.worst).max().orElse(0);
-        }
-
         private void in(double ms, Runnable task) {
             agenda.add(new Due(now + ms, turns++, task));
         }
--- a/src/test/java/lineward/scheduling/DecisionCostTest.java
+++ b/src/test/java/lineward/scheduling/DecisionCostTest.java
@@ -29,8 +29,7 @@
         long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
         s.pass(SECONDS * 1000);
         double ms = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - before) / 1e6 / SECONDS;
-        System.out.printf(
-                "a second with %d requests held: %.1f ms at %d fronts, %d engines%n", HELD, ms, fronts, engines);
+        System.out.printf("%d queued: %.1f ms at %d fronts, %d engines%n", HELD, ms, fronts, engines);
         assertTrue(ms < MOST_MS, ms + " ms a second");
     }
 }
--- a/src/test/java/lineward/scheduling/DecisionDigestTest.java
+++ b/src/test/java/lineward/scheduling/DecisionDigestTest.java
@@ -1,5 +1,11 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.DeduplicationScope.ALL;
+import static lineward.scheduling.DeduplicationScope.CELL;
+import static lineward.scheduling.DeduplicationScope.ZONE;
+import static lineward.scheduling.Idempotence.BY_KEY;
+import static lineward.scheduling.Idempotence.IDEMPOTENT;
+import static lineward.scheduling.Idempotence.NON_IDEMPOTENT;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -66,15 +72,12 @@
 
     private static List<RequestClass> classes() {
         return List.of(
-                requestClass(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false, null, null, false, true, 1),
-                requestClass(Idempotence.NON_IDEMPOTENT, DeduplicationScope.ALL, 0, true, null, null, true, false, 2),
-                requestClass(
-                        Idempotence.BY_KEY, DeduplicationScope.ALL, 900, false, null, List.of(0, 1), false, false, 1),
-                requestClass(Idempotence.BY_KEY, DeduplicationScope.ZONE, 4_000, true, null, null, false, false, 2),
-                requestClass(
-                        Idempotence.BY_KEY, DeduplicationScope.CELL, 2_000, false, List.of(0, 2), null, false, true, 1),
-                requestClass(
-                        Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false, List.of(1), null, true, false, 4));
+                requestClass(IDEMPOTENT, ALL, 0, false, null, null, false, true, 1),
+                requestClass(NON_IDEMPOTENT, ALL, 0, true, null, null, true, false, 2),
+                requestClass(BY_KEY, ALL, 900, false, null, List.of(0, 1), false, false, 1),
+                requestClass(BY_KEY, ZONE, 4_000, true, null, null, false, false, 2),
+                requestClass(BY_KEY, CELL, 2_000, false, List.of(0, 2), null, false, true, 1),
+                requestClass(IDEMPOTENT, ALL, 0, false, List.of(1), null, true, false, 4));
     }
 
     private static RequestClass requestClass(
@@ -98,7 +101,8 @@
         boolean reporting = site == Site.REPORTING;
         boolean strict = site == Site.STRICT;
         return new SchedulerSettings.Limits(
-                new SchedulerSettings.Capabilities(true, reporting, false, !strict, !strict, !strict, reporting),
+                new SchedulerSettings.Capabilities(
+                        true, reporting, false, !strict, !strict, !strict, reporting /* gossip */),
                 new SchedulerSettings.AttemptLimits(strict ? 3 : 4, 400, strict ? 0 : 400),
                 new SchedulerSettings.MemoryLimits(0.4, strict ? MemoryShortage.PAGE : MemoryShortage.WAIT));
     }
--- a/src/test/java/lineward/scheduling/HeldOutTest.java
+++ b/src/test/java/lineward/scheduling/HeldOutTest.java
@@ -4,6 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import lineward.scheduling.SchedulerEvent.EndpointsChanged;
+import lineward.scheduling.SchedulerEvent.MaintenanceChanged;
+import lineward.scheduling.SchedulerEvent.QuotaChanged;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -16,15 +19,11 @@
     /** What the list may say of an engine that is held out. */
     @DataProvider
     public Object[][] lists() {
-        SchedulerEvent.EndpointsChanged gone =
-                new SchedulerEvent.EndpointsChanged(false, List.of(listed(EndpointState.GONE, 0)));
-        SchedulerEvent.EndpointsChanged missing = new SchedulerEvent.EndpointsChanged(true, List.of(Scene.engine(2)));
-        SchedulerEvent.EndpointsChanged back =
-                new SchedulerEvent.EndpointsChanged(false, List.of(listed(EndpointState.READY, 0)));
-        SchedulerEvent.EndpointsChanged anew =
-                new SchedulerEvent.EndpointsChanged(false, List.of(listed(EndpointState.READY, 900)));
-        SchedulerEvent.EndpointsChanged whole =
-                new SchedulerEvent.EndpointsChanged(true, List.of(Scene.engine(1), Scene.engine(2)));
+        EndpointsChanged gone = new EndpointsChanged(false, List.of(listed(EndpointState.GONE, 0)));
+        EndpointsChanged missing = new EndpointsChanged(true, List.of(Scene.engine(2)));
+        EndpointsChanged back = new EndpointsChanged(false, List.of(listed(EndpointState.READY, 0)));
+        EndpointsChanged anew = new EndpointsChanged(false, List.of(listed(EndpointState.READY, 900)));
+        EndpointsChanged whole = new EndpointsChanged(true, List.of(Scene.engine(1), Scene.engine(2)));
         return new Object[][] {
             {List.of()},
             {List.of(gone)},
@@ -37,10 +36,10 @@
     }
 
     @Test(dataProvider = "lists")
-    public void noListLetsItInAgain(List<SchedulerEvent.EndpointsChanged> lists) {
+    public void noListLetsItInAgain(List<EndpointsChanged> lists) {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2);
-        s.tell(new SchedulerEvent.MaintenanceChanged(1, true, s.now));
-        for (SchedulerEvent.EndpointsChanged change : lists) {
+        s.tell(new MaintenanceChanged(1, true, s.now));
+        for (EndpointsChanged change : lists) {
             s.pass(2000);
             s.tell(change);
         }
@@ -56,12 +55,12 @@
     @Test
     public void anEngineTheListHasNotYetIsHeldOutWhenItComes() {
         Scene s = new Scene(Scene.settings(Scene.look()));
-        s.tell(new SchedulerEvent.MaintenanceChanged(1, true, s.now)).pass(100);
+        s.tell(new MaintenanceChanged(1, true, s.now)).pass(100);
         assertEquals(s.control.excludedEngines(), 0);
         s.engines(1).ask(5, 0).pass(1000);
         assertEquals(s.all(SchedulerAction.StartAttempt.class).size(), 0);
         assertEquals(s.control.excludedEngines(), 1);
-        s.tell(new SchedulerEvent.MaintenanceChanged(1, false, s.now));
+        s.tell(new MaintenanceChanged(1, false, s.now));
         assertEquals(s.sentTo(), 1, "what is held goes out with the call back");
         assertEquals(s.control.excludedEngines(), 0);
     }
@@ -69,8 +68,8 @@
     @Test
     public void calledBackItIsUsedAtOnceAsAColdEngineThoughOthersAreFree() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3, 4);
-        s.tell(new SchedulerEvent.MaintenanceChanged(1, true, s.now)).pass(30_000);
-        s.tell(new SchedulerEvent.MaintenanceChanged(1, false, s.now));
+        s.tell(new MaintenanceChanged(1, true, s.now)).pass(30_000);
+        s.tell(new MaintenanceChanged(1, false, s.now));
         int there = 0;
         for (int i = 0; i < 60; i++) {
             s.ask(10 + i, 0);
@@ -94,7 +93,7 @@
     public void theColdBudgetGrowsAsAnEngineWarmsWhoseStartWasTold(int age, int sent) {
         Scene s = new Scene(Scene.settings(Scene.look())).engines();
         s.now += 20_000;
-        s.tell(new SchedulerEvent.EndpointsChanged(true, List.of(listed(EndpointState.READY, s.now - age))));
+        s.tell(new EndpointsChanged(true, List.of(listed(EndpointState.READY, s.now - age))));
         for (int i = 0; i < 40; i++) {
             s.ask(10 + i, 0, 0, 1000, 5000);
         }
@@ -105,11 +104,11 @@
     public void twoProcessesShareTheColdBudget() {
         Scene alone = new Scene(Scene.settings(Scene.look()));
         Scene both = new Scene(Scene.settings(Scene.look()));
-        both.tell(new SchedulerEvent.QuotaChanged(0.5));
+        both.tell(new QuotaChanged(0.5));
         long[] sent = new long[2];
         for (int k = 0; k < 2; k++) {
             Scene s = k == 0 ? alone : both;
-            s.engines(1).pass(5000).tell(new SchedulerEvent.MaintenanceChanged(1, false, s.now));
+            s.engines(1).pass(5000).tell(new MaintenanceChanged(1, false, s.now));
             for (int i = 0; i < 40; i++) {
                 s.ask(10 + i, 0, 0, 1000, 5000);
             }
--- a/src/test/java/lineward/scheduling/KnowledgeTest.java
+++ b/src/test/java/lineward/scheduling/KnowledgeTest.java
@@ -1,9 +1,14 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.AttemptOutcome.OK;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
 import java.util.List;
+import lineward.scheduling.SchedulerEvent.AttemptEnded;
+import lineward.scheduling.SchedulerEvent.GossipReceived;
+import lineward.scheduling.SchedulerEvent.HealthCheckCompleted;
+import lineward.scheduling.SchedulerEvent.TimerFired;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -36,14 +41,14 @@
         List<SchedulerAction.BroadcastGossip> words = new ArrayList<>();
         for (int i = 0; i < 400 && words.isEmpty(); i++) {
             s.now += 25;
-            s.tell(new SchedulerEvent.TimerFired(1));
+            s.tell(new TimerFired(1));
             List<SchedulerEvent> answers = new ArrayList<>();
             for (SchedulerAction.StartHealthCheck p : s.last(SchedulerAction.StartHealthCheck.class)) {
-                answers.add(new SchedulerEvent.HealthCheckCompleted(
-                        p.engine(), AttemptOutcome.OK, 1, new double[] {p.engine() == 1 ? busy : 1, 0.2}));
+                answers.add(new HealthCheckCompleted(
+                        p.engine(), OK, 1, new double[] {p.engine() == 1 ? busy : 1, 0.2}));
             }
             s.now += 25;
-            answers.add(new SchedulerEvent.TimerFired(0));
+            answers.add(new TimerFired(0));
             s.tell(answers.toArray(new SchedulerEvent[0]));
             words.addAll(s.last(SchedulerAction.BroadcastGossip.class));
         }
@@ -58,14 +63,14 @@
         for (boolean told : new boolean[] {true, false}) {
             int full = 0;
             Scene s = talking(fronts);
-            s.ask(1000, 0).verdict(1000, 0, AttemptOutcome.OK);
+            s.ask(1000, 0).verdict(1000, 0, OK);
             if (told) {
-                s.tell(new SchedulerEvent.GossipReceived(1, words.get(0).payload()));
+                s.tell(new GossipReceived(1, words.get(0).payload()));
             }
             for (int n = 0; n < 60; n++) {
                 s.ask(n, 0);
                 full += s.sentTo() == 1 ? 1 : 0;
-                s.verdict(n, 0, AttemptOutcome.OK);
+                s.verdict(n, 0, OK);
             }
             assertThat(full == 0).as("told " + told).isEqualTo(told);
         }
@@ -75,17 +80,17 @@
     void wordsThatAreGarbledLateOrOfUnknownEnginesHarmNothing() {
         Scene s = talking(50);
         s.tell(
-                new SchedulerEvent.GossipReceived(9, new byte[] {1, 2, 3}),
-                new SchedulerEvent.GossipReceived(9, new byte[256]),
-                new SchedulerEvent.GossipReceived(9, new byte[0]));
+                new GossipReceived(9, new byte[] {1, 2, 3}),
+                new GossipReceived(9, new byte[256]),
+                new GossipReceived(9, new byte[0]));
         byte[] full = look(talking(50), 60).get(0).payload();
-        s.tell(new SchedulerEvent.GossipReceived(1, full));
+        s.tell(new GossipReceived(1, full));
         s.pass(3000);
         long used = 0;
         for (int i = 0; i < 60; i++) {
             s.ask(i, 0);
             used |= s.sentTo() > 0 ? 1L << s.sentTo() : 0;
-            s.verdict(i, 0, AttemptOutcome.OK);
+            s.verdict(i, 0, OK);
             s.pass(50);
         }
         assertThat(used).as("a word is forgotten, all four engines are used").isEqualTo(0b11110);
@@ -103,8 +108,7 @@
             Scene s = new Scene(Scene.settings(Scene.limits(4), Scene.rules(), stretched)).engines(1, 2, 3);
             for (int i = 0; i < 8; i++) {
                 s.ask(i, 0, 0, 400, 20_000).pass(1150);
-                s.tell(new SchedulerEvent.AttemptEnded(i, 0, AttemptOutcome.OK, true, told, 0, new double[0]))
-                        .pass(100);
+                s.tell(new AttemptEnded(i, 0, OK, true, told, 0, new double[0])).pass(100);
             }
             s.ask(100, 0, 0, 2000, 20_000);
             assertThat(s.sentTo() > 0).as("told " + told).isEqualTo(told > 0);
@@ -116,9 +120,7 @@
     void answersThatTellTheMemoryRaiseTheGrantsOfTheirClassAtOnce() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3);
         for (int i = 0; i < 4; i++) {
-            s.ask(i, 0)
-                    .pass(200)
-                    .tell(new SchedulerEvent.AttemptEnded(i, 0, AttemptOutcome.OK, true, 0, 300, new double[0]));
+            s.ask(i, 0).pass(200).tell(new AttemptEnded(i, 0, OK, true, 0, 300, new double[0]));
         }
         s.ask(100, 0);
         assertThat(s.last(SchedulerAction.SetResourceLimits.class).get(0).grantMb())
--- a/src/test/java/lineward/scheduling/LinesTest.java
+++ b/src/test/java/lineward/scheduling/LinesTest.java
@@ -4,6 +4,9 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import lineward.scheduling.SchedulerEvent.AttemptEnded;
+import lineward.scheduling.SchedulerEvent.AttemptProgress;
+import lineward.scheduling.SchedulerEvent.TimerFired;
 import org.junit.jupiter.api.Test;
 
 /** What stands in an engine's line, and stragglers that few outcomes have to tell. */
@@ -13,7 +16,8 @@
                 new SchedulerSettings.Capabilities(true, true, false, true, true, true, false),
                 new SchedulerSettings.AttemptLimits(attempts, 500, notesEvery),
                 new SchedulerSettings.MemoryLimits(0.4, MemoryShortage.WAIT));
-        return new Scene(Scene.settings(limits, Scene.rules(), Scene.look(), Scene.load())).engines(1, 2, 3, 4);
+        SchedulerSettings settings = Scene.settings(limits, Scene.rules(), Scene.look(), Scene.load());
+        return new Scene(settings).engines(1, 2, 3, 4);
     }
 
     /** An engine tells once that a load waits there, and then nothing until it runs. */
@@ -22,8 +26,7 @@
         Scene s = scene(500, 5);
         s.ask(1, 1, 0, 2000, 20000);
         long engine = s.sentTo();
-        s.tell(new SchedulerEvent.AttemptProgress(1, 0, ProgressKind.WAITING_FOR_MEMORY, 1))
-                .pass(4000);
+        s.tell(new AttemptProgress(1, 0, ProgressKind.WAITING_FOR_MEMORY, 1)).pass(4000);
         assertThat(s.all(SchedulerAction.LogMessage.class))
                 .noneMatch(l -> l.text().contains(Long.toHexString(engine)));
         assertThat(s.all(SchedulerAction.CancelAttempt.class)).isEmpty();
@@ -35,13 +38,13 @@
         s.ask(1, 0, 0, 200, 5000);
         Set<Long> met = new HashSet<>(Set.of(s.sentTo()));
         for (int attempt = 0; attempt < 2; attempt++) {
-            s.tell(new SchedulerEvent.AttemptProgress(1, attempt, ProgressKind.WAITING_FOR_MEMORY, 1));
+            s.tell(new AttemptProgress(1, attempt, ProgressKind.WAITING_FOR_MEMORY, 1));
             assertThat(s.last(SchedulerAction.CancelAttempt.class))
                     .containsExactly(new SchedulerAction.CancelAttempt(1, attempt));
             s.verdict(1, attempt, AttemptOutcome.CANCELLED);
             assertThat(met.add(s.sentTo())).as("a different engine each time").isTrue();
         }
-        s.tell(new SchedulerEvent.AttemptProgress(1, 2, ProgressKind.WAITING_FOR_MEMORY, 1));
+        s.tell(new AttemptProgress(1, 2, ProgressKind.WAITING_FOR_MEMORY, 1));
         assertThat(s.last(SchedulerAction.CancelAttempt.class))
                 .as("the third line is waited in")
                 .isEmpty();
@@ -50,9 +53,9 @@
     @Test
     void whatMayNotRepeatOrHasBegunStays() {
         Scene s = scene(500, 5);
-        s.ask(1, 1, 0, 2000, 20000).tell(new SchedulerEvent.AttemptProgress(1, 0, ProgressKind.WAITING_FOR_LOAD, 2));
-        s.ask(2, 0, 0, 200, 5000).tell(new SchedulerEvent.AttemptProgress(2, 0, ProgressKind.RATIO_DONE, 0.4));
-        s.tell(new SchedulerEvent.AttemptProgress(2, 0, ProgressKind.WAITING_FOR_LOAD, 2));
+        s.ask(1, 1, 0, 2000, 20000).tell(new AttemptProgress(1, 0, ProgressKind.WAITING_FOR_LOAD, 2));
+        s.ask(2, 0, 0, 200, 5000).tell(new AttemptProgress(2, 0, ProgressKind.RATIO_DONE, 0.4));
+        s.tell(new AttemptProgress(2, 0, ProgressKind.WAITING_FOR_LOAD, 2));
         assertThat(s.all(SchedulerAction.CancelAttempt.class)).isEmpty();
         assertThat(s.all(SchedulerAction.StartAttempt.class)).hasSize(2);
     }
@@ -77,7 +80,7 @@
             s.all.clear();
             s.ask(i, 1, 0, 2000, 20000)
                     .pass(1000)
-                    .tell(new SchedulerEvent.AttemptProgress(i, 0, ProgressKind.RATIO_DONE, 0.05))
+                    .tell(new AttemptProgress(i, 0, ProgressKind.RATIO_DONE, 0.05))
                     .pass(100);
             assertThat(s.all(SchedulerAction.CancelAttempt.class))
                     .as("straggler " + i)
@@ -95,9 +98,9 @@
         s.all.clear();
         s.now += 2000;
         s.tell(
-                new SchedulerEvent.TimerFired(0),
-                new SchedulerEvent.AttemptEnded(1, 0, AttemptOutcome.OK, true, 0, 0, new double[0]),
-                new SchedulerEvent.AttemptEnded(2, 0, AttemptOutcome.OK, true, 0, 0, new double[0]));
+                new TimerFired(0),
+                new AttemptEnded(1, 0, AttemptOutcome.OK, true, 0, 0, new double[0]),
+                new AttemptEnded(2, 0, AttemptOutcome.OK, true, 0, 0, new double[0]));
         assertThat(s.all)
                 .noneMatch(a -> a instanceof SchedulerAction.CancelAttempt
                         || a instanceof SchedulerAction.Reject
--- a/src/test/java/lineward/scheduling/ManyFrontsTest.java
+++ b/src/test/java/lineward/scheduling/ManyFrontsTest.java
@@ -1,5 +1,7 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.AttemptOutcome.CONNECT_FAILED;
+import static lineward.scheduling.AttemptOutcome.OK;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
@@ -8,6 +10,10 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import lineward.scheduling.SchedulerEvent.AttemptEnded;
+import lineward.scheduling.SchedulerEvent.EndpointsChanged;
+import lineward.scheduling.SchedulerEvent.RequestArrived;
+import lineward.scheduling.SchedulerEvent.TimerFired;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -19,22 +25,30 @@
 
     private record Due(double at, int front, SchedulerEvent event) {}
 
+    private static AttemptEnded served(long request) {
+        return new AttemptEnded(request, 0, OK, true, 0, 0, new double[0]);
+    }
+
+    private static RequestArrived request(long id, int type, double cost, double memoryMb, int group) {
+        return new RequestArrived(id, type, 0, 5000, cost, memoryMb, group, false, 0);
+    }
+
     private final Map<Long, Double> costs = new HashMap<>();
 
     /** Each attempt is answered after its work; wakes come when asked for. */
     private void note(
-            int front, List<SchedulerAction> actions, double now, PriorityQueue<Due> out, List<List<Sent>> sent) {
+            int front,
+            List<SchedulerAction> actions,
+            double now,
+            PriorityQueue<Due> out,
+            List<List<Sent>> sent /* by engine */) {
         for (SchedulerAction action : actions) {
             if (action instanceof SchedulerAction.StartAttempt send) {
                 double cost = costs.get(send.request());
                 sent.get((int) send.engine()).add(new Sent(now, cost));
-                out.add(new Due(
-                        now + cost,
-                        front,
-                        new SchedulerEvent.AttemptEnded(
-                                send.request(), 0, AttemptOutcome.OK, true, 0, 0, new double[0])));
+                out.add(new Due(now + cost, front, served(send.request())));
             } else if (action instanceof SchedulerAction.ScheduleTimer after) {
-                out.add(new Due(now + after.delayMs(), front, new SchedulerEvent.TimerFired(after.token())));
+                out.add(new Due(now + after.delayMs(), front, new TimerFired(after.token())));
             }
         }
     }
@@ -66,7 +80,7 @@
                             Scene.FREE,
                             new SchedulerSettings.Quotas(List.of(), 1)),
                     i));
-            modules.get(i).decide(start, List.of(new SchedulerEvent.EndpointsChanged(true, list)));
+            modules.get(i).decide(start, List.of(new EndpointsChanged(true, list)));
         }
         List<List<Sent>> cold = new ArrayList<>();
         for (int id = 0; id <= engines; id++) {
@@ -85,16 +99,9 @@
                 double cost = random.nextInt(6) == 0 ? 1200 : 50 + random.nextInt(250);
                 long id = ++asked;
                 costs.put(id, cost);
-                note(
-                        front,
-                        modules.get(front)
-                                .decide(
-                                        now,
-                                        List.of(new SchedulerEvent.RequestArrived(
-                                                id, 0, 0, 5000, cost, 100, 0, false, 0))),
-                        now,
-                        out,
-                        cold);
+                RequestArrived request = request(id, 0, cost, 100, 0);
+                List<SchedulerAction> actions = modules.get(front).decide(now, List.of(request));
+                note(front, actions, now, out, cold);
             }
             answered = now;
         }
@@ -149,22 +156,17 @@
                             Scene.FREE,
                             new SchedulerSettings.Quotas(List.of(), 1)),
                     i);
-            module.decide(0, List.of(new SchedulerEvent.EndpointsChanged(true, list)));
+            module.decide(0, List.of(new EndpointsChanged(true, list)));
             for (int n = 1; n <= 10; n++) {
                 double now = n * 1000;
                 int type = n % 2;
-                for (SchedulerAction action : module.decide(
-                        now,
-                        List.of(
-                                new SchedulerEvent.TimerFired(0),
-                                new SchedulerEvent.RequestArrived(n, type, 0, 5000, 200, 300, n, false, 0)))) {
+                for (SchedulerAction action :
+                        module.decide(now, List.of(new TimerFired(0), request(n, type, 200, 300, n)))) {
                     if (action instanceof SchedulerAction.StartAttempt send && type == 0 && n > 2) {
                         looks[(int) send.engine() % 2]++;
                     }
                 }
-                module.decide(
-                        now + 200,
-                        List.of(new SchedulerEvent.AttemptEnded(n, 0, AttemptOutcome.OK, true, 0, 0, new double[0])));
+                module.decide(now + 200, List.of(served(n)));
             }
         }
         // Half the work is bound to kind 0, with 16 of 28 cores: a level fleet gives it 1 in 7 of the rest.
@@ -189,19 +191,19 @@
                 new SchedulerSettings.Discovery(false, 0, false),
                 Scene.FREE,
                 new SchedulerSettings.Quotas(List.of(), 1)));
-        s.tell(new SchedulerEvent.EndpointsChanged(true, list));
+        s.tell(new EndpointsChanged(true, list));
         for (int i = 0; i < 40; i++) {
-            s.ask(i, 0).pass(200).verdict(i, 0, AttemptOutcome.OK).pass(100);
+            s.ask(i, 0).pass(200).verdict(i, 0, OK).pass(100);
         }
         s.ask(100, 0, 0, 2000, 5000);
         assertThat(s.sentTo()).as("a long request is sent while all is well").isPositive();
-        s.verdict(100, 0, AttemptOutcome.OK).pass(6000);
+        s.verdict(100, 0, OK).pass(6000);
         for (int i = 200; i < 212; i++) {
             s.ask(i, 0);
         }
         s.pass(1000);
         for (int i = 200; i < 212; i++) {
-            s.verdict(i, 0, AttemptOutcome.OK);
+            s.verdict(i, 0, OK);
         }
         s.pass(600).ask(300, 0, 0, 2000, 5000);
         assertThat(s.last(SchedulerAction.Reject.class))
@@ -233,7 +235,7 @@
                 for (int attempt = 0; s.sentTo() > 0; attempt++) {
                     boolean dead = s.sentTo() > 4;
                     toDead += dead && id > 20 ? 1 : 0;
-                    s.verdict(id, attempt, dead ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.OK);
+                    s.verdict(id, attempt, dead ? CONNECT_FAILED : OK);
                 }
                 asked += id > 20 ? 1 : 0;
                 s.pass(400);
--- a/src/test/java/lineward/scheduling/RandomDaysTest.java
+++ b/src/test/java/lineward/scheduling/RandomDaysTest.java
@@ -1,13 +1,25 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.AttemptOutcome.CANCELLED;
+import static lineward.scheduling.AttemptOutcome.CONNECT_FAILED;
+import static lineward.scheduling.AttemptOutcome.ERROR;
+import static lineward.scheduling.AttemptOutcome.OK;
+import static lineward.scheduling.AttemptOutcome.REJECTED;
+import static lineward.scheduling.AttemptOutcome.RESET;
+import static lineward.scheduling.AttemptOutcome.TIMEOUT;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import lineward.scheduling.SchedulerEvent.AttemptEnded;
+import lineward.scheduling.SchedulerEvent.EndpointsChanged;
+import lineward.scheduling.SchedulerEvent.RequestArrived;
+import lineward.scheduling.SchedulerEvent.TimerFired;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -22,9 +34,7 @@
         int out;
         boolean over;
         boolean mayHaveRun;
-        boolean doubt;
         double deadline;
-        double endedAt = Double.NaN;
         final List<Long> engines = new ArrayList<>();
     }
 
@@ -32,7 +42,10 @@
         RequestClass keyed = new RequestClass(
                 new RequestClass.Objective(2000, 1, 8000, 2, 0.3),
                 new RequestClass.Repeatability(
-                        Idempotence.BY_KEY, DeduplicationScope.values()[random.nextInt(3)], 1000, false),
+                        Idempotence.BY_KEY,
+                        List.of(DeduplicationScope.values()).get(random.nextInt(3)),
+                        1000 /* ms */,
+                        false /* in order */),
                 new RequestClass.Placement(null, random.nextBoolean() ? List.of(1) : null),
                 new RequestClass.Workload(false, true, 2));
         SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
@@ -45,7 +58,8 @@
                         random.nextBoolean(),
                         random.nextBoolean()),
                 new SchedulerSettings.AttemptLimits(1 + random.nextInt(5), 500, random.nextInt(3) * 500),
-                new SchedulerSettings.MemoryLimits(0.4, MemoryShortage.values()[random.nextInt(3)]));
+                new SchedulerSettings.MemoryLimits(
+                        0.4, List.of(MemoryShortage.values()).get(random.nextInt(3))));
         boolean budget = random.nextBoolean();
         SchedulerSettings.Rules rules = new SchedulerSettings.Rules(
                 1000,
@@ -79,8 +93,8 @@
         Random random = new Random(seed);
         SchedulerSettings set = settings(random);
         SpeculativeScheduler control = new SpeculativeScheduler(set, seed);
-        PriorityQueue<Due> due = new PriorityQueue<>(
-                (a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at()) : Integer.compare(a.turn(), b.turn()));
+        PriorityQueue<Due> due =
+                new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingInt(Due::turn));
         Map<Long, Held> all = new HashMap<>();
         Map<Long, List<Long>> lines = new HashMap<>();
         Map<Long, Double> rested = new HashMap<>();
@@ -93,14 +107,14 @@
         for (long id = 1; id <= 6; id++) {
             list.add(engine(id, EndpointState.READY, 0));
         }
-        due.add(new Due(1000, turn++, new SchedulerEvent.EndpointsChanged(true, list)));
+        due.add(new Due(1000, turn++, new EndpointsChanged(true, list)));
         for (int i = 1; i <= 600; i++) {
             double at = 1000 + random.nextDouble() * 15000;
             int type = random.nextInt(4);
             due.add(new Due(
                     at,
                     turn++,
-                    new SchedulerEvent.RequestArrived(
+                    new RequestArrived(
                             i,
                             type,
                             type == 1 ? 1 + random.nextInt(5) : 0,
@@ -112,20 +126,18 @@
                             0)));
         }
         for (int i = 0; i < 30; i++) {
-            EndpointState c = EndpointState.values()[random.nextInt(3)];
+            EndpointState c = List.of(EndpointState.values()).get(random.nextInt(3));
             double at = 1500 + random.nextDouble() * 14000;
-            due.add(new Due(
-                    at,
-                    turn++,
-                    new SchedulerEvent.EndpointsChanged(false, List.of(engine(1 + random.nextInt(5), c, at - 200)))));
+            int changed = 1 + random.nextInt(5);
+            due.add(new Due(at, turn++, new EndpointsChanged(false, List.of(engine(changed, c, at - 200)))));
         }
         StringBuilder log = new StringBuilder();
         while (!due.isEmpty()) {
             Due next = due.poll();
             double now = next.at();
-            if (next.event() instanceof SchedulerEvent.EndpointsChanged change) {
+            if (next.event() instanceof EndpointsChanged change) {
                 change.endpoints().forEach(e -> conditions.put(e.engine(), e.state()));
-            } else if (next.event() instanceof SchedulerEvent.RequestArrived a) {
+            } else if (next.event() instanceof RequestArrived a) {
                 Held h = new Held();
                 h.type = a.requestClass();
                 h.key = a.key();
@@ -135,20 +147,19 @@
                 if (h.key != 0) {
                     lines.computeIfAbsent(h.key, k -> new ArrayList<>()).add(a.request());
                 }
-            } else if (next.event() instanceof SchedulerEvent.AttemptEnded v) {
+            } else if (next.event() instanceof AttemptEnded v) {
                 Held h = all.get(v.request());
                 h.out--;
                 h.mayHaveRun |= v.outcome().mayHaveRun();
                 h.over |= v.requestCompleted();
-                if (List.of(AttemptOutcome.TIMEOUT, AttemptOutcome.RESET, AttemptOutcome.CANCELLED)
-                        .contains(v.outcome())) {
+                if (List.of(TIMEOUT, RESET, CANCELLED).contains(v.outcome())) {
                     rested.merge(h.key, now + set.rules().settleMs(), Math::max);
                 }
             }
             for (SchedulerAction action : control.decide(now, List.of(next.event()))) {
                 log.append(now).append(action).append('\n');
                 if (action instanceof SchedulerAction.ScheduleTimer a) {
-                    due.add(new Due(now + a.delayMs(), turn++, new SchedulerEvent.TimerFired(a.token())));
+                    due.add(new Due(now + a.delayMs(), turn++, new TimerFired(a.token())));
                 } else if (action instanceof SchedulerAction.Reject a) {
                     Held h = all.get(a.request());
                     Idempotence effect =
@@ -212,29 +223,20 @@
                                                         .filter(t -> t >= from)
                                                         .count());
                     }
-                    AttemptOutcome[] outcomes = {
-                        AttemptOutcome.OK,
-                        AttemptOutcome.OK,
-                        AttemptOutcome.OK,
-                        AttemptOutcome.ERROR,
-                        AttemptOutcome.REJECTED,
-                        AttemptOutcome.CONNECT_FAILED,
-                        AttemptOutcome.RESET
-                    };
+                    AttemptOutcome[] outcomes = {OK, OK, OK, ERROR, REJECTED, CONNECT_FAILED, RESET};
                     AttemptOutcome o = outcomes[random.nextInt(outcomes.length)];
                     double ends = now + 20 + random.nextInt(random.nextInt(8) == 0 ? 8000 : 600);
                     if (ends >= h.deadline) {
                         ends = h.deadline;
-                        o = AttemptOutcome.TIMEOUT;
+                        o = TIMEOUT;
                     }
-                    if (o != AttemptOutcome.REJECTED && o != AttemptOutcome.CONNECT_FAILED) {
+                    if (o != REJECTED && o != CONNECT_FAILED) {
                         h.engines.add(a.engine());
                     }
                     due.add(new Due(
                             Math.max(now, ends),
                             turn++,
-                            new SchedulerEvent.AttemptEnded(
-                                    a.request(), h.attempts++, o, o == AttemptOutcome.OK, 0, 0, new double[0])));
+                            new AttemptEnded(a.request(), h.attempts++, o, o == OK, 0, 0, new double[0])));
                     h.out++;
                 }
             }
--- a/src/test/java/lineward/scheduling/RulesTest.java
+++ b/src/test/java/lineward/scheduling/RulesTest.java
@@ -1,5 +1,12 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.AttemptOutcome.CANCELLED;
+import static lineward.scheduling.AttemptOutcome.CONNECT_FAILED;
+import static lineward.scheduling.AttemptOutcome.ERROR;
+import static lineward.scheduling.AttemptOutcome.OK;
+import static lineward.scheduling.AttemptOutcome.REJECTED;
+import static lineward.scheduling.AttemptOutcome.RESET;
+import static lineward.scheduling.AttemptOutcome.TIMEOUT;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
@@ -22,14 +29,13 @@
         s.ask(5, 1);
         assertThat(s.sentTo()).isEqualTo(1);
         s.now += 5000;
-        s.verdict(5, 0, AttemptOutcome.TIMEOUT);
+        s.verdict(5, 0, TIMEOUT);
         assertThat(s.last(SchedulerAction.Fail.class)).hasSize(1);
     }
 
     @Test
     void anUnsafeRequestThatMayHaveRunIsFailedAndNeverRefusedOrSentAgain() {
-        for (AttemptOutcome o :
-                List.of(AttemptOutcome.ERROR, AttemptOutcome.RESET, AttemptOutcome.CANCELLED, AttemptOutcome.TIMEOUT)) {
+        for (AttemptOutcome o : List.of(ERROR, RESET, CANCELLED, TIMEOUT)) {
             Scene s = new Scene(Scene.settings(Scene.load())).engines(1, 2);
             s.ask(5, 0);
             s.verdict(5, 0, o);
@@ -41,7 +47,7 @@
 
     @Test
     void anUnsafeRequestProvedNotToHaveRunGoesToAnotherEngine() {
-        for (AttemptOutcome o : List.of(AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED)) {
+        for (AttemptOutcome o : List.of(REJECTED, CONNECT_FAILED)) {
             Scene s = new Scene(Scene.settings(Scene.load())).engines(1, 2);
             s.ask(5, 0);
             long first = s.sentTo();
@@ -56,14 +62,14 @@
         s.ask(5, 0);
         long first = s.sentTo();
         s.now += 50;
-        s.verdict(5, 0, AttemptOutcome.ERROR);
+        s.verdict(5, 0, ERROR);
         assertThat(s.sentTo() % 2).isEqualTo(first % 2);
         assertThat(s.sentTo()).isNotEqualTo(first);
         assertThat(s.last(SchedulerAction.StartAttempt.class).get(0).startWithinMs())
                 .as("it may wait for a connection")
                 .isEqualTo(3950);
         s.now += 4000;
-        s.verdict(5, 1, AttemptOutcome.ERROR);
+        s.verdict(5, 1, ERROR);
         assertThat(s.last(SchedulerAction.StartAttempt.class)).isEmpty();
         assertThat(s.last(SchedulerAction.Fail.class)).hasSize(1);
     }
@@ -112,7 +118,7 @@
             s.ask(i, 0);
             for (SchedulerAction.StartAttempt x : s.last(SchedulerAction.StartAttempt.class)) {
                 sent++;
-                s.verdict(x.request(), 0, AttemptOutcome.OK);
+                s.verdict(x.request(), 0, OK);
                 sent += s.last(SchedulerAction.StartAttempt.class).size();
             }
         }
@@ -126,11 +132,11 @@
         assertThat(s.all(SchedulerAction.StartAttempt.class))
                 .extracting(SchedulerAction.StartAttempt::request)
                 .containsExactly(1L);
-        s.verdict(1, 0, AttemptOutcome.OK);
+        s.verdict(1, 0, OK);
         assertThat(s.last(SchedulerAction.StartAttempt.class))
                 .extracting(SchedulerAction.StartAttempt::request)
                 .containsExactly(2L);
-        s.verdict(2, 0, AttemptOutcome.RESET);
+        s.verdict(2, 0, RESET);
         assertThat(s.pass(475).last(SchedulerAction.StartAttempt.class)).isEmpty();
         assertThat(s.pass(50).last(SchedulerAction.StartAttempt.class))
                 .extracting(SchedulerAction.StartAttempt::request)
@@ -158,9 +164,9 @@
         for (int i = 0; i < 10; i++) {
             s.now += 10;
             s.ask(i, 0);
-            s.verdict(i, 0, AttemptOutcome.ERROR);
+            s.verdict(i, 0, ERROR);
             further += s.last(SchedulerAction.StartAttempt.class).size();
-            s.verdict(i, 1, AttemptOutcome.OK);
+            s.verdict(i, 1, OK);
         }
         assertThat(further).isBetween(1, 2);
     }
@@ -171,7 +177,7 @@
         s.ask(5, 0);
         assertThat(s.pass(400).all(SchedulerAction.StartAttempt.class)).hasSize(1);
         s.tell(new SchedulerEvent.RequestCancelled(5));
-        s.verdict(5, 0, AttemptOutcome.CANCELLED);
+        s.verdict(5, 0, CANCELLED);
         assertThat(s.pass(3000).all(SchedulerAction.StartAttempt.class)).hasSize(1);
         assertThat(s.all(SchedulerAction.Reject.class)).isEmpty();
         assertThat(s.all(SchedulerAction.Fail.class)).isEmpty();
--- a/src/test/java/lineward/scheduling/Scene.java
+++ b/src/test/java/lineward/scheduling/Scene.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import lineward.scheduling.SchedulerSettings.Limits;
+import lineward.scheduling.SchedulerSettings.Rules;
 
 /** A small stage for the module: settings to vary, a clock to move, and what it answered. */
 final class Scene {
@@ -62,15 +64,13 @@
                 new SchedulerSettings.RetryBudget(0, 0, 0));
     }
 
-    static SchedulerSettings settings(
-            SchedulerSettings.Limits limits, SchedulerSettings.Rules rules, RequestClass... classes) {
+    static SchedulerSettings settings(Limits limits, Rules rules, RequestClass... classes) {
         return settings(1, limits, rules, classes);
     }
 
-    private static SchedulerSettings settings(
-            int fronts, SchedulerSettings.Limits limits, SchedulerSettings.Rules rules, RequestClass... classes) {
+    private static SchedulerSettings settings(int fronts, Limits limits, Rules rules, RequestClass... types) {
         return new SchedulerSettings(
-                List.of(classes),
+                List.of(types),
                 List.of(new EngineKind(8, 16000), new EngineKind(8, 16000)),
                 new SchedulerSettings.FleetPosition(2, 0, fronts, 0),
                 limits,
--- a/src/test/java/lineward/scheduling/SeededDay.java
+++ b/src/test/java/lineward/scheduling/SeededDay.java
@@ -1,11 +1,32 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.AttemptOutcome.CANCELLED;
+import static lineward.scheduling.AttemptOutcome.CONNECT_FAILED;
+import static lineward.scheduling.AttemptOutcome.ERROR;
+import static lineward.scheduling.AttemptOutcome.NOT_STARTED;
+import static lineward.scheduling.AttemptOutcome.OK;
+import static lineward.scheduling.AttemptOutcome.REJECTED;
+import static lineward.scheduling.AttemptOutcome.RESET;
+import static lineward.scheduling.AttemptOutcome.TIMEOUT;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import lineward.scheduling.SchedulerEvent.AttemptEnded;
+import lineward.scheduling.SchedulerEvent.AttemptProgress;
+import lineward.scheduling.SchedulerEvent.DiscoveryFailed;
+import lineward.scheduling.SchedulerEvent.EndpointsChanged;
+import lineward.scheduling.SchedulerEvent.GossipReceived;
+import lineward.scheduling.SchedulerEvent.HealthCheckCompleted;
+import lineward.scheduling.SchedulerEvent.MaintenanceChanged;
+import lineward.scheduling.SchedulerEvent.QuotaChanged;
+import lineward.scheduling.SchedulerEvent.RequestArrived;
+import lineward.scheduling.SchedulerEvent.RequestCancelled;
+import lineward.scheduling.SchedulerEvent.ResponseStarted;
+import lineward.scheduling.SchedulerEvent.TimerFired;
 
 /**
  * A day of random but legal events for one decision module. Engines serve, straggle, fail, fall silent,
@@ -95,23 +116,22 @@
         for (long engine = 1; engine <= engineCount; engine++) {
             list.add(listed(engine, EndpointState.READY, engine % 5 == 0 ? START - 500 : 0));
         }
-        schedule(START, new SchedulerEvent.EndpointsChanged(true, list));
+        schedule(START, new EndpointsChanged(true, list));
         for (int i = 0; i < 24; i++) {
             double at = START + random.nextDouble() * ARRIVALS_UNTIL;
-            long engine = 1 + random.nextInt(engineCount);
-            EndpointState condition = EndpointState.values()[random.nextInt(3)];
-            schedule(at, new SchedulerEvent.EndpointsChanged(false, List.of(listed(engine, condition, 0))));
-            schedule(
-                    at + 700,
-                    new SchedulerEvent.EndpointsChanged(false, List.of(listed(engine, EndpointState.READY, at + 600))));
+            long engine = 1L + random.nextInt(engineCount);
+            EndpointState condition = List.of(EndpointState.values()).get(random.nextInt(3));
+            schedule(at, new EndpointsChanged(false, List.of(listed(engine, condition, 0))));
+            Endpoint restarted = listed(engine, EndpointState.READY, at + 600);
+            schedule(at + 700, new EndpointsChanged(false, List.of(restarted)));
         }
-        schedule(START + 9_000, new SchedulerEvent.EndpointsChanged(true, list));
-        schedule(START + 5_000, new SchedulerEvent.DiscoveryFailed());
-        schedule(START + 6_000, new SchedulerEvent.MaintenanceChanged(2, true, START + 6_000));
-        schedule(START + 9_500, new SchedulerEvent.MaintenanceChanged(2, false, START + 9_500));
-        schedule(START + 7_000, new SchedulerEvent.MaintenanceChanged(engineCount + 9, true, START + 7_000));
-        schedule(START + 11_000, new SchedulerEvent.QuotaChanged(0.5));
-        schedule(START + 14_000, new SchedulerEvent.QuotaChanged(1));
+        schedule(START + 9_000, new EndpointsChanged(true, list));
+        schedule(START + 5_000, new DiscoveryFailed());
+        schedule(START + 6_000, new MaintenanceChanged(2, true, START + 6_000));
+        schedule(START + 9_500, new MaintenanceChanged(2, false, START + 9_500));
+        schedule(START + 7_000, new MaintenanceChanged(engineCount + 9, true, START + 7_000));
+        schedule(START + 11_000, new QuotaChanged(0.5));
+        schedule(START + 14_000, new QuotaChanged(1));
         silentUntil.put(3L, START + 8_000);
     }
 
@@ -125,7 +145,7 @@
             double cost = random.nextInt(4) == 0 ? 0 : 50 + random.nextInt(700);
             schedule(
                     at,
-                    new SchedulerEvent.RequestArrived(
+                    new RequestArrived(
                             request,
                             type,
                             key,
@@ -136,7 +156,7 @@
                             random.nextInt(9) == 0,
                             random.nextInt(2)));
             if (random.nextInt(20) == 0) {
-                schedule(at + random.nextInt(900), new SchedulerEvent.RequestCancelled(request));
+                schedule(at + random.nextInt(900), new RequestCancelled(request));
             }
         }
     }
@@ -145,12 +165,12 @@
         for (int i = 0; i < 60 && settings.limits().capabilities().gossip(); i++) {
             byte[] octets = new byte[random.nextInt(60)];
             random.nextBytes(octets);
-            schedule(START + random.nextDouble() * ARRIVALS_UNTIL, new SchedulerEvent.GossipReceived(i % 3, octets));
+            schedule(START + random.nextDouble() * ARRIVALS_UNTIL, new GossipReceived(i % 3, octets));
         }
     }
 
     private void takeIn(SchedulerEvent event, double now, List<SchedulerEvent> batch) {
-        if (event instanceof SchedulerEvent.RequestArrived arrival) {
+        if (event instanceof RequestArrived arrival) {
             requests.put(arrival.request(), new Open(now + arrival.timeLeftMs()));
         }
         batch.add(event);
@@ -164,7 +184,7 @@
         } else if (action instanceof SchedulerAction.StartHealthCheck probe) {
             answerProbe(probe, now);
         } else if (action instanceof SchedulerAction.ScheduleTimer after) {
-            schedule(now + after.delayMs(), new SchedulerEvent.TimerFired(after.token()));
+            schedule(now + after.delayMs(), new TimerFired(after.token()));
         }
     }
 
@@ -179,7 +199,7 @@
         AttemptOutcome outcome = drawOutcome();
         if (end >= open.deadline) {
             end = Math.max(now, open.deadline);
-            outcome = AttemptOutcome.TIMEOUT;
+            outcome = TIMEOUT;
         }
         schedule(end, verdict(send.request(), attempt, outcome));
     }
@@ -189,41 +209,41 @@
             return;
         }
         if (random.nextInt(6) == 0) {
-            ProgressKind kind = ProgressKind.values()[1 + random.nextInt(3)];
-            schedule(from + 3, new SchedulerEvent.AttemptProgress(request, attempt, kind, random.nextInt(300)));
+            ProgressKind kind = List.of(ProgressKind.values()).get(1 + random.nextInt(3));
+            schedule(from + 3, new AttemptProgress(request, attempt, kind, random.nextInt(300)));
         }
         double every = settings.limits().attempts().progressIntervalMs();
         for (double at = from + every; every > 0 && at < until; at += every) {
             double done = (at - from) / (until - from) * (0.6 + 0.4 * random.nextDouble());
-            schedule(at, new SchedulerEvent.AttemptProgress(request, attempt, ProgressKind.RATIO_DONE, done));
+            schedule(at, new AttemptProgress(request, attempt, ProgressKind.RATIO_DONE, done));
         }
         if (random.nextInt(15) == 0) {
-            schedule(until - 1, new SchedulerEvent.ResponseStarted(request, attempt));
+            schedule(until - 1, new ResponseStarted(request, attempt));
         }
     }
 
     private AttemptOutcome drawOutcome() {
         return switch (random.nextInt(40)) {
-            case 0, 1 -> AttemptOutcome.ERROR;
-            case 2, 3 -> AttemptOutcome.REJECTED;
-            case 4 -> AttemptOutcome.CONNECT_FAILED;
-            case 5, 6 -> AttemptOutcome.RESET;
-            case 7 -> AttemptOutcome.NOT_STARTED;
-            default -> AttemptOutcome.OK;
+            case 0, 1 -> ERROR;
+            case 2, 3 -> REJECTED;
+            case 4 -> CONNECT_FAILED;
+            case 5, 6 -> RESET;
+            case 7 -> NOT_STARTED;
+            default -> OK;
         };
     }
 
-    private SchedulerEvent.AttemptEnded verdict(long request, int attempt, AttemptOutcome outcome) {
-        boolean tells = outcome == AttemptOutcome.OK && random.nextBoolean();
+    private AttemptEnded verdict(long request, int attempt, AttemptOutcome outcome) {
+        boolean tells = outcome == OK && random.nextBoolean();
         double work = tells ? 40 + random.nextInt(900) : 0;
         double memory = tells ? 20 + random.nextInt(1_800) : 0;
-        return new SchedulerEvent.AttemptEnded(
-                request, attempt, outcome, outcome == AttemptOutcome.OK, work, memory, new double[0]);
+        boolean completed = outcome == OK;
+        return new AttemptEnded(request, attempt, outcome, completed, work, memory, new double[0]);
     }
 
     /** The word of a cancelled attempt's end may cross its own end; the module passes the second one over. */
     private void cancel(SchedulerAction.CancelAttempt cancel, double now) {
-        AttemptOutcome outcome = random.nextInt(10) == 0 ? AttemptOutcome.OK : AttemptOutcome.CANCELLED;
+        AttemptOutcome outcome = random.nextInt(10) == 0 ? OK : CANCELLED;
         schedule(now + 1 + random.nextInt(40), verdict(cancel.request(), cancel.attempt(), outcome));
     }
 
@@ -233,11 +253,11 @@
             report[i] = random.nextDouble() * (i == 0 ? 12 : 1);
         }
         AttemptOutcome outcome = switch (random.nextInt(20)) {
-            case 0 -> AttemptOutcome.TIMEOUT;
-            case 1 -> AttemptOutcome.REJECTED;
-            default -> AttemptOutcome.OK;
+            case 0 -> TIMEOUT;
+            case 1 -> REJECTED;
+            default -> OK;
         };
-        double takes = outcome == AttemptOutcome.TIMEOUT ? 250 : 2 + random.nextInt(20);
-        schedule(now + takes, new SchedulerEvent.HealthCheckCompleted(probe.engine(), outcome, takes, report));
+        double takes = outcome == TIMEOUT ? 250 : 2 + random.nextInt(20);
+        schedule(now + takes, new HealthCheckCompleted(probe.engine(), outcome, takes, report));
     }
 }
--- a/src/test/java/lineward/scheduling/SeededRulesTest.java
+++ b/src/test/java/lineward/scheduling/SeededRulesTest.java
@@ -1,9 +1,14 @@
 package lineward.scheduling;
 
+import static lineward.scheduling.AttemptOutcome.REJECTED;
+import static lineward.scheduling.AttemptOutcome.RESET;
+import static lineward.scheduling.AttemptOutcome.TIMEOUT;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import lineward.scheduling.SchedulerEvent.AttemptEnded;
+import lineward.scheduling.SchedulerEvent.RequestArrived;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -20,7 +25,7 @@
 
     /** A zone is lost under load, another cut off: the checker fails at the first broken rule. */
     @Test(dataProvider = "fleets")
-    public void nothingRunsTwiceAndFurtherAttemptsStayInTheirRation(int fronts, int engines, int zones, int free) {
+    public void nothingRunsTwiceAndRetriesStayInTheirBudget(int fronts, int engines, int zones, int free) {
         for (int seed = 1; seed <= (fronts < 10 ? 3 : 1); seed++) {
             FleetDay day = new FleetDay(new FleetDay.Plan(
                             fronts, engines, zones, 0.85, 0.3, 0, 1, 4, 5000, DAY_MS, seed, LOADS, free))
@@ -38,12 +43,12 @@
         SchedulerAction send = new SchedulerAction.StartAttempt(1, 7, 0);
         return new Object[][] {
             {"two out", 0, List.of(send, send)},
-            {"unsafe again", 0, List.of(send, AttemptOutcome.RESET, send)},
-            {"unsafe refused", 0, List.of(send, AttemptOutcome.TIMEOUT, new SchedulerAction.Reject(1, 0))},
+            {"unsafe again", 0, List.of(send, RESET, send)},
+            {"unsafe refused", 0, List.of(send, TIMEOUT, new SchedulerAction.Reject(1, 0))},
             {"unsafe refused while out", 0, List.of(send, new SchedulerAction.Reject(1, 0))},
             {"two answers", 0, List.of(new SchedulerAction.Reject(1, 0), new SchedulerAction.Fail(1))},
             {"behind its end", 0, List.of(new SchedulerAction.Fail(1), send)},
-            {"over its ration", 1, List.of(send, AttemptOutcome.REJECTED, send, AttemptOutcome.REJECTED, send)}
+            {"over its ration", 1, List.of(send, REJECTED, send, REJECTED, send)}
         };
     }
 
@@ -60,12 +65,13 @@
                 new SchedulerSettings.SlowStartRule(15_000, 0.33, 3, 1000),
                 0,
                 new SchedulerSettings.RetryBudget(10_000, 1, 0.2));
-        RuleChecker checker = new RuleChecker(Scene.settings(Scene.limits(4), rules, Scene.load(), Scene.look()));
-        checker.heard(0, new SchedulerEvent.RequestArrived(1, type, 0, 5000, 0, 0, 0, false, 0));
+        SchedulerSettings settings = Scene.settings(Scene.limits(4), rules, Scene.load(), Scene.look());
+        RuleChecker checker = new RuleChecker(settings);
+        checker.heard(0, new RequestArrived(1, type, 0, 5000, 0, 0, 0, false, 0));
         int attempt = 0;
         for (Object step : steps) {
             if (step instanceof AttemptOutcome o) {
-                checker.heard(1, new SchedulerEvent.AttemptEnded(1, attempt++, o, false, 0, 0, new double[0]));
+                checker.heard(1, new AttemptEnded(1, attempt++, o, false, 0, 0, new double[0]));
             } else {
                 checker.did(1, (SchedulerAction) step);
             }
--- a/src/test/java/lineward/scheduling/ZoneLossTest.java
+++ b/src/test/java/lineward/scheduling/ZoneLossTest.java
@@ -23,8 +23,18 @@
     @Test(dataProvider = "fleets")
     public void eachClassIsServedThroughTheOutageAndAfterIt(int fronts, int engines, int zones, int cut) {
         for (int seed = 1; seed <= 2; seed++) {
-            FleetDay day = new FleetDay(
-                            new FleetDay.Plan(fronts, engines, zones, 0.65, 0.3, 0, cut, 8, OUTAGE_MS, DAY_MS, seed))
+            FleetDay day = new FleetDay(new FleetDay.Plan(
+                            fronts,
+                            engines,
+                            zones,
+                            0.65,
+                            0.3,
+                            0 /* lost */,
+                            cut,
+                            8 /* bad */,
+                            OUTAGE_MS,
+                            DAY_MS,
+                            seed /* of the day */))
                     .play();
             for (int type = 0; type <= 1; type++) {
                 String what = "class " + type + ", seed " + seed + ": ";
--- a/src/test/java/lineward/scheduling/simulator/AdapterTest.java
+++ b/src/test/java/lineward/scheduling/simulator/AdapterTest.java
@@ -34,7 +34,9 @@
 
     private static String error(byte[] input) {
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int status = Main.run(new ByteArrayInputStream(input), new ByteArrayOutputStream(), new PrintStream(err));
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream errors = new PrintStream(err, true, StandardCharsets.UTF_8);
+        int status = Main.run(new ByteArrayInputStream(input), out, errors);
         assertThat(status).isNotZero();
         return err.toString(StandardCharsets.UTF_8);
     }
@@ -96,7 +98,8 @@
     void malformedInputIsNamed() {
         assertThat(error(new byte[] {0, 0, 0})).contains("inside a frame");
         assertThat(error(frame(1, 1, new byte[0], record(0x63)))).contains("before any instance");
-        assertThat(error(frame(2, 1, new byte[0], record(0x18), record(0x63)))).contains("unknown event code 99");
+        byte[] unknown = frame(2, 1, new byte[0], record(0x18), record(0x63));
+        assertThat(error(unknown)).contains("unknown event code 99");
         byte[] lies = frame(0, 1, new byte[0]);
         lies[3] = 9;
         assertThat(error(lies)).contains("does not fit");
@@ -124,8 +127,8 @@
         assertThat(s.rules().retryBudget().windowMs()).isZero();
         assertThat(s.limits().attempts().maxPerRequest()).isEqualTo(3);
         assertThatThrownBy(() -> SettingsReader.read("{\"classes\":[]}")).hasMessageContaining("classes");
-        assertThatThrownBy(() -> SettingsReader.read(SETTINGS.replace("\"value\"", "\"runs-on\":[\"q\"],\"value\"")))
-                .hasMessageContaining("unknown kind");
+        String boundToUnknown = SETTINGS.replace("\"value\"", "\"runs-on\":[\"q\"],\"value\"");
+        assertThatThrownBy(() -> SettingsReader.read(boundToUnknown)).hasMessageContaining("unknown kind");
     }
 
     @Test
