Take the last old words out of the decision module and the core

Need: names such as turn, late, worthless, couldTake still asked for an explanation. They become slot, overdue, no value, eligible.

--- a/src/main/java/lineward/core/ActionExecutor.java
+++ b/src/main/java/lineward/core/ActionExecutor.java
@@ -16,12 +16,12 @@
     private static final double ANSWER_MARGIN_MS = 10;
 
     private final Coordinator<X> coordinator;
-    private final double cancelTakesMs;
+    private final double cancelDurationMs;
     private double nowMs;
 
-    ActionExecutor(Coordinator<X> coordinator, double cancelTakesMs) {
+    ActionExecutor(Coordinator<X> coordinator, double cancelDurationMs) {
         this.coordinator = coordinator;
-        this.cancelTakesMs = cancelTakesMs;
+        this.cancelDurationMs = cancelDurationMs;
     }
 
     void execute(List<SchedulerAction> actions, double now) {
@@ -45,14 +45,14 @@
             coordinator.attemptEnded(request.id, index, AttemptOutcome.NOT_STARTED);
             return;
         }
-        attempt.deadline = coordinator.deadlines().add(timeoutAtMs, atMs -> timeOut(request, index));
+        attempt.deadline = coordinator.deadlines().add(timeoutAtMs, atMs -> expire(request, index));
         coordinator.tracer().attemptStarted(request.exchange, index, engine);
         coordinator.addCommand(startCommand(request, index, timeoutAtMs - nowMs, start.startWithinMs()));
     }
 
     private double timeoutAtMs(TrackedRequest<X> request, SchedulerAction.StartAttempt start) {
         double atMs = request.deadlineMs - ANSWER_MARGIN_MS;
-        return start.maxWaitMs() > 0 ? Math.min(atMs, nowMs + start.maxWaitMs()) : atMs;
+        return start.timeoutMs() > 0 ? Math.min(atMs, nowMs + start.timeoutMs()) : atMs;
     }
 
     private Command<X> startCommand(TrackedRequest<X> request, int index, double timeoutMs, double withinMs) {
@@ -67,7 +67,7 @@
                 request.priority);
     }
 
-    private void timeOut(TrackedRequest<X> request, int index) {
+    private void expire(TrackedRequest<X> request, int index) {
         coordinator.addCommand(cancelCommand(request, index));
         coordinator.attemptEnded(request.id, index, AttemptOutcome.TIMEOUT);
     }
@@ -88,7 +88,7 @@
         coordinator.addCommand(cancelCommand(request, cancel.attempt()));
         coordinator.deadlines().cancel(attempt.deadline);
         int index = cancel.attempt();
-        double endsAtMs = nowMs + cancelTakesMs;
+        double endsAtMs = nowMs + cancelDurationMs;
         attempt.deadline = coordinator.deadlines().add(endsAtMs, atMs -> endCancelled(request, index));
     }
 
--- a/src/main/java/lineward/core/ByteBudget.java
+++ b/src/main/java/lineward/core/ByteBudget.java
@@ -2,17 +2,17 @@
 
 /** A bound on bytes held in one place. */
 public final class ByteBudget {
-    private final long most;
+    private final long capacity;
     private long used;
 
     /** @param most bytes held at once */
     public ByteBudget(long most) {
-        this.most = most;
+        this.capacity = most;
     }
 
     /** Returns whether that many bytes more may be held; if so they count until {@link #release}. */
     public boolean reserve(long bytes) {
-        if (used + bytes > most) {
+        if (used + bytes > capacity) {
             return false;
         }
         used += bytes;
--- a/src/main/java/lineward/core/Coordinator.java
+++ b/src/main/java/lineward/core/Coordinator.java
@@ -36,14 +36,14 @@
      *
      * @param scheduler decides for this pool alone
      * @param capacity the most requests in progress at once; what comes beyond is rejected
-     * @param cancelTakesMs longest from a cancel to the attempt's end: a relaunch must not overtake it
+     * @param cancelDurationMs longest from a cancel to the attempt's end: a relaunch must not overtake it
      * @param tracer is notified of what becomes of requests and attempts
      */
-    public Coordinator(Scheduler scheduler, int capacity, double cancelTakesMs, Tracer<X> tracer) {
+    public Coordinator(Scheduler scheduler, int capacity, double cancelDurationMs, Tracer<X> tracer) {
         this.scheduler = scheduler;
         this.requests = new GenerationalTable<>(capacity);
         this.tracer = tracer;
-        this.executor = new ActionExecutor<>(this, cancelTakesMs);
+        this.executor = new ActionExecutor<>(this, cancelDurationMs);
     }
 
     /**
--- a/src/main/java/lineward/core/DeadlineQueue.java
+++ b/src/main/java/lineward/core/DeadlineQueue.java
@@ -9,23 +9,23 @@
     /** A deadline that can be taken back. */
     public static final class Entry {
         private final double at;
-        private final long turn;
+        private final long sequence;
         private final DoubleConsumer task;
 
-        private Entry(double at, long turn, DoubleConsumer task) {
+        private Entry(double at, long sequence, DoubleConsumer task) {
             this.at = at;
-            this.turn = turn;
+            this.sequence = sequence;
             this.task = task;
         }
     }
 
     private final TreeSet<Entry> entries =
-            new TreeSet<>(Comparator.<Entry>comparingDouble(e -> e.at).thenComparingLong(e -> e.turn));
-    private long turns;
+            new TreeSet<>(Comparator.<Entry>comparingDouble(e -> e.at).thenComparingLong(e -> e.sequence));
+    private long nextSequence;
 
     /** Returns the handle by which {@link #cancel} finds it. */
     public Entry add(double at, DoubleConsumer task) {
-        Entry entry = new Entry(at, turns++, task);
+        Entry entry = new Entry(at, nextSequence++, task);
         entries.add(entry);
         return entry;
     }
--- a/src/main/java/lineward/core/HealthChecks.java
+++ b/src/main/java/lineward/core/HealthChecks.java
@@ -32,12 +32,12 @@
         if (inFlight.containsKey(engine)) {
             return false;
         }
-        DeadlineQueue.Entry timeout = deadlines.add(nowMs + TIMEOUT_MS, atMs -> timeOut(atMs, engine));
+        DeadlineQueue.Entry timeout = deadlines.add(nowMs + TIMEOUT_MS, atMs -> expire(atMs, engine));
         inFlight.put(engine, new Check(nowMs, timeout));
         return true;
     }
 
-    private void timeOut(double nowMs, long engine) {
+    private void expire(double nowMs, long engine) {
         complete(nowMs, engine, AttemptOutcome.TIMEOUT, NO_REPORT);
     }
 
--- a/src/main/java/lineward/core/SqlTokens.java
+++ b/src/main/java/lineward/core/SqlTokens.java
@@ -80,11 +80,11 @@
             skipQuoted(c);
             return found(Kind.NAME, text.substring(from + 1, Math.max(from + 1, at - 1)));
         }
-        if (!isWord(c)) {
+        if (!isIdentifierPart(c)) {
             at++;
             return found(Kind.SYMBOL, String.valueOf(c));
         }
-        while (at < text.length() && isWord(text.charAt(at))) {
+        while (at < text.length() && isIdentifierPart(text.charAt(at))) {
             at++;
         }
         return found(Character.isDigit(c) ? Kind.NUMBER : Kind.WORD, text.substring(from, at));
@@ -124,7 +124,7 @@
         at = text.length();
     }
 
-    private static boolean isWord(char c) {
+    private static boolean isIdentifierPart(char c) {
         return Character.isLetterOrDigit(c) || c == '_' || c == '$';
     }
 }
--- a/src/main/java/lineward/core/TableGroups.java
+++ b/src/main/java/lineward/core/TableGroups.java
@@ -6,7 +6,7 @@
 /** Finds the group of tables that a statement reads or writes: the number in its schema's name. */
 public final class TableGroups {
     private static final Set<String> BEFORE_TABLES = Set.of("from", "join", "into", "update", "table", ",");
-    private static final int MOST_DIGITS = 6;
+    private static final int MAX_DIGITS = 6;
 
     private TableGroups() {}
 
@@ -41,7 +41,7 @@
         String digits = schema.substring(schema.lastIndexOf('_') + 1);
         boolean numbered = digits.length() < schema.length()
                 && !digits.isEmpty()
-                && digits.length() <= MOST_DIGITS
+                && digits.length() <= MAX_DIGITS
                 && digits.chars().allMatch(c -> c >= '0' && c <= '9');
         return numbered ? Integer.parseInt(digits) : 0;
     }
--- a/src/main/java/lineward/scheduling/AdmissionPolicy.java
+++ b/src/main/java/lineward/scheduling/AdmissionPolicy.java
@@ -9,7 +9,7 @@
     /** Slowdown counted at most when that fit is judged. */
     private static final double MAX_FIT_SLOWDOWN = 2;
     /** Ratio of the objective past which a run is given up where a late answer is worth nothing. */
-    private static final double LATE_GRACE_RATIO = 0.3;
+    private static final double OVERDUE_GRACE_RATIO = 0.3;
     /** How much a request's rank grows until its objective. */
     private static final double URGENCY = 2;
     /** Rank of a relaunch against others. */
@@ -22,12 +22,12 @@
     }
 
     /** Returns the value per work, more as the slack goes; what is late counts by its late value only. */
-    double rank(TrackedRequest request) {
+    double priority(TrackedRequest request) {
         RequestClass.Objective objective = request.type.settings.objective();
         double slowedRunMs = request.expectedRunMs() * request.type.model.slowdown();
-        boolean late = request.objectiveAtMs - context.nowMs() - slowedRunMs < 0;
-        double value = objective.priorityWeight() * (late ? objective.lateValueRatio() : 1);
-        double urgency = late ? 1 : urgency(request);
+        boolean overdue = request.objectiveAtMs - context.nowMs() - slowedRunMs < 0;
+        double value = objective.priorityWeight() * (overdue ? objective.overdueValueRatio() : 1);
+        double urgency = overdue ? 1 : urgency(request);
         double relaunch = request.relaunched ? RELAUNCH_FACTOR : 1;
         return value * urgency * relaunch / Math.max(1, request.expectedWorkMs());
     }
@@ -44,12 +44,12 @@
         }
         double slowdown = Math.min(request.type.model.slowdown(), MAX_FIT_SLOWDOWN);
         double endMs = context.nowMs() + MIN_FIT_RATIO * request.expectedRunMs() * slowdown;
-        boolean worthLate = request.type.settings.objective().lateValueRatio() > 0;
-        return endMs > (worthLate ? request.deadlineMs : request.objectiveAtMs);
+        boolean hasOverdueValue = request.type.settings.objective().overdueValueRatio() > 0;
+        return endMs > (hasOverdueValue ? request.deadlineMs : request.objectiveAtMs);
     }
 
     /** Returns whether a run can earn nothing any more: it takes the capacity of those that can. */
-    boolean isWorthless(Attempt attempt) {
+    boolean hasNoValue(Attempt attempt) {
         TrackedRequest request = attempt.request;
         boolean pending = !request.completed && !request.streaming;
         if (!pending
@@ -61,7 +61,7 @@
         boolean notStarted = attempt.waiting && attempt.progress == 0;
         double fitMs = MIN_FIT_RATIO * request.expectedRunMs();
         boolean queuedTooLong = notStarted && context.nowMs() + fitMs > request.objectiveAtMs;
-        double worthlessAtMs = request.objectiveAtMs + LATE_GRACE_RATIO * objective.latencyMs();
-        return queuedTooLong || (objective.lateValueRatio() == 0 && context.nowMs() > worthlessAtMs);
+        double noValueAtMs = request.objectiveAtMs + OVERDUE_GRACE_RATIO * objective.latencyMs();
+        return queuedTooLong || (objective.overdueValueRatio() == 0 && context.nowMs() > noValueAtMs);
     }
 }
--- a/src/main/java/lineward/scheduling/AdmissionQueue.java
+++ b/src/main/java/lineward/scheduling/AdmissionQueue.java
@@ -7,7 +7,7 @@
 /** Holds admitted requests until an engine has capacity, in the order that the policy gives them. */
 final class AdmissionQueue {
     private static final Comparator<TrackedRequest> BEST_FIRST = Comparator.<TrackedRequest>comparingDouble(
-                    request -> -request.rank)
+                    request -> -request.priority)
             .thenComparingLong(request -> request.id);
 
     private final SchedulerContext context;
@@ -56,7 +56,7 @@
             return;
         }
         context.classes.forEach(type -> type.dispatchPaused = false);
-        queue.forEach(request -> request.rank = policy.rank(request));
+        queue.forEach(request -> request.priority = policy.priority(request));
         queue.sort(BEST_FIRST);
         List<TrackedRequest> remaining = new ArrayList<>();
         for (TrackedRequest request : queue) {
@@ -79,7 +79,7 @@
     }
 
     /** Gives up what is queued and can't be in time any more. */
-    void giveUpLate() {
+    void rejectOverdue() {
         for (TrackedRequest request : queue) {
             if (isPending(request) && policy.cannotBeInTime(request)) {
                 lifecycle.giveUp(request);
--- a/src/main/java/lineward/scheduling/AttemptOutcomes.java
+++ b/src/main/java/lineward/scheduling/AttemptOutcomes.java
@@ -37,7 +37,7 @@
         request.attemptsInFlight--;
         attempt.engine.remove(attempt);
         learning.learn(attempt, end);
-        noteWhereItRan(attempt, end.outcome());
+        recordFirstRun(attempt, end.outcome());
         if (!request.completed) {
             if (end.requestCompleted() || end.outcome() == AttemptOutcome.OK) {
                 lifecycle.complete(request);
@@ -48,7 +48,7 @@
         lifecycle.releaseIfDone(request);
     }
 
-    private void noteWhereItRan(Attempt attempt, AttemptOutcome outcome) {
+    private void recordFirstRun(Attempt attempt, AttemptOutcome outcome) {
         TrackedRequest request = attempt.request;
         if (outcome.isIndeterminate()) {
             keyOrder.settle(request);
--- a/src/main/java/lineward/scheduling/AttemptStarter.java
+++ b/src/main/java/lineward/scheduling/AttemptStarter.java
@@ -24,7 +24,7 @@
     void start(TrackedRequest request, Engine engine) {
         double nowMs = context.nowMs();
         if (engine.attempts.isEmpty()) {
-            engine.lastHeardMs = nowMs;
+            engine.lastResponseMs = nowMs;
         }
         double grantMb = ResourceLimits.grantMb(context.settings, request, engine);
         Attempt attempt = new Attempt(request, engine, grantMb, nowMs);
--- a/src/main/java/lineward/scheduling/ConcurrencyLimits.java
+++ b/src/main/java/lineward/scheduling/ConcurrencyLimits.java
@@ -11,7 +11,7 @@
     /** Least multiple of an even quota: with less, a false alarm of crowding would feed on itself. */
     private static final double MIN_EVEN_QUOTAS = 1.3;
     /** With requests queued while all is calm, a front end has the whole fleet after this. */
-    private static final double WHOLE_QUOTA_AFTER_MS = 10_000;
+    private static final double FULL_QUOTA_AFTER_MS = 10_000;
     /** Slowdown of all classes below which a front end with requests queued takes a larger quota. */
     private static final double CALM_SLOWDOWN = 1.3;
     /** Factor by which the quota grows, or shrinks, where load reports tell the fleet's load. */
@@ -57,7 +57,7 @@
         boolean calm = reported
                 ? reports.threadsPerCore() < SATURATION_THREADS_PER_CORE * LoadReports.MIN_LIMIT_JITTER
                 : context.classes.stream().allMatch(type -> type.model.slowdown() < CALM_SLOWDOWN);
-        double growth = reported ? REPORTED_GROWTH : Math.pow(frontEnds, intervalMs / WHOLE_QUOTA_AFTER_MS);
+        double growth = reported ? REPORTED_GROWTH : Math.pow(frontEnds, intervalMs / FULL_QUOTA_AFTER_MS);
         quota = requestsBlocked && calm
                 ? Math.min(1, quota * growth)
                 : Math.max(evenQuota(), quota / (calm ? UNUSED_SHRINK : growth));
--- a/src/main/java/lineward/scheduling/Engine.java
+++ b/src/main/java/lineward/scheduling/Engine.java
@@ -36,7 +36,7 @@
     int consecutiveFailures;
     double nextRecoveryProbeMs;
     /** When it last answered or reported progress. */
-    double lastHeardMs;
+    double lastResponseMs;
 
     int threadsInFlight;
     double grantedMb;
@@ -112,7 +112,7 @@
      * Returns since when it may be warming up. An engine that broke off or refused connections may be back,
      * cold, long before service discovery says so.
      */
-    double warmUpStartMs() {
+    double warmupStartMs() {
         return Math.max(announcedStartMs(), connectionLostMs);
     }
 
--- a/src/main/java/lineward/scheduling/EngineCapacity.java
+++ b/src/main/java/lineward/scheduling/EngineCapacity.java
@@ -3,7 +3,7 @@
 /** Estimates what engines can do now: how far they have warmed up, and how fast they lately were. */
 final class EngineCapacity {
     /** Ratio of an engine's warming up that is certain: it may warm up late, or not evenly. */
-    private static final double WARM_UP_CONFIDENCE = 0.75;
+    private static final double CERTAIN_WARMUP_RATIO = 0.75;
     /** Range of an engine's speed against the fleet's. */
     private static final double MIN_SPEED = 0.1;
 
@@ -18,7 +18,7 @@
     }
 
     boolean isWarmingUp(Engine engine) {
-        double since = engine.warmUpStartMs();
+        double since = engine.warmupStartMs();
         return since > 0 && context.nowMs() - since < rule.durationMs();
     }
 
@@ -31,7 +31,7 @@
         if (!isWarmingUp(engine)) {
             return 1;
         }
-        double ageMs = Math.max(0, context.nowMs() - agoMs - engine.warmUpStartMs());
+        double ageMs = Math.max(0, context.nowMs() - agoMs - engine.warmupStartMs());
         return rule.initialRatio() + (1 - rule.initialRatio()) * (ageMs / rule.durationMs());
     }
 
@@ -44,7 +44,7 @@
             return rule.initialRatio();
         }
         double warmedUp = ratio(engine, rule.windowMs()) - rule.initialRatio();
-        return rule.initialRatio() + WARM_UP_CONFIDENCE * warmedUp;
+        return rule.initialRatio() + CERTAIN_WARMUP_RATIO * warmedUp;
     }
 
     /** Returns how long a request takes on an engine that has just started. */
--- a/src/main/java/lineward/scheduling/EngineSelector.java
+++ b/src/main/java/lineward/scheduling/EngineSelector.java
@@ -147,9 +147,8 @@
 
     private boolean isFastEnoughWhileCold(TrackedRequest request, Engine engine) {
         double runMs = capacity.runMsWhenCold(request);
-        return capacity.isWarmingUp(engine)
-                && slowStart.takesTurns()
-                && context.nowMs() + runMs < request.objectiveAtMs;
+        boolean inTime = context.nowMs() + runMs < request.objectiveAtMs;
+        return capacity.isWarmingUp(engine) && slowStart.usesSlots() && inTime;
     }
 
     private double threadLoad(TrackedRequest request, Engine engine) {
@@ -161,7 +160,7 @@
     }
 
     private double memoryLoad(TrackedRequest request, Engine engine) {
-        if (reports.areFresh(engine) && reports.tellMemory()) {
+        if (reports.areFresh(engine) && reports.includeMemory()) {
             return reports.memoryInUse(engine) + MEMORY_BASE_LOAD;
         }
         if (engine.memoryMb <= 0) {
--- a/src/main/java/lineward/scheduling/GossipCodec.java
+++ b/src/main/java/lineward/scheduling/GossipCodec.java
@@ -37,7 +37,7 @@
     }
 
     /** Returns whether one more report fits into the message. */
-    boolean hasRoom() {
+    boolean hasCapacity() {
         return pending.size() < MAX_PAYLOAD - reportBytes();
     }
 
--- a/src/main/java/lineward/scheduling/InvalidSettingException.java
+++ b/src/main/java/lineward/scheduling/InvalidSettingException.java
@@ -16,8 +16,8 @@
      * @param allowed its range in words
      * @throws InvalidSettingException if the condition does not hold
      */
-    public static void require(boolean holds, String key, Object found, String allowed) {
-        if (!holds) {
+    public static void require(boolean inRange, String key, Object found, String allowed) {
+        if (!inRange) {
             throw new InvalidSettingException(key, found, allowed);
         }
     }
--- a/src/main/java/lineward/scheduling/LoadReportPolling.java
+++ b/src/main/java/lineward/scheduling/LoadReportPolling.java
@@ -17,7 +17,7 @@
     /** Engines polled in one turn: a message has a cost of its own, whatever it says. */
     private static final int ENGINES_PER_POLL = 4;
 
-    private static final double MIN_TRAFFIC_WINDOW_MS = 1_000;
+    private static final double MIN_TRAFFIC_PERIOD_MS = 1_000;
 
     private final SchedulerContext context;
     private final LoadReports reports;
@@ -64,7 +64,7 @@
         int frontEnds = context.settings.position().frontEnds();
         double gossipBytes = costs.gossip() * reports.gossipBytes() * (frontEnds - 1);
         double gossipCost = gossipBytes / GossipCodec.MAX_PAYLOAD;
-        double seenForMs = Math.max(MIN_TRAFFIC_WINDOW_MS, context.nowMs() - context.startedMs());
+        double seenForMs = Math.max(MIN_TRAFFIC_PERIOD_MS, context.nowMs() - context.startedMs());
         double requestsPerMs = Math.max(1, requestsSeen) / seenForMs;
         double evenMs = MIN_INTERVAL_MS * frontEnds / (engines + 1);
         return Math.max(evenMs, (costs.healthCheck() + gossipCost) / COST_BUDGET / requestsPerMs);
--- a/src/main/java/lineward/scheduling/LoadReports.java
+++ b/src/main/java/lineward/scheduling/LoadReports.java
@@ -52,7 +52,7 @@
     }
 
     /** Returns whether reports tell the memory in use. */
-    boolean tellMemory() {
+    boolean includeMemory() {
         return memoryField >= 0;
     }
 
@@ -80,14 +80,14 @@
 
     /** Collects an engine's report for the other front ends. */
     void collectGossip(Engine engine) {
-        if (areShared() && gossip.hasRoom() && areFresh(engine)) {
+        if (areShared() && gossip.hasCapacity() && areFresh(engine)) {
             gossip.collect(new GossipCodec.EngineReport(engine.gossipId(), engine.loadReport));
         }
     }
 
     /** Sends what was collected, unless a health check is about to add to it. */
-    void publishGossip(double checkTakesMs) {
-        if (gossip.hasPending() && !hasRecentCheck(checkTakesMs)) {
+    void publishGossip(double checkDurationMs) {
+        if (gossip.hasPending() && !hasRecentCheck(checkDurationMs)) {
             context.emit(new SchedulerAction.BroadcastGossip(gossip.drainPending()));
         }
     }
--- a/src/main/java/lineward/scheduling/OutlierDetector.java
+++ b/src/main/java/lineward/scheduling/OutlierDetector.java
@@ -70,7 +70,7 @@
 
     /** Ejects the engine if it has work overdue and has sent nothing for long: no answer, no progress. */
     void detectSilence(Engine engine) {
-        double silentMs = context.nowMs() - engine.lastHeardMs;
+        double silentMs = context.nowMs() - engine.lastResponseMs;
         if (!engine.ejected && silentMs >= SILENCE_MS && hasWorkOverdue(engine, silentMs)) {
             eject(engine, EjectionCause.SILENCE);
         }
@@ -85,11 +85,11 @@
             if (attempt.waiting) {
                 continue; // it was reported as queued once, and nothing more is reported of it
             }
-            double outMs = context.nowMs() - attempt.startedAtMs;
+            double ageMs = context.nowMs() - attempt.startedAtMs;
             double usualMs = attempt.request.expectedRunMs() * attempt.request.type.model.slowdown();
-            overdue |= outMs > OVERDUE_FACTOR * usualMs + SILENCE_MS;
-            unanswered += outMs > Math.max(SILENCE_MS, usualMs) ? 1 : 0;
-            double quietMs = Math.min(outMs, silentMs);
+            overdue |= ageMs > OVERDUE_FACTOR * usualMs + SILENCE_MS;
+            unanswered += ageMs > Math.max(SILENCE_MS, usualMs) ? 1 : 0;
+            double quietMs = Math.min(ageMs, silentMs);
             boolean missed = intervalMs > 0 && quietMs > intervalMs * MISSED_PROGRESS_INTERVALS;
             boolean progressIsDue = intervalMs == 0 || silentMs > intervalMs;
             if (missed || (overdue && unanswered > 1 && progressIsDue)) {
@@ -101,7 +101,7 @@
 
     /** An engine has answered: it is healthy. */
     void recordSuccess(Engine engine) {
-        engine.lastHeardMs = context.nowMs();
+        engine.lastResponseMs = context.nowMs();
         engine.consecutiveFailures = 0;
         engine.recordError(0, context.nowMs());
         engine.ejected = false;
@@ -134,11 +134,11 @@
             engine.recordError(1, context.nowMs());
             recordFailure(engine, EjectionCause.ERRORS);
         } else if (request.errors == 2) {
-            takeBackError(request.firstEngineInError);
+            revertError(request.firstEngineInError);
         }
     }
 
-    private void takeBackError(Engine engine) {
+    private void revertError(Engine engine) {
         engine.recordError(-1, context.nowMs());
         if (engine.consecutiveFailures > 0) {
             engine.ejected &= engine.consecutiveFailures != MAX_CONSECUTIVE_FAILURES;
--- a/src/main/java/lineward/scheduling/RequestClass.java
+++ b/src/main/java/lineward/scheduling/RequestClass.java
@@ -20,21 +20,21 @@
      * @param latencyPerWork so many times its work over its threads more
      * @param deadlineMs clients wait no longer
      * @param priorityWeight what an answer in time is worth
-     * @param lateValueRatio the ratio of it that a late answer is worth
+     * @param overdueValueRatio the ratio of it that a late answer is worth
      */
     public record Objective(
             double latencyMs,
             double latencyPerWork,
             double deadlineMs,
             double priorityWeight,
-            double lateValueRatio /* 0 to 1 */) {
+            double overdueValueRatio /* 0 to 1 */) {
         /** Checks the ranges. */
         public Objective {
             requireNotNegative("classes: aim", latencyMs);
             requireNotNegative("classes: aim stretch", latencyPerWork);
             require(deadlineMs > 0, "classes: deadline", deadlineMs, "more than 0");
             requireNotNegative("classes: worth", priorityWeight);
-            requireRatio("classes: late share", lateValueRatio);
+            requireRatio("classes: late share", overdueValueRatio);
         }
     }
 
--- a/src/main/java/lineward/scheduling/ResourceLimits.java
+++ b/src/main/java/lineward/scheduling/ResourceLimits.java
@@ -15,7 +15,7 @@
     /** Work below this ratio of the largest class's is short. */
     private static final double SHORT_WORK_RATIO = 0.3;
 
-    private static final int LATE_PRIORITY = 0;
+    private static final int OVERDUE_PRIORITY = 0;
     private static final int LONG_PRIORITY = 1;
     private static final int LOAD_PRIORITY = 2;
     private static final int SHORT_PRIORITY = 3;
@@ -57,7 +57,7 @@
     private int priority(TrackedRequest request) {
         double nowMs = context.nowMs();
         if (nowMs + request.expectedRunMs() > request.objectiveAtMs) {
-            return LATE_PRIORITY;
+            return OVERDUE_PRIORITY;
         }
         double largestMs = context.classes.stream()
                 .mapToDouble(type -> type.model.meanWorkMs(nowMs))
--- a/src/main/java/lineward/scheduling/SchedulerAction.java
+++ b/src/main/java/lineward/scheduling/SchedulerAction.java
@@ -42,14 +42,14 @@
     /**
      * Starts an attempt. The attempts of a request are numbered 0, 1, 2 in the order of these actions.
      *
-     * @param maxWaitMs how long it may take at most; 0: no bound of its own
+     * @param timeoutMs how long it may take at most; 0: no bound of its own
      * @param startWithinMs later than this it must not reach the engine any more, as it might run twice
      */
-    record StartAttempt(long request, long engine, double maxWaitMs /* 0: none */, double startWithinMs)
+    record StartAttempt(long request, long engine, double timeoutMs /* 0: none */, double startWithinMs)
             implements SchedulerAction {
         /** Creates an attempt that may start at any time. */
-        public StartAttempt(long request, long engine, double maxWaitMs) {
-            this(request, engine, maxWaitMs, Double.POSITIVE_INFINITY);
+        public StartAttempt(long request, long engine, double timeoutMs) {
+            this(request, engine, timeoutMs, Double.POSITIVE_INFINITY);
         }
 
         @Override
--- a/src/main/java/lineward/scheduling/SchedulerContext.java
+++ b/src/main/java/lineward/scheduling/SchedulerContext.java
@@ -38,13 +38,13 @@
         settings.classes().forEach(requestClass -> classes.add(new ClassState(requestClass, fleet)));
     }
 
-    void beginTurn(double now) {
+    void beginDecision(double now) {
         nowMs = now;
         startedMs = Double.isNaN(startedMs) ? now : startedMs;
         actions = new ArrayList<>();
     }
 
-    List<SchedulerAction> endTurn() {
+    List<SchedulerAction> endDecision() {
         return actions;
     }
 
--- a/src/main/java/lineward/scheduling/SchedulerSettings.java
+++ b/src/main/java/lineward/scheduling/SchedulerSettings.java
@@ -189,11 +189,11 @@
     /**
      * How endpoints become known.
      *
-     * @param watch whether they come only to those that ask for them
+     * @param subscribe whether they come only to those that ask for them
      * @param pollWithinMs how often to ask; 0: not said
-     * @param weightsTell whether the weights in the list mean something
+     * @param weightsAreMeaningful whether the weights in the list mean something
      */
-    public record Discovery(boolean watch, double pollWithinMs, boolean weightsTell) {}
+    public record Discovery(boolean subscribe, double pollWithinMs, boolean weightsAreMeaningful) {}
 
     /**
      * What messages cost, in points of the result for one a request.
--- a/src/main/java/lineward/scheduling/SlowStart.java
+++ b/src/main/java/lineward/scheduling/SlowStart.java
@@ -34,7 +34,7 @@
     }
 
     /** Returns whether the fleet is so large that front ends take turns at a cold engine. */
-    boolean takesTurns() {
+    boolean usesSlots() {
         return position.frontEnds() > FRONT_ENDS_PER_SLOT;
     }
 
@@ -48,11 +48,11 @@
         if (hasForgottenItsSends(engine)) {
             return false;
         }
-        if (!takesTurns()) {
+        if (!usesSlots()) {
             return sent <= budget(engine) / position.frontEnds();
         }
         // A window meets two slots at the most, hence half.
-        return hasTurn(engine) && sent <= budget(engine) / 2 / FRONT_ENDS_PER_SLOT;
+        return hasSlot(engine) && sent <= budget(engine) / 2 / FRONT_ENDS_PER_SLOT;
     }
 
     private double budget(Engine engine) {
@@ -67,12 +67,12 @@
     private boolean hasForgottenItsSends(Engine engine) {
         double startedMs = context.startedMs();
         boolean justStarted = context.nowMs() - startedMs < rule.windowMs();
-        return !joinedHotRestart && justStarted && startedMs > engine.warmUpStartMs();
+        return !joinedHotRestart && justStarted && startedMs > engine.warmupStartMs();
     }
 
     /** A slot of one window belongs to a few front ends each, by ordinal and engine, without talking. */
-    private boolean hasTurn(Engine engine) {
-        long slot = (long) ((context.nowMs() - engine.warmUpStartMs()) / rule.windowMs());
+    private boolean hasSlot(Engine engine) {
+        long slot = (long) ((context.nowMs() - engine.warmupStartMs()) / rule.windowMs());
         long distance = position.ordinal() - engine.id - slot * FRONT_ENDS_PER_SLOT;
         return Math.floorMod(distance, (long) position.frontEnds()) < FRONT_ENDS_PER_SLOT;
     }
--- a/src/main/java/lineward/scheduling/SpeculativeCancellation.java
+++ b/src/main/java/lineward/scheduling/SpeculativeCancellation.java
@@ -31,7 +31,7 @@
     private final RetryBudgetTracker budget;
     private final SlowStart slowStart;
     private final RequestLifecycle lifecycle;
-    private final List<Attempt> waiting = new ArrayList<>();
+    private final List<Attempt> waitingAttempts = new ArrayList<>();
 
     SpeculativeCancellation(
             SchedulerContext context,
@@ -77,8 +77,8 @@
 
     /** A rare class has no curve of its own for long; few outcomes move tau within bounds. */
     private static double withinStragglerBounds(double tauRatio, double typicalRatio) {
-        double most = ServiceTimeModel.STRAGGLER_LOG_RATIO;
-        double bounded = Math.max(most / 2, Math.min(most, Math.log(tauRatio / typicalRatio)));
+        double upperBound = ServiceTimeModel.STRAGGLER_LOG_RATIO;
+        double bounded = Math.max(upperBound / 2, Math.min(upperBound, Math.log(tauRatio / typicalRatio)));
         return typicalRatio * Math.exp(bounded);
     }
 
@@ -168,19 +168,19 @@
     }
 
     /** Notes an attempt that waits at its engine. */
-    void noteWaiting(Attempt attempt) {
-        waiting.add(attempt);
+    void recordWaiting(Attempt attempt) {
+        waitingAttempts.add(attempt);
     }
 
     /** Migrates the attempts noted, where another engine has capacity. */
     void migrateWaiting() {
-        for (Attempt attempt : waiting) {
+        for (Attempt attempt : waitingAttempts) {
             if (attempt.inFlight && attempt.waiting && mayMigrate(attempt)) {
                 attempt.migrating = true;
                 lifecycle.cancel(attempt);
             }
         }
-        waiting.clear();
+        waitingAttempts.clear();
     }
 
     /** Where all engines are full it would only go round, so the last attempt stays for a relaunch. */
@@ -208,14 +208,14 @@
             return false;
         }
         for (Engine engine : context.engines.values()) {
-            if (engine != attempt.engine && couldTake(engine, request)) {
+            if (engine != attempt.engine && isEligible(engine, request)) {
                 return true;
             }
         }
         return false;
     }
 
-    private boolean couldTake(Engine engine, TrackedRequest request) {
+    private boolean isEligible(Engine engine, TrackedRequest request) {
         return !engine.ejected
                 && RetryPolicy.mayRunOn(request, engine)
                 && !request.triedEngines.contains(engine)
--- a/src/main/java/lineward/scheduling/SpeculativeScheduler.java
+++ b/src/main/java/lineward/scheduling/SpeculativeScheduler.java
@@ -31,7 +31,7 @@
     private final AdmissionQueue queue;
     private final AttemptOutcomes outcomes;
     private boolean started;
-    private boolean watchPending;
+    private boolean subscribePending;
     private boolean sweepScheduled;
     private double nextRecomputeMs;
 
@@ -61,7 +61,7 @@
         queue = new AdmissionQueue(context, admission, engineSelector, keyOrder, lifecycle, starter);
         OutcomeLearning learning = new OutcomeLearning(context, outliers, resources);
         outcomes = new AttemptOutcomes(context, learning, retries, keyOrder, lifecycle, queue);
-        watchPending = settings.discovery().watch();
+        subscribePending = settings.discovery().subscribe();
     }
 
     private EngineSelector newSelector(RetryPolicy retries, EngineCapacity capacity) {
@@ -70,9 +70,9 @@
 
     @Override
     public List<SchedulerAction> decide(double nowMs, List<? extends SchedulerEvent> events) {
-        context.beginTurn(nowMs);
-        if (watchPending) {
-            watchPending = false;
+        context.beginDecision(nowMs);
+        if (subscribePending) {
+            subscribePending = false;
             context.emit(new SchedulerAction.WatchEndpoints());
         }
         if (!started) {
@@ -91,7 +91,7 @@
         }
         reports.publishGossip(SWEEP_INTERVAL_MS);
         scheduleSweep();
-        return context.endTurn();
+        return context.endDecision();
     }
 
     private void scheduleSweep() {
@@ -132,7 +132,7 @@
         if (attempt == null) {
             return;
         }
-        attempt.engine.lastHeardMs = context.nowMs();
+        attempt.engine.lastResponseMs = context.nowMs();
         attempt.setWaiting(report.kind().isWaiting(), context.nowMs());
         switch (report.kind()) {
             case RATIO_DONE -> {
@@ -140,7 +140,7 @@
                 attempt.progressAtMs = context.nowMs();
             }
             case SPILLING -> resources.recordSpill(attempt.request.type);
-            case WAITING_FOR_MEMORY, WAITING_FOR_LOAD -> cancellation.noteWaiting(attempt);
+            case WAITING_FOR_MEMORY, WAITING_FOR_LOAD -> cancellation.recordWaiting(attempt);
         }
     }
 
@@ -194,7 +194,7 @@
 
     @Override
     public void discoveryFailed(SchedulerEvent.DiscoveryFailed failure) {
-        watchPending = context.settings.discovery().watch();
+        subscribePending = context.settings.discovery().subscribe();
     }
 
     @Override
@@ -227,12 +227,12 @@
         context.engines.values().forEach(outliers::detectSilence);
         for (Engine engine : context.engines.values()) {
             for (Attempt attempt : new ArrayList<>(engine.attempts)) {
-                if (!cancellation.cancelIfDue(attempt) && admission.isWorthless(attempt)) {
+                if (!cancellation.cancelIfDue(attempt) && admission.hasNoValue(attempt)) {
                     lifecycle.giveUp(attempt.request);
                 }
             }
         }
-        queue.giveUpLate();
+        queue.rejectOverdue();
         keyOrder.forgetSettledKeys();
         context.engines.values().removeIf(this::isForgettable);
     }
--- a/src/main/java/lineward/scheduling/SurvivalCurve.java
+++ b/src/main/java/lineward/scheduling/SurvivalCurve.java
@@ -96,7 +96,7 @@
     }
 
     private int binOf(double runTime) {
-        double place = (Math.log(Math.max(NOTHING, runTime)) / Math.log(2) - lowestLog2) * binsPerDoubling;
-        return (int) Math.max(0, Math.min(completed.length - 1, place));
+        double position = (Math.log(Math.max(NOTHING, runTime)) / Math.log(2) - lowestLog2) * binsPerDoubling;
+        return (int) Math.max(0, Math.min(completed.length - 1, position));
     }
 }
--- a/src/main/java/lineward/scheduling/TrackedRequest.java
+++ b/src/main/java/lineward/scheduling/TrackedRequest.java
@@ -40,7 +40,7 @@
     Engine firstEngineRunOn;
 
     double firstStartedAtMs;
-    double rank;
+    double priority;
     int errors;
     Engine firstEngineInError;
 
--- a/src/main/java/lineward/scheduling/simulator/BatchReader.java
+++ b/src/main/java/lineward/scheduling/simulator/BatchReader.java
@@ -101,7 +101,7 @@
     }
 
     private static String settingsText(EventRecord entry, ByteBuffer tail) {
-        ByteBuffer text = tailPart(tail, entry.signedInt(9), entry.signedInt(13), 1);
+        ByteBuffer text = tailSlice(tail, entry.signedInt(9), entry.signedInt(13), 1);
         return StandardCharsets.UTF_8.decode(text).toString();
     }
 
@@ -142,9 +142,9 @@
     }
 
     private static SchedulerEvent gossipReceived(EventRecord entry, ByteBuffer tail) {
-        ByteBuffer part = tailPart(tail, entry.signedInt(5), entry.signedInt(9), 1);
-        byte[] payload = new byte[part.remaining()];
-        part.get(payload);
+        ByteBuffer slice = tailSlice(tail, entry.signedInt(5), entry.signedInt(9), 1);
+        byte[] payload = new byte[slice.remaining()];
+        slice.get(payload);
         return new SchedulerEvent.GossipReceived(entry.signedInt(1), payload);
     }
 
@@ -185,10 +185,10 @@
         if (number >= MAX_ENDPOINT_LISTS) {
             throw new WireException("sheet number " + number + " is out of range");
         }
-        ByteBuffer part = tailPart(tail, entry.signedInt(3), endpoints, ENDPOINT_BYTES);
+        ByteBuffer slice = tailSlice(tail, entry.signedInt(3), endpoints, ENDPOINT_BYTES);
         List<Endpoint> list = new ArrayList<>();
         for (int i = 0; i < endpoints; i++) {
-            list.add(endpoint(new EventRecord(part.slice(i * ENDPOINT_BYTES, ENDPOINT_BYTES))));
+            list.add(endpoint(new EventRecord(slice.slice(i * ENDPOINT_BYTES, ENDPOINT_BYTES))));
         }
         endpointLists.set(number, List.copyOf(list));
     }
@@ -212,7 +212,7 @@
         };
     }
 
-    private static ByteBuffer tailPart(ByteBuffer tail, int from, int length, int size) {
+    private static ByteBuffer tailSlice(ByteBuffer tail, int from, int length, int size) {
         if (from < 0 || length < 0 || from + (long) length * size > tail.limit()) {
             throw new WireException("a record points past the end of its frame");
         }
--- a/src/main/java/lineward/scheduling/simulator/ReplyWriter.java
+++ b/src/main/java/lineward/scheduling/simulator/ReplyWriter.java
@@ -52,7 +52,7 @@
     @Override
     public void startAttempt(SchedulerAction.StartAttempt action) {
         ByteBuffer entry = begin(START_ATTEMPT).putInt((int) action.request());
-        finish(putEngine(entry, action.engine()).putDouble(action.maxWaitMs()));
+        finish(putEngine(entry, action.engine()).putDouble(action.timeoutMs()));
     }
 
     @Override
--- a/src/main/java/lineward/scheduling/simulator/SettingsReader.java
+++ b/src/main/java/lineward/scheduling/simulator/SettingsReader.java
@@ -181,8 +181,8 @@
         return new SchedulerSettings.Reporting(fields, inResponses);
     }
 
-    private static LoadReportField reportField(String word) {
-        return switch (word) {
+    private static LoadReportField reportField(String text) {
+        return switch (text) {
             case "outstanding" -> LoadReportField.IN_FLIGHT;
             case "backlog" -> LoadReportField.QUEUED;
             case "utilization" -> LoadReportField.UTILISATION;
@@ -196,10 +196,10 @@
     }
 
     private SchedulerSettings.Discovery discovery() {
-        boolean watch = "subscribe".equals(root.path("discovery").asText());
+        boolean subscribe = "subscribe".equals(root.path("discovery").asText());
         double pollWithinMs = rules.path("ask-within").asDouble(0);
-        boolean weightsTell = !"silent".equals(root.path("weights").asText("silent"));
-        return new SchedulerSettings.Discovery(watch, pollWithinMs, weightsTell);
+        boolean weightsAreMeaningful = !"silent".equals(root.path("weights").asText("silent"));
+        return new SchedulerSettings.Discovery(subscribe, pollWithinMs, weightsAreMeaningful);
     }
 
     private SchedulerSettings.Costs costs() {
--- a/src/test/java/lineward/scheduling/ActionDigest.java
+++ b/src/test/java/lineward/scheduling/ActionDigest.java
@@ -43,7 +43,7 @@
     /** Takes in one action of the decision module. */
     public void add(SchedulerAction action) {
         if (action instanceof SchedulerAction.StartAttempt a) {
-            add('S', (double) a.request(), (double) a.engine(), a.maxWaitMs(), a.startWithinMs());
+            add('S', (double) a.request(), (double) a.engine(), a.timeoutMs(), a.startWithinMs());
         } else if (action instanceof SchedulerAction.CancelAttempt a) {
             add('C', (double) a.request(), a.attempt());
         } else if (action instanceof SchedulerAction.Reject a) {
