Ignore gossip where engines report no load: it crashed the scheduler

Seen: with the seeded streams of the digest tests, a message of another front end made the scheduler fail with an index of -1 where the settings let front ends talk but name no report field. Ruled out: the codec, which reads such a message as ids without values. At fault: the report was taken in although it lacks the number in flight that the load is computed from (LoadReports.apply, before Control.Engine.report).

Measured: the new case fails with that exception without the change and passes with it; the digests are unchanged.

--- a/src/main/java/lineward/scheduling/LoadReports.java
+++ b/src/main/java/lineward/scheduling/LoadReports.java
@@ -61,9 +61,9 @@
         return engine.loadReport[memoryField];
     }
 
-    /** Takes in a report; one with values missing is ignored. */
+    /** Takes in a report; one without the number in flight, or with values missing, is ignored. */
     void apply(Engine engine, double[] values) {
-        if (values.length < fieldCount) {
+        if (inFlightField < 0 || values.length < fieldCount) {
             return;
         }
         engine.loadReport = values;
--- a/src/test/java/lineward/scheduling/KnowledgeTest.java
+++ b/src/test/java/lineward/scheduling/KnowledgeTest.java
@@ -154,4 +154,23 @@
         s.pass(600);
         assertThat(s.all(SchedulerAction.LogMessage.class)).hasSize(1);
     }
+
+    /** Front ends may talk where engines report nothing: what arrives then has no report to read. */
+    @Test
+    void gossipIsIgnoredWhereEnginesReportNoLoad() {
+        SchedulerSettings talking = talking(50).settings;
+        SchedulerSettings silent = new SchedulerSettings(
+                talking.classes(),
+                talking.kinds(),
+                talking.position(),
+                talking.limits(),
+                talking.rules(),
+                new SchedulerSettings.Reporting(List.of(), false),
+                talking.discovery(),
+                talking.costs(),
+                talking.quotas());
+        Scene s = new Scene(silent).engines(1, 2);
+        s.tell(new GossipReceived(1, new byte[] {0, 1, 0, 2}));
+        assertThat(s.ask(1, 0).sentTo()).isPositive();
+    }
 }
--- a/src/test/java/lineward/scheduling/Scene.java
+++ b/src/test/java/lineward/scheduling/Scene.java
@@ -10,10 +10,12 @@
     static final SchedulerSettings.Costs FREE = new SchedulerSettings.Costs(0, 0);
     double now = 1000;
     final SpeculativeScheduler control;
+    final SchedulerSettings settings;
     final List<SchedulerAction> last = new ArrayList<>();
     final List<SchedulerAction> all = new ArrayList<>();
 
     Scene(SchedulerSettings settings) {
+        this.settings = settings;
         control = new SpeculativeScheduler(settings, 7);
     }
 
