--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run example measure-spool measure-fleet
+.PHONY: build test lint format run example measure-spool measure-fleet
 
 build:
 	mvn -q -DskipTests package
@@ -6,9 +6,12 @@
 test:
 	mvn -B --no-transfer-progress verify
 
-# The compiler's warnings are errors; the style test checks lengths.
+# Formatter, compiler with Error Prone, Checkstyle, and the style test alone.
 lint:
-	mvn -B --no-transfer-progress -Dtest=StyleTest -Dsurefire.failIfNoSpecifiedTests=false test
+	mvn -B --no-transfer-progress -Dtest=StyleTest -Dsurefire.failIfNoSpecifiedTests=false verify
+
+format:
+	mvn -B --no-transfer-progress spotless:apply
 
 # A front end of the platform: RELAY_CONFIG names its configuration.
 run: build
