--- a/src/test/java/lineward/scheduling/HostExampleTest.java
+++ b/src/test/java/lineward/scheduling/HostExampleTest.java
@@ -10,10 +10,10 @@
 import lineward.scheduling.SchedulerEvent.EndpointsChanged;
 import lineward.scheduling.SchedulerEvent.RequestArrived;
 import lineward.scheduling.SchedulerEvent.TimerFired;
-import org.junit.jupiter.api.Test;
+import org.testng.annotations.Test;
 
 /** The README host program, with pretended engines that answer after 150 ms. */
-class HostExampleTest {
+public class HostExampleTest {
     private static AttemptEnded served(long request) {
         return new AttemptEnded(request, 0, OK, true, 0, 0, new double[0]);
     }
@@ -21,7 +21,7 @@
     private record Due(double at, SchedulerEvent event) {}
 
     @Test
-    void aHostDrivesTheModuleWithoutTheAdapter() {
+    public void aHostDrivesTheModuleWithoutTheAdapter() {
         Scheduler front = new SpeculativeScheduler(Scene.settings(Scene.look()), 42);
         PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
         due.add(new Due(0, new EndpointsChanged(true, List.of(Scene.engine(1), Scene.engine(2)))));
--- a/src/test/java/lineward/scheduling/KnowledgeTest.java
+++ b/src/test/java/lineward/scheduling/KnowledgeTest.java
@@ -9,12 +9,11 @@
 import lineward.scheduling.SchedulerEvent.GossipReceived;
 import lineward.scheduling.SchedulerEvent.HealthCheckCompleted;
 import lineward.scheduling.SchedulerEvent.TimerFired;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /** What fronts learn from reports, from each other and from answers. */
-class KnowledgeTest {
+public class KnowledgeTest {
 
     private static Scene talking(int fronts) {
         SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
@@ -55,9 +54,13 @@
         return words;
     }
 
-    @ParameterizedTest
-    @ValueSource(ints = {2, 50, 300})
-    void whatOneFrontSawKeepsAnotherFromAFullEngine(int fronts) {
+    @DataProvider
+    public Object[][] whatOneFrontSawKeepsAnotherFromAFullEngineCases() {
+        return new Object[][] {{2}, {50}, {300}};
+    }
+
+    @Test(dataProvider = "whatOneFrontSawKeepsAnotherFromAFullEngineCases")
+    public void whatOneFrontSawKeepsAnotherFromAFullEngine(int fronts) {
         List<SchedulerAction.BroadcastGossip> words = look(talking(fronts), 60);
         assertThat(words).isNotEmpty();
         for (boolean told : new boolean[] {true, false}) {
@@ -77,7 +80,7 @@
     }
 
     @Test
-    void wordsThatAreGarbledLateOrOfUnknownEnginesHarmNothing() {
+    public void wordsThatAreGarbledLateOrOfUnknownEnginesHarmNothing() {
         Scene s = talking(50);
         s.tell(
                 new GossipReceived(9, new byte[] {1, 2, 3}),
@@ -98,7 +101,7 @@
 
     /** Estimates a third of the truth: the aim grows with the work, so a long request is not given up. */
     @Test
-    void answersThatTellTheWorkCorrectTheEstimatesOfTheirClass() {
+    public void answersThatTellTheWorkCorrectTheEstimatesOfTheirClass() {
         RequestClass stretched = new RequestClass(
                 new RequestClass.Objective(400, 2, 20_000, 1, 0),
                 new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
@@ -117,7 +120,7 @@
 
     /** Half the memory spills, and a spilled query does several times its work. */
     @Test
-    void answersThatTellTheMemoryRaiseTheGrantsOfTheirClassAtOnce() {
+    public void answersThatTellTheMemoryRaiseTheGrantsOfTheirClassAtOnce() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3);
         for (int i = 0; i < 4; i++) {
             s.ask(i, 0).pass(200).tell(new AttemptEnded(i, 0, OK, true, 0, 300, new double[0]));
@@ -129,7 +132,7 @@
 
     /** A front of many hears little from one engine: a straggler and what was just sent are no silence. */
     @Test
-    void oneStragglerIsNoSilenceAndTwoOverdueAre() {
+    public void oneStragglerIsNoSilenceAndTwoOverdueAre() {
         for (boolean second : new boolean[] {false, true}) {
             Scene s = new Scene(Scene.settings(Scene.look())).engines(1);
             s.ask(1, 0);
@@ -143,7 +146,7 @@
 
     /** The first note of progress may take one and a half intervals: until then silence means nothing. */
     @Test
-    void anEngineIsNotSilentBeforeTheFirstNoteIsDue() {
+    public void anEngineIsNotSilentBeforeTheFirstNoteIsDue() {
         SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
                 new SchedulerSettings.Capabilities(true, true, false, true, true, true, false),
                 new SchedulerSettings.AttemptLimits(4, 500, 2000),
@@ -157,7 +160,7 @@
 
     /** Front ends may talk where engines report nothing: what arrives then has no report to read. */
     @Test
-    void gossipIsIgnoredWhereEnginesReportNoLoad() {
+    public void gossipIsIgnoredWhereEnginesReportNoLoad() {
         SchedulerSettings talking = talking(50).settings;
         SchedulerSettings silent = new SchedulerSettings(
                 talking.classes(),
--- a/src/test/java/lineward/scheduling/LinesTest.java
+++ b/src/test/java/lineward/scheduling/LinesTest.java
@@ -7,10 +7,10 @@
 import lineward.scheduling.SchedulerEvent.AttemptEnded;
 import lineward.scheduling.SchedulerEvent.AttemptProgress;
 import lineward.scheduling.SchedulerEvent.TimerFired;
-import org.junit.jupiter.api.Test;
+import org.testng.annotations.Test;
 
 /** What stands in an engine's line, and stragglers that few outcomes have to tell. */
-class LinesTest {
+public class LinesTest {
     private static Scene scene(double notesEvery, int attempts) {
         SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
                 new SchedulerSettings.Capabilities(true, true, false, true, true, true, false),
@@ -22,7 +22,7 @@
 
     /** An engine tells once that a load waits there, and then nothing until it runs. */
     @Test
-    void whatWaitsInLineIsNoSilence() {
+    public void whatWaitsInLineIsNoSilence() {
         Scene s = scene(500, 5);
         s.ask(1, 1, 0, 2000, 20000);
         long engine = s.sentTo();
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void aWaitingRequestMovesToAnotherEngineAtOnceButNoMoreThanTwice() {
+    public void aWaitingRequestMovesToAnotherEngineAtOnceButNoMoreThanTwice() {
         Scene s = scene(500, 6);
         s.ask(1, 0, 0, 200, 5000);
         Set<Long> met = new HashSet<>(Set.of(s.sentTo()));
@@ -51,7 +51,7 @@
     }
 
     @Test
-    void whatMayNotRepeatOrHasBegunStays() {
+    public void whatMayNotRepeatOrHasBegunStays() {
         Scene s = scene(500, 5);
         s.ask(1, 1, 0, 2000, 20000).tell(new AttemptProgress(1, 0, ProgressKind.WAITING_FOR_LOAD, 2));
         s.ask(2, 0, 0, 200, 5000).tell(new AttemptProgress(2, 0, ProgressKind.RATIO_DONE, 0.4));
@@ -62,7 +62,7 @@
 
     /** A front that saw no outcome of a class yet knows a straggler from the others' times and its notes. */
     @Test
-    void aStragglerOfARareClassIsCutOnTheEvidenceOfAllClasses() {
+    public void aStragglerOfARareClassIsCutOnTheEvidenceOfAllClasses() {
         RequestClass report = new RequestClass(
                 new RequestClass.Objective(3000, 2, 20000, 6, 0.3),
                 new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
@@ -92,7 +92,7 @@
 
     /** After a stall of the front a wake comes first in the batch, and the answers behind it. */
     @Test
-    void answersBehindAWakeInOneBatchAreReadBeforeAnythingIsJudged() {
+    public void answersBehindAWakeInOneBatchAreReadBeforeAnythingIsJudged() {
         Scene s = scene(0, 5);
         s.ask(1, 0, 0, 200, 5000).ask(2, 0, 0, 200, 5000);
         s.all.clear();
--- a/src/test/java/lineward/scheduling/ManyFrontsTest.java
+++ b/src/test/java/lineward/scheduling/ManyFrontsTest.java
@@ -14,11 +14,11 @@
 import lineward.scheduling.SchedulerEvent.EndpointsChanged;
 import lineward.scheduling.SchedulerEvent.RequestArrived;
 import lineward.scheduling.SchedulerEvent.TimerFired;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /** Modules that cannot talk keep a cold engine's budget together, and use it. */
-class ManyFrontsTest {
+public class ManyFrontsTest {
     private static final int CORES = 8;
 
     private record Sent(double at, double work) {}
@@ -54,9 +54,13 @@
     }
 
     /** Half the engines have just started; sends are added up with the work really asked for. */
-    @ParameterizedTest
-    @ValueSource(ints = {1, 3, 50, 300})
-    void coldEnginesAreUsedAndNotPushedOver(int fronts) {
+    @DataProvider
+    public Object[][] coldEnginesAreUsedAndNotPushedOverCases() {
+        return new Object[][] {{1}, {3}, {50}, {300}};
+    }
+
+    @Test(dataProvider = "coldEnginesAreUsedAndNotPushedOverCases")
+    public void coldEnginesAreUsedAndNotPushedOver(int fronts) {
         SchedulerSettings.Rules rules = Scene.rules();
         Random random = new Random(fronts);
         int engines = 10;
@@ -133,9 +137,13 @@
      * Each front sees empty engines and takes one request at a time: the larger kind must not get all, and
      * who may run anywhere leaves it to the class that is bound to it.
      */
-    @ParameterizedTest
-    @ValueSource(ints = {50, 300})
-    void everyKindIsUsedAndScarceOnesAreLeftToTheBound(int fronts) {
+    @DataProvider
+    public Object[][] everyKindIsUsedAndScarceOnesAreLeftToTheBoundCases() {
+        return new Object[][] {{50}, {300}};
+    }
+
+    @Test(dataProvider = "everyKindIsUsedAndScarceOnesAreLeftToTheBoundCases")
+    public void everyKindIsUsedAndScarceOnesAreLeftToTheBound(int fronts) {
         List<EngineKind> kinds = List.of(new EngineKind(16, 32000), new EngineKind(12, 24000));
         List<Endpoint> list = new ArrayList<>();
         for (int id = 0; id < 20; id++) {
@@ -175,8 +183,8 @@
     }
 
     /** Forty engines and a few answers a second: none tells much alone, together they show a slow fleet. */
-    @org.junit.jupiter.api.Test
-    void aFrontOfLittleTrafficSeesThatTheFleetIsSlow() {
+    @Test
+    public void aFrontOfLittleTrafficSeesThatTheFleetIsSlow() {
         List<Endpoint> list = new ArrayList<>();
         for (int id = 1; id <= 40; id++) {
             list.add(new Endpoint(id, 0, 1, 0, EndpointState.READY, 0, 0));
@@ -212,9 +220,13 @@
     }
 
     /** Half the engines refuse connections: trying them stays a small part of the traffic. */
-    @ParameterizedTest
-    @ValueSource(ints = {1, 50, 300})
-    void trialsStayAPartOfTheTrafficAtAnyNumberOfFronts(int fronts) {
+    @DataProvider
+    public Object[][] trialsStayAPartOfTheTrafficAtAnyNumberOfFrontsCases() {
+        return new Object[][] {{1}, {50}, {300}};
+    }
+
+    @Test(dataProvider = "trialsStayAPartOfTheTrafficAtAnyNumberOfFrontsCases")
+    public void trialsStayAPartOfTheTrafficAtAnyNumberOfFronts(int fronts) {
         int asked = 0;
         int toDead = 0;
         for (int i = 0; i < Math.min(fronts, 30); i++) {
--- a/src/test/java/lineward/scheduling/RandomDaysTest.java
+++ b/src/test/java/lineward/scheduling/RandomDaysTest.java
@@ -20,11 +20,11 @@
 import lineward.scheduling.SchedulerEvent.EndpointsChanged;
 import lineward.scheduling.SchedulerEvent.RequestArrived;
 import lineward.scheduling.SchedulerEvent.TimerFired;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /** Random but legal events under varied settings: the rules hold, and equal events give equal actions. */
-class RandomDaysTest {
+public class RandomDaysTest {
     private record Due(double at, int turn, SchedulerEvent event) {}
 
     private static final class Held {
@@ -82,9 +82,15 @@
         return new Endpoint(id, (int) (id % 2), 1, since, condition, (int) (id / 2 % 2), (int) (id / 2 % 2));
     }
 
-    @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
-    void rulesHold(long seed) {
+    @DataProvider
+    public Object[][] rulesHoldCases() {
+        return new Object[][] {
+            {1L}, {2L}, {3L}, {4L}, {5L}, {6L}, {7L}, {8L}, {9L}, {10L}, {11L}, {12L}, {13L}, {14L}, {15L}, {16L}
+        };
+    }
+
+    @Test(dataProvider = "rulesHoldCases")
+    public void rulesHold(long seed) {
         String first = day(seed);
         assertThat(first).contains("StartAttempt").isEqualTo(day(seed));
     }
--- a/src/test/java/lineward/scheduling/RulesTest.java
+++ b/src/test/java/lineward/scheduling/RulesTest.java
@@ -11,12 +11,12 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
-import org.junit.jupiter.api.Test;
+import org.testng.annotations.Test;
 
-class RulesTest {
+public class RulesTest {
 
     @Test
-    void aTryWithNoTimeLeftIsAnsweredInItsOwnBatch() {
+    public void aTryWithNoTimeLeftIsAnsweredInItsOwnBatch() {
         Scene s = new Scene(Scene.settings(Scene.look(), Scene.load())).engines(1, 2);
         s.ask(5, 1, 9, 3000, 0);
         assertThat(s.last(SchedulerAction.Reject.class)).hasSize(1);
@@ -24,7 +24,7 @@
     }
 
     @Test
-    void theTimeoutAtTheDeadlineIsAnsweredAtOnce() {
+    public void theTimeoutAtTheDeadlineIsAnsweredAtOnce() {
         Scene s = new Scene(Scene.settings(Scene.look(), Scene.load())).engines(1);
         s.ask(5, 1);
         assertThat(s.sentTo()).isEqualTo(1);
@@ -34,7 +34,7 @@
     }
 
     @Test
-    void anUnsafeRequestThatMayHaveRunIsFailedAndNeverRefusedOrSentAgain() {
+    public void anUnsafeRequestThatMayHaveRunIsFailedAndNeverRefusedOrSentAgain() {
         for (AttemptOutcome o : List.of(ERROR, RESET, CANCELLED, TIMEOUT)) {
             Scene s = new Scene(Scene.settings(Scene.load())).engines(1, 2);
             s.ask(5, 0);
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void anUnsafeRequestProvedNotToHaveRunGoesToAnotherEngine() {
+    public void anUnsafeRequestProvedNotToHaveRunGoesToAnotherEngine() {
         for (AttemptOutcome o : List.of(REJECTED, CONNECT_FAILED)) {
             Scene s = new Scene(Scene.settings(Scene.load())).engines(1, 2);
             s.ask(5, 0);
@@ -57,7 +57,7 @@
     }
 
     @Test
-    void aKeyedRequestStaysInItsCellAndItsTime() {
+    public void aKeyedRequestStaysInItsCellAndItsTime() {
         Scene s = new Scene(Scene.settings(Scene.keyed(DeduplicationScope.CELL, 4000))).engines(1, 2, 3, 4);
         s.ask(5, 0);
         long first = s.sentTo();
@@ -75,7 +75,7 @@
     }
 
     @Test
-    void nothingNewGoesToADrainingOrMissingEngine() {
+    public void nothingNewGoesToADrainingOrMissingEngine() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2);
         s.tell(new SchedulerEvent.EndpointsChanged(
                 false, List.of(new Endpoint(1, 0, 1, 0, EndpointState.DRAINING, 0, 0))));
@@ -92,7 +92,7 @@
     }
 
     @Test
-    void aColdEngineGetsNoMoreThanItsBudgetInAnyWindow() {
+    public void aColdEngineGetsNoMoreThanItsBudgetInAnyWindow() {
         // Two windows of 1 s at 3 x 0.33 x 0.85 x 8 cores hold 13,464 ms of work, 67 requests of 200 ms.
         assertThat(sentToColdEngine(1)).isBetween(10, 67);
         assertThat(sentToColdEngine(4)).as("a quarter for each of four fronts").isBetween(2, 17);
@@ -126,7 +126,7 @@
     }
 
     @Test
-    void keysRunOneAtATimeInOrderAndRestAfterDoubt() {
+    public void keysRunOneAtATimeInOrderAndRestAfterDoubt() {
         Scene s = new Scene(Scene.settings(Scene.load())).engines(1, 2, 3);
         s.ask(1, 0, 77, 500, 9000).ask(2, 0, 77, 500, 9000).ask(3, 0, 77, 500, 9000);
         assertThat(s.all(SchedulerAction.StartAttempt.class))
@@ -144,7 +144,7 @@
     }
 
     @Test
-    void aBoundClassIsHeldWhenItsEnginesAreGone() {
+    public void aBoundClassIsHeldWhenItsEnginesAreGone() {
         Scene s = new Scene(Scene.settings(Scene.bound(1))).engines(1, 2);
         s.ask(5, 0);
         assertThat(s.all(SchedulerAction.StartAttempt.class)).isEmpty();
@@ -153,7 +153,7 @@
     }
 
     @Test
-    void furtherAttemptsStayWithinTheirBudget() {
+    public void furtherAttemptsStayWithinTheirBudget() {
         SchedulerSettings.Rules rules = new SchedulerSettings.Rules(
                 1000,
                 new SchedulerSettings.SlowStartRule(15000, 0.33, 3, 1000),
@@ -172,7 +172,7 @@
     }
 
     @Test
-    void neverTwoAttemptsOutTogetherAndNoneAfterTheEnd() {
+    public void neverTwoAttemptsOutTogetherAndNoneAfterTheEnd() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3);
         s.ask(5, 0);
         assertThat(s.pass(400).all(SchedulerAction.StartAttempt.class)).hasSize(1);
@@ -184,7 +184,7 @@
     }
 
     @Test
-    void settingsThatContradictThemselvesAreRefused() {
+    public void settingsThatContradictThemselvesAreRefused() {
         assertThatThrownBy(() -> Scene.settings(Scene.bound(5))).hasMessageContaining("unknown kind");
         assertThatThrownBy(() -> Scene.settings()).hasMessageContaining("classes");
     }
@@ -194,7 +194,7 @@
      * usual: 300 fronts of one request each must not add up to more than a cold engine can take.
      */
     @Test
-    void coldSendsWithoutEstimatesCountTheMeanOfTheirClass() {
+    public void coldSendsWithoutEstimatesCountTheMeanOfTheirClass() {
         RequestClass report = new RequestClass(
                 new RequestClass.Objective(300, 2.5, 15_000, 3, 0.4),
                 new RequestClass.Repeatability(Idempotence.IDEMPOTENT, DeduplicationScope.ALL, 0, false),
@@ -225,7 +225,7 @@
 
     /** What a front sent before its restart it has forgotten; the engine has not. */
     @Test
-    void aFrontJustStartedSendsNothingToAColdEngineForOneWindow() {
+    public void aFrontJustStartedSendsNothingToAColdEngineForOneWindow() {
         Scene s = new Scene(Scene.settings(Scene.look()));
         s.tell(new SchedulerEvent.EndpointsChanged(
                 true, List.of(new Endpoint(1, 0, 1, s.now - 500, EndpointState.READY, 0, 0))));
@@ -236,7 +236,7 @@
 
     /** No budget is left for the relaunch: the attempt on a silent engine goes on, it may yet be answered. */
     @Test
-    void nothingIsCutThatCannotBeSentAgain() {
+    public void nothingIsCutThatCannotBeSentAgain() {
         for (int free : new int[] {1, 0}) {
             SchedulerSettings.Rules rules = new SchedulerSettings.Rules(
                     1000,
--- a/src/test/java/lineward/scheduling/SpeculationTest.java
+++ b/src/test/java/lineward/scheduling/SpeculationTest.java
@@ -4,13 +4,13 @@
 
 import java.util.List;
 import org.assertj.core.api.Assertions;
-import org.junit.jupiter.api.Test;
+import org.testng.annotations.Test;
 
-class SpeculationTest {
+public class SpeculationTest {
 
     /** 80 runs of 1 and 20 cut at 2: those cut leave the set at risk, so a fifth survives past 2. */
     @Test
-    void censoredRunsKeepTheTail() {
+    public void censoredRunsKeepTheTail() {
         SurvivalCurve cut = new SurvivalCurve(100, -4, 5);
         SurvivalCurve dropped = new SurvivalCurve(100, -4, 5);
         SurvivalCurve completed = new SurvivalCurve(100, -4, 5);
@@ -34,7 +34,7 @@
     /** 90 runs of 1 and 10 of 10: up to 1.2 the area is near 1,
      * a fifth of a bin over; never cutting takes 1.9. */
     @Test
-    void areasAreThoseOfTheCurve() {
+    public void areasAreThoseOfTheCurve() {
         SurvivalCurve s = new SurvivalCurve(100, -4, 5);
         for (int i = 0; i < 100; i++) {
             s.add(i % 10 == 0 ? 10 : 1.05, true);
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void aStragglerIsCutAndRelaunchedOnAnotherEngineOnceItsVerdictIsIn() {
+    public void aStragglerIsCutAndRelaunchedOnAnotherEngineOnceItsVerdictIsIn() {
         Scene s = learned(12);
         s.ask(1000, 0);
         long first = s.sentTo();
@@ -96,7 +96,7 @@
     }
 
     @Test
-    void anAnswerThatOvertakesTheCancelIsTheAnswer() {
+    public void anAnswerThatOvertakesTheCancelIsTheAnswer() {
         Scene s = learned(12);
         s.ask(1000, 0).pass(1500);
         assertThat(s.last(SchedulerAction.CancelAttempt.class)).hasSize(1);
@@ -106,7 +106,7 @@
     }
 
     @Test
-    void nothingIsCutWhereNoTauBeatsNeverCutting() {
+    public void nothingIsCutWhereNoTauBeatsNeverCutting() {
         Scene s = learned(1);
         s.all.clear();
         s.ask(1000, 0).pass(700);
@@ -114,14 +114,14 @@
     }
 
     @Test
-    void nothingIsCutBeforeEnoughOutcomes() {
+    public void nothingIsCutBeforeEnoughOutcomes() {
         Scene s = new Scene(Scene.settings(Scene.look())).engines(1, 2, 3);
         s.ask(1, 0).pass(850);
         assertThat(s.all(SchedulerAction.CancelAttempt.class)).isEmpty();
     }
 
     @Test
-    void aClassThatMayNotRepeatIsNeverCut() {
+    public void aClassThatMayNotRepeatIsNeverCut() {
         Scene s = learned(12);
         s.all.clear();
         s.ask(1000, 1, 3, 200, 20000).pass(8000);
@@ -129,7 +129,7 @@
     }
 
     @Test
-    void nothingIsCutWithLessTimeLeftThanARerunTakes() {
+    public void nothingIsCutWithLessTimeLeftThanARerunTakes() {
         Scene s = learned(12);
         s.all.clear();
         s.ask(1000, 0, 0, 200, 400).pass(390);
@@ -137,7 +137,7 @@
     }
 
     @Test
-    void anAttemptNearlyDoneIsSpared() {
+    public void anAttemptNearlyDoneIsSpared() {
         SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
                 new SchedulerSettings.Capabilities(true, true, false, true, true, true, false),
                 new SchedulerSettings.AttemptLimits(4, 500, 1000),
@@ -155,7 +155,7 @@
 
     /** On crowded engines a run that can earn nothing any more holds the place of others. */
     @Test
-    void aRunPastItsAimWithNoLateWorthIsGivenUpAtOnce() {
+    public void aRunPastItsAimWithNoLateWorthIsGivenUpAtOnce() {
         Scene s = new Scene(Scene.settings(Scene.look(), Scene.load())).engines(1);
         s.ask(1, 0).ask(2, 1, 3, 200, 20000).pass(1300);
         assertThat(s.all(SchedulerAction.CancelAttempt.class)).isEmpty();
@@ -170,7 +170,7 @@
 
     /** Notes pass for signs of life, but their share no longer rises: the rerun would never end. */
     @Test
-    void aRerunThatStandsStillIsRelaunchedAndOneThatMovesIsNot() {
+    public void aRerunThatStandsStillIsRelaunchedAndOneThatMovesIsNot() {
         SchedulerSettings.Limits limits = new SchedulerSettings.Limits(
                 new SchedulerSettings.Capabilities(true, true, false, true, true, true, false),
                 new SchedulerSettings.AttemptLimits(4, 500, 1000),
--- a/src/test/java/lineward/scheduling/simulator/AdapterTest.java
+++ b/src/test/java/lineward/scheduling/simulator/AdapterTest.java
@@ -12,9 +12,9 @@
 import lineward.scheduling.SchedulerAction;
 import lineward.scheduling.SchedulerEvent;
 import lineward.scheduling.SchedulerSettings;
-import org.junit.jupiter.api.Test;
+import org.testng.annotations.Test;
 
-class AdapterTest {
+public class AdapterTest {
     private static final String SETTINGS = "{\"classes\":[{\"aim\":1000,\"deadline\":5000,"
             + "\"effect\":\"retryable\",\"value\":1}],\"skus\":[\"a\"],\"zones\":[\"z\"],\"peers-total\":1,"
             + "\"limits\":{\"max-attempts\":3,\"cancel\":true},\"never-heard-of\":{\"x\":1}}";
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void anOpenedInstanceSendsWhatItIsAsked() {
+    public void anOpenedInstanceSendsWhatItIsAsked() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         int status = Main.run(new ByteArrayInputStream(opening()), out, System.err);
         assertThat(status).isZero();
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void anEmptyBatchGetsAnEmptyReply() {
+    public void anEmptyBatchGetsAnEmptyReply() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         assertThat(Main.run(new ByteArrayInputStream(frame(0, 1, new byte[0])), out, System.err))
                 .isZero();
@@ -95,7 +95,7 @@
     }
 
     @Test
-    void malformedInputIsNamed() {
+    public void malformedInputIsNamed() {
         assertThat(error(new byte[] {0, 0, 0})).contains("inside a frame");
         assertThat(error(frame(1, 1, new byte[0], record(0x63)))).contains("before any instance");
         byte[] unknown = frame(2, 1, new byte[0], record(0x18), record(0x63));
@@ -120,7 +120,7 @@
     }
 
     @Test
-    void settingsKeepTheirMeaning() {
+    public void settingsKeepTheirMeaning() {
         SchedulerSettings s = SettingsReader.read(SETTINGS);
         assertThat(s.classes().get(0).repeatability().idempotence()).isEqualTo(Idempotence.IDEMPOTENT);
         assertThat(s.classes().get(0).placement().kinds()).isNull();
@@ -132,7 +132,7 @@
     }
 
     @Test
-    void theCustomerAndTheWordsOfPeersArePassedOn() {
+    public void theCustomerAndTheWordsOfPeersArePassedOn() {
         java.util.List<SchedulerEvent> seen = new java.util.ArrayList<>();
         BatchReader.Sink sink = new BatchReader.Sink() {
             @Override
