--- a/src/main/java/lineward/engine/EngineCluster.java
+++ b/src/main/java/lineward/engine/EngineCluster.java
@@ -11,174 +11,217 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import lineward.core.EngineEndpoint;
 import lineward.scheduling.AttemptOutcome;
 import lineward.scheduling.EndpointState;
 
-/** The engines that the list names and the connections to them. */
+/** The engines on the endpoint list, each with the pool of connections to it. */
 public final class EngineCluster {
-    /** Own connections are closed at this part of the engines' idle time: theirs would race with a send. */
-    private static final double IDLE_PART = 0.7;
+    /**
+     * Idle connections are closed at this ratio of the engines' idle timeout: closed by the engine, one
+     * could break under a request that is being sent.
+     */
+    private static final double IDLE_TIMEOUT_RATIO = 0.7;
 
     private static final class Member {
         final EnginePool pool;
         double startedAtMs;
-        boolean gone;
-        /** Not draining nor gone: what still waits for a connection may go out. */
-        boolean takesNew = true;
+        EndpointState state = EndpointState.READY;
 
         Member(EnginePool pool) {
             this.pool = pool;
         }
+
+        boolean isGone() {
+            return state == EndpointState.GONE;
+        }
+
+        boolean isReady() {
+            return state == EndpointState.READY;
+        }
     }
 
     /**
-     * @param connectTimeoutMs a connection that is not up by then is late
-     * @param streams runs that one connection carries
-     * @param links most connections to all engines
-     * @param reports whether a probe asks for a report of the engine's load
+     * Bounds of the connections to engines.
+     *
+     * @param connectTimeoutMs a connection that is not up by then is overdue
+     * @param engineIdleTimeoutMs after which engines close idle connections
+     * @param maxAttemptsPerConnection most attempts in flight on one connection
+     * @param maxConnections most connections to all engines
+     * @param loadReports whether a health check asks for a report of the engine's load
      */
-    public record Limits(int connectTimeoutMs, double idleMs, int streams, int links, boolean reports) {}
-
-    /** Hears what a probe brought back. */
+    public record Limits(
+            int connectTimeoutMs,
+            double engineIdleTimeoutMs,
+            int maxAttemptsPerConnection,
+            int maxConnections,
+            boolean loadReports) {}
+
+    /** Is notified of the answer to a health check. */
     @FunctionalInterface
     public interface HealthCheckListener {
-        /** @param report the figures of the engine's load, empty where there are none */
-        void answered(AttemptOutcome outcome, double[] report);
+        /**
+         * The engine answered.
+         *
+         * @param loadReport the figures of the engine's load, empty where there are none
+         */
+        void answered(AttemptOutcome outcome, double[] loadReport);
     }
 
     private final Map<String, Member> members = new HashMap<>();
     private final Bootstrap bootstrap;
     private final Limits limits;
-    private final Runnable sent;
+    private final Runnable onRequestSent;
 
     /**
+     * Creates a cluster without engines.
+     *
      * @param loop runs all connections
-     * @param sent is called when a run has been written whole
+     * @param onRequestSent is called when a request has been sent to its last byte
      */
-    public EngineCluster(EventLoopGroup loop, Limits limits, Runnable sent) {
-        this.sent = sent;
+    public EngineCluster(EventLoopGroup loop, Limits limits, Runnable onRequestSent) {
+        this.onRequestSent = onRequestSent;
         this.limits = limits;
+        int abandonAfterMs = EnginePool.CONNECT_ABANDON_FACTOR * limits.connectTimeoutMs();
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, EnginePool.MAY_TAKE * limits.connectTimeoutMs());
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, abandonAfterMs);
     }
 
-    /** Takes in the list of engines, or changes to it. */
-    public void updateEndpoints(boolean whole, List<EngineEndpoint> entries) {
-        if (whole) {
-            members.values().forEach(m -> {
-                m.gone = true;
-                m.takesNew = false;
-            });
-        }
-        for (EngineEndpoint e : entries) {
-            InetSocketAddress address = parse(e.address());
-            Member m = members.get(e.id());
-            if (m == null || !m.pool.address().equals(address)) {
-                if (m != null) {
-                    m.pool.closeAll();
-                }
-                m = new Member(new EnginePool(bootstrap, address, limits, this::makeRoom, sent));
-                members.put(e.id(), m);
-            }
-            m.gone = e.state() == EndpointState.GONE;
-            m.takesNew = e.state() == EndpointState.READY;
-            if (e.startedAtMs() != m.startedAtMs) {
-                m.startedAtMs = e.startedAtMs();
-                m.pool.startedAt(e.startedAtMs());
-            }
+    /**
+     * Applies an update of the endpoint list.
+     *
+     * @param fullSnapshot whether engines that are not among the endpoints are gone
+     */
+    public void updateEndpoints(boolean fullSnapshot, List<EngineEndpoint> endpoints) {
+        if (fullSnapshot) {
+            members.values().forEach(member -> member.state = EndpointState.GONE);
         }
-        // Danger: a connection may come up long after the word, when its address is another engine's.
-        List.copyOf(members.values()).stream().filter(m -> !m.takesNew).forEach(m -> m.pool.recall());
+        endpoints.forEach(this::updateEndpoint);
+        // A connection may come up long after this update, when its address is another engine's.
+        List.copyOf(members.values()).stream()
+                .filter(member -> !member.isReady())
+                .forEach(member -> member.pool.cancelWaiting());
         closeIdle();
     }
 
-    /** Starts a run; its end is told by its listener, perhaps before this returns. */
-    public void start(String engine, QueryAttempt run) {
-        Member m = members.get(engine);
-        if (m == null) {
-            run.end(AttemptEnd.UNREACHED);
+    private void updateEndpoint(EngineEndpoint endpoint) {
+        Member member = memberAt(endpoint.id(), parse(endpoint.address()));
+        member.state = endpoint.state();
+        if (endpoint.startedAtMs() != member.startedAtMs) {
+            member.startedAtMs = endpoint.startedAtMs();
+            member.pool.engineStarted(endpoint.startedAtMs());
+        }
+    }
+
+    /** Returns the engine of that id; where it had another address it gets a new pool. */
+    private Member memberAt(String engine, InetSocketAddress address) {
+        Member member = members.get(engine);
+        if (member != null && member.pool.address().equals(address)) {
+            return member;
+        }
+        if (member != null) {
+            member.pool.closeAll();
+        }
+        BooleanSupplier connectionQuota = this::acquireConnectionQuota;
+        Member added = new Member(new EnginePool(bootstrap, address, limits, connectionQuota, onRequestSent));
+        members.put(engine, added);
+        return added;
+    }
+
+    /** Starts an attempt; its listener is notified of the end, perhaps before this returns. */
+    public void start(String engine, QueryAttempt attempt) {
+        Member member = members.get(engine);
+        if (member == null) {
+            attempt.end(AttemptEnd.ENGINE_UNREACHABLE);
         } else {
-            m.pool.start(run);
+            member.pool.start(attempt);
         }
     }
 
-    /** Asks an engine how it is; one that says nothing, or can't be reached, has no answer. */
-    public void checkHealth(String engine, HealthCheckListener heard) {
-        Member m = members.get(engine);
-        if (m != null) {
-            m.pool.probe(
-                    limits.reports() ? "busy" : "there",
-                    reply -> heard.answered(
-                            reply.word() == Reply.Word.SICK ? AttemptOutcome.ERROR : AttemptOutcome.OK,
-                            reply.figures("l")));
+    /** Checks an engine's health; the listener is not notified where the engine is silent or out of reach. */
+    public void checkHealth(String engine, HealthCheckListener listener) {
+        Member member = members.get(engine);
+        if (member != null) {
+            boolean withReport = limits.loadReports();
+            HealthCheck.Kind kind = withReport ? HealthCheck.Kind.LOAD_REPORT : HealthCheck.Kind.PING;
+            member.pool.checkHealth(kind, answer -> notifyAnswered(listener, answer));
         }
     }
 
-    /** Gives a run up; its listener hears nothing more. */
-    public void cancel(String engine, QueryAttempt run) {
-        Member m = members.get(engine);
-        if (m != null) {
-            m.pool.stop(run);
+    private static void notifyAnswered(HealthCheckListener listener, Reply answer) {
+        boolean isHealthy = answer.type() != ReplyType.UNHEALTHY;
+        AttemptOutcome outcome = isHealthy ? AttemptOutcome.OK : AttemptOutcome.ERROR;
+        listener.answered(outcome, answer.numbers(LineProtocol.LOAD_FIELD));
+    }
+
+    /** Cancels an attempt; its listener is not notified any more. */
+    public void cancel(String engine, QueryAttempt attempt) {
+        Member member = members.get(engine);
+        if (member != null) {
+            member.pool.cancel(attempt);
         }
     }
 
-    /** Ends what still waits for a connection to that engine, as never run. */
+    /** Ends the attempts that wait for a connection to that engine, as not sent. */
     public void recallUnsent(String engine) {
-        Member m = members.get(engine);
-        if (m != null) {
-            m.pool.recall();
+        Member member = members.get(engine);
+        if (member != null) {
+            member.pool.cancelWaiting();
         }
     }
 
-    /** Tells the engine the run's new priority. */
-    public void changePriority(String engine, QueryAttempt run, int priority) {
-        run.priority = priority;
-        Member m = members.get(engine);
-        if (m != null) {
-            m.pool.hurry(run);
+    /** Changes an attempt's priority, also at the engine. */
+    public void changePriority(String engine, QueryAttempt attempt, int priority) {
+        attempt.priority = priority;
+        Member member = members.get(engine);
+        if (member != null) {
+            member.pool.sendPriority(attempt);
         }
     }
 
-    /** Closes connections long unused, and all unused ones of engines that are gone. */
+    /** Closes connections that have been idle for long, and all idle ones of engines that are gone. */
     public void closeIdle() {
         long now = System.nanoTime();
-        long before = now - TimeUnit.MICROSECONDS.toNanos(Math.round(limits.idleMs() * IDLE_PART * 1000));
-        members.values().forEach(m -> m.pool.closeIdle(m.gone ? now : before));
-        members.values().removeIf(m -> m.gone && m.pool.size() == 0);
+        double idleMs = limits.engineIdleTimeoutMs() * IDLE_TIMEOUT_RATIO;
+        long usedBefore = now - TimeUnit.MICROSECONDS.toNanos(Math.round(idleMs * 1000));
+        members.values().forEach(member -> member.pool.closeIdle(member.isGone() ? now : usedBefore));
+        members.values().removeIf(member -> member.isGone() && member.pool.size() == 0);
     }
 
-    /** Has every connection look whether it still works. */
+    /** Called ten times a second: sends and checks heartbeats on all connections. */
     public void keepAlive() {
-        members.values().forEach(m -> m.pool.beat());
+        members.values().forEach(member -> member.pool.keepAlive());
     }
 
     /**
-     * Danger: with more engines than connections allowed, those that rest would keep every other engine out
-     * of reach until their idle time is up. The one that has rested longest makes room.
-     *
-     * @return whether one more connection may be opened
+     * Returns whether one more connection may be opened. With more engines than connections allowed, idle
+     * ones would keep every other engine out of reach until their timeout: the one that has been idle
+     * longest is evicted.
      */
-    private boolean makeRoom() {
-        if (members.values().stream().mapToInt(m -> m.pool.size()).sum() < limits.links()) {
+    private boolean acquireConnectionQuota() {
+        int connections =
+                members.values().stream().mapToInt(member -> member.pool.size()).sum();
+        if (connections < limits.maxConnections()) {
             return true;
         }
-        EngineConnection rested = members.values().stream()
-                .map(m -> m.pool.longestIdle())
+        EngineConnection longestIdle = members.values().stream()
+                .map(member -> member.pool.longestIdle())
                 .filter(Objects::nonNull)
-                .min(Comparator.comparingLong(EngineConnection::usedAt))
+                .min(Comparator.comparingLong(EngineConnection::lastUsedNanos))
                 .orElse(null);
-        if (rested != null) {
-            rested.letGo();
+        if (longestIdle != null) {
+            longestIdle.evict();
         }
-        return rested != null;
+        return longestIdle != null;
     }
 
     private static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        int port = Integer.parseInt(address.substring(colon + 1));
+        return new InetSocketAddress(address.substring(0, colon), port);
     }
 }
--- a/src/main/java/lineward/engine/EngineConnection.java
+++ b/src/main/java/lineward/engine/EngineConnection.java
@@ -1,383 +1,285 @@
 package lineward.engine;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import lineward.frontend.RateLimitedLog;
+import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One connection to an engine, with the runs that it carries. */
+/** One connection to an engine and the attempts in flight on it. Runs on its channel's event loop. */
 final class EngineConnection extends SimpleChannelInboundHandler<Reply> {
-    /** Hears what becomes of a link. */
-    interface Owner {
-        /** The link is of no more use. */
-        void closed(EngineConnection link);
-
-        /** A run has been written whole. */
-        void sent();
-
-        /** The connection is up. */
-        void up(EngineConnection link);
-
-        /** An engine has spoken. */
-        void heard();
-
-        /** Runs that were sent have lost their connection: the owner ends them. */
-        void lost(List<QueryAttempt> runs);
-
-        /** Runs never sent, as no connection came up: the owner ends them or sends them elsewhere. */
-        void unsent(List<QueryAttempt> runs, Throwable cause);
-    }
-
-    private record Probe(String word, String tag, Consumer<Reply> heard) {
-        String line() {
-            return word + ' ' + tag + "\r\n";
-        }
-
-        boolean isAnsweredBy(Reply reply) {
-            return reply.id().equals(tag) && (reply.word() == Reply.Word.PONG || reply.word() == Reply.Word.SICK);
-        }
-    }
-
-    private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(EngineConnection.class));
-    /** With runs out and no word for so long, the connection is asked whether it works. */
-    private static final long QUIET = TimeUnit.MILLISECONDS.toNanos(400);
-    /** An engine that spoke so lately is there. */
-    private static final long LIVELY = TimeUnit.SECONDS.toNanos(1);
-    /** Beats by which it has to say so: an engine may stand still for half a second. */
-    private static final int MOST_BEATS = 7;
-    /** Ids kept of what ended here; with more of them it takes nothing, until the oldest are past. */
-    static final int MOST_SPENT = 1024;
-    /** A close reaches its engine within this. */
-    static final int CLOSE_TAKES_MS = 6;
-
-    private final Map<String, QueryAttempt> runs = new LinkedHashMap<>();
-    /** Ended while an answer may be on its way, a second one perhaps: the id may not go out here again. */
-    private final Map<String, QueryAttempt> spent = new LinkedHashMap<>();
-
+    private static final Logger LOGGER = LoggerFactory.getLogger(EngineConnection.class);
+    private static final RateLimitedLog LOG = new RateLimitedLog(LOGGER);
+    /** With attempts in flight and no reply for so long, a heartbeat goes out. */
+    private static final long HEARTBEAT_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    /** An engine that replied within this time is alive. */
+    private static final long ALIVE_WITHIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /**
+     * Calls of {@link #keepAlive} by which a heartbeat has to be answered: an engine may stand still for
+     * half a second. Calls count, not time: after a stall of this process the answer may be here unread.
+     */
+    private static final int HEARTBEAT_TIMEOUT_TICKS = 7;
+    /** A close reaches its engine within this time. */
+    static final int CLOSE_DELAY_MS = 6;
+
+    private final InFlightAttempts attempts = new InFlightAttempts();
     private final long openedAtUnixMs = System.currentTimeMillis();
-    private final Owner owner;
+    private final ConnectionListener listener;
+    private ConnectionState state = ConnectionState.CONNECTING;
     private Channel channel;
+    private RequestWriter writer;
     private ReplyDecoder decoder;
-    private boolean up;
-    /** It should have come up by now: it may yet, but nobody waits for it. */
-    private boolean late;
-
-    private boolean closed;
-    private long usedAt = System.nanoTime();
-    /** When the engine last spoke here. */
-    private long heardAt = usedAt;
-    /** Beats since it was asked whether it works; 0 where nothing is asked. */
-    private int beats;
-    /** Its last run was given up unheard: it gets nothing new until it has spoken. */
-    private boolean doubted;
-    /** The last probe here without an answer: a planner has one out at an engine at most. */
-    private Probe probe;
-
-    EngineConnection(Owner owner) {
+    private long lastUsedNanos = System.nanoTime();
+    private long lastReplyNanos = lastUsedNanos;
+    private int ticksSinceHeartbeat;
+    /** The last health check here without an answer, or null: at most one is out at an engine. */
+    private HealthCheck healthCheck;
+
+    EngineConnection(ConnectionListener listener) {
         super(false);
-        this.owner = owner;
+        this.listener = listener;
     }
 
     boolean isUp() {
-        return up && !closed;
+        return state.isUp();
+    }
+
+    /** Returns whether it is up and has shown so recently: one to a machine that vanished stays open. */
+    boolean isAlive() {
+        return isUp() && System.nanoTime() - lastReplyNanos < ALIVE_WITHIN_NANOS;
     }
 
-    /** Returns whether it is up and has shown so lately: one to a machine that vanished stays open. */
-    boolean isLively() {
-        return isUp() && System.nanoTime() - heardAt < LIVELY;
+    /** Sets the channel that is being connected. */
+    void connecting(Channel connectingChannel) {
+        channel = connectingChannel;
+        writer = new RequestWriter(connectingChannel);
     }
 
-    void connecting(Channel toBe) {
-        channel = toBe;
+    /** Returns whether an attempt of this id may be started here, with so many in flight at most. */
+    boolean accepts(String id, int maxAttempts) {
+        boolean channelIsUsable = isReadable() && isWritable();
+        return state.acceptsAttempts() && channelIsUsable && attempts.accepts(id, maxAttempts);
     }
 
-    boolean takes(String id, int most) {
-        return !closed
-                && !doubted
-                && (up || !late)
-                && !isAmidNothing()
-                && runs.size() < most
-                && !runs.containsKey(id)
-                && spent.size() < MOST_SPENT
-                && !spent.containsKey(id)
-                && (!up || channel.isOpen() && channel.isWritable());
+    /**
+     * Returns false once part of a reply has come that belongs to no attempt: what follows can't be decoded.
+     */
+    private boolean isReadable() {
+        return !attempts.isEmpty() || decoder == null || !decoder.hasPartialReply();
     }
 
-    /** Half a line that belongs to no run: whatever comes behind it can't be read. */
-    private boolean isAmidNothing() {
-        return runs.isEmpty() && decoder != null && decoder.holdsPart();
+    /** Returns whether the channel takes more; one that is not up yet counts as such. */
+    private boolean isWritable() {
+        return !isUp() || (channel.isOpen() && channel.isWritable());
     }
 
-    int load() {
-        return runs.size();
+    int attemptsInFlight() {
+        return attempts.size();
     }
 
-    boolean idleSince(long nanoTime) {
-        return runs.isEmpty() && usedAt < nanoTime;
+    boolean isIdleSince(long nanoTime) {
+        return attempts.isEmpty() && lastUsedNanos < nanoTime;
     }
 
-    long usedAt() {
-        return usedAt;
+    long lastUsedNanos() {
+        return lastUsedNanos;
     }
 
     boolean openedBefore(double unixMs) {
         return openedAtUnixMs < unixMs;
     }
 
-    boolean holds(QueryAttempt run) {
-        return runs.get(run.id) == run;
+    boolean carries(QueryAttempt attempt) {
+        return attempts.contains(attempt);
     }
 
-    void start(QueryAttempt run) {
-        runs.put(run.id, run);
-        usedAt = System.nanoTime();
-        if (up) {
-            want(run);
+    /** Starts an attempt: its request goes out now, or once the connection is up. */
+    void start(QueryAttempt attempt) {
+        attempts.add(attempt);
+        lastUsedNanos = System.nanoTime();
+        if (isUp()) {
+            attempts.send(attempt, writer, listener::requestSent);
         }
     }
 
-    void stop(QueryAttempt run) {
-        runs.remove(run.id);
-        usedAt = System.nanoTime();
-        if (run.written) {
-            spent.put(run.id, run);
-            say((run.paging() ? "shut " : "never_mind ") + run.id + "\r\n");
-            doubted = true;
-            ask();
+    /** Cancels an attempt; its listener is not notified. */
+    void cancel(QueryAttempt attempt) {
+        lastUsedNanos = System.nanoTime();
+        if (attempts.cancel(attempt, writer)) {
+            sendHeartbeat();
+            state = state.attemptCancelled();
         }
-        run.drop();
     }
 
-    /** Returns whether a probe may go out here. */
-    boolean takesProbe() {
-        return isUp() && channel.isWritable();
+    /** Sends the attempt's priority to the engine, unless the result is on its way. */
+    void sendPriority(QueryAttempt attempt) {
+        if (attempt.requestWritten && !attempt.hasFirstPage()) {
+            writer.changePriority(attempt.id, attempt.priority);
+        }
     }
 
-    /** Asks the engine how it is, once the connection is up; one that breaks gives no answer. */
-    void probe(String word, Consumer<Reply> heard) {
-        probe = new Probe(word, "p" + System.nanoTime(), heard);
-        usedAt = System.nanoTime();
-        if (up) {
-            say(probe.line());
-        }
+    boolean acceptsHealthCheck() {
+        return isUp() && channel.isWritable();
     }
 
-    /** An answer may be lost with its connection, which stays open and silent: this word tells. */
-    private void ask() {
-        if (beats == 0) {
-            beats = 1;
-            say("there t" + System.nanoTime() + "\r\n");
+    /** Checks the engine's health, once the connection is up; one that breaks gives no answer. */
+    void checkHealth(HealthCheck.Kind kind, Consumer<Reply> answerListener) {
+        healthCheck = new HealthCheck(kind, "p" + System.nanoTime(), answerListener);
+        lastUsedNanos = System.nanoTime();
+        if (isUp()) {
+            writer.healthCheck(healthCheck);
         }
     }
 
-    /** Comes ten times a second. Beats count, not time: after a stall of ours the answer may be here. */
-    void beat() {
+    /** Called ten times a second: sends a heartbeat where it is due, and closes where it was not answered. */
+    void keepAlive() {
         long now = System.nanoTime();
-        if (beats > 0) {
-            beats++;
-            if (beats > MOST_BEATS) {
-                LOG.info("engine connection", channel.remoteAddress(), "silent");
-                channel.close();
-                end(owner::lost);
+        if (state.isHeartbeatPending()) {
+            ticksSinceHeartbeat++;
+            if (ticksSinceHeartbeat >= HEARTBEAT_TIMEOUT_TICKS) {
+                closeUnresponsive();
             }
-        } else if (up && !closed && (isAmidNothing() || !runs.isEmpty() && now - usedAt > QUIET)) {
-            ask();
+        } else if (isUp() && needsHeartbeat(now)) {
+            sendHeartbeat();
         }
-        spent.values().removeIf(run -> run.isPast(now));
+        attempts.freeExpiredIds(now);
+    }
+
+    private boolean needsHeartbeat(long nowNanos) {
+        boolean isSilent = !attempts.isEmpty() && nowNanos - lastUsedNanos > HEARTBEAT_AFTER_NANOS;
+        return isSilent || !isReadable();
     }
 
-    void hurry(QueryAttempt run) {
-        if (run.written && !run.paging()) {
-            say("hurry " + run.id + ' ' + run.priority + "\r\n");
+    /** A reply may be lost with its connection, which stays open and silent: a heartbeat shows that. */
+    private void sendHeartbeat() {
+        if (!state.isHeartbeatPending()) {
+            ticksSinceHeartbeat = 0;
+            state = state.heartbeatSent();
+            writer.ping("t" + System.nanoTime());
         }
     }
 
+    private void closeUnresponsive() {
+        LOG.info("engine connection closed", "engine=" + channel.remoteAddress(), "heartbeat not answered");
+        closeChannel();
+        release(listener::attemptsLost);
+    }
+
+    /** Closes the channel; its attempts end once that is reported. */
     void close() {
         if (channel != null) {
-            channel.close();
+            closeChannel();
         }
     }
 
-    /** Without runs it makes room for another connection at once: the channel's own word comes later. */
-    void letGo() {
+    private void closeChannel() {
+        channel.close().addListener(FailureLog.CHANNEL);
+    }
+
+    /** Closes an idle connection and frees its place in the pool at once, before the close is reported. */
+    void evict() {
         close();
-        end(none -> {});
+        release(none -> {});
     }
 
-    /** Returns what waits for a connection that is not up yet; its caller now looks after that. */
-    List<QueryAttempt> release() {
-        List<QueryAttempt> waiting = up || closed ? List.of() : List.copyOf(runs.values());
-        waiting.forEach(run -> runs.remove(run.id));
-        return waiting;
+    /** Returns the attempts that wait for the connection to come up; the caller becomes their owner. */
+    List<QueryAttempt> removeWaiting() {
+        return state.isConnecting() ? attempts.removeAll() : List.of();
     }
 
-    /** Returns whether the connection is not up yet: from now on nothing waits for it. */
-    boolean turnsLate() {
-        late = !up && !closed;
-        return late;
+    /**
+     * Returns whether the connection is not up though its time has passed: from now on nothing waits for it.
+     */
+    boolean setConnectOverdue() {
+        state = state.connectOverdue();
+        return state == ConnectionState.CONNECT_OVERDUE;
     }
 
-    /** What waits for the connection to come up never goes out. */
-    void recall() {
-        if (!up) {
-            end(all -> all.forEach(run -> run.end(AttemptEnd.UNSENT)));
+    /** Ends the attempts that wait for the connection to come up, as not sent, and closes it. */
+    void cancelWaiting() {
+        if (state.isConnecting()) {
+            release(waiting -> endAll(waiting, AttemptEnd.NOT_SENT));
             close();
         }
     }
 
-    /** The connection is up: what waited for it goes out. */
+    /** The connection is up: the attempts that waited for it are sent. */
     @Override
-    public void channelActive(ChannelHandlerContext ctx) {
-        up = true;
-        decoder = ctx.pipeline().get(ReplyDecoder.class);
-        usedAt = System.nanoTime();
-        heardAt = usedAt;
-        List.copyOf(runs.values()).forEach(this::want);
-        owner.up(this);
-        if (probe != null) {
-            say(probe.line());
+    public void channelActive(ChannelHandlerContext context) {
+        state = state.connected();
+        decoder = context.pipeline().get(ReplyDecoder.class);
+        lastUsedNanos = System.nanoTime();
+        lastReplyNanos = lastUsedNanos;
+        attempts.sendAll(writer, listener::requestSent);
+        listener.connected(this);
+        if (healthCheck != null) {
+            writer.healthCheck(healthCheck);
         }
     }
 
-    private void want(QueryAttempt run) {
-        if (run.isTooLate(System.nanoTime())) {
-            runs.remove(run.id);
-            run.end(AttemptEnd.UNSENT);
-            return;
-        }
-        run.written = true;
-        StringBuilder head = new StringBuilder("want ")
-                .append(run.id)
-                .append(" sort=")
-                .append(run.sort)
-                .append(",patience=")
-                .append(run.patienceMs());
-        if (run.grantMb > 0) {
-            head.append(",pool=").append(run.grantMb);
-        }
-        head.append(",band=")
-                .append(run.priority)
-                .append(' ')
-                .append(run.statement.readableBytes())
-                .append("\r\n");
-        ByteBuf line = channel.alloc().buffer(head.length());
-        line.writeCharSequence(head, StandardCharsets.US_ASCII);
-        channel.write(line);
-        channel.write(run.statement.retainedDuplicate());
-        say("\r\n").addListener(done -> {
-            if (done.isSuccess()) {
-                run.sentWhole = true;
-                owner.sent();
-            }
-        });
-    }
-
-    private ChannelFuture say(String text) {
-        ByteBuf line = channel.alloc().buffer(text.length());
-        line.writeCharSequence(text, StandardCharsets.US_ASCII);
-        return channel.writeAndFlush(line);
-    }
-
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, Reply reply) {
-        usedAt = System.nanoTime();
-        heardAt = usedAt;
-        beats = 0;
-        doubted = false;
-        owner.heard();
-        if (probe != null && probe.isAnsweredBy(reply)) {
-            Probe answered = probe;
-            probe = null;
-            answered.heard().accept(reply);
-        }
-        // What comes behind an unreadable reply, a second copy, or under an id that is none of ours.
-        QueryAttempt run = closed ? null : runs.get(reply.id());
-        if (run == null || run.has(reply)) {
+    protected void channelRead0(ChannelHandlerContext context, Reply reply) {
+        lastUsedNanos = System.nanoTime();
+        lastReplyNanos = lastUsedNanos;
+        state = state.replyReceived();
+        listener.replyReceived();
+        completeHealthCheck(reply);
+        if (state == ConnectionState.CLOSED) {
+            // It follows a reply that could not be decoded.
             reply.body().release();
-            return;
-        }
-        switch (reply.word()) {
-            case HIT -> {
-                run.open(reply.number("total", -1), reply.body());
-                for (int page = 1; page < run.total(); page++) {
-                    say("turn " + run.id + ' ' + page + "\r\n");
-                }
-                finishIfWhole(run);
-            }
-            case PART -> {
-                run.put(reply.number("index", -1), reply.body());
-                finishIfWhole(run);
-            }
-            case SHED -> endWithout(run, reply, AttemptEnd.SHED);
-            case LATE -> endWithout(run, reply, AttemptEnd.LATE);
-            case FAULT -> endWithout(run, reply, AttemptEnd.FAULT);
-            case INFO -> {
-                reply.body().release();
-                run.note(reply);
-            }
-            default -> reply.body().release();
+        } else {
+            attempts.handle(reply, writer);
         }
     }
 
-    private void finishIfWhole(QueryAttempt run) {
-        if (run.whole()) {
-            runs.remove(run.id);
-            if (run.total() > 1) {
-                say("shut " + run.id + "\r\n");
-            }
-            run.end(AttemptEnd.SERVED);
+    private void completeHealthCheck(Reply reply) {
+        if (healthCheck != null && healthCheck.isAnsweredBy(reply)) {
+            HealthCheck answered = healthCheck;
+            healthCheck = null;
+            answered.listener().accept(reply);
         }
     }
 
-    private void endWithout(QueryAttempt run, Reply reply, AttemptEnd end) {
-        reply.body().release();
-        runs.remove(run.id);
-        spent.put(run.id, run);
-        run.end(end);
-    }
-
-    /** What follows a reply that can't be read can't be read either: all runs here are lost with it. */
+    /** Nothing behind a malformed reply can be decoded: all attempts here end with it. */
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        LOG.info("engine connection", ctx.channel().remoteAddress(), cause);
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOG.info("engine connection failed", "engine=" + context.channel().remoteAddress(), cause);
         if (cause instanceof MalformedReplyException || cause.getCause() instanceof MalformedReplyException) {
-            // A rerun must not overtake the close.
-            end(all -> ctx.executor()
-                    .schedule(
-                            () -> all.forEach(run -> run.end(AttemptEnd.UNREADABLE)),
-                            CLOSE_TAKES_MS,
-                            TimeUnit.MILLISECONDS));
+            // A retry must not overtake the close.
+            release(lost -> {
+                Runnable endLost = () -> endAll(lost, AttemptEnd.MALFORMED_REPLY);
+                context.executor()
+                        .schedule(endLost, CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
+                        .addListener(FailureLog.TASK);
+            });
         }
-        ctx.close();
+        context.close().addListener(FailureLog.CHANNEL);
+    }
+
+    private static void endAll(List<QueryAttempt> ended, AttemptEnd end) {
+        ended.forEach(attempt -> attempt.end(end));
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-        end(owner::lost);
+    public void channelInactive(ChannelHandlerContext context) {
+        release(listener::attemptsLost);
     }
 
-    /** A connection that never came up proves that nothing ran. */
-    void failedToConnect(Throwable cause) {
-        end(all -> owner.unsent(all, cause));
+    /** The connection did not come up, which proves that nothing ran. */
+    void connectFailed(Throwable cause) {
+        release(waiting -> listener.attemptsNotSent(waiting, cause));
     }
 
-    private void end(Consumer<List<QueryAttempt>> heir) {
-        if (!closed) {
-            closed = true;
-            owner.closed(this);
-            List<QueryAttempt> all = new ArrayList<>(runs.values());
-            runs.clear();
-            heir.accept(all);
+    /** Marks the connection closed and hands its attempts on; does nothing where that has happened before. */
+    private void release(Consumer<List<QueryAttempt>> successor) {
+        if (state != ConnectionState.CLOSED) {
+            state = state.closed();
+            listener.closed(this);
+            successor.accept(attempts.removeAll());
         }
     }
 }
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -4,267 +4,266 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ConnectTimeoutException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import lineward.frontend.RateLimitedLog;
 import org.slf4j.LoggerFactory;
 
-/** The connections to one engine. A new engine at an old address gets a pool of its own. */
-final class EnginePool implements EngineConnection.Owner {
-    /** Connections lost with no word between by which it is the engine that is at fault. */
-    private static final int REPEATED = 4;
-    /** Connections to one engine: more runs than that go to one engine only in a crowd. */
-    private static final int MOST_LINKS = 16;
-    /** Connections in a row that are late, with no word between, by which the engine can't be reached. */
-    private static final int REPEATED_LATE = 2;
-    /** A connection that takes so long to come up, as a part of what the settings allow, is passed by. */
-    private static final int PASSED_BY = 4;
-    /** It may come up yet, and serve others, until this multiple of that time. */
-    static final int MAY_TAKE = 8;
+/** The connections to one engine. A new engine at the address of an earlier one gets a pool of its own. */
+final class EnginePool implements ConnectionListener {
+    /** Most connections to one engine: more attempts than that go to one engine only under heavy load. */
+    private static final int MAX_CONNECTIONS = 16;
+    /** After this fraction of the connect timeout, what waits for a connection moves to one that is up. */
+    private static final int MIGRATE_AFTER_DIVISOR = 4;
+    /** A connection may still come up, and serve others, until this multiple of the connect timeout. */
+    static final int CONNECT_ABANDON_FACTOR = 8;
 
     private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(EnginePool.class));
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
     private final EngineCluster.Limits limits;
-    private final BooleanSupplier room;
-    private final Runnable sent;
-    private final List<EngineConnection> links = new ArrayList<>();
-    private int lost;
-    /** Connections that were late, since one came up or the engine spoke. */
-    private int late;
+    private final BooleanSupplier connectionQuota;
+    private final Runnable onRequestSent;
+    private final List<EngineConnection> connections = new ArrayList<>();
+    private final FaultAttribution faults = new FaultAttribution();
 
     /**
-     * @param room tells whether one more connection may be opened
-     * @param sent is called when a run has been written whole
+     * Creates a pool without connections.
+     *
+     * @param connectionQuota returns whether one more connection may be opened
+     * @param onRequestSent is called when a request has been sent to its last byte
      */
     EnginePool(
             Bootstrap bootstrap,
             InetSocketAddress address,
             EngineCluster.Limits limits,
-            BooleanSupplier room,
-            Runnable sent) {
-        this.sent = sent;
+            BooleanSupplier connectionQuota,
+            Runnable onRequestSent) {
         this.bootstrap = bootstrap;
         this.address = address;
         this.limits = limits;
-        this.room = room;
+        this.connectionQuota = connectionQuota;
+        this.onRequestSent = onRequestSent;
     }
 
     InetSocketAddress address() {
         return address;
     }
 
-    /** Each run gets a connection of its own while there are enough: with one that spoils, all there fail. */
-    void start(QueryAttempt run) {
-        EngineConnection best = leastLoaded(run);
-        if ((best == null || best.load() > 0) && links.size() < MOST_LINKS && room.getAsBoolean()) {
-            best = connect();
+    /**
+     * Starts an attempt. Each gets a connection of its own while there are enough of them: with one that
+     * turns out corrupt, all attempts on it fail.
+     */
+    void start(QueryAttempt attempt) {
+        EngineConnection connection = leastLoaded(candidate -> accepts(candidate, attempt));
+        if ((connection == null || connection.attemptsInFlight() > 0) && mayConnect()) {
+            connection = connect();
         }
-        if (best == null) {
-            run.end(AttemptEnd.UNSENT);
+        if (connection == null) {
+            attempt.end(AttemptEnd.NOT_SENT);
         } else {
-            best.start(run);
+            connection.start(attempt);
         }
     }
 
-    private EngineConnection leastLoaded(QueryAttempt run) {
-        return links.stream()
-                .filter(l -> l.takes(run.id, limits.streams()))
-                .min(Comparator.comparingInt(EngineConnection::load))
+    private boolean accepts(EngineConnection connection, QueryAttempt attempt) {
+        return connection.accepts(attempt.id, limits.maxAttemptsPerConnection());
+    }
+
+    private boolean mayConnect() {
+        return connections.size() < MAX_CONNECTIONS && connectionQuota.getAsBoolean();
+    }
+
+    /** Returns the connection with the fewest attempts of those that match, or null. */
+    private EngineConnection leastLoaded(Predicate<EngineConnection> condition) {
+        return connections.stream()
+                .filter(condition)
+                .min(Comparator.comparingInt(EngineConnection::attemptsInFlight))
                 .orElse(null);
     }
 
     private EngineConnection connect() {
-        EngineConnection link = new EngineConnection(this);
-        links.add(link);
-        ChannelFuture opening = bootstrap
-                .clone()
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new ReplyDecoder(), link);
-                    }
-                })
-                .connect(address);
-        link.connecting(opening.channel());
-        opening.addListener(done -> {
+        EngineConnection connection = new EngineConnection(this);
+        connections.add(connection);
+        ChannelFuture connecting =
+                bootstrap.clone().handler(initializer(connection)).connect(address);
+        connection.connecting(connecting.channel());
+        connecting.addListener(done -> {
             if (!done.isSuccess()) {
-                link.failedToConnect(done.cause());
+                connection.connectFailed(done.cause());
             }
         });
+        schedule(() -> migrateWaiting(connection), limits.connectTimeoutMs() / MIGRATE_AFTER_DIVISOR);
+        schedule(() -> endOverdue(connection), limits.connectTimeoutMs());
+        return connection;
+    }
+
+    private static ChannelInitializer<Channel> initializer(EngineConnection connection) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new ReplyDecoder(), connection);
+            }
+        };
+    }
+
+    private void schedule(Runnable task, long delayMs) {
         bootstrap
                 .config()
                 .group()
                 .next()
-                .schedule(() -> passBy(link), limits.connectTimeoutMs() / PASSED_BY, TimeUnit.MILLISECONDS);
-        bootstrap
-                .config()
-                .group()
-                .next()
-                .schedule(() -> overdue(link), limits.connectTimeoutMs(), TimeUnit.MILLISECONDS);
-        return link;
+                .schedule(task, delayMs, TimeUnit.MILLISECONDS)
+                .addListener(FailureLog.TASK);
     }
 
-    /** What waits for a slow connection shares one that works. */
-    private void passBy(EngineConnection slow) {
-        for (QueryAttempt run : slow.release()) {
-            links.stream()
-                    .filter(l -> l.isLively() && l.takes(run.id, limits.streams()))
-                    .min(Comparator.comparingInt(EngineConnection::load))
-                    .orElse(slow)
-                    .start(run);
+    /** Moves what waits for a slow connection to others that work; without one it goes on waiting. */
+    private void migrateWaiting(EngineConnection slow) {
+        for (QueryAttempt attempt : slow.removeWaiting()) {
+            EngineConnection target = leastLoaded(other -> other.isAlive() && accepts(other, attempt));
+            (target == null ? slow : target).start(attempt);
         }
     }
 
-    /**
-     * Danger: some connections come up late, or never, to engines that are well. One that is late proves that
-     * nothing ran and tells nothing of the engine, unless that repeats while nothing is heard of it.
-     */
-    private void overdue(EngineConnection link) {
-        if (link.turnsLate()) {
-            late++;
-            LOG.info("no connection yet to engine", address, late + " late");
-            boolean its = late >= REPEATED_LATE;
-            link.release().forEach(run -> run.end(its ? AttemptEnd.UNREACHED : AttemptEnd.UNSENT));
+    /** Some connections come up late, or never, to engines that are well: what waits for one ends. */
+    private void endOverdue(EngineConnection connection) {
+        if (connection.setConnectOverdue()) {
+            faults.connectOverdue();
+            String cause = "overdue=" + faults.overdueConnections();
+            LOG.info("no connection yet to engine", "engine=" + address, cause);
+            AttemptEnd end = faults.endOfOverdue();
+            connection.removeWaiting().forEach(attempt -> attempt.end(end));
         }
     }
 
     @Override
-    public void up(EngineConnection link) {
-        late = 0;
+    public void connected(EngineConnection connection) {
+        faults.connected();
     }
 
     @Override
-    public void closed(EngineConnection link) {
-        links.remove(link);
+    public void closed(EngineConnection connection) {
+        connections.remove(connection);
     }
 
     @Override
-    public void sent() {
-        sent.run();
+    public void requestSent() {
+        onRequestSent.run();
     }
 
     @Override
-    public void heard() {
-        lost = 0;
-        late = 0;
+    public void replyReceived() {
+        faults.replyReceived();
     }
 
-    /**
-     * A process that ends resets all its connections, so where another still stands, this one broke for
-     * itself: its runs end with no blame, unless that repeats. All of one end are here a moment later.
-     */
+    /** Ends lost attempts after a moment: by then all connections that broke together have been reported. */
     @Override
-    public void lost(List<QueryAttempt> runs) {
-        if (!runs.isEmpty()) {
-            lost++;
-            bootstrap
-                    .config()
-                    .group()
-                    .next()
-                    .schedule(
-                            () -> {
-                                boolean alive =
-                                        lost < REPEATED && links.stream().anyMatch(EngineConnection::isUp);
-                                runs.forEach(run -> run.end(
-                                        !run.sentWhole
-                                                ? AttemptEnd.CUT_SHORT
-                                                : alive ? AttemptEnd.BROKEN : AttemptEnd.LOST));
-                            },
-                            EngineConnection.CLOSE_TAKES_MS,
-                            TimeUnit.MILLISECONDS);
+    public void attemptsLost(List<QueryAttempt> attempts) {
+        if (!attempts.isEmpty()) {
+            faults.connectionLost();
+            schedule(() -> endLost(attempts), EngineConnection.CLOSE_DELAY_MS);
         }
     }
 
-    /**
-     * A refusal is the engine's. A connection reset when new tells only that nothing ran: there another is
-     * opened, unless that repeats.
-     */
+    private void endLost(List<QueryAttempt> attempts) {
+        AttemptEnd endOfSent = faults.endOfLost(connections.stream().anyMatch(EngineConnection::isUp));
+        attempts.forEach(attempt -> attempt.end(attempt.requestSent ? endOfSent : AttemptEnd.PARTIALLY_SENT));
+    }
+
+    /** Ends attempts where the failure is the engine's fault; otherwise starts them on another connection. */
     @Override
-    public void unsent(List<QueryAttempt> runs, Throwable cause) {
-        if (runs.isEmpty()) {
+    public void attemptsNotSent(List<QueryAttempt> attempts, Throwable cause) {
+        if (attempts.isEmpty()) {
             return;
         }
-        lost++;
-        LOG.info("no connection to engine", address, cause);
-        boolean its =
-                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException) || lost >= REPEATED;
-        runs.forEach(run -> {
-            if (its) {
-                run.end(AttemptEnd.UNREACHED);
-            } else {
-                start(run);
-            }
-        });
+        boolean isEngineFault = faults.connectFailed(cause);
+        LOG.info("no connection to engine", "engine=" + address, cause);
+        if (isEngineFault) {
+            attempts.forEach(attempt -> attempt.end(AttemptEnd.ENGINE_UNREACHABLE));
+        } else {
+            attempts.forEach(this::start);
+        }
     }
 
-    /** Asks the engine how it is, on a connection that stands or a new one; without room nothing goes out. */
-    void probe(String word, Consumer<Reply> heard) {
-        EngineConnection best = links.stream()
-                .filter(EngineConnection::takesProbe)
-                .min(Comparator.comparingInt(EngineConnection::load))
-                .orElse(null);
-        if (best == null && links.size() < MOST_LINKS && room.getAsBoolean()) {
-            best = connect();
+    /** Checks the engine's health on a connection that is up or a new one; with no quota nothing is sent. */
+    void checkHealth(HealthCheck.Kind kind, Consumer<Reply> answerListener) {
+        EngineConnection connection = leastLoaded(EngineConnection::acceptsHealthCheck);
+        if (connection == null && mayConnect()) {
+            connection = connect();
         }
-        if (best != null) {
-            best.probe(word, heard);
+        if (connection != null) {
+            connection.checkHealth(kind, answerListener);
         }
     }
 
-    void stop(QueryAttempt run) {
-        links.stream().filter(l -> l.holds(run)).findFirst().ifPresent(l -> l.stop(run));
+    /** Cancels an attempt; its listener is not notified. */
+    void cancel(QueryAttempt attempt) {
+        connectionOf(attempt).ifPresent(connection -> connection.cancel(attempt));
     }
 
-    void hurry(QueryAttempt run) {
-        links.stream().filter(l -> l.holds(run)).findFirst().ifPresent(l -> l.hurry(run));
+    /** Sends the attempt's priority to the engine. */
+    void sendPriority(QueryAttempt attempt) {
+        connectionOf(attempt).ifPresent(connection -> connection.sendPriority(attempt));
+    }
+
+    private Optional<EngineConnection> connectionOf(QueryAttempt attempt) {
+        return connections.stream()
+                .filter(connection -> connection.carries(attempt))
+                .findFirst();
     }
 
     void closeIdle(long usedBeforeNanos) {
-        links.stream().filter(l -> l.idleSince(usedBeforeNanos)).toList().forEach(EngineConnection::close);
+        closeAll(connection -> connection.isIdleSince(usedBeforeNanos));
+    }
+
+    private void closeAll(Predicate<EngineConnection> condition) {
+        connections.stream().filter(condition).toList().forEach(EngineConnection::close);
     }
 
-    /** Returns the connection without runs that was used longest ago, or null. */
+    /** Returns the idle connection that was used longest ago, or null. */
     EngineConnection longestIdle() {
-        return links.stream()
-                .filter(l -> l.idleSince(System.nanoTime()))
-                .min(Comparator.comparingLong(EngineConnection::usedAt))
+        return connections.stream()
+                .filter(connection -> connection.isIdleSince(System.nanoTime()))
+                .min(Comparator.comparingLong(EngineConnection::lastUsedNanos))
                 .orElse(null);
     }
 
     /**
-     * Connections from before its engine's start lead to a process that is no more. What waits for one was
-     * meant for that process, not for a cold one.
+     * Closes connections from before the engine's start: they lead to a process that has ended. What waits
+     * for one was meant for that process, not for one that is warming up.
      */
-    void startedAt(double unixMs) {
-        links.stream().filter(l -> l.openedBefore(unixMs)).toList().forEach(link -> {
-            link.recall();
-            link.close();
+    void engineStarted(double unixMs) {
+        List<EngineConnection> stale = connections.stream()
+                .filter(connection -> connection.openedBefore(unixMs))
+                .toList();
+        stale.forEach(connection -> {
+            connection.cancelWaiting();
+            connection.close();
         });
     }
 
-    void beat() {
-        List.copyOf(links).forEach(EngineConnection::beat);
+    /** Called ten times a second: sends and checks heartbeats. */
+    void keepAlive() {
+        List.copyOf(connections).forEach(EngineConnection::keepAlive);
     }
 
-    /** Nothing that has not gone out yet does so any more: it ends as never run. */
-    void recall() {
-        List.copyOf(links).forEach(EngineConnection::recall);
+    /** Ends all attempts that wait for a connection, as not sent. */
+    void cancelWaiting() {
+        List.copyOf(connections).forEach(EngineConnection::cancelWaiting);
     }
 
     int size() {
-        return links.size();
+        return connections.size();
     }
 
     void closeAll() {
-        recall();
-        List.copyOf(links).forEach(EngineConnection::close);
+        cancelWaiting();
+        List.copyOf(connections).forEach(EngineConnection::close);
     }
 }
--- a/src/main/java/lineward/engine/EngineWarmup.java
+++ b/src/main/java/lineward/engine/EngineWarmup.java
@@ -3,57 +3,76 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import lineward.scheduling.AttemptOutcome;
 
-/** Plays runs through a connection that leads nowhere, so that none of its code runs cold when it counts. */
+/**
+ * Runs attempts through a connection in memory, so that the JVM has loaded and compiled their code at the
+ * start.
+ */
 public final class EngineWarmup {
-    private static final int ROUNDS = 60;
+    private static final int ATTEMPTS = 60;
+    private static final QueryAttempt.Timing TIMING = new QueryAttempt.Timing(1000, 1000);
 
-    static final EngineConnection.Owner NOBODY = new EngineConnection.Owner() {
+    /** Ignores all events. */
+    static final ConnectionListener NO_LISTENER = new ConnectionListener() {
         @Override
-        public void closed(EngineConnection link) {}
+        public void closed(EngineConnection connection) {}
 
         @Override
-        public void sent() {}
+        public void requestSent() {}
 
         @Override
-        public void up(EngineConnection link) {}
+        public void connected(EngineConnection connection) {}
 
         @Override
-        public void heard() {}
+        public void replyReceived() {}
 
         @Override
-        public void lost(List<QueryAttempt> runs) {}
+        public void attemptsLost(List<QueryAttempt> attempts) {}
 
         @Override
-        public void unsent(List<QueryAttempt> runs, Throwable cause) {}
+        public void attemptsNotSent(List<QueryAttempt> attempts, Throwable cause) {}
     };
 
     private EngineWarmup() {}
 
-    /** Plays some runs of two pages each. */
+    /** Runs some attempts of two pages each. */
     public static void run() {
-        EngineConnection link = new EngineConnection(NOBODY);
-        EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder(), link);
-        link.connecting(channel);
+        EngineConnection connection = new EngineConnection(NO_LISTENER);
+        EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder(), connection);
+        connection.connecting(channel);
         ByteBuf statement = Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII);
-        for (int i = 0; i < ROUNDS; i++) {
+        for (int i = 0; i < ATTEMPTS; i++) {
             String id = String.format("%016x", i);
-            QueryAttempt.Timing times = new QueryAttempt.Timing(1000, 1000);
-            link.start(new QueryAttempt(id, "rehearsal", statement, times, 1, 1, (outcome, result) -> {
-                if (result != null) {
-                    result.release();
-                }
-            }));
-            for (String reply : new String[] {" HIT total=2 6\r\na\tb\tc\n\r\n", " PART index=1 6\r\nd\te\tf\n\r\n"}) {
-                channel.writeInbound(Unpooled.copiedBuffer(id + reply, StandardCharsets.US_ASCII));
-            }
-            for (ByteBuf said = channel.readOutbound(); said != null; said = channel.readOutbound()) {
-                said.release();
-            }
+            QueryAttempt.Listener listener = EngineWarmup::releaseResult;
+            connection.start(new QueryAttempt(id, "warmup", statement, TIMING, 1, 1, listener));
+            reply(channel, id, LineProtocol.FIRST_PAGE, LineProtocol.PAGE_COUNT_FIELD + "=2");
+            reply(channel, id, LineProtocol.NEXT_PAGE, LineProtocol.PAGE_INDEX_FIELD + "=1");
+            releaseOutbound(channel);
         }
-        channel.close();
+        channel.close().addListener(FailureLog.CHANNEL);
         statement.release();
     }
+
+    private static void reply(EmbeddedChannel channel, String id, String type, String fields) {
+        String page = "a\tb\tc\n";
+        String line = String.join(" ", id, type, fields, String.valueOf(page.length()));
+        String reply = line + LineProtocol.LINE_END + page + LineProtocol.LINE_END;
+        channel.writeInbound(Unpooled.copiedBuffer(reply, StandardCharsets.US_ASCII));
+    }
+
+    private static void releaseOutbound(EmbeddedChannel channel) {
+        for (Object message = channel.readOutbound(); message != null; message = channel.readOutbound()) {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private static void releaseResult(AttemptOutcome outcome, ByteBuf result) {
+        if (result != null) {
+            result.release();
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/lineward/engine/FailureLog.java
@@ -0,0 +1,34 @@
+package lineward.engine;
+
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GenericFutureListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Logs failures of futures that nothing waits for. */
+final class FailureLog {
+    /**
+     * For writes and closes of a channel. Their failures need no handling: the channel closes, which ends its
+     * attempts, and that is logged.
+     */
+    static final GenericFutureListener<Future<? super Void>> CHANNEL = FailureLog::logChannelFailure;
+
+    /** For scheduled tasks, which fail only through a fault in this program. */
+    static final GenericFutureListener<Future<Object>> TASK = FailureLog::logTaskFailure;
+
+    private static final Logger LOG = LoggerFactory.getLogger(FailureLog.class);
+
+    private FailureLog() {}
+
+    private static void logChannelFailure(Future<? super Void> operation) {
+        if (!operation.isSuccess()) {
+            LOG.debug("engine channel operation failed", operation.cause());
+        }
+    }
+
+    private static void logTaskFailure(Future<?> task) {
+        if (!task.isSuccess() && !task.isCancelled()) {
+            LOG.warn("scheduled task failed", task.cause());
+        }
+    }
+}
--- a/src/main/java/lineward/engine/MalformedReplyException.java
+++ b/src/main/java/lineward/engine/MalformedReplyException.java
@@ -2,11 +2,15 @@
 
 import io.netty.handler.codec.DecoderException;
 
-/** What an engine sent is not what the protocol allows. */
+/** An engine sent bytes that the line protocol does not allow. */
 final class MalformedReplyException extends DecoderException {
     private static final long serialVersionUID = 1L;
 
     MalformedReplyException(String message) {
         super(message);
     }
+
+    MalformedReplyException(String message, Throwable cause) {
+        super(message, cause);
+    }
 }
--- a/src/main/java/lineward/engine/ProgressReports.java
+++ b/src/main/java/lineward/engine/ProgressReports.java
@@ -1,38 +1,46 @@
 package lineward.engine;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 import lineward.engine.QueryAttempt.Listener;
 import lineward.scheduling.ProgressKind;
 
-/** Reads what an engine notes of a run that is not over. What says nothing of use is passed over. */
+/** Parses an engine's progress reports on a query. Unknown kinds and unusable amounts are ignored. */
 final class ProgressReports {
-    /** Digits enough for any share or number of megabytes, and no more. */
+    /** As many digits as any ratio or number of megabytes needs. */
     private static final Pattern AMOUNT = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,18})?");
 
-    private static final int FOR_MEMORY = 1;
-    private static final int FOR_LOAD = 2;
+    private static final int WAITING_FOR_MEMORY = 1;
+    private static final int WAITING_FOR_LOAD = 2;
 
     private ProgressReports() {}
 
-    /** Tells the listener what the note says, if it is one that is known and its figure makes sense. */
-    static void read(Map<String, String> fields, Listener listener) {
-        String amount = fields.getOrDefault("datum", "");
-        if (!AMOUNT.matcher(amount).matches()) {
+    /** Notifies the listener of the report in these fields, if its kind is known and its amount valid. */
+    static void notify(Map<String, String> fields, Listener listener) {
+        String text = fields.getOrDefault(LineProtocol.PROGRESS_AMOUNT_FIELD, "");
+        if (!AMOUNT.matcher(text).matches()) {
             return;
         }
-        double figure = Double.parseDouble(amount);
-        ProgressKind kind = switch (fields.getOrDefault("n", "")) {
-            case "done" -> figure <= 1 ? ProgressKind.RATIO_DONE : null;
-            case "spills" -> ProgressKind.SPILLING;
-            case "waits" ->
-                figure == FOR_MEMORY
-                        ? ProgressKind.WAITING_FOR_MEMORY
-                        : figure == FOR_LOAD ? ProgressKind.WAITING_FOR_LOAD : null;
-            default -> null;
+        double amount = Double.parseDouble(text);
+        String kind = fields.getOrDefault(LineProtocol.PROGRESS_KIND_FIELD, "");
+        parseKind(kind, amount).ifPresent(known -> listener.progressed(known, amount));
+    }
+
+    private static Optional<ProgressKind> parseKind(String kind, double amount) {
+        return switch (kind) {
+            case LineProtocol.PROGRESS_DONE ->
+                Optional.of(ProgressKind.RATIO_DONE).filter(known -> amount <= 1);
+            case LineProtocol.PROGRESS_SPILLING -> Optional.of(ProgressKind.SPILLING);
+            case LineProtocol.PROGRESS_WAITING -> parseBlockingResource(amount);
+            default -> Optional.empty();
         };
-        if (kind != null) {
-            listener.progressed(kind, figure);
+    }
+
+    private static Optional<ProgressKind> parseBlockingResource(double amount) {
+        if (amount == WAITING_FOR_MEMORY) {
+            return Optional.of(ProgressKind.WAITING_FOR_MEMORY);
         }
+        return amount == WAITING_FOR_LOAD ? Optional.of(ProgressKind.WAITING_FOR_LOAD) : Optional.empty();
     }
 }
--- a/src/main/java/lineward/engine/QueryAttempt.java
+++ b/src/main/java/lineward/engine/QueryAttempt.java
@@ -1,184 +1,194 @@
 package lineward.engine;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
+import java.util.concurrent.TimeUnit;
 import lineward.scheduling.AttemptOutcome;
 import lineward.scheduling.ProgressKind;
 
-/** One attempt at an engine: what is sent, the pages that have come, and who is told of its end. */
+/** One attempt to run a query at an engine: the request, the pages received and the listener to notify. */
 public final class QueryAttempt {
-    /** Hears how a run ended. */
+    /** Is notified of an attempt's progress and end. */
     @FunctionalInterface
     public interface Listener {
-        /** @param result all rows where the outcome is OK, else null; the listener's to release */
+        /**
+         * The attempt has ended; called once at most.
+         *
+         * @param result all rows where the outcome is OK, else null; the listener releases it
+         */
         void ended(AttemptOutcome outcome, ByteBuf result);
 
-        /** Its engine tells how it stands; the amount is the share done or the megabytes missing. */
+        /**
+         * The engine reported progress.
+         *
+         * @param amount the ratio done, or the megabytes missing, or a reason's number, by kind
+         */
         default void progressed(ProgressKind kind, double amount) {}
     }
 
     /**
+     * Bounds of an attempt in time, counted from its creation.
+     *
      * @param timeoutMs how long the attempt may take
-     * @param startWithinMs behind that it must not go out any more
+     * @param startWithinMs after which it must no longer be sent
      */
     public record Timing(long timeoutMs, long startWithinMs) {}
 
-    private static final long NANOS = 1_000_000;
-    /** Most bytes of one result, and of one page of it. */
-    private static final int LARGEST_RESULT = 48_000;
-
-    private static final int LARGEST_PAGE = 6_000;
-    /** Most pages of one result: short rows, each on a page of its own. */
-    private static final int MOST_PAGES = 1024;
-
     final String id;
-    final String sort;
+    final String requestClass;
     final ByteBuf statement;
-    final long grantMb;
-    private final long until;
-    private final long beginBy;
+    final long memoryGrantMb;
+    private final long deadlineNanos;
+    private final long startByNanos;
     private final Listener listener;
     int priority;
-    boolean written;
-    /** The socket has taken its last byte. */
-    boolean sentWhole;
+    /** Whether the request was passed to the channel: a part of it may have gone out. */
+    boolean requestWritten;
+    /** Whether the socket has taken the request's last byte. */
+    boolean requestSent;
 
-    private boolean over;
-    private ByteBuf[] pages;
-    private int missing;
-    private int bytes;
+    private boolean ended;
+    /** The result as far as it has come, or null before the first page and after the end. */
+    private ResultPages pages;
 
     /**
-     * @param id the request's id, passed on unchanged
-     * @param sort the class's name
-     * @param statement the bytes to run. Held until the run is over: its request may end, and let go of them,
-     *     in the turn in which the connection comes up that the run waits for
-     * @param times how long it may take, and by when it must have begun
+     * Creates an attempt that has not been sent.
+     *
+     * @param id the request's id, forwarded unchanged
+     * @param requestClass the class's name
+     * @param statement the bytes to run. Retained until the attempt ends: its request may end, and release
+     *     them, in the same event loop run in which the connection comes up that the attempt waits for
+     * @param timing how long it may take, and by when it must have been sent
+     * @param memoryGrantMb memory reserved at the engine, rounded up; 0 for none
      */
     public QueryAttempt(
-            String id, String sort, ByteBuf statement, Timing times, double grantMb, int priority, Listener listener) {
+            String id,
+            String requestClass,
+            ByteBuf statement,
+            Timing timing,
+            double memoryGrantMb,
+            int priority,
+            Listener listener) {
         this.id = id;
-        this.sort = sort;
+        this.requestClass = requestClass;
         this.statement = statement.retain();
         long now = System.nanoTime();
-        this.until = now + times.timeoutMs() * NANOS;
-        this.beginBy = now + Math.min(times.startWithinMs(), times.timeoutMs()) * NANOS;
-        this.grantMb = (long) Math.ceil(grantMb);
+        long startWithinMs = Math.min(timing.startWithinMs(), timing.timeoutMs());
+        this.deadlineNanos = now + TimeUnit.MILLISECONDS.toNanos(timing.timeoutMs());
+        this.startByNanos = now + TimeUnit.MILLISECONDS.toNanos(startWithinMs);
+        this.memoryGrantMb = (long) Math.ceil(memoryGrantMb);
         this.priority = priority;
         this.listener = listener;
     }
 
-    long patienceMs() {
-        return Math.max(1, (until - System.nanoTime()) / 1_000_000);
+    /** Returns the time left until the timeout, 1 ms at least. */
+    long remainingMs(long nowNanos) {
+        return Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos));
     }
 
-    /** Returns whether it is too late to send it: it waited for a connection. */
-    boolean isTooLate(long nanoTime) {
-        return beginBy - nanoTime < 0;
+    /** Returns whether it is too late to send the request. */
+    boolean isPastStartDeadline(long nowNanos) {
+        return startByNanos - nowNanos < 0;
     }
 
-    /** Returns whether its time is over, so that its id will not be used again. */
-    boolean isPast(long nanoTime) {
-        return until - nanoTime < 0;
+    /** Returns whether the timeout has passed, so that the id will not be used again. */
+    boolean isExpired(long nowNanos) {
+        return deadlineNanos - nowNanos < 0;
     }
 
-    /** Returns whether this is a second copy of what is here. */
-    boolean has(Reply reply) {
-        if (pages == null || reply.word() == Reply.Word.HIT) {
-            return pages != null;
+    /** Returns whether the reply repeats a page that is here. */
+    boolean isDuplicate(Reply reply) {
+        if (pages == null) {
+            return false;
         }
-        int index = reply.word() == Reply.Word.PART ? reply.number("index", -1) : -1;
-        return index >= 0 && index < pages.length && pages[index] != null;
+        return switch (reply.type()) {
+            case FIRST_PAGE -> true;
+            case NEXT_PAGE -> pages.contains(reply.integer(LineProtocol.PAGE_INDEX_FIELD, -1));
+            default -> false;
+        };
     }
 
-    /** Returns whether the first page is here. */
-    boolean paging() {
+    /** Returns whether the first page has been received, and the end has not come. */
+    boolean hasFirstPage() {
         return pages != null;
     }
 
-    /** Takes page 0 in. */
-    void open(int total, ByteBuf page) {
-        if (pages != null || total < 1 || total > MOST_PAGES) {
+    /**
+     * Adds the first page; this attempt becomes its owner, also where it throws.
+     *
+     * @throws MalformedReplyException if the count or the page is not acceptable
+     */
+    void addFirstPage(int pageCount, ByteBuf page) {
+        try {
+            pages = ResultPages.ofCount(pageCount);
+        } catch (MalformedReplyException e) {
             page.release();
-            throw new MalformedReplyException("result of " + total + " pages");
+            throw e;
         }
-        pages = new ByteBuf[total];
-        missing = total;
-        put(0, page);
-    }
-
-    /** Takes a page in. */
-    void put(int index, ByteBuf page) {
-        if (pages == null
-                || index < 0
-                || index >= pages.length
-                || page.readableBytes() > LARGEST_PAGE
-                || bytes + page.readableBytes() > LARGEST_RESULT
-                || !Rows.areWhole(page)) {
+        addPage(0, page);
+    }
+
+    /**
+     * Adds a page that is not here yet; this attempt becomes its owner, also where it throws.
+     *
+     * @throws MalformedReplyException if the page was not requested or is not acceptable
+     */
+    void addPage(int index, ByteBuf page) {
+        if (pages == null || !pages.accepts(index, page)) {
             page.release();
-            throw new MalformedReplyException("page " + index + " was not asked for or holds no rows");
+            throw new MalformedReplyException("page " + index + " was not requested or holds no rows");
         }
-        pages[index] = page;
-        bytes += page.readableBytes();
-        missing--;
+        pages.add(index, page);
     }
 
-    boolean whole() {
-        return missing == 0;
+    boolean hasAllPages() {
+        return pages.isComplete();
     }
 
-    int total() {
-        return pages.length;
+    int pageCount() {
+        return pages.count();
     }
 
-    /** Ends the run; what comes after the first end is passed over. */
+    /** Ends the attempt and notifies the listener; ends after the first are ignored. */
     void end(AttemptEnd end) {
-        if (!finish()) {
+        if (!endOnce()) {
             return;
         }
         ByteBuf result = null;
-        if (end == AttemptEnd.SERVED) {
-            CompositeByteBuf all = Unpooled.compositeBuffer(pages.length);
-            all.addComponents(true, pages);
+        if (end == AttemptEnd.COMPLETED) {
+            result = pages.detach();
             pages = null;
-            result = all;
         }
-        dropPages();
+        releasePages();
         listener.ended(end.outcome, result);
     }
 
-    /** Takes a note on it in; behind its end it is nobody's. */
-    void note(Reply reply) {
-        if (!over) {
-            ProgressReports.read(reply.fields(), listener);
+    /** Passes a progress report on to the listener; ignored after the end. */
+    void progressed(Reply report) {
+        if (!ended) {
+            ProgressReports.notify(report.fields(), listener);
         }
     }
 
-    /** Gives the run up without a word to anyone. */
-    void drop() {
-        if (finish()) {
-            dropPages();
+    /** Ends the attempt without notifying the listener. */
+    void discard() {
+        if (endOnce()) {
+            releasePages();
         }
     }
 
-    /** Returns whether it was not over before. */
-    private boolean finish() {
-        boolean first = !over;
-        over = true;
-        if (first) {
-            statement.release();
+    /** Returns whether the attempt had not ended before. */
+    private boolean endOnce() {
+        if (ended) {
+            return false;
         }
-        return first;
+        ended = true;
+        statement.release();
+        return true;
     }
 
-    private void dropPages() {
+    private void releasePages() {
         if (pages != null) {
-            for (ByteBuf page : pages) {
-                if (page != null) {
-                    page.release();
-                }
-            }
+            pages.release();
             pages = null;
         }
     }
--- a/src/main/java/lineward/engine/Reply.java
+++ b/src/main/java/lineward/engine/Reply.java
@@ -4,37 +4,34 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
-/** One answer of an engine; the body is the receiver's to release. */
-record Reply(String id, Word word, Map<String, String> fields, ByteBuf body) {
-    private static final Pattern FIGURES =
+/** One reply of an engine; the receiver releases the body. */
+record Reply(String id, ReplyType type, Map<String, String> fields, ByteBuf body) {
+    private static final Pattern NUMBER_LIST =
             Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?([;:|/][0-9]{1,9}(\\.[0-9]{1,9})?){0,15}");
+    private static final Pattern NUMBER_SEPARATOR = Pattern.compile("[^0-9.]+");
 
-    /** What an engine can say. */
-    enum Word {
-        HIT,
-        SHED,
-        FAULT,
-        LATE,
-        INFO,
-        PART,
-        PONG,
-        SICK
-    }
-
-    /** Returns the numbers that stand in that field, whatever parts them; none where one is no number. */
-    double[] figures(String field) {
+    /**
+     * Returns the numbers in the field, whatever separates them; none where the field is not a list of
+     * numbers.
+     */
+    double[] numbers(String field) {
         String text = fields.getOrDefault(field, "");
-        return FIGURES.matcher(text).matches()
-                ? Pattern.compile("[^0-9.]+")
-                        .splitAsStream(text)
-                        .filter(s -> !s.isEmpty())
-                        .mapToDouble(Double::parseDouble)
-                        .toArray()
-                : new double[0];
+        if (!NUMBER_LIST.matcher(text).matches()) {
+            return new double[0];
+        }
+        return NUMBER_SEPARATOR
+                .splitAsStream(text)
+                .filter(number -> !number.isEmpty())
+                .mapToDouble(Double::parseDouble)
+                .toArray();
     }
 
-    /** Returns the whole number of that name, or the fallback where it is absent. */
-    int number(String field, int fallback) {
+    /**
+     * Returns the integer in the field, or the fallback where the field is absent.
+     *
+     * @throws MalformedReplyException if the field is not an integer
+     */
+    int integer(String field, int fallback) {
         String text = fields.get(field);
         if (text == null) {
             return fallback;
@@ -42,7 +39,7 @@
         try {
             return Integer.parseInt(text);
         } catch (NumberFormatException e) {
-            throw new MalformedReplyException("field " + field + " is no number");
+            throw new MalformedReplyException("field " + field + " is no number", e);
         }
     }
 }
--- a/src/main/java/lineward/engine/ReplyDecoder.java
+++ b/src/main/java/lineward/engine/ReplyDecoder.java
@@ -7,82 +7,99 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
-/** Cuts what an engine sends into replies: a line of four words, then as many bytes as the last one says. */
+/** Decodes replies: a line of id, type, fields and body length, then the body and a line end. */
 final class ReplyDecoder extends ByteToMessageDecoder {
-    /** Longest line of words; ids and fields are short. */
-    private static final int LONGEST_LINE = 1024;
+    /** Longest header line; ids and fields are short. */
+    private static final int MAX_HEADER_BYTES = 1024;
     /** Largest body: a page has 6,000 bytes at most, an error's text may be longer. */
-    private static final int LARGEST_BODY = 64 * 1024;
+    private static final int MAX_BODY_BYTES = 64 * 1024;
 
-    private static final int END = 2;
+    private static final int HEADER_PARTS = 4;
+    private static final int LINE_END_BYTES = LineProtocol.LINE_END.length();
+    private static final Pattern FIELD_SEPARATOR = Pattern.compile(",");
 
-    private Reply head;
-    private int length;
+    /** The header of the reply whose body is still awaited, or null. */
+    private Header header;
 
-    /** Returns whether a part of a reply is here. */
-    boolean holdsPart() {
-        return head != null || actualReadableBytes() > 0;
+    private record Header(String id, ReplyType type, Map<String, String> fields, int bodyBytes) {}
+
+    /** Returns whether bytes of an incomplete reply have been received. */
+    boolean hasPartialReply() {
+        return header != null || actualReadableBytes() > 0;
     }
 
     @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        if (head == null && !readHead(in)) {
-            return;
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> output) {
+        if (header == null) {
+            header = readHeader(in);
         }
-        if (in.readableBytes() < length + END) {
+        if (header == null || in.readableBytes() < header.bodyBytes + LINE_END_BYTES) {
             return;
         }
-        int end = in.readerIndex() + length;
-        if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
+        int bodyEnd = in.readerIndex() + header.bodyBytes;
+        if (in.getByte(bodyEnd) != '\r' || in.getByte(bodyEnd + 1) != '\n') {
             throw new MalformedReplyException("no line end after a body");
         }
-        out.add(new Reply(head.id(), head.word(), head.fields(), in.readRetainedSlice(length)));
-        in.skipBytes(END);
-        head = null;
+        ByteBuf body = in.readRetainedSlice(header.bodyBytes);
+        output.add(new Reply(header.id, header.type, header.fields, body));
+        in.skipBytes(LINE_END_BYTES);
+        header = null;
     }
 
-    private boolean readHead(ByteBuf in) {
-        int feed = in.bytesBefore((byte) '\n');
-        if (feed < 0 || feed > LONGEST_LINE) {
-            if (in.readableBytes() > LONGEST_LINE) {
+    /** Returns the next header, or null while its line is incomplete. */
+    private static Header readHeader(ByteBuf in) {
+        int lineFeed = in.bytesBefore((byte) '\n');
+        if (lineFeed < 0 || lineFeed > MAX_HEADER_BYTES) {
+            if (in.readableBytes() > MAX_HEADER_BYTES) {
                 throw new MalformedReplyException("line too long");
             }
-            return false;
+            return null;
         }
-        if (feed < 1 || in.getByte(in.readerIndex() + feed - 1) != '\r') {
+        if (lineFeed < 1 || in.getByte(in.readerIndex() + lineFeed - 1) != '\r') {
             throw new MalformedReplyException("line feed without carriage return");
         }
-        String line = in.readCharSequence(feed - 1, StandardCharsets.ISO_8859_1).toString();
-        in.skipBytes(END);
-        String[] words = line.split(" ", -1);
-        if (words.length != 4 || words[0].isEmpty()) {
-            throw new MalformedReplyException("line of " + words.length + " words");
+        String line =
+                in.readCharSequence(lineFeed - 1, StandardCharsets.ISO_8859_1).toString();
+        in.skipBytes(LINE_END_BYTES);
+        return parseHeader(line);
+    }
+
+    private static Header parseHeader(String line) {
+        String[] parts = line.split(" ", -1);
+        if (parts.length != HEADER_PARTS || parts[0].isEmpty()) {
+            throw new MalformedReplyException("line of " + parts.length + " words");
         }
+        ReplyType type = ReplyType.parse(parts[1]);
+        return new Header(parts[0], type, parseFields(parts[2]), parseBodyLength(parts[3]));
+    }
+
+    private static int parseBodyLength(String text) {
+        int bytes;
         try {
-            head = new Reply(words[0], Reply.Word.valueOf(words[1]), fields(words[2]), null);
-            length = Integer.parseInt(words[3]);
-        } catch (IllegalArgumentException e) {
-            throw new MalformedReplyException("unknown word or length");
+            bytes = Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw new MalformedReplyException("body length is no number", e);
         }
-        if (length < 0 || length > LARGEST_BODY) {
-            throw new MalformedReplyException("body of " + length + " bytes");
+        if (bytes < 0 || bytes > MAX_BODY_BYTES) {
+            throw new MalformedReplyException("body of " + bytes + " bytes");
         }
-        return true;
+        return bytes;
     }
 
-    private static Map<String, String> fields(String text) {
-        if (text.equals("-")) {
+    private static Map<String, String> parseFields(String text) {
+        if (text.equals(LineProtocol.NO_FIELDS)) {
             return Map.of();
         }
         Map<String, String> fields = new HashMap<>();
-        for (String pair : text.split(",")) {
-            int sign = pair.indexOf('=');
-            if (sign < 1) {
+        FIELD_SEPARATOR.splitAsStream(text).forEach(field -> {
+            int equalsSign = field.indexOf('=');
+            if (equalsSign < 1) {
                 throw new MalformedReplyException("field without a name");
             }
-            fields.put(pair.substring(0, sign), pair.substring(sign + 1));
-        }
+            fields.put(field.substring(0, equalsSign), field.substring(equalsSign + 1));
+        });
         return fields;
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/engine/ReplyType.java
@@ -0,0 +1,48 @@
+package lineward.engine;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Kinds of reply that an engine can send. */
+enum ReplyType {
+    /** The first page of a result. */
+    FIRST_PAGE(LineProtocol.FIRST_PAGE),
+    /** A further page of a result. */
+    NEXT_PAGE(LineProtocol.NEXT_PAGE),
+    /** The engine has no capacity; the query did not start. */
+    REJECTED(LineProtocol.REJECTED),
+    /** The query's timeout had passed when it came; it did not start. */
+    EXPIRED(LineProtocol.EXPIRED),
+    /** The query failed, or the engine no longer knows it or its page. */
+    ERROR(LineProtocol.ERROR),
+    /** Progress of a query that has not ended. */
+    PROGRESS(LineProtocol.PROGRESS),
+    /** Answer to a ping or a health check. */
+    HEALTHY(LineProtocol.HEALTHY),
+    /** Answer to a health check that failed. */
+    UNHEALTHY(LineProtocol.UNHEALTHY);
+
+    private static final Map<String, ReplyType> BY_TOKEN =
+            Arrays.stream(values()).collect(Collectors.toMap(type -> type.token, Function.identity()));
+
+    private final String token;
+
+    ReplyType(String token) {
+        this.token = token;
+    }
+
+    /**
+     * Returns the type that this word of the protocol stands for.
+     *
+     * @throws MalformedReplyException if the protocol has no such word
+     */
+    static ReplyType parse(String token) {
+        ReplyType type = BY_TOKEN.get(token);
+        if (type == null) {
+            throw new MalformedReplyException("unknown reply type");
+        }
+        return type;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/engine/RequestWriter.java
@@ -0,0 +1,92 @@
+package lineward.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import java.nio.charset.StandardCharsets;
+
+/** Encodes requests to an engine and writes them to its channel. */
+final class RequestWriter {
+    private final Channel channel;
+
+    RequestWriter(Channel channel) {
+        this.channel = channel;
+    }
+
+    /**
+     * Sends the query of an attempt.
+     *
+     * @param onSent is called once the socket has taken the last byte
+     */
+    void startQuery(QueryAttempt attempt, Runnable onSent) {
+        channel.write(encode(startLine(attempt))).addListener(FailureLog.CHANNEL);
+        channel.write(attempt.statement.retainedDuplicate()).addListener(FailureLog.CHANNEL);
+        channel.writeAndFlush(encode(LineProtocol.LINE_END)).addListener(done -> {
+            if (done.isSuccess()) {
+                onSent.run();
+            }
+        });
+    }
+
+    private static String startLine(QueryAttempt attempt) {
+        StringBuilder fields = new StringBuilder();
+        appendField(fields, LineProtocol.REQUEST_CLASS_FIELD, attempt.requestClass);
+        appendField(fields, LineProtocol.TIMEOUT_MS_FIELD, attempt.remainingMs(System.nanoTime()));
+        if (attempt.memoryGrantMb > 0) {
+            appendField(fields, LineProtocol.MEMORY_MB_FIELD, attempt.memoryGrantMb);
+        }
+        appendField(fields, LineProtocol.PRIORITY_FIELD, attempt.priority);
+        return line(LineProtocol.START_QUERY, attempt.id, fields, attempt.statement.readableBytes());
+    }
+
+    private static void appendField(StringBuilder fields, String name, Object value) {
+        if (fields.length() > 0) {
+            fields.append(',');
+        }
+        fields.append(name).append('=').append(value);
+    }
+
+    void cancelQuery(String id) {
+        send(LineProtocol.CANCEL_QUERY, id);
+    }
+
+    void changePriority(String id, int priority) {
+        send(LineProtocol.CHANGE_PRIORITY, id, priority);
+    }
+
+    void readPage(String id, int page) {
+        send(LineProtocol.READ_PAGE, id, page);
+    }
+
+    void closeResult(String id) {
+        send(LineProtocol.CLOSE_RESULT, id);
+    }
+
+    void ping(String tag) {
+        send(LineProtocol.PING, tag);
+    }
+
+    void healthCheck(HealthCheck check) {
+        send(check.kind().token, check.tag());
+    }
+
+    private void send(Object... tokens) {
+        channel.writeAndFlush(encode(line(tokens))).addListener(FailureLog.CHANNEL);
+    }
+
+    private static String line(Object... tokens) {
+        StringBuilder line = new StringBuilder();
+        for (Object token : tokens) {
+            if (line.length() > 0) {
+                line.append(' ');
+            }
+            line.append(token);
+        }
+        return line.append(LineProtocol.LINE_END).toString();
+    }
+
+    private ByteBuf encode(String text) {
+        ByteBuf bytes = channel.alloc().buffer(text.length());
+        bytes.writeCharSequence(text, StandardCharsets.US_ASCII);
+        return bytes;
+    }
+}
--- a/src/main/java/lineward/engine/Rows.java
+++ b/src/main/java/lineward/engine/Rows.java
@@ -3,37 +3,43 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ByteProcessor;
 
-/** What a page may hold: whole rows of three columns. Noise of the right length has another look. */
+/** Checks that a page consists of complete rows of three columns, so that corrupt bytes are not served. */
 final class Rows implements ByteProcessor {
-    private static final int TABS = 2;
-    /** Bytes that stand nowhere in UTF-8. */
+    private static final int TABS_PER_ROW = 2;
+    /** Bytes that UTF-8 never uses: the two that would begin an overlong form, and all from this one on. */
     private static final int OVERLONG = 0xc0;
 
     private static final int OVERLONG_ASCII = 0xc1;
-    private static final int PAST_UNICODE = 0xf5;
+    private static final int BEYOND_UNICODE = 0xf5;
     private int tabs;
     private boolean inRow;
 
     private Rows() {}
 
-    static boolean areWhole(ByteBuf page) {
+    /** Returns whether the page holds complete rows and nothing else. */
+    static boolean areComplete(ByteBuf page) {
         Rows rows = new Rows();
         return page.forEachByte(rows) < 0 && !rows.inRow;
     }
 
     @Override
     public boolean process(byte value) {
-        int octet = value & 0xff;
-        inRow = octet != '\n';
-        if (octet == '\t') {
+        int unsigned = value & 0xff;
+        inRow = unsigned != '\n';
+        if (unsigned == '\t') {
             tabs++;
-            return tabs <= TABS;
+            return tabs <= TABS_PER_ROW;
         }
-        if (octet == '\n') {
-            boolean whole = tabs == TABS;
+        if (unsigned == '\n') {
+            boolean rowIsComplete = tabs == TABS_PER_ROW;
             tabs = 0;
-            return whole;
+            return rowIsComplete;
         }
-        return octet >= ' ' && octet != OVERLONG && octet != OVERLONG_ASCII && octet < PAST_UNICODE;
+        return isTextByte(unsigned);
+    }
+
+    private static boolean isTextByte(int unsigned) {
+        boolean overlong = unsigned == OVERLONG || unsigned == OVERLONG_ASCII;
+        return unsigned >= ' ' && unsigned < BEYOND_UNICODE && !overlong;
     }
 }
--- a/src/test/java/lineward/engine/EndTest.java
+++ b/src/test/java/lineward/engine/AttemptEndTest.java
@@ -29,14 +29,19 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Every end that an attempt can have on the wire, and whether the request may have run there. */
-public class EndTest {
-    /** Only behind these may what is unsafe to repeat go out again. */
-    private static final Set<AttemptEnd> NEVER_RAN =
-            EnumSet.of(AttemptEnd.SHED, AttemptEnd.LATE, AttemptEnd.UNREACHED, AttemptEnd.UNSENT, AttemptEnd.CUT_SHORT);
+/** How attempts end on the wire, and whether the request may have run by then. */
+public class AttemptEndTest {
+    private static final EngineCluster.Limits LIMITS = new EngineCluster.Limits(250, 30_000, 10, 100, false);
+    /** Only after these may a request be retried that is not idempotent. */
+    private static final Set<AttemptEnd> NEVER_RAN = EnumSet.of(
+            AttemptEnd.REJECTED,
+            AttemptEnd.EXPIRED,
+            AttemptEnd.ENGINE_UNREACHABLE,
+            AttemptEnd.NOT_SENT,
+            AttemptEnd.PARTIALLY_SENT);
 
     @Test
-    public void eachEndSaysWhetherItMayHaveRun() {
+    public void endsProveWhetherTheRequestMayHaveRun() {
         for (AttemptEnd end : AttemptEnd.values()) {
             assertEquals(end.outcome.mayHaveRun(), !NEVER_RAN.contains(end), end.name());
         }
@@ -57,23 +62,23 @@
     }
 
     @Test(dataProvider = "replies")
-    public void eachAnswerHasItsEnd(String reply, AttemptOutcome outcome) {
-        Heard heard = new Heard();
-        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
-        EmbeddedChannel channel = channel(link);
-        link.start(heard.run);
+    public void replyEndsTheAttemptWithItsOutcome(String reply, AttemptOutcome outcome) {
+        RecordingListener listener = new RecordingListener();
+        EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
+        EmbeddedChannel channel = channel(connection);
+        connection.start(listener.attempt);
         channel.writeInbound(Unpooled.copiedBuffer(reply, StandardCharsets.US_ASCII));
         channel.advanceTimeBy(1, TimeUnit.SECONDS);
         channel.runScheduledPendingTasks();
-        assertEquals(heard.outcomes, List.of(outcome));
+        assertEquals(listener.outcomes, List.of(outcome));
         channel.finishAndReleaseAll();
     }
 
-    private static EmbeddedChannel channel(EngineConnection link) {
+    private static EmbeddedChannel channel(EngineConnection connection) {
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
-        link.connecting(channel);
-        channel.pipeline().addLast(link);
-        link.channelActive(channel.pipeline().context(link));
+        connection.connecting(channel);
+        channel.pipeline().addLast(connection);
+        connection.channelActive(channel.pipeline().context(connection));
         return channel;
     }
 
@@ -82,27 +87,30 @@
         return new Object[][] {{0, false}, {1, false}, {2, false}, {3, true}};
     }
 
-    /** A request has three pieces; the engine can have it whole only once the socket took the last. */
+    /**
+     * A request is written in three pieces; the engine can have all of it only once the socket took the
+     * last.
+     */
     @Test(dataProvider = "writes")
-    public void aRequestIsOutOnceTheSocketHasItsLastByte(int taken, boolean whole) {
-        Heard heard = new Heard();
-        EngineConnection link = new EngineConnection(EngineWarmup.NOBODY);
-        EmbeddedChannel channel = channel(link);
+    public void requestCountsAsSentOnceTheSocketHasItsLastByte(int succeedingWrites, boolean sent) {
+        RecordingListener listener = new RecordingListener();
+        EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
+        EmbeddedChannel channel = channel(connection);
         channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
             private int writes;
 
             @Override
             public void write(ChannelHandlerContext ctx, Object message, ChannelPromise done) {
                 ((ByteBuf) message).release();
-                if (writes++ < taken) {
+                if (writes++ < succeedingWrites) {
                     done.setSuccess();
                 } else {
                     done.setFailure(new IOException("connection reset"));
                 }
             }
         });
-        link.start(heard.run);
-        assertEquals(heard.run.sentWhole, whole);
+        connection.start(listener.attempt);
+        assertEquals(listener.attempt.requestSent, sent);
         channel.finishAndReleaseAll();
     }
 
@@ -112,43 +120,42 @@
     }
 
     @Test(dataProvider = "breaks")
-    public void aBrokenConnectionProvesNothingOnceTheRequestWasOut(boolean whole, AttemptOutcome outcome)
+    public void brokenConnectionProvesNothingOnceTheRequestWasSent(boolean sent, AttemptOutcome outcome)
             throws IOException {
-        Heard heard = new Heard();
-        heard.run.sentWhole = whole;
-        withPool(pool -> pool.lost(List.of(heard.run)), heard);
-        assertEquals(heard.outcomes, List.of(outcome));
+        RecordingListener listener = new RecordingListener();
+        listener.attempt.requestSent = sent;
+        withPool(pool -> pool.attemptsLost(List.of(listener.attempt)), listener);
+        assertEquals(listener.outcomes, List.of(outcome));
     }
 
     @Test
-    public void aRefusedConnectionProvesThatNothingRan() throws IOException {
-        Heard heard = new Heard();
-        withPool(pool -> pool.start(heard.run), heard);
-        assertEquals(heard.outcomes, List.of(AttemptOutcome.CONNECT_FAILED));
+    public void refusedConnectionProvesThatNothingRan() throws IOException {
+        RecordingListener listener = new RecordingListener();
+        withPool(pool -> pool.start(listener.attempt), listener);
+        assertEquals(listener.outcomes, List.of(AttemptOutcome.CONNECT_FAILED));
     }
 
-    private static void withPool(Consumer<EnginePool> act, Heard heard) throws IOException {
-        InetSocketAddress nobody;
+    private static void withPool(Consumer<EnginePool> action, RecordingListener listener) throws IOException {
+        InetSocketAddress closedPort;
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            nobody = new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+            closedPort = new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
         }
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
-            EnginePool pool = new EnginePool(
-                    bootstrap, nobody, new EngineCluster.Limits(250, 30_000, 10, 100, false), () -> true, () -> {});
-            loop.execute(() -> act.accept(pool));
-            Program.await("an end", () -> !heard.outcomes.isEmpty());
+            EnginePool pool = new EnginePool(bootstrap, closedPort, LIMITS, () -> true, () -> {});
+            loop.execute(() -> action.accept(pool));
+            Program.await("an end", () -> !listener.outcomes.isEmpty());
         } finally {
-            loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(FailureLog.TASK);
         }
     }
 
-    private static final class Heard implements QueryAttempt.Listener {
+    private static final class RecordingListener implements QueryAttempt.Listener {
         final List<AttemptOutcome> outcomes = new CopyOnWriteArrayList<>();
-        final QueryAttempt run = new QueryAttempt(
+        final QueryAttempt attempt = new QueryAttempt(
                 "00aa",
-                "look",
+                "report",
                 Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII),
                 new QueryAttempt.Timing(1000, 1000),
                 0,
--- /dev/null
+++ b/src/test/java/lineward/engine/ConnectionAttemptsTest.java
@@ -0,0 +1,121 @@
+package lineward.engine;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import lineward.scheduling.AttemptOutcome;
+import org.testng.annotations.Test;
+
+/** Lifecycle of attempts on one connection to an engine. */
+public class ConnectionAttemptsTest {
+    private static ByteBuf statement(String text) {
+        return PooledByteBufAllocator.DEFAULT.buffer(64).writeBytes(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String written(EmbeddedChannel channel) {
+        StringBuilder all = new StringBuilder();
+        for (ByteBuf piece = channel.readOutbound(); piece != null; piece = channel.readOutbound()) {
+            all.append(piece.toString(StandardCharsets.UTF_8));
+            piece.release();
+        }
+        return all.toString();
+    }
+
+    /** A client aborts its request in the same event loop run in which the connection comes up. */
+    @Test
+    public void attemptRetainsItsStatementWhenItsRequestEnds() {
+        EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
+        ByteBuf statement = statement("select 1");
+        List<AttemptOutcome> outcomes = new ArrayList<>();
+        QueryAttempt attempt = attempt(statement, outcomes);
+        connection.start(attempt);
+        statement.release();
+        ByteBuf later = statement("delete 2");
+        EmbeddedChannel channel = up(connection);
+        assertEquals(written(channel).lines().skip(1).findFirst().orElse(""), "select 1");
+        connection.cancel(attempt);
+        assertEquals(statement.refCnt(), 0, "released with its attempt");
+        assertEquals(later.refCnt(), 1);
+        later.release();
+        channel.close().addListener(FailureLog.CHANNEL);
+    }
+
+    @Test
+    public void cancelledAttemptThatWaitsForAConnectionIsNeverSent() {
+        EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
+        ByteBuf statement = statement("select 1");
+        List<AttemptOutcome> outcomes = new ArrayList<>();
+        connection.start(attempt(statement, outcomes));
+        connection.cancelWaiting();
+        assertEquals(outcomes, List.of(AttemptOutcome.REJECTED));
+        assertEquals(written(up(connection)), "");
+        assertEquals(statement.refCnt(), 1, "the reference of the request");
+        statement.release();
+    }
+
+    /** Engines forget idempotency keys: a retry whose connection came up too late would run a second time. */
+    @Test
+    public void attemptPastItsStartDeadlineIsNotSent() {
+        EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
+        ByteBuf statement = statement("select 1");
+        List<AttemptOutcome> outcomes = new ArrayList<>();
+        connection.start(attempt(statement, outcomes, 0));
+        assertEquals(written(up(connection)), "");
+        assertEquals(outcomes, List.of(AttemptOutcome.REJECTED));
+        statement.release();
+    }
+
+    /** An engine that rejects everything must not let ids pile up. */
+    @Test
+    public void numberOfRememberedEndedAttemptsIsBounded() {
+        EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
+        EmbeddedChannel channel = up(connection);
+        channel.pipeline().addFirst(new ReplyDecoder());
+        ByteBuf statement = statement("select 1");
+        QueryAttempt.Listener ignored = (outcome, result) -> {};
+        QueryAttempt.Timing timing = new QueryAttempt.Timing(60_000, 60_000);
+        for (int i = 0; i < EndedAttempts.MAX_ATTEMPTS; i++) {
+            String id = String.format("%016x", i);
+            assertEquals(connection.accepts(id, 10), true, "attempt " + i);
+            connection.start(new QueryAttempt(id, "report", statement, timing, 0, 1, ignored));
+            channel.writeInbound(statement(id + " SHED - 0\r\n\r\n"));
+        }
+        assertEquals(connection.accepts("ffff", 10), false);
+        statement.release();
+    }
+
+    private static QueryAttempt attempt(ByteBuf statement, List<AttemptOutcome> outcomes) {
+        return attempt(statement, outcomes, 1000);
+    }
+
+    private static QueryAttempt attempt(ByteBuf statement, List<AttemptOutcome> outcomes, long startMs) {
+        return new QueryAttempt(
+                "00aa",
+                "report",
+                statement,
+                new QueryAttempt.Timing(1000, startMs),
+                0,
+                1,
+                (outcome, result) -> outcomes.add(outcome));
+    }
+
+    private static EmbeddedChannel up(EngineConnection connection) {
+        ChannelHandler connector = new ChannelInboundHandlerAdapter() {
+            @Override
+            public void handlerAdded(ChannelHandlerContext ctx) {
+                Channel channel = ctx.channel();
+                connection.connecting(channel);
+            }
+        };
+        return new EmbeddedChannel(connector, connection);
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/engine/ConnectionStateTest.java
@@ -0,0 +1,70 @@
+package lineward.engine;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The transition table of a connection's states. */
+public class ConnectionStateTest {
+    private static final ConnectionState CONNECTING = ConnectionState.CONNECTING;
+    private static final ConnectionState OVERDUE = ConnectionState.CONNECT_OVERDUE;
+    private static final ConnectionState READY = ConnectionState.READY;
+    private static final ConnectionState PENDING = ConnectionState.HEARTBEAT_PENDING;
+    private static final ConnectionState AWAITING = ConnectionState.AWAITING_RESPONSE;
+    private static final ConnectionState CLOSED = ConnectionState.CLOSED;
+
+    /**
+     * A state, then its targets: connect overdue, connected, heartbeat sent, cancelled, reply received,
+     * closed.
+     */
+    @DataProvider
+    public Object[][] transitions() {
+        return new Object[][] {
+            {CONNECTING, OVERDUE, READY, CONNECTING, CONNECTING, CONNECTING, CLOSED},
+            {OVERDUE, OVERDUE, READY, OVERDUE, OVERDUE, OVERDUE, CLOSED},
+            {READY, READY, READY, PENDING, AWAITING, READY, CLOSED},
+            {PENDING, PENDING, PENDING, PENDING, AWAITING, READY, CLOSED},
+            {AWAITING, AWAITING, AWAITING, AWAITING, AWAITING, READY, CLOSED},
+            {CLOSED, CLOSED, CLOSED, CLOSED, CLOSED, CLOSED, CLOSED}
+        };
+    }
+
+    @Test(dataProvider = "transitions")
+    public void eachTransitionLeadsToItsTarget(
+            ConnectionState state,
+            ConnectionState overdue,
+            ConnectionState connected,
+            ConnectionState heartbeatSent,
+            ConnectionState cancelled,
+            ConnectionState replyReceived,
+            ConnectionState closed) {
+        assertEquals(state.connectOverdue(), overdue);
+        assertEquals(state.connected(), connected);
+        assertEquals(state.heartbeatSent(), heartbeatSent);
+        assertEquals(state.attemptCancelled(), cancelled);
+        assertEquals(state.replyReceived(), replyReceived);
+        assertEquals(state.closed(), closed);
+    }
+
+    @DataProvider
+    public Object[][] properties() {
+        return new Object[][] {
+            {CONNECTING, true, false, false, true},
+            {OVERDUE, true, false, false, false},
+            {READY, false, true, false, true},
+            {PENDING, false, true, true, true},
+            {AWAITING, false, true, true, false},
+            {CLOSED, false, false, false, false}
+        };
+    }
+
+    @Test(dataProvider = "properties")
+    public void stateDeterminesWhatTheConnectionMayDo(
+            ConnectionState state, boolean connecting, boolean up, boolean pending, boolean accepting) {
+        assertEquals(state.isConnecting(), connecting);
+        assertEquals(state.isUp(), up);
+        assertEquals(state.isHeartbeatPending(), pending);
+        assertEquals(state.acceptsAttempts(), accepting);
+    }
+}
--- a/src/test/java/lineward/engine/ReplyDecoderTest.java
+++ b/src/test/java/lineward/engine/ReplyDecoderTest.java
@@ -10,23 +10,24 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** What engines may send, and what they may not. */
+/** Decoding of replies, and rejection of malformed ones. */
 public class ReplyDecoderTest {
     @Test
-    public void repliesAreCutWhereverTheBytesBreak() {
-        byte[] bytes = "a1 HIT total=2,x=y 3\r\nr\r\n\r\na1 SHED - 0\r\n\r\n".getBytes(StandardCharsets.UTF_8);
-        for (int cut = 0; cut <= bytes.length; cut++) {
+    public void repliesAreDecodedWhereverTheBytesAreSplit() {
+        String replies = "a1 HIT total=2,x=y 3\r\nr\r\n\r\na1 SHED - 0\r\n\r\n";
+        byte[] bytes = replies.getBytes(StandardCharsets.UTF_8);
+        for (int split = 0; split <= bytes.length; split++) {
             EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
-            channel.writeInbound(Unpooled.copiedBuffer(bytes, 0, cut));
-            channel.writeInbound(Unpooled.copiedBuffer(bytes, cut, bytes.length - cut));
-            Reply hit = channel.readInbound();
-            assertEquals(hit.word(), Reply.Word.HIT);
-            assertEquals(hit.number("total", 1), 2);
-            assertEquals(hit.body().toString(StandardCharsets.UTF_8), "r\r\n");
-            hit.body().release();
-            Reply shed = channel.readInbound();
-            assertEquals(shed.word(), Reply.Word.SHED);
-            shed.body().release();
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, 0, split));
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, split, bytes.length - split));
+            Reply firstPage = channel.readInbound();
+            assertEquals(firstPage.type(), ReplyType.FIRST_PAGE);
+            assertEquals(firstPage.integer("total", 1), 2);
+            assertEquals(firstPage.body().toString(StandardCharsets.UTF_8), "r\r\n");
+            firstPage.body().release();
+            Reply rejection = channel.readInbound();
+            assertEquals(rejection.type(), ReplyType.REJECTED);
+            rejection.body().release();
             assertNull(channel.readInbound());
         }
     }
@@ -50,7 +51,7 @@
     }
 
     @Test(dataProvider = "malformed")
-    public void whatIsMalformedIsTold(String bytes) {
+    public void malformedReplyFailsTheDecoding(String bytes) {
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
         assertThrows(
                 MalformedReplyException.class,
