--- a/src/main/java/lineward/engine/InFlightAttempts.java
+++ b/src/main/java/lineward/engine/InFlightAttempts.java
@@ -82,6 +82,15 @@
      * @throws MalformedReplyException if a page was not requested or is not acceptable
      */
     void handle(Reply reply, RequestWriter writer) {
+        try {
+            dispatch(reply, writer);
+        } catch (MalformedReplyException e) {
+            reply.body().release();
+            throw e;
+        }
+    }
+
+    private void dispatch(Reply reply, RequestWriter writer) {
         QueryAttempt attempt = attempts.get(reply.id());
         if (attempt == null || attempt.isDuplicate(reply)) {
             reply.body().release();
--- a/src/main/java/lineward/engine/QueryAttempt.java
+++ b/src/main/java/lineward/engine/QueryAttempt.java
@@ -113,28 +113,23 @@
     }
 
     /**
-     * Adds the first page; this attempt becomes its owner, also where it throws.
+     * Adds the first page, and becomes its owner.
      *
-     * @throws MalformedReplyException if the count or the page is not acceptable
+     * @throws MalformedReplyException if the count or the page is not acceptable; the page stays the caller's
      */
     void addFirstPage(int pageCount, ByteBuf page) {
-        try {
-            pages = ResultPages.ofCount(pageCount);
-        } catch (MalformedReplyException e) {
-            page.release();
-            throw e;
-        }
+        pages = ResultPages.ofCount(pageCount);
         addPage(0, page);
     }
 
     /**
-     * Adds a page that is not here yet; this attempt becomes its owner, also where it throws.
+     * Adds a page that is not here yet, and becomes its owner.
      *
-     * @throws MalformedReplyException if the page was not requested or is not acceptable
+     * @throws MalformedReplyException if the page was not requested or is not acceptable; it stays
+     *     the caller's
      */
     void addPage(int index, ByteBuf page) {
         if (pages == null || !pages.accepts(index, page)) {
-            page.release();
             throw new MalformedReplyException("page " + index + " was not requested or holds no rows");
         }
         pages.add(index, page);
