Name two short parameters and methods of the engine tests

Need: the tests of the connection used a method and a parameter of two letters.

Change: both are named for what they do.

--- a/src/test/java/lineward/engine/ConnectionAttemptsTest.java
+++ b/src/test/java/lineward/engine/ConnectionAttemptsTest.java
@@ -40,7 +40,7 @@
         connection.start(attempt);
         statement.release();
         ByteBuf later = statement("delete 2");
-        EmbeddedChannel channel = up(connection);
+        EmbeddedChannel channel = connect(connection);
         assertEquals(written(channel).lines().skip(1).findFirst().orElse(""), "select 1");
         connection.cancel(attempt);
         assertEquals(statement.refCnt(), 0, "released with its attempt");
@@ -57,7 +57,7 @@
         connection.start(attempt(statement, outcomes));
         connection.cancelWaiting();
         assertEquals(outcomes, List.of(AttemptOutcome.REJECTED));
-        assertEquals(written(up(connection)), "");
+        assertEquals(written(connect(connection)), "");
         assertEquals(statement.refCnt(), 1, "the reference of the request");
         statement.release();
     }
@@ -69,7 +69,7 @@
         ByteBuf statement = statement("select 1");
         List<AttemptOutcome> outcomes = new ArrayList<>();
         connection.start(attempt(statement, outcomes, 0));
-        assertEquals(written(up(connection)), "");
+        assertEquals(written(connect(connection)), "");
         assertEquals(outcomes, List.of(AttemptOutcome.REJECTED));
         statement.release();
     }
@@ -78,7 +78,7 @@
     @Test
     public void numberOfRememberedEndedAttemptsIsBounded() {
         EngineConnection connection = new EngineConnection(EngineWarmup.NO_LISTENER);
-        EmbeddedChannel channel = up(connection);
+        EmbeddedChannel channel = connect(connection);
         channel.pipeline().addFirst(new ReplyDecoder());
         ByteBuf statement = statement("select 1");
         QueryAttempt.Listener ignored = (outcome, result) -> {};
@@ -108,7 +108,7 @@
                 (outcome, result) -> outcomes.add(outcome));
     }
 
-    private static EmbeddedChannel up(EngineConnection connection) {
+    private static EmbeddedChannel connect(EngineConnection connection) {
         ChannelHandler connector = new ChannelInboundHandlerAdapter() {
             @Override
             public void handlerAdded(ChannelHandlerContext ctx) {
--- a/src/test/java/lineward/engine/ConnectionStateTest.java
+++ b/src/test/java/lineward/engine/ConnectionStateTest.java
@@ -61,9 +61,9 @@
 
     @Test(dataProvider = "properties")
     public void stateDeterminesWhatTheConnectionMayDo(
-            ConnectionState state, boolean connecting, boolean up, boolean pending, boolean accepting) {
+            ConnectionState state, boolean connecting, boolean isUp, boolean pending, boolean accepting) {
         assertEquals(state.isConnecting(), connecting);
-        assertEquals(state.isUp(), up);
+        assertEquals(state.isUp(), isUp);
         assertEquals(state.isHeartbeatPending(), pending);
         assertEquals(state.acceptsAttempts(), accepting);
     }
