--- /dev/null
+++ b/src/main/java/lineward/discovery/JournalFormat.java
@@ -0,0 +1,121 @@
+package lineward.discovery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.regex.Pattern;
+import lineward.core.EngineEndpoint;
+import lineward.scheduling.EndpointState;
+
+/** The journal's form on the wire: the one place that knows its field names. */
+final class JournalFormat {
+    private static final String EVENTS = "entries";
+    private static final String EVENT_NUMBER = "pos";
+    private static final String ENDPOINTS = "hosts";
+    private static final String FULL_SNAPSHOT = "reset";
+    private static final String ENTRIES = "instances";
+    private static final String ID = "instanceId";
+    private static final String ADDRESS = "hostPort";
+    private static final String STATE = "lifecycle";
+    private static final String KIND = "machineType";
+    private static final String WEIGHT = "weight";
+    private static final String STARTED_AT = "startedAtMs";
+    private static final String ZONE = "zone";
+    private static final String CELL = "cell";
+
+    private static final double DEFAULT_WEIGHT = 1;
+    private static final long NO_NUMBER = -1;
+    private static final Pattern HOST_AND_PORT = Pattern.compile("[^\\s:]+:[0-9]{1,5}");
+
+    private final List<String> kinds;
+    private final List<String> zones;
+
+    /** Creates the format for the kinds of machines and the zones of the settings, in their order. */
+    JournalFormat(List<String> kinds, List<String> zones) {
+        this.kinds = kinds;
+        this.zones = zones;
+    }
+
+    /** Returns what a poll asks for: the events after that number, or an empty response once the wait is over. */
+    static String pollUri(long afterEvent, int maxWaitMs) {
+        return "/journal?tail=" + afterEvent + "&max_wait=" + maxWaitMs;
+    }
+
+    /** Returns the events of a response, in order. */
+    static JsonNode events(JsonNode response) {
+        JsonNode events = response.path(EVENTS);
+        if (!events.isArray() || !response.path(EVENT_NUMBER).isIntegralNumber()) {
+            throw new JournalFormatException("no pos or entries");
+        }
+        return events;
+    }
+
+    /** Returns the number of an event. */
+    static long eventNumber(JsonNode event) {
+        long number = event.path(EVENT_NUMBER).asLong(NO_NUMBER);
+        if (number < 0) {
+            throw new JournalFormatException("event without a number");
+        }
+        return number;
+    }
+
+    /** Returns whether an event is about endpoints. */
+    static boolean hasEndpointUpdate(JsonNode event) {
+        return event.has(ENDPOINTS);
+    }
+
+    /** Returns the part of an event that is about endpoints. */
+    static JsonNode endpointUpdate(JsonNode event) {
+        return event.get(ENDPOINTS);
+    }
+
+    /** Returns whether an update holds all endpoints; {@code byDefault} if it doesn't say. */
+    static boolean isFullSnapshot(JsonNode update, boolean byDefault) {
+        return update.path(FULL_SNAPSHOT).asBoolean(byDefault);
+    }
+
+    /** Returns the entries of an update, one for each endpoint. */
+    static JsonNode entries(JsonNode update) {
+        return update.path(ENTRIES);
+    }
+
+    /** Returns the name of the endpoint that an entry is about. */
+    static String endpointId(JsonNode entry) {
+        String id = entry.path(ID).asText("");
+        if (id.isEmpty() || !(entry instanceof ObjectNode)) {
+            throw new JournalFormatException("instance without an id");
+        }
+        return id;
+    }
+
+    /** Returns the endpoint that a complete entry describes. */
+    EngineEndpoint endpoint(String id, JsonNode entry) {
+        String address = entry.path(ADDRESS).asText("");
+        if (!HOST_AND_PORT.matcher(address).matches()) {
+            throw new JournalFormatException("address of " + id + " can't be used");
+        }
+        return new EngineEndpoint(
+                id,
+                address,
+                indexOrFirst(kinds, entry.path(KIND)),
+                entry.path(WEIGHT).asDouble(DEFAULT_WEIGHT),
+                entry.path(STARTED_AT).asDouble(0),
+                state(id, entry),
+                indexOrFirst(zones, entry.path(ZONE)),
+                entry.path(CELL).asInt(0));
+    }
+
+    private static EndpointState state(String id, JsonNode entry) {
+        return switch (entry.path(STATE).asText("")) {
+            case "ready" -> EndpointState.READY;
+            case "draining" -> EndpointState.DRAINING;
+            case "gone" -> EndpointState.GONE;
+            default -> throw new JournalFormatException("unknown state of " + id);
+        };
+    }
+
+    /** Returns the index of a name in the settings; a name that they don't have counts as the first. */
+    private static int indexOrFirst(List<String> names, JsonNode name) {
+        return Math.max(0, names.indexOf(name.asText()));
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/discovery/PollFault.java
@@ -0,0 +1,43 @@
+package lineward.discovery;
+
+/**
+ * Why a poll brought no usable response.
+ *
+ * @param detail what the log says of it
+ */
+record PollFault(Kind kind, String detail) {
+    /** No complete response within the limit. */
+    static final PollFault NO_RESPONSE = new PollFault(Kind.NO_RESPONSE, "no response");
+
+    /** The service closed the connection. */
+    static final PollFault CONNECTION_CLOSED = new PollFault(Kind.CONNECTION_CLOSED, "connection closed");
+
+    /** The ways in which a poll fails. */
+    enum Kind {
+        NO_RESPONSE,
+        CONNECTION_CLOSED,
+        CONNECT_FAILED,
+        HTTP_STATUS,
+        INVALID_RESPONSE
+    }
+
+    /** Returns the fault of a connection that could not be opened. */
+    static PollFault connectFailed(Throwable cause) {
+        return new PollFault(Kind.CONNECT_FAILED, cause.toString());
+    }
+
+    /** Returns the fault of a response with a status other than 200. */
+    static PollFault httpStatus(String status) {
+        return new PollFault(Kind.HTTP_STATUS, "status " + status);
+    }
+
+    /** Returns the fault of a response that can't be read or used, or of a connection that broke. */
+    static PollFault invalidResponse(Throwable cause) {
+        return new PollFault(Kind.INVALID_RESPONSE, cause.toString());
+    }
+
+    @Override
+    public String toString() {
+        return detail;
+    }
+}
--- a/src/main/java/lineward/discovery/PollPolicy.java
+++ b/src/main/java/lineward/discovery/PollPolicy.java
@@ -4,273 +4,215 @@
 import java.util.List;
 
 /**
- * Decides how the journal is followed: when to connect, to ask, to give a connection up, to look at the file
- * that names the service, and to say that nothing is heard. Free of I/O; times are milliseconds of one
- * monotonic clock. Each event returns the steps that are due now, in order; {@link #tick} is to be called
- * every few milliseconds.
+ * Decides how the journal service is followed: when to connect, to poll, to close a connection, to read the file that
+ * names the service, and to warn of silence. Free of I/O; times are milliseconds of one monotonic clock. Each event
+ * returns the steps that are due now, in order; {@link #tick} is to be called every few milliseconds.
  *
- * <p>A service may refuse, accept and stay silent, close at once, answer by drops or late, and the file may
- * be half written when it is read. None of these may leave the program deaf for long once there is something
- * to hear: every wait has an end, and whatever goes wrong for a while makes the file be looked at again. The
- * ways weighed are in {@code docs/journal.md}.
+ * <p>A service may refuse connections, accept them and stay silent, close at once, answer byte by byte or late, and the
+ * file may be half written when it is read. None of these may keep the program from news for long once there is
+ * something to receive: every wait has a limit, and any lasting fault makes the file be read again. The alternatives
+ * are weighed in {@code docs/journal.md}.
  */
 final class PollPolicy {
-    /** Longest wait that a poll asks for. What the journal holds counts as told at once: keep it short. */
-    static final int MAX_WAIT_MS = 1000;
-    /** A whole answer is due by then; a drop now and then does not make a connection a good one. */
-    static final double DUE_MS = MAX_WAIT_MS + 700;
-    /** A connection that is not up by then is overdue: the caller's own limit on connecting is below. */
-    static final double CONNECT_DUE_MS = 600;
-    /** Pause after a failure, and before a service that answers at once with nothing new is asked again. */
+    /** Longest wait that a poll asks for. The journal counts its events as delivered at once: keep it short. */
+    static final int MAX_POLL_WAIT_MS = 1000;
+    /** Pause after a failure, and before the next poll of a service that answers at once with nothing new. */
     static final double PAUSE_MS = 100;
-    /** Connections at once: the overdue ones stay, as a slow service may answer them yet. */
-    static final int MOST_CALLS = 3;
-    /** So long trouble lasts before the file is looked at, and as often it is looked at from then on. */
-    static final double LOOK_MS = 250;
-    /** After SIGHUP a file that can't be read is read again as often, for so long; then as trouble has it. */
-    static final double READ_AGAIN_MS = 50;
-
-    static final double EAGER_MS = 4000;
-    static final double SELDOM_MS = 1000;
-    /** Silence from which on a line is logged, and the pause between two such lines. */
+    /** Connections at once: overdue ones stay open, as a slow service may still answer on them. */
+    static final int MAX_CONNECTIONS = 3;
+    /** Silence beyond which a warning is logged. */
     static final double SILENCE_MS = 2000;
+    /** Interval of these warnings. */
+    static final double WARNING_INTERVAL_MS = 1000;
+    /** An empty response that comes sooner than this was not waited for: the service does not hold polls. */
+    private static final double EARLY_RESPONSE_MS = MAX_POLL_WAIT_MS / 2.0;
 
-    static final double COMPLAIN_MS = 1000;
-
-    /** What the caller is to do. */
-    sealed interface Step {}
-
-    /** Open a connection; it is known by that number from now on. */
-    record Connect(int call, String address) implements Step {}
-
-    /** Send a poll on a connection. */
-    record Ask(int call) implements Step {}
-
-    /** Close a connection and forget it. */
-    record Drop(int call) implements Step {}
-
-    /** Read the file and report {@link #fileRead} or {@link #fileUnreadable}; never two looks at once. */
-    record Look() implements Step {}
-
-    /** Tell people that nothing has been heard for so long, and what went wrong last. */
-    record Complain(String address, double silentMs, String trouble) implements Step {}
-
-    private static final class Call {
-        final int number;
-        /** Since when the present wait, for the connection or for an answer, lasts. */
-        double since;
+    private static final double NEVER = Double.POSITIVE_INFINITY;
 
-        boolean up;
-        /** When to ask next; not a number while an answer is awaited. */
-        double askAt = Double.NaN;
+    /** In the order of their opening: the newest is last. */
+    private final List<PollConnection> connections = new ArrayList<>(MAX_CONNECTIONS);
 
-        Call(int number, double since) {
-            this.number = number;
-            this.since = since;
-        }
-
-        boolean isOverdue(double now) {
-            return Double.isNaN(askAt) && now - since > (up ? DUE_MS : CONNECT_DUE_MS);
-        }
-    }
-
-    private final List<Call> calls = new ArrayList<>(MOST_CALLS);
+    private final FileReadSchedule fileReads = new FileReadSchedule();
     private String address;
-    private int lastCall;
-    private double connectAt;
-    private double heardAt;
-    private double troubledSince = Double.NaN;
-    private String trouble = "no answer";
-    private double complainAt;
-    private boolean looking;
-    private boolean lookAgain;
-    private double lookAt = Double.POSITIVE_INFINITY;
-    /** Since when a file that SIGHUP asked for has not been read; not a number: none is awaited. */
-    private double awaitedSince = Double.NaN;
+    private int lastNumber;
+    private double connectNotBeforeMs;
+    private double lastResponseAtMs;
+    /** When the present row of faults began; {@link #NEVER} for a healthy service. */
+    private double failingSinceMs = NEVER;
+
+    private PollFault lastFault = PollFault.NO_RESPONSE;
+    private double nextWarningAtMs;
 
-    /** @param address of the service that is known at the start */
-    PollPolicy(String address, double now) {
+    /** Creates the policy for a service at that address, which is connected to at the first tick. */
+    PollPolicy(String address, double nowMs) {
         this.address = address;
-        connectAt = now;
-        heardAt = now;
+        connectNotBeforeMs = nowMs;
+        lastResponseAtMs = nowMs;
     }
 
-    /** Returns how long ago the last usable answer came, or the start if none has. */
-    double age(double now) {
-        return now - heardAt;
+    /** Returns the time since the last usable response, or since the start if none has come. */
+    double silentMs(double nowMs) {
+        return nowMs - lastResponseAtMs;
     }
 
-    /** Returns where the service is taken to be. */
+    /** Returns the service's address as last read. */
     String address() {
         return address;
     }
 
-    /** Moves whatever is due. */
-    List<Step> tick(double now) {
-        List<Step> steps = new ArrayList<>(2);
-        for (Call call : calls) {
-            if (call.askAt <= now) {
-                ask(call, now, steps);
+    /** Returns the steps that have become due. */
+    List<PollStep> tick(double nowMs) {
+        List<PollStep> steps = new ArrayList<>(2);
+        for (PollConnection connection : connections) {
+            if (connection.isResumeDue(nowMs)) {
+                poll(connection, nowMs, steps);
             }
         }
-        boolean overdue = !calls.isEmpty() && newest().isOverdue(now);
-        if (overdue) {
-            troubled(now, "no answer");
-        }
-        if ((calls.isEmpty() || overdue) && now >= connectAt) {
-            connect(now, steps);
-        }
-        if (!looking && now >= Math.min(lookAt, lookInTrouble())) {
-            looking = true;
-            lookAt = Double.POSITIVE_INFINITY;
-            steps.add(new Look());
+        connectIfNeeded(nowMs, steps);
+        if (fileReads.isReadDue(nowMs, failingSinceMs)) {
+            fileReads.beginRead();
+            steps.add(new PollStep.ReadFile());
         }
-        if (age(now) > SILENCE_MS && now >= complainAt) {
-            complainAt = now + COMPLAIN_MS;
-            steps.add(new Complain(address, age(now), trouble));
+        if (silentMs(nowMs) > SILENCE_MS && nowMs >= nextWarningAtMs) {
+            nextWarningAtMs = nowMs + WARNING_INTERVAL_MS;
+            steps.add(new PollStep.WarnOfSilence(address, silentMs(nowMs), lastFault));
         }
         return steps;
     }
 
-    /** A connection is up. */
-    List<Step> connected(int number, double now) {
-        List<Step> steps = new ArrayList<>(1);
-        Call call = find(number);
-        if (call == null) {
-            steps.add(new Drop(number));
+    /** A connection is open. */
+    List<PollStep> connected(int number, double nowMs) {
+        List<PollStep> steps = new ArrayList<>(1);
+        PollConnection connection = find(number);
+        if (connection == null) {
+            steps.add(new PollStep.Close(number));
         } else {
-            call.up = true;
-            ask(call, now, steps);
+            poll(connection, nowMs, steps);
         }
         return steps;
     }
 
-    /** Returns whether that connection still counts; what another one says is to be passed over. */
-    boolean counts(int number) {
+    /** Returns whether the policy still has that connection; responses on any other are to be ignored. */
+    boolean isOpen(int number) {
         return find(number) != null;
     }
 
-    /**
-     * A whole, usable answer came on a connection that counts. All others have been overtaken by it.
-     *
-     * @param news whether it told something new
-     */
-    List<Step> answered(int number, boolean news, double now) {
-        List<Step> steps = new ArrayList<>(2);
-        Call call = find(number);
-        if (call == null) {
+    /** A complete, usable response came; it makes all other connections superfluous. */
+    List<PollStep> responded(int number, PollResponse response, double nowMs) {
+        List<PollStep> steps = new ArrayList<>(2);
+        PollConnection connection = find(number);
+        if (connection == null) {
             return steps;
         }
-        heardAt = now;
-        troubledSince = Double.NaN;
-        complainAt = now;
-        calls.removeIf(other -> {
-            if (other != call) {
-                steps.add(new Drop(other.number));
-            }
-            return other != call;
-        });
-        // Danger: a service that answers at once with nothing new would have us ask without a pause.
-        if (!news && now - call.since < MAX_WAIT_MS / 2.0) {
-            call.askAt = now + PAUSE_MS;
+        lastResponseAtMs = nowMs;
+        failingSinceMs = NEVER;
+        nextWarningAtMs = nowMs;
+        closeAllBut(connection, steps);
+        if (response.closesConnection()) {
+            steps.add(new PollStep.Close(number));
+            remove(connection, nowMs);
+        } else if (!response.changed() && nowMs - connection.waitingSinceMs() < EARLY_RESPONSE_MS) {
+            // Danger: a service that answers at once with nothing new would be polled without a pause.
+            connection.pause(nowMs + PAUSE_MS);
         } else {
-            ask(call, now, steps);
+            poll(connection, nowMs, steps);
         }
         return steps;
     }
 
-    /** A connection has ended, or did not come up, or told what can't be used and was closed for it. */
-    void ended(int number, String why, double now) {
-        Call call = find(number);
-        if (call != null) {
-            finished(number, now);
-            troubled(now, why);
+    /** A connection has ended, could not be opened, or brought an unusable response and was closed for it. */
+    void failed(int number, PollFault fault, double nowMs) {
+        PollConnection connection = find(number);
+        if (connection != null) {
+            remove(connection, nowMs);
+            recordFault(fault, nowMs);
         }
     }
 
-    /** A connection has been closed in order behind an answer. */
-    void finished(int number, double now) {
-        calls.removeIf(call -> call.number == number);
-        connectAt = now + PAUSE_MS;
+    /** SIGHUP: the file has been replaced and is to be read. */
+    void reloadAddress(double nowMs) {
+        fileReads.requestReload(nowMs);
+    }
+
+    /** The file is complete and names that address. */
+    List<PollStep> fileRead(String addressRead, double nowMs) {
+        List<PollStep> steps = new ArrayList<>(MAX_CONNECTIONS);
+        fileReads.readSucceeded(nowMs, isFailing());
+        if (!addressRead.equals(address)) {
+            address = addressRead;
+            connections.forEach(connection -> steps.add(new PollStep.Close(connection.number())));
+            connections.clear();
+            connectNotBeforeMs = nowMs;
+            failingSinceMs = NEVER;
+            steps.addAll(tick(nowMs));
+        }
+        return steps;
     }
 
-    /** SIGHUP: the file has been replaced and is to be read. */
-    void reloadAddress(double now) {
-        awaitedSince = now;
-        lookAt = now;
-        lookAgain = looking;
+    /** The file is missing, cut or not valid: the address stays. */
+    void fileUnreadable(double nowMs) {
+        fileReads.readFailed(nowMs, isFailing());
     }
 
-    /** The file is whole and names that address. */
-    List<Step> fileRead(String named, double now) {
-        List<Step> steps = new ArrayList<>(MOST_CALLS);
-        looked(now);
-        if (!lookAgain) {
-            awaitedSince = Double.NaN;
+    private void connectIfNeeded(double nowMs, List<PollStep> steps) {
+        boolean overdue = !connections.isEmpty() && newest().isOverdue(nowMs);
+        if (overdue) {
+            recordFault(PollFault.NO_RESPONSE, nowMs);
         }
-        lookAgain = false;
-        if (!named.equals(address)) {
-            address = named;
-            calls.forEach(call -> steps.add(new Drop(call.number)));
-            calls.clear();
-            connectAt = now;
-            troubledSince = Double.NaN;
-            steps.addAll(tick(now));
+        if ((connections.isEmpty() || overdue) && nowMs >= connectNotBeforeMs) {
+            connect(nowMs, steps);
         }
-        return steps;
     }
 
-    /** The file is not there, cut short or otherwise of no use: what is known stays. */
-    void fileUnreadable(double now) {
-        looked(now);
-        lookAgain = false;
-        if (!Double.isNaN(awaitedSince)) {
-            lookAt = Math.min(lookAt, now + (now - awaitedSince < EAGER_MS ? READ_AGAIN_MS : SELDOM_MS));
+    private void connect(double nowMs, List<PollStep> steps) {
+        if (connections.size() == MAX_CONNECTIONS) {
+            steps.add(new PollStep.Close(connections.remove(0).number()));
         }
+        lastNumber++;
+        connections.add(new PollConnection(lastNumber, nowMs));
+        steps.add(new PollStep.Connect(lastNumber, address));
     }
 
-    private void looked(double now) {
-        looking = false;
-        lookAt = lookAgain ? now : Double.POSITIVE_INFINITY;
-        if (!Double.isNaN(troubledSince)) {
-            lookAt = Math.min(lookAt, now + LOOK_MS);
-        }
+    private static void poll(PollConnection connection, double nowMs, List<PollStep> steps) {
+        connection.poll(nowMs);
+        steps.add(new PollStep.SendPoll(connection.number()));
     }
 
-    /** The first look that trouble asks for; those after it follow from {@link #looked}. */
-    private double lookInTrouble() {
-        return Double.isNaN(troubledSince) || lookAt < Double.POSITIVE_INFINITY
-                ? Double.POSITIVE_INFINITY
-                : troubledSince + LOOK_MS;
+    private void closeAllBut(PollConnection kept, List<PollStep> steps) {
+        for (PollConnection connection : connections) {
+            if (connection != kept) {
+                steps.add(new PollStep.Close(connection.number()));
+            }
+        }
+        connections.removeIf(connection -> connection != kept);
     }
 
-    private void troubled(double now, String why) {
-        trouble = why;
-        if (Double.isNaN(troubledSince)) {
-            troubledSince = now;
-        }
+    private void remove(PollConnection connection, double nowMs) {
+        connections.remove(connection);
+        connectNotBeforeMs = nowMs + PAUSE_MS;
     }
 
-    private void connect(double now, List<Step> steps) {
-        if (calls.size() == MOST_CALLS) {
-            steps.add(new Drop(calls.remove(0).number));
+    private void recordFault(PollFault fault, double nowMs) {
+        lastFault = fault;
+        if (!isFailing()) {
+            failingSinceMs = nowMs;
         }
-        Call call = new Call(++lastCall, now);
-        calls.add(call);
-        steps.add(new Connect(call.number, address));
     }
 
-    private static void ask(Call call, double now, List<Step> steps) {
-        call.since = now;
-        call.askAt = Double.NaN;
-        steps.add(new Ask(call.number));
+    private boolean isFailing() {
+        return failingSinceMs < NEVER;
     }
 
-    private Call newest() {
-        return calls.get(calls.size() - 1);
+    private PollConnection newest() {
+        return connections.get(connections.size() - 1);
     }
 
-    private Call find(int number) {
-        return calls.stream().filter(c -> c.number == number).findFirst().orElse(null);
+    private PollConnection find(int number) {
+        for (PollConnection connection : connections) {
+            if (connection.number() == number) {
+                return connection;
+            }
+        }
+        return null;
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/discovery/PollTransport.java
@@ -0,0 +1,169 @@
+package lineward.discovery;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The HTTP/1.1 connections to the journal service, by the numbers that the poll policy gives them. All of it runs on
+ * the event loop. There are as many connections as the policy opens, three at most.
+ */
+final class PollTransport {
+    private static final Logger LOG = LoggerFactory.getLogger(PollTransport.class);
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
+    /** Takes what happens on the connections. */
+    interface Listener {
+        /** A connection is open. */
+        void connected(int number);
+
+        /**
+         * A complete response has come; the listener must not keep its content.
+         *
+         * @throws IOException if the content can't be read; the connection is then closed as failed
+         */
+        void responded(int number, FullHttpResponse response) throws IOException;
+
+        /** A connection has ended, could not be opened or has failed; may come again for the same one. */
+        void failed(int number, PollFault fault);
+    }
+
+    private record Connection(Channel channel, String address) {}
+
+    private final EventLoop loop;
+    private final Listener listener;
+    private final Map<Integer, Connection> connections = new HashMap<>();
+
+    /** Creates a transport without connections. */
+    PollTransport(EventLoop loop, Listener listener) {
+        this.loop = loop;
+        this.listener = listener;
+    }
+
+    /** Opens a connection to {@code host:port}. */
+    void connect(int number, String address) {
+        int colon = address.lastIndexOf(':');
+        String host = address.substring(0, colon);
+        int port = Integer.parseInt(address.substring(colon + 1));
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new PipelineInitializer(number))
+                .connect(new InetSocketAddress(host, port));
+        connections.put(number, new Connection(connecting.channel(), address));
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                fail(number, PollFault.connectFailed(done.cause()));
+            }
+        });
+    }
+
+    /** Sends a GET for that URI, if the connection is still there. */
+    void get(int number, String uri) {
+        Connection connection = connections.get(number);
+        if (connection != null) {
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+            request.headers().set(HttpHeaderNames.HOST, connection.address());
+            connection.channel().writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+    }
+
+    /** Closes a connection, if it is still there. */
+    void close(int number) {
+        Connection connection = connections.remove(number);
+        if (connection != null) {
+            close(connection.channel());
+        }
+    }
+
+    /** Closes a connection whose response can't be used, and reports the fault. */
+    void abort(int number, PollFault fault) {
+        Connection connection = connections.get(number);
+        fail(number, fault);
+        if (connection != null) {
+            close(connection.channel());
+        }
+    }
+
+    private void fail(int number, PollFault fault) {
+        connections.remove(number);
+        listener.failed(number, fault);
+    }
+
+    private static void close(Channel channel) {
+        channel.close().addListener(closed -> {
+            if (!closed.isSuccess()) {
+                LOG.debug("connection to the journal not closed in order", closed.cause());
+            }
+        });
+    }
+
+    private final class PipelineInitializer extends ChannelInitializer<Channel> {
+        private final int number;
+
+        PipelineInitializer(int number) {
+            this.number = number;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(
+                            new HttpClientCodec(),
+                            new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+                            new ResponseHandler(number));
+        }
+    }
+
+    private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int number;
+
+        ResponseHandler(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            listener.connected(number);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) throws IOException {
+            listener.responded(number, response);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            fail(number, PollFault.invalidResponse(cause));
+            close(context.channel());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            fail(number, PollFault.CONNECTION_CLOSED);
+        }
+    }
+}
--- a/src/main/java/lineward/gossip/GossipSocket.java
+++ b/src/main/java/lineward/gossip/GossipSocket.java
@@ -1,81 +1,99 @@
 package lineward.gossip;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.Map;
 
-/** The socket by which a front end and the others of its tier talk. */
+/** The UDP socket by which a front end exchanges gossip with the other front ends of its tier. */
 public final class GossipSocket extends SimpleChannelInboundHandler<DatagramPacket> {
-    /** Hears what the others say. */
+    /** Takes the messages of the other front ends. */
     @FunctionalInterface
     public interface Listener {
-        /** @param from the sender's number in the tier */
-        void received(int from, byte[] octets);
+        /**
+         * A message has come.
+         *
+         * @param senderNumber the sender's number in the tier
+         * @param message 1 to {@link #MAX_MESSAGE_BYTES} bytes, which may be corrupt
+         */
+        void received(int senderNumber, byte[] message);
     }
 
-    /** A longer datagram is no word of this protocol. */
-    public static final int MAX_PAYLOAD = 256;
-    /** Words heard in a turn of the loop: a neighbour that floods must not take the clients' time. */
-    private static final int MOST_A_TURN = 64;
+    /** A longer datagram is no message of this protocol. */
+    public static final int MAX_MESSAGE_BYTES = 256;
+    /** Datagrams read in one turn of the event loop: a peer that floods must not take the clients' time. */
+    private static final int MAX_DATAGRAMS_PER_READ = 64;
+    /** One byte more than a message may have tells those that are too long. */
+    private static final int RECEIVE_BUFFER_BYTES = MAX_MESSAGE_BYTES + 1;
 
-    private final Map<InetSocketAddress, Integer> numbers;
-    private final InetSocketAddress all;
+    private final Map<InetSocketAddress, Integer> numbersByAddress;
+    private final InetSocketAddress broadcastAddress;
     private final Listener listener;
     private Channel channel;
 
     /**
-     * @param numbers of the others in the tier, by the address from which they send; nobody else is heard
-     * @param all where a word for all of them goes
+     * Creates a socket that is not open yet.
+     *
+     * @param numbersByAddress the other front ends' numbers, by the address from which they send; datagrams from any
+     *     other address are ignored
+     * @param broadcastAddress where a message for all of them is sent
      */
-    public GossipSocket(Map<InetSocketAddress, Integer> numbers, InetSocketAddress all, Listener listener) {
-        this.numbers = Map.copyOf(numbers);
-        this.all = all;
+    public GossipSocket(
+            Map<InetSocketAddress, Integer> numbersByAddress, InetSocketAddress broadcastAddress, Listener listener) {
+        this.numbersByAddress = Map.copyOf(numbersByAddress);
+        this.broadcastAddress = broadcastAddress;
         this.listener = listener;
     }
 
-    /** Opens the socket at that address; at an upgrade the process that came last hears there. */
-    public ChannelFuture open(EventLoopGroup loop, InetSocketAddress at) {
-        // One byte more than a word may have tells those that are too long.
+    /** Opens the socket at that address. At a hot restart two processes have it, and the later one receives. */
+    public ChannelFuture open(EventLoopGroup loop, InetSocketAddress address) {
+        RecvByteBufAllocator allocator =
+                new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES).maxMessagesPerRead(MAX_DATAGRAMS_PER_READ);
         ChannelFuture opening = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new FixedRecvByteBufAllocator(MAX_PAYLOAD + 1).maxMessagesPerRead(MOST_A_TURN))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, allocator)
                 .handler(this)
-                .bind(at);
+                .bind(address);
         channel = opening.channel();
         return opening;
     }
 
-    /** Sends a word to all others; one that is too long, or finds the socket full, is lost. */
-    public void broadcast(byte[] octets) {
-        if (octets.length <= MAX_PAYLOAD && channel != null && channel.isWritable()) {
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(octets), all));
+    /** Sends a message to all others. One that is too long, or finds the socket not open or full, is dropped. */
+    public void broadcast(byte[] message) {
+        if (message.length <= MAX_MESSAGE_BYTES && channel != null && channel.isWritable()) {
+            DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(message), broadcastAddress);
+            channel.writeAndFlush(packet).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
         }
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-        Integer from = numbers.get(packet.sender());
-        if (from != null && packet.content().isReadable() && packet.content().readableBytes() <= MAX_PAYLOAD) {
-            listener.received(from, ByteBufUtil.getBytes(packet.content()));
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+        Integer senderNumber = numbersByAddress.get(packet.sender());
+        if (senderNumber != null && isMessage(packet.content())) {
+            listener.received(senderNumber, ByteBufUtil.getBytes(packet.content()));
         }
     }
 
-    /** A neighbour that is down answers with an error now and then; the next word may find it up. */
+    private static boolean isMessage(ByteBuf content) {
+        return content.isReadable() && content.readableBytes() <= MAX_MESSAGE_BYTES;
+    }
+
+    /** Ignores the error: a peer that is down causes one now and then, and the next message may find it up. */
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
 }
--- a/src/test/java/lineward/discovery/JournalPollTest.java
+++ b/src/test/java/lineward/discovery/DiscoveryClientTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import lineward.Program;
@@ -30,33 +31,35 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** The poll on real sockets: services that fail in each way, a file cut at each length. */
-public class JournalPollTest {
-    private enum Mode {
+/** The client on real sockets: services that fail in each way, a configuration file cut at each length. */
+public class DiscoveryClientTest {
+    private static final int TICK_MS = 5;
+
+    private enum Behaviour {
         ANSWERS,
-        ACCEPTS_ONLY,
+        STAYS_SILENT,
         CLOSES_AT_ONCE,
-        DRIBBLES,
-        GARBAGE
+        SENDS_SLOWLY,
+        ANSWERS_MALFORMED
     }
 
-    /** A service that answers each poll at once with its one event, or fails as told. */
+    /** A service that answers each client at once with its one event, or fails in the given way. */
     private static final class Service implements AutoCloseable {
         final ServerSocket server;
         final List<Socket> sockets = new CopyOnWriteArrayList<>();
         final AtomicInteger answers = new AtomicInteger();
         final int event;
-        volatile Mode mode;
+        volatile Behaviour behaviour;
 
-        Service(int event, Mode mode) throws IOException {
-            server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Service(int event, Behaviour behaviour) throws IOException {
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
             this.event = event;
-            this.mode = mode;
+            this.behaviour = behaviour;
             thread(() -> {
                 while (true) {
                     Socket socket = server.accept();
                     sockets.add(socket);
-                    thread(() -> serve(socket, this.mode));
+                    thread(() -> serve(socket, this.behaviour));
                 }
             });
         }
@@ -83,29 +86,29 @@
             return "127.0.0.1:" + server.getLocalPort();
         }
 
-        private void serve(Socket socket, Mode met) throws IOException {
-            if (met == Mode.CLOSES_AT_ONCE) {
+        private void serve(Socket socket, Behaviour behaviourAtAccept) throws IOException {
+            if (behaviourAtAccept == Behaviour.CLOSES_AT_ONCE) {
                 socket.close();
                 return;
             }
-            BufferedReader in =
+            BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-            OutputStream out = socket.getOutputStream();
-            for (String line = in.readLine(); line != null; line = in.readLine()) {
-                if (!line.isEmpty() || met == Mode.ACCEPTS_ONLY) {
+            OutputStream output = socket.getOutputStream();
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                if (!line.isEmpty() || behaviourAtAccept == Behaviour.STAYS_SILENT) {
                     continue;
                 }
-                String body = met == Mode.GARBAGE
+                String body = behaviourAtAccept == Behaviour.ANSWERS_MALFORMED
                         ? "{"
                         : "{\"pos\":" + event + ",\"entries\":[{\"pos\":" + event
                                 + ",\"hosts\":{\"reset\":true,\"instances\":[]}}]}";
                 byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                         .getBytes(StandardCharsets.US_ASCII);
-                for (int i = 0; met == Mode.DRIBBLES && i < answer.length - 1; i++) {
-                    out.write(answer, i, 1);
+                for (int i = 0; behaviourAtAccept == Behaviour.SENDS_SLOWLY && i < answer.length - 1; i++) {
+                    output.write(answer, i, 1);
                     pause(100);
                 }
-                out.write(answer);
+                output.write(answer);
                 answers.incrementAndGet();
             }
         }
@@ -132,17 +135,20 @@
     private final List<Service> services = new ArrayList<>();
     private EndpointList list;
     private Path file;
-    private DiscoveryClient poll;
+    private DiscoveryClient client;
+    private Future<?> ticks;
 
     @BeforeMethod
     public void makeFile() throws IOException {
         file = Files.createTempFile("journal", ".txt");
-        list = new EndpointList(List.of(), List.of(), (whole, entries) -> {});
+        list = new EndpointList(List.of(), List.of(), (fullSnapshot, endpoints) -> {});
     }
 
     @AfterMethod
     public void closeAll() throws IOException {
-        loop.submit(() -> poll = null).syncUninterruptibly();
+        if (ticks != null) {
+            ticks.cancel(false);
+        }
         for (Service service : services) {
             service.close();
         }
@@ -150,13 +156,13 @@
         Files.deleteIfExists(file);
     }
 
-    private Service service(int event, Mode mode) throws IOException {
-        Service service = new Service(event, mode);
+    private Service service(int event, Behaviour behaviour) throws IOException {
+        Service service = new Service(event, behaviour);
         services.add(service);
         return service;
     }
 
-    /** The file holds an address and an end mark, without which it counts as cut. */
+    /** The file holds an address and an end mark, without which it counts as incomplete. */
     private void write(String text) throws IOException {
         Files.writeString(file, text);
     }
@@ -165,7 +171,7 @@
         try {
             String text = Files.readString(file);
             if (!text.endsWith(";")) {
-                throw new IllegalStateException("the file is cut");
+                throw new IllegalStateException("the file is incomplete");
             }
             return text.substring(0, text.length() - 1);
         } catch (IOException e) {
@@ -174,63 +180,54 @@
     }
 
     private void start(String address) {
-        poll = new DiscoveryClient(loop, address, list, this::read, new MonotonicClock());
-        tick();
-    }
-
-    private void tick() {
-        loop.schedule(
-                () -> {
-                    if (poll != null) {
-                        poll.tick();
-                        tick();
-                    }
-                },
-                5,
-                TimeUnit.MILLISECONDS);
+        client = new DiscoveryClient(loop, address, list, this::read, new MonotonicClock());
+        ticks = loop.scheduleWithFixedDelay(client::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void hangUp() {
-        loop.submit(poll::reloadAddress).syncUninterruptibly();
+    private void signalReload() {
+        loop.submit(client::reloadAddress).syncUninterruptibly();
     }
 
-    private long position() {
-        long[] position = new long[1];
-        loop.submit(() -> position[0] = list.position()).syncUninterruptibly();
-        return position[0];
+    private long lastEventNumber() {
+        return loop.submit(list::lastEventNumber).syncUninterruptibly().getNow();
     }
 
     private void awaitEvent(int event) {
         long start = System.nanoTime();
-        Program.await("event " + event, () -> position() == event);
-        long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
-        assertTrue(took < 4000, "heard after " + took + " ms");
+        Program.await("event " + event, () -> lastEventNumber() == event);
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        assertTrue(tookMs < 4000, "applied after " + tookMs + " ms");
     }
 
     @DataProvider
     public Object[][] faults() {
-        return new Object[][] {{Mode.ACCEPTS_ONLY}, {Mode.CLOSES_AT_ONCE}, {Mode.DRIBBLES}, {Mode.GARBAGE}};
+        return new Object[][] {
+            {Behaviour.STAYS_SILENT},
+            {Behaviour.CLOSES_AT_ONCE},
+            {Behaviour.SENDS_SLOWLY},
+            {Behaviour.ANSWERS_MALFORMED}
+        };
     }
 
     @Test(dataProvider = "faults")
-    public void aServiceThatFailsAtTheStartIsHeardOnceItAnswers(Mode fault) throws IOException {
+    public void aServiceThatFailsAtTheStartIsFollowedOnceItAnswers(Behaviour fault) throws IOException {
         Service service = service(3, fault);
         write(service.address() + ';');
         start(service.address());
-        Program.await("it came", () -> !service.sockets.isEmpty());
-        service.mode = Mode.ANSWERS;
+        Program.await("a connection", () -> !service.sockets.isEmpty());
+        service.behaviour = Behaviour.ANSWERS;
         awaitEvent(3);
     }
 
-    /** The old service is gone or mute, the signal was lost or met a broken file: the file is found. */
+    /** The old service is gone or silent and the signal is lost: the file is read all the same. */
     @Test(dataProvider = "faults")
-    public void aServiceThatFailsLaterIsLeftForTheOneInTheFile(Mode fault) throws IOException {
-        Service old = service(3, Mode.ANSWERS);
-        Service next = service(4, Mode.ANSWERS);
+    public void aServiceThatFailsLaterIsReplacedByTheOneInTheFile(Behaviour fault) throws IOException {
+        Service old = service(3, Behaviour.ANSWERS);
+        Service next = service(4, Behaviour.ANSWERS);
         write(old.address() + ';');
         start(old.address());
         awaitEvent(3);
-        old.mode = fault;
+        old.behaviour = fault;
         for (Socket socket : old.sockets) {
             socket.close();
         }
@@ -239,51 +236,51 @@
     }
 
     @Test
-    public void aRefusedConnectionAtTheStartIsTriedAgain() throws IOException {
-        Service gone = service(1, Mode.ANSWERS);
+    public void aConnectionRefusedAtTheStartIsRetried() throws IOException {
+        Service gone = service(1, Behaviour.ANSWERS);
         gone.close();
         write("");
         start(gone.address());
-        Service next = service(2, Mode.ANSWERS);
+        Service next = service(2, Behaviour.ANSWERS);
         write(next.address() + ';');
         awaitEvent(2);
     }
 
     @Test
-    public void aFileCutAtAnyLengthIsReadAgainUntilItIsWhole() throws IOException {
-        Service first = service(1, Mode.ANSWERS);
+    public void anIncompleteFileIsReadAgainUntilItIsComplete() throws IOException {
+        Service first = service(1, Behaviour.ANSWERS);
         write(first.address() + ';');
         start(first.address());
         awaitEvent(1);
         int length = first.address().length();
-        for (int cut = 0; cut <= length; cut++) {
-            Service next = service(cut + 2, Mode.ANSWERS);
-            String whole = next.address() + ';';
-            write(whole.substring(0, Math.min(cut, whole.length() - 1)));
-            hangUp();
-            if (cut % 2 == 0) {
-                hangUp();
+        for (int keptLength = 0; keptLength <= length; keptLength++) {
+            Service next = service(keptLength + 2, Behaviour.ANSWERS);
+            String complete = next.address() + ';';
+            write(complete.substring(0, Math.min(keptLength, complete.length() - 1)));
+            signalReload();
+            if (keptLength % 2 == 0) {
+                signalReload();
             }
-            write(whole);
-            awaitEvent(cut + 2);
+            write(complete);
+            awaitEvent(keptLength + 2);
         }
     }
 
     @Test
-    public void afterMovesInQuickTurnsTheLastHolds() throws IOException {
-        Service first = service(1, Mode.ANSWERS);
+    public void afterReloadsInQuickSuccessionTheLastAddressIsFollowed() throws IOException {
+        Service first = service(1, Behaviour.ANSWERS);
         write(first.address() + ';');
         start(first.address());
         Service last = first;
         for (int i = 0; i < 20; i++) {
-            last = service(i + 2, Mode.ANSWERS);
+            last = service(i + 2, Behaviour.ANSWERS);
             write(last.address() + ';');
-            hangUp();
+            signalReload();
         }
         awaitEvent(21);
-        int before = last.answers.get();
-        Service at = last;
-        Program.await("it stays there", () -> at.answers.get() > before + 2);
-        assertEquals(position(), 21);
+        int answersBefore = last.answers.get();
+        Service followed = last;
+        Program.await("more polls there", () -> followed.answers.get() > answersBefore + 2);
+        assertEquals(lastEventNumber(), 21);
     }
 }
--- /dev/null
+++ b/src/test/java/lineward/discovery/DiscoverySimulation.java
@@ -0,0 +1,218 @@
+package lineward.discovery;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A poll policy in simulated time, between three services with faults and a configuration file that names one of them.
+ * Measures for how long no poll waited at the named service although the file was complete and the service healthy.
+ */
+final class DiscoverySimulation implements PollStep.Handler {
+    private static final List<String> ADDRESSES = List.of("a:1", "b:1", "c:1");
+    private static final double STEP_MS = 5;
+
+    enum Behaviour {
+        HEALTHY,
+        REFUSES_CONNECTIONS,
+        STAYS_SILENT,
+        CLOSES_AT_ONCE,
+        SENDS_SLOWLY
+    }
+
+    /** One service: what it does to connections; one that is open during a fault keeps it to its end. */
+    static final class Service {
+        Behaviour behaviour = Behaviour.HEALTHY;
+        final Map<Integer, Behaviour> open = new HashMap<>();
+    }
+
+    final Random random;
+    final Map<String, Service> services = new HashMap<>();
+    final TreeMap<Double, List<Runnable>> tasks = new TreeMap<>();
+    final PollPolicy policy;
+    final Map<Integer, String> connections = new HashMap<>();
+    final Map<Integer, Boolean> polling = new HashMap<>();
+    final boolean answersAtOnce;
+    String file;
+    double nowMs;
+    double availableSinceMs;
+    double polledAtMs;
+    double longestUnpolledMs;
+    int connects;
+    int fileReads;
+    final List<Double> warningsAtMs = new ArrayList<>();
+
+    DiscoverySimulation(long seed, boolean answersAtOnce) {
+        random = new Random(seed);
+        this.answersAtOnce = answersAtOnce;
+        for (String name : ADDRESSES) {
+            services.put(name, new Service());
+        }
+        file = "a:1";
+        policy = new PollPolicy("a:1", 0);
+    }
+
+    String randomAddress() {
+        return ADDRESSES.get(random.nextInt(ADDRESSES.size()));
+    }
+
+    /** Returns any behaviour but the healthy one. */
+    Behaviour randomFault() {
+        Behaviour[] all = Behaviour.values();
+        return all[1 + random.nextInt(all.length - 1)];
+    }
+
+    void at(double atMs, Runnable task) {
+        tasks.computeIfAbsent(atMs, key -> new ArrayList<>()).add(task);
+    }
+
+    /** A reload as the platform makes it: the file changes, the old service falls silent and closes. */
+    void reload(double atMs, boolean signalled) {
+        String target = randomAddress();
+        double brokenMs = random.nextInt(3) == 0 ? random.nextDouble() * 3000 : 0;
+        double signalAtMs = atMs + (random.nextInt(4) == 0 ? -200 * random.nextDouble() : 0);
+        at(atMs - 1, () -> file = null);
+        if (signalled) {
+            at(signalAtMs, () -> policy.reloadAddress(nowMs));
+        }
+        at(atMs + brokenMs, () -> {
+            String old = file == null ? policy.address() : file;
+            file = target;
+            services.get(target).behaviour = Behaviour.HEALTHY;
+            if (!old.equals(target)) {
+                fault(old, Behaviour.STAYS_SILENT);
+                at(nowMs + 1500, () -> closeAll(old));
+            }
+        });
+    }
+
+    void fault(String name, Behaviour behaviour) {
+        services.get(name).behaviour = behaviour;
+        services.get(name).open.replaceAll((connection, was) -> behaviour);
+        if (behaviour == Behaviour.REFUSES_CONNECTIONS || behaviour == Behaviour.CLOSES_AT_ONCE) {
+            closeAll(name);
+        }
+    }
+
+    /** A service that the file does not name has moved away: it does not come back. */
+    void heal(String name) {
+        if (name.equals(file)) {
+            services.get(name).behaviour = Behaviour.HEALTHY;
+        }
+    }
+
+    private void closeAll(String name) {
+        for (int connection : List.copyOf(services.get(name).open.keySet())) {
+            end(name, connection);
+        }
+    }
+
+    private void end(String name, int connection) {
+        services.get(name).open.remove(connection);
+        connections.remove(connection);
+        policy.failed(connection, PollFault.CONNECTION_CLOSED, nowMs);
+    }
+
+    void run(double endMs) {
+        for (nowMs = 0; nowMs < endMs; nowMs += STEP_MS) {
+            runDueTasks();
+            perform(policy.tick(nowMs));
+            measure();
+        }
+    }
+
+    private void runDueTasks() {
+        while (!tasks.isEmpty() && tasks.firstKey() <= nowMs) {
+            tasks.pollFirstEntry().getValue().forEach(Runnable::run);
+        }
+    }
+
+    /** A poll that waits at a healthy service would be answered as soon as there is an event. */
+    private void measure() {
+        boolean available = file != null && services.get(file).behaviour == Behaviour.HEALTHY;
+        boolean polled = available && connections.keySet().stream().anyMatch(this::isPollAtNamedService);
+        availableSinceMs = available ? availableSinceMs : nowMs;
+        polledAtMs = polled ? nowMs : polledAtMs;
+        longestUnpolledMs = Math.max(longestUnpolledMs, nowMs - Math.max(polledAtMs, availableSinceMs));
+    }
+
+    private boolean isPollAtNamedService(int connection) {
+        return connections.get(connection).equals(file)
+                && polling.getOrDefault(connection, false)
+                && services.get(file).open.get(connection) == Behaviour.HEALTHY;
+    }
+
+    void perform(List<PollStep> steps) {
+        for (PollStep step : steps) {
+            step.dispatchTo(this);
+        }
+        assertTrue(connections.size() <= PollPolicy.MAX_CONNECTIONS, "connections: " + connections);
+    }
+
+    @Override
+    public void connect(PollStep.Connect step) {
+        connects++;
+        connections.put(step.connection(), step.address());
+        at(nowMs + 1 + random.nextInt(20), () -> arrive(step.connection(), step.address()));
+    }
+
+    @Override
+    public void sendPoll(PollStep.SendPoll step) {
+        polling.put(step.connection(), true);
+        double delayMs = answersAtOnce ? 5 : PollPolicy.MAX_POLL_WAIT_MS;
+        at(nowMs + delayMs, () -> answer(step.connection()));
+    }
+
+    @Override
+    public void close(PollStep.Close step) {
+        String address = connections.remove(step.connection());
+        services.get(address).open.remove(step.connection());
+    }
+
+    @Override
+    public void readFile(PollStep.ReadFile step) {
+        fileReads++;
+        String content = file;
+        at(nowMs + 1 + random.nextInt(10), () -> {
+            if (content == null) {
+                policy.fileUnreadable(nowMs);
+            } else {
+                perform(policy.fileRead(content, nowMs));
+            }
+        });
+    }
+
+    @Override
+    public void warnOfSilence(PollStep.WarnOfSilence step) {
+        warningsAtMs.add(nowMs);
+    }
+
+    private void arrive(int connection, String address) {
+        Service service = services.get(address);
+        if (!policy.isOpen(connection)) {
+            return;
+        }
+        if (service.behaviour == Behaviour.REFUSES_CONNECTIONS) {
+            end(address, connection);
+            return;
+        }
+        service.open.put(connection, service.behaviour);
+        perform(policy.connected(connection, nowMs));
+        if (service.behaviour == Behaviour.CLOSES_AT_ONCE) {
+            end(address, connection);
+        }
+    }
+
+    private void answer(int connection) {
+        String address = connections.get(connection);
+        if (address != null && services.get(address).open.get(connection) == Behaviour.HEALTHY) {
+            polling.put(connection, false);
+            perform(policy.responded(connection, new PollResponse(false, false), nowMs));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/discovery/EndpointListTest.java
@@ -0,0 +1,70 @@
+package lineward.discovery;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import lineward.core.EngineEndpoint;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The journal's responses: full snapshots, incremental updates, and what is not in the journal's form. */
+public class EndpointListTest {
+    private static final String ENTRY = "{'instanceId':'s-1','hostPort':'127.0.0.1:9','zone':'b','machineType':"
+            + "'std','cell':2,'lifecycle':'ready','weight':4,'startedAtMs':7}";
+    private final List<String> changes = new ArrayList<>();
+    private final EndpointList list = new EndpointList(List.of("std"), List.of("a", "b"), (fullSnapshot, endpoints) -> {
+        for (EngineEndpoint endpoint : endpoints) {
+            changes.add(describe(fullSnapshot, endpoint));
+        }
+    });
+
+    private static String describe(boolean fullSnapshot, EngineEndpoint endpoint) {
+        String state = endpoint.state() + " " + endpoint.startedAtMs();
+        return fullSnapshot + " " + endpoint.id() + " " + endpoint.zone() + " " + state;
+    }
+
+    private static JsonNode json(String text) throws JsonProcessingException {
+        return new ObjectMapper().readTree(text.replace('\'', '"'));
+    }
+
+    private static String response(long number, boolean fullSnapshot, String entry) {
+        return "{'pos':" + number + ",'entries':[{'pos':" + number + ",'hosts':{'generation':1,'reset':" + fullSnapshot
+                + ",'instances':[" + entry + "]}}]}";
+    }
+
+    @Test
+    public void incrementalUpdatesAreMergedAndEachEventIsAppliedOnce() throws JsonProcessingException {
+        list.apply(json(response(1, true, ENTRY)));
+        list.apply(json(response(1, true, ENTRY)));
+        list.apply(json(response(2, false, "{'instanceId':'s-1','lifecycle':'draining'}")));
+        assertEquals(list.lastEventNumber(), 2);
+        assertEquals(changes, List.of("true s-1 1 READY 7.0", "false s-1 1 DRAINING 7.0"));
+    }
+
+    @DataProvider
+    public Object[][] malformed() {
+        return new Object[][] {
+            {"{}"},
+            {"{'pos':1}"},
+            {"{'pos':'x','entries':[]}"},
+            {"{'pos':1,'entries':[{}]}"},
+            {response(9, true, "{}")},
+            {response(9, true, "5")},
+            {response(9, true, ENTRY.replace("127.0.0.1:9", "nowhere"))},
+            {response(9, true, ENTRY.replace("ready", "asleep"))}
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void aResponseThatIsNotInTheJournalsFormLeavesTheListUnchanged(String text) throws JsonProcessingException {
+        long before = list.lastEventNumber();
+        JsonNode response = json(text);
+        assertThrows(IllegalArgumentException.class, () -> list.apply(response));
+        assertEquals(list.lastEventNumber(), before);
+    }
+}
--- /dev/null
+++ b/src/test/java/lineward/gossip/GossipSocketTest.java
@@ -0,0 +1,102 @@
+package lineward.gossip;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import lineward.Program;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Gossip over real datagrams: whose messages are received, and how long a message may be. */
+public class GossipSocketTest {
+    private final List<String> received = new CopyOnWriteArrayList<>();
+    private EventLoopGroup loop;
+    private DatagramSocket member;
+    private DatagramSocket nonMember;
+    private GossipSocket socket;
+    private InetSocketAddress socketAddress;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        received.clear();
+        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        member = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        nonMember = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        InetSocketAddress memberAddress = new InetSocketAddress(member.getLocalAddress(), member.getLocalPort());
+        socket = new GossipSocket(
+                Map.of(memberAddress, 3),
+                memberAddress,
+                (senderNumber, message) -> received.add(senderNumber + ":" + message.length + ":" + message[0]));
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        socketAddress = (InetSocketAddress)
+                socket.open(loop, anyPort).syncUninterruptibly().channel().localAddress();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        member.close();
+        nonMember.close();
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private void send(DatagramSocket from, int length, int first) throws IOException {
+        byte[] message = new byte[length];
+        message[0] = (byte) first;
+        from.send(new DatagramPacket(message, length, socketAddress));
+    }
+
+    @Test
+    public void onlyMessagesOfMembersThatAreShortEnoughAreReceived() throws IOException {
+        send(nonMember, 4, 1);
+        send(member, GossipSocket.MAX_MESSAGE_BYTES + 1, 2);
+        send(member, 4000, 3);
+        send(member, GossipSocket.MAX_MESSAGE_BYTES, 4);
+        send(member, 1, 5);
+        send(member, 1, 5);
+        Program.await("three messages", () -> received.size() >= 3);
+        assertEquals(received, List.of("3:256:4", "3:1:5", "3:1:5"));
+    }
+
+    @Test
+    public void aMessageThatIsTooLongIsNotSent() throws IOException {
+        loop.execute(() -> {
+            socket.broadcast(new byte[GossipSocket.MAX_MESSAGE_BYTES + 1]);
+            socket.broadcast(new byte[GossipSocket.MAX_MESSAGE_BYTES]);
+        });
+        DatagramPacket packet = new DatagramPacket(new byte[1024], 1024);
+        member.setSoTimeout(10_000);
+        member.receive(packet);
+        assertEquals(packet.getLength(), GossipSocket.MAX_MESSAGE_BYTES);
+        assertEquals(packet.getSocketAddress(), socketAddress);
+        assertEquals(Arrays.copyOf(packet.getData(), packet.getLength()).length, GossipSocket.MAX_MESSAGE_BYTES);
+    }
+
+    /** Two processes of one front end at a hot restart: both have the address. */
+    @Test
+    public void aSecondProcessOpensTheSameAddress() {
+        GossipSocket second = new GossipSocket(Map.of(), socketAddress, (senderNumber, message) -> {});
+        assertEquals(
+                second.open(loop, socketAddress).syncUninterruptibly().channel().localAddress(), socketAddress);
+    }
+
+    @Test
+    public void anEmptyDatagramIsIgnored() throws IOException {
+        member.send(new DatagramPacket(new byte[0], 0, socketAddress));
+        send(member, 2, 9);
+        Program.await("a message", () -> !received.isEmpty());
+        assertEquals(received, List.of("3:2:9"));
+    }
+}
