Fit discovery and gossip to 110 columns and finish the names of their tests

Need: lines over 110 columns, a few names in the withdrawn wording, and waits named unlike the field's long poll.

Change: comments reflowed, named locals for long expressions; the long poll's timeout, the gossip socket's peers and the tests' names follow the field's terms. A gossip test now compares the bytes received, not just their count.

--- a/src/main/java/lineward/discovery/AddressFileReader.java
+++ b/src/main/java/lineward/discovery/AddressFileReader.java
@@ -1,14 +1,17 @@
 package lineward.discovery;
 
 import io.netty.channel.EventLoop;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
- * Reads the service's address from the configuration file on a thread of its own, which lives while it has something
- * to do. At most one read is waiting: the poll policy asks for the next only after the last one's result.
+ * Reads the service's address from the configuration file on a thread of its own, which lives while it has
+ * something to do. At most one read is waiting: the poll policy asks for the next only after the last one's
+ * result.
  */
 final class AddressFileReader {
     private static final int IDLE_THREAD_LIFE_S = 5;
@@ -24,8 +27,7 @@
 
     private final EventLoop loop;
     private final Supplier<String> file;
-    private final ThreadPoolExecutor executor = new ThreadPoolExecutor(
-            1, 1, IDLE_THREAD_LIFE_S, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), AddressFileReader::newThread);
+    private final ThreadPoolExecutor executor;
 
     /**
      * Creates a reader.
@@ -35,6 +37,9 @@
     AddressFileReader(EventLoop loop, Supplier<String> file) {
         this.loop = loop;
         this.file = file;
+        BlockingQueue<Runnable> reads = new LinkedBlockingQueue<>();
+        ThreadFactory threads = AddressFileReader::newThread;
+        executor = new ThreadPoolExecutor(1, 1, IDLE_THREAD_LIFE_S, TimeUnit.SECONDS, reads, threads);
         executor.allowCoreThreadTimeOut(true);
     }
 
--- a/src/main/java/lineward/discovery/DiscoveryClient.java
+++ b/src/main/java/lineward/discovery/DiscoveryClient.java
@@ -15,8 +15,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps the endpoint list up to date by long polls of the journal service: carries out the steps of {@link PollPolicy}
- * and reports to it what came of them. All of it runs on the event loop but for the reads of the configuration file.
+ * Keeps the endpoint list up to date by long polls of the journal service: carries out the steps of {@link
+ * PollPolicy} and reports to it what came of them. All of it runs on the event loop but for the reads of the
+ * configuration file.
  */
 public final class DiscoveryClient {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
@@ -35,8 +36,8 @@
      *
      * @param loop on which everything here runs
      * @param address of the journal service, {@code host:port}
-     * @param file reads the address that the configuration now names; throws a runtime exception with one plain line
-     *     if the file can't be used; called on a thread of its own
+     * @param file reads the address that the configuration now names; throws a runtime exception with one
+     *     plain line if the file can't be used; called on a thread of its own
      * @param clock in milliseconds, never going back
      */
     public DiscoveryClient(
@@ -78,7 +79,7 @@
 
         @Override
         public void sendPoll(PollStep.SendPoll step) {
-            String uri = JournalFormat.pollUri(list.lastEventNumber(), PollPolicy.MAX_POLL_WAIT_MS);
+            String uri = JournalFormat.pollUri(list.lastEventNumber(), PollPolicy.LONG_POLL_TIMEOUT_MS);
             transport.get(step.connection(), uri);
         }
 
@@ -103,7 +104,10 @@
     }
 
     private final class FileListener implements AddressFileReader.Listener {
-        /** Why the last read failed, so that a retry with the same result is not logged again; null after success. */
+        /**
+         * Why the last read failed, so that a retry with the same result is not logged again; null after
+         * success.
+         */
         private String lastReason;
 
         @Override
--- a/src/main/java/lineward/discovery/EndpointList.java
+++ b/src/main/java/lineward/discovery/EndpointList.java
@@ -9,7 +9,10 @@
 import lineward.core.EngineEndpoint;
 import lineward.scheduling.EndpointState;
 
-/** The list of engines as the journal's events have made it: the last entry of each and the last event's number. */
+/**
+ * The list of engines as the journal's events have made it: the last entry of each and the last event's
+ * number.
+ */
 public final class EndpointList {
     /** Is notified of the complete list, or of what has changed. */
     @FunctionalInterface
@@ -46,8 +49,8 @@
     /**
      * Applies the events of a journal response; those applied before are ignored.
      *
-     * @throws IllegalArgumentException if the response is not in the journal's form; nothing of the event at fault is
-     *     applied
+     * @throws IllegalArgumentException if the response is not in the journal's form; nothing of the event at
+     *     fault is applied
      */
     public void apply(JsonNode response) {
         for (JsonNode event : JournalFormat.events(response)) {
--- a/src/main/java/lineward/discovery/FileReadSchedule.java
+++ b/src/main/java/lineward/discovery/FileReadSchedule.java
@@ -4,8 +4,9 @@
 import java.util.Set;
 
 /**
- * Decides when the configuration file that names the service's address is read: on SIGHUP, again while it can't be
- * read, and while the service fails. At most one read is in progress. Times are milliseconds of a monotonic clock.
+ * Decides when the configuration file that names the service's address is read: on SIGHUP, again while it
+ * can't be read, and while the service fails. At most one read is in progress. Times are milliseconds of a
+ * monotonic clock.
  */
 final class FileReadSchedule {
     /** How long the service fails before the file is read, and the interval of reads from then on. */
@@ -57,9 +58,11 @@
         }
     }
 
-    /** Returns whether a read is to begin; {@code failingSinceMs} is positive infinity for a healthy service. */
+    /**
+     * Returns whether a read is to begin; {@code failingSinceMs} is positive infinity for a healthy service.
+     */
     boolean isReadDue(double nowMs, double failingSinceMs) {
-        // Once a read is scheduled the faults' first one adds nothing: the later ones follow from reads that end.
+        // Once a read is scheduled the faults' first one adds nothing: later ones follow from reads that end.
         double dueAtMs = nextReadAtMs < NEVER ? nextReadAtMs : failingSinceMs + FAULT_READ_INTERVAL_MS;
         return state == State.IDLE && nowMs >= dueAtMs;
     }
--- a/src/main/java/lineward/discovery/JournalFormat.java
+++ b/src/main/java/lineward/discovery/JournalFormat.java
@@ -14,7 +14,7 @@
     private static final String ENDPOINTS = "hosts";
     private static final String FULL_SNAPSHOT = "reset";
     private static final String ENTRIES = "instances";
-    private static final String ID = "instanceId";
+    private static final String ENDPOINT_ID = "instanceId";
     private static final String ADDRESS = "hostPort";
     private static final String STATE = "lifecycle";
     private static final String KIND = "machineType";
@@ -36,9 +36,11 @@
         this.zones = zones;
     }
 
-    /** Returns what a poll asks for: the events after that number, or an empty response once the wait is over. */
-    static String pollUri(long afterEvent, int maxWaitMs) {
-        return "/journal?tail=" + afterEvent + "&max_wait=" + maxWaitMs;
+    /**
+     * Returns what a poll asks for: the events after that number, or an empty response once the wait is over.
+     */
+    static String pollUri(long afterEvent, int timeoutMs) {
+        return "/journal?tail=" + afterEvent + "&max_wait=" + timeoutMs;
     }
 
     /** Returns the events of a response, in order. */
@@ -81,7 +83,7 @@
 
     /** Returns the name of the endpoint that an entry is about. */
     static String endpointId(JsonNode entry) {
-        String id = entry.path(ID).asText("");
+        String id = entry.path(ENDPOINT_ID).asText("");
         if (id.isEmpty() || !(entry instanceof ObjectNode)) {
             throw new JournalFormatException("instance without an id");
         }
--- a/src/main/java/lineward/discovery/PollConnection.java
+++ b/src/main/java/lineward/discovery/PollConnection.java
@@ -8,7 +8,7 @@
     /** Limit on the time to connect. The caller's own limit on connecting is shorter. */
     static final double CONNECT_LIMIT_MS = 600;
     /** Limit on the time to a complete response; some bytes now and then don't extend it. */
-    static final double RESPONSE_LIMIT_MS = PollPolicy.MAX_POLL_WAIT_MS + 700;
+    static final double RESPONSE_LIMIT_MS = PollPolicy.LONG_POLL_TIMEOUT_MS + 700;
 
     /** What the connection waits for. */
     enum State {
--- a/src/main/java/lineward/discovery/PollPolicy.java
+++ b/src/main/java/lineward/discovery/PollPolicy.java
@@ -4,18 +4,22 @@
 import java.util.List;
 
 /**
- * Decides how the journal service is followed: when to connect, to poll, to close a connection, to read the file that
- * names the service, and to warn of silence. Free of I/O; times are milliseconds of one monotonic clock. Each event
- * returns the steps that are due now, in order; {@link #tick} is to be called every few milliseconds.
+ * Decides how the journal service is followed: when to connect, to poll, to close a connection, to read the
+ * file that names the service, and to warn of silence. Free of I/O; times are milliseconds of one monotonic
+ * clock. Each event returns the steps that are due now, in order; {@link #tick} is to be called every few
+ * milliseconds.
  *
- * <p>A service may refuse connections, accept them and stay silent, close at once, answer byte by byte or late, and the
- * file may be half written when it is read. None of these may keep the program from news for long once there is
- * something to receive: every wait has a limit, and any lasting fault makes the file be read again. The alternatives
- * are weighed in {@code docs/journal.md}.
+ * <p>A service may refuse connections, accept them and stay silent, close at once, answer byte by byte or
+ * late, and the file may be half written when it is read. None of these may keep the program from news for
+ * long once there is something to receive: every wait has a limit, and any lasting fault makes the file be
+ * read again. The alternatives are weighed in {@code docs/journal.md}.
  */
 final class PollPolicy {
-    /** Longest wait that a poll asks for. The journal counts its events as delivered at once: keep it short. */
-    static final int MAX_POLL_WAIT_MS = 1000;
+    /**
+     * How long a poll asks the service to wait for an event. The journal counts its events as delivered at
+     * once: keep it short.
+     */
+    static final int LONG_POLL_TIMEOUT_MS = 1000;
     /** Pause after a failure, and before the next poll of a service that answers at once with nothing new. */
     static final double PAUSE_MS = 100;
     /** Connections at once: overdue ones stay open, as a slow service may still answer on them. */
@@ -25,7 +29,7 @@
     /** Interval of these warnings. */
     static final double WARNING_INTERVAL_MS = 1000;
     /** An empty response that comes sooner than this was not waited for: the service does not hold polls. */
-    private static final double EARLY_RESPONSE_MS = MAX_POLL_WAIT_MS / 2.0;
+    private static final double EARLY_RESPONSE_MS = LONG_POLL_TIMEOUT_MS / 2.0;
 
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
--- a/src/main/java/lineward/discovery/PollStep.java
+++ b/src/main/java/lineward/discovery/PollStep.java
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Reads the configuration file and reports {@link PollPolicy#fileRead} or {@link PollPolicy#fileUnreadable}. The
-     * next such step comes only after that report.
+     * Reads the configuration file and reports {@link PollPolicy#fileRead} or {@link
+     * PollPolicy#fileUnreadable}. The next such step comes only after that report.
      */
     record ReadFile() implements PollStep {
         @Override
--- a/src/main/java/lineward/discovery/PollTransport.java
+++ b/src/main/java/lineward/discovery/PollTransport.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -25,8 +26,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The HTTP/1.1 connections to the journal service, by the numbers that the poll policy gives them. All of it runs on
- * the event loop. There are as many connections as the policy opens, three at most.
+ * The HTTP/1.1 connections to the journal service, by the numbers that the poll policy gives them. All of it
+ * runs on the event loop. There are as many connections as the policy opens, three at most.
  */
 final class PollTransport {
     private static final Logger LOG = LoggerFactory.getLogger(PollTransport.class);
@@ -85,7 +86,7 @@
     void get(int number, String uri) {
         Connection connection = connections.get(number);
         if (connection != null) {
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+            HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
             request.headers().set(HttpHeaderNames.HOST, connection.address());
             connection.channel().writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         }
@@ -146,23 +147,23 @@
         }
 
         @Override
-        public void channelActive(ChannelHandlerContext context) {
+        public void channelActive(ChannelHandlerContext ctx) {
             listener.connected(number);
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) throws IOException {
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
             listener.responded(number, response);
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             fail(number, PollFault.invalidResponse(cause));
-            close(context.channel());
+            close(ctx.channel());
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext context) {
+        public void channelInactive(ChannelHandlerContext ctx) {
             fail(number, PollFault.CONNECTION_CLOSED);
         }
     }
--- a/src/main/java/lineward/gossip/GossipSocket.java
+++ b/src/main/java/lineward/gossip/GossipSocket.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -39,29 +38,31 @@
     /** One byte more than a message may have tells those that are too long. */
     private static final int RECEIVE_BUFFER_BYTES = MAX_MESSAGE_BYTES + 1;
 
-    private final Map<InetSocketAddress, Integer> numbersByAddress;
-    private final InetSocketAddress broadcastAddress;
+    private final Map<InetSocketAddress, Integer> peerNumbers;
+    private final InetSocketAddress groupAddress;
     private final Listener listener;
     private Channel channel;
 
     /**
      * Creates a socket that is not open yet.
      *
-     * @param numbersByAddress the other front ends' numbers, by the address from which they send; datagrams from any
-     *     other address are ignored
-     * @param broadcastAddress where a message for all of them is sent
+     * @param peerNumbers the other front ends' numbers, by the address from which they send; datagrams
+     *     from any other address are ignored
+     * @param groupAddress where a message for all of them is sent
      */
     public GossipSocket(
-            Map<InetSocketAddress, Integer> numbersByAddress, InetSocketAddress broadcastAddress, Listener listener) {
-        this.numbersByAddress = Map.copyOf(numbersByAddress);
-        this.broadcastAddress = broadcastAddress;
+            Map<InetSocketAddress, Integer> peerNumbers, InetSocketAddress groupAddress, Listener listener) {
+        this.peerNumbers = Map.copyOf(peerNumbers);
+        this.groupAddress = groupAddress;
         this.listener = listener;
     }
 
-    /** Opens the socket at that address. At a hot restart two processes have it, and the later one receives. */
+    /**
+     * Opens the socket at that address. At a hot restart two processes have it, and the later one receives.
+     */
     public ChannelFuture open(EventLoopGroup loop, InetSocketAddress address) {
-        RecvByteBufAllocator allocator =
-                new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES).maxMessagesPerRead(MAX_DATAGRAMS_PER_READ);
+        FixedRecvByteBufAllocator allocator = new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES);
+        allocator.maxMessagesPerRead(MAX_DATAGRAMS_PER_READ);
         ChannelFuture opening = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
@@ -73,17 +74,19 @@
         return opening;
     }
 
-    /** Sends a message to all others. One that is too long, or finds the socket not open or full, is dropped. */
+    /**
+     * Sends a message to all others. One that is too long, or finds the socket not open or full, is dropped.
+     */
     public void broadcast(byte[] message) {
         if (message.length <= MAX_MESSAGE_BYTES && channel != null && channel.isWritable()) {
-            DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(message), broadcastAddress);
+            DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(message), groupAddress);
             channel.writeAndFlush(packet).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
         }
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-        Integer senderNumber = numbersByAddress.get(packet.sender());
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+        Integer senderNumber = peerNumbers.get(packet.sender());
         if (senderNumber != null && isMessage(packet.content())) {
             listener.received(senderNumber, ByteBufUtil.getBytes(packet.content()));
         }
@@ -93,7 +96,9 @@
         return content.isReadable() && content.readableBytes() <= MAX_MESSAGE_BYTES;
     }
 
-    /** Ignores the error: a peer that is down causes one now and then, and the next message may find it up. */
+    /**
+     * Ignores the error: a peer that is down causes one now and then, and the next message may find it up.
+     */
     @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
 }
--- a/src/test/java/lineward/discovery/DiscoveryClientTest.java
+++ b/src/test/java/lineward/discovery/DiscoveryClientTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.Reader;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -91,11 +92,11 @@
                 socket.close();
                 return;
             }
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            Reader input = new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII);
+            BufferedReader reader = new BufferedReader(input);
             OutputStream output = socket.getOutputStream();
-            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                if (!line.isEmpty() || behaviourAtAccept == Behaviour.STAYS_SILENT) {
+            for (String header = reader.readLine(); header != null; header = reader.readLine()) {
+                if (!header.isEmpty() || behaviourAtAccept == Behaviour.STAYS_SILENT) {
                     continue;
                 }
                 String body = behaviourAtAccept == Behaviour.ANSWERS_MALFORMED
@@ -113,9 +114,9 @@
             }
         }
 
-        private static void pause(int ms) {
+        private static void pause(int durationMs) {
             try {
-                TimeUnit.MILLISECONDS.sleep(ms);
+                TimeUnit.MILLISECONDS.sleep(durationMs);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -247,7 +248,7 @@
     }
 
     @Test
-    public void anIncompleteFileIsReadAgainUntilItIsComplete() throws IOException {
+    public void anIncompleteFileIsRetriedUntilItIsComplete() throws IOException {
         Service first = service(1, Behaviour.ANSWERS);
         write(first.address() + ';');
         start(first.address());
--- a/src/test/java/lineward/discovery/DiscoverySimulation.java
+++ b/src/test/java/lineward/discovery/DiscoverySimulation.java
@@ -10,8 +10,9 @@
 import java.util.TreeMap;
 
 /**
- * A poll policy in simulated time, between three services with faults and a configuration file that names one of them.
- * Measures for how long no poll waited at the named service although the file was complete and the service healthy.
+ * A poll policy in simulated time, between three services with faults and a configuration file that names one
+ * of them. Measures for how long no poll waited at the named service although the file was complete and the
+ * service healthy.
  */
 final class DiscoverySimulation implements PollStep.Handler {
     private static final List<String> ADDRESSES = List.of("a:1", "b:1", "c:1");
@@ -164,7 +165,7 @@
     @Override
     public void sendPoll(PollStep.SendPoll step) {
         polling.put(step.connection(), true);
-        double delayMs = answersAtOnce ? 5 : PollPolicy.MAX_POLL_WAIT_MS;
+        double delayMs = answersAtOnce ? 5 : PollPolicy.LONG_POLL_TIMEOUT_MS;
         at(nowMs + delayMs, () -> answer(step.connection()));
     }
 
--- a/src/test/java/lineward/discovery/EndpointListTest.java
+++ b/src/test/java/lineward/discovery/EndpointListTest.java
@@ -14,14 +14,16 @@
 
 /** The journal's responses: full snapshots, incremental updates, and what is not in the journal's form. */
 public class EndpointListTest {
-    private static final String ENTRY = "{'instanceId':'s-1','hostPort':'127.0.0.1:9','zone':'b','machineType':"
-            + "'std','cell':2,'lifecycle':'ready','weight':4,'startedAtMs':7}";
+    private static final String ENTRY = "{'instanceId':'s-1','hostPort':'127.0.0.1:9','zone':'b',"
+            + "'machineType':'std','cell':2,'lifecycle':'ready','weight':4,'startedAtMs':7}";
     private final List<String> changes = new ArrayList<>();
-    private final EndpointList list = new EndpointList(List.of("std"), List.of("a", "b"), (fullSnapshot, endpoints) -> {
+    private final EndpointList list = new EndpointList(List.of("std"), List.of("a", "b"), this::record);
+
+    private void record(boolean fullSnapshot, List<EngineEndpoint> endpoints) {
         for (EngineEndpoint endpoint : endpoints) {
             changes.add(describe(fullSnapshot, endpoint));
         }
-    });
+    }
 
     private static String describe(boolean fullSnapshot, EngineEndpoint endpoint) {
         String state = endpoint.state() + " " + endpoint.startedAtMs();
@@ -33,8 +35,8 @@
     }
 
     private static String response(long number, boolean fullSnapshot, String entry) {
-        return "{'pos':" + number + ",'entries':[{'pos':" + number + ",'hosts':{'generation':1,'reset':" + fullSnapshot
-                + ",'instances':[" + entry + "]}}]}";
+        String update = "{'generation':1,'reset':" + fullSnapshot + ",'instances':[" + entry + "]}";
+        return "{'pos':" + number + ",'entries':[{'pos':" + number + ",'hosts':" + update + "}]}";
     }
 
     @Test
@@ -61,7 +63,7 @@
     }
 
     @Test(dataProvider = "malformed")
-    public void aResponseThatIsNotInTheJournalsFormLeavesTheListUnchanged(String text) throws JsonProcessingException {
+    public void aMalformedResponseLeavesTheListUnchanged(String text) throws JsonProcessingException {
         long before = list.lastEventNumber();
         JsonNode response = json(text);
         assertThrows(IllegalArgumentException.class, () -> list.apply(response));
--- a/src/test/java/lineward/discovery/PollConnectionTest.java
+++ b/src/test/java/lineward/discovery/PollConnectionTest.java
@@ -62,12 +62,13 @@
     @DataProvider
     public Object[][] limits() {
         return new Object[][] {
-            {State.CONNECTING, PollConnection.CONNECT_LIMIT_MS}, {State.POLLING, PollConnection.RESPONSE_LIMIT_MS}
+            {State.CONNECTING, PollConnection.CONNECT_LIMIT_MS},
+            {State.POLLING, PollConnection.RESPONSE_LIMIT_MS},
         };
     }
 
     @Test(dataProvider = "limits")
-    public void aWaitBeyondItsLimitIsOverdue(State state, double limitMs) {
+    public void anOverdueConnectionIsOneBeyondItsLimit(State state, double limitMs) {
         PollConnection connection = in(state);
         assertFalse(connection.isOverdue(limitMs));
         assertTrue(connection.isOverdue(limitMs + 1));
--- a/src/test/java/lineward/discovery/PollPolicyTest.java
+++ b/src/test/java/lineward/discovery/PollPolicyTest.java
@@ -8,7 +8,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Seeded schedules of reloads, broken files and faulty services: a poll always waits at the service again soon. */
+/**
+ * Seeded schedules of reloads, broken files and faulty services: a poll always waits at the service again
+ * soon.
+ */
 public class PollPolicyTest {
     private static final double MAX_UNPOLLED_MS = 2000;
     private static final PollResponse CHANGED = new PollResponse(true, false);
@@ -92,7 +95,8 @@
         policy.connected(1, 1);
         policy.tick(1800);
         policy.connected(2, 1801);
-        assertEquals(policy.responded(1, CHANGED, 2500), List.of(new PollStep.Close(2), new PollStep.SendPoll(1)));
+        List<PollStep> steps = policy.responded(1, CHANGED, 2500);
+        assertEquals(steps, List.of(new PollStep.Close(2), new PollStep.SendPoll(1)));
         assertEquals(policy.silentMs(2600), 100.0);
     }
 }
--- a/src/test/java/lineward/gossip/GossipSocketTest.java
+++ b/src/test/java/lineward/gossip/GossipSocketTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -35,11 +36,8 @@
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         member = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         nonMember = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-        InetSocketAddress memberAddress = new InetSocketAddress(member.getLocalAddress(), member.getLocalPort());
-        socket = new GossipSocket(
-                Map.of(memberAddress, 3),
-                memberAddress,
-                (senderNumber, message) -> received.add(senderNumber + ":" + message.length + ":" + message[0]));
+        InetSocketAddress memberAddress = (InetSocketAddress) member.getLocalSocketAddress();
+        socket = new GossipSocket(Map.of(memberAddress, 3), memberAddress, this::record);
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         socketAddress = (InetSocketAddress)
                 socket.open(loop, anyPort).syncUninterruptibly().channel().localAddress();
@@ -52,6 +50,10 @@
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    private void record(int senderNumber, byte[] message) {
+        received.add(senderNumber + ":" + message.length + ":" + message[0]);
+    }
+
     private void send(DatagramSocket from, int length, int first) throws IOException {
         byte[] message = new byte[length];
         message[0] = (byte) first;
@@ -81,15 +83,16 @@
         member.receive(packet);
         assertEquals(packet.getLength(), GossipSocket.MAX_MESSAGE_BYTES);
         assertEquals(packet.getSocketAddress(), socketAddress);
-        assertEquals(Arrays.copyOf(packet.getData(), packet.getLength()).length, GossipSocket.MAX_MESSAGE_BYTES);
+        byte[] message = Arrays.copyOf(packet.getData(), packet.getLength());
+        assertEquals(message, new byte[GossipSocket.MAX_MESSAGE_BYTES]);
     }
 
     /** Two processes of one front end at a hot restart: both have the address. */
     @Test
     public void aSecondProcessOpensTheSameAddress() {
         GossipSocket second = new GossipSocket(Map.of(), socketAddress, (senderNumber, message) -> {});
-        assertEquals(
-                second.open(loop, socketAddress).syncUninterruptibly().channel().localAddress(), socketAddress);
+        Channel channel = second.open(loop, socketAddress).syncUninterruptibly().channel();
+        assertEquals(channel.localAddress(), socketAddress);
     }
 
     @Test
