Export outcomes by an explicit table, independent of the enums' names

The exported values of lineward.outcome were the lower-cased names of enum constants, and followed their renaming: a rejected request would be exported as rejected, no longer as refused. OtlpTracer's spans of a request get a named class, its locals get whole names.

--- a/src/main/java/lineward/telemetry/OtlpTracer.java
+++ b/src/main/java/lineward/telemetry/OtlpTracer.java
@@ -12,58 +12,71 @@
 import io.opentelemetry.context.Context;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 import lineward.core.Tracer;
 import lineward.scheduling.AttemptOutcome;
 
-/** Makes a span of each request and, below it, of each attempt, and counts both by class and outcome. */
+/**
+ * Makes a span of each request and, below it, of each attempt, and counts both by class and outcome.
+ *
+ * @param <X> the protocol's own record of a request
+ */
 final class OtlpTracer<X> implements Tracer<X> {
+    private static final String INSTRUMENTATION_SCOPE = "lineward";
     private static final AttributeKey<String> CLASS = AttributeKey.stringKey("lineward.class");
     private static final AttributeKey<String> OUTCOME = AttributeKey.stringKey("lineward.outcome");
     private static final AttributeKey<String> REQUEST = AttributeKey.stringKey("lineward.request.id");
     private static final AttributeKey<String> ENGINE = AttributeKey.stringKey("lineward.engine");
     private static final AttributeKey<Long> ATTEMPT = AttributeKey.longKey("lineward.attempt");
-    private static final double NANOS = 1e9;
+    private static final double NANOS_PER_SECOND = 1e9;
 
-    private static final class Live {
-        private final Span span;
-        private final String type;
-        private final long since = System.nanoTime();
+    /** The spans of a request that has not completed, or some of whose attempts have not. */
+    private static final class RequestSpans {
+        private final Span request;
+        private final String className;
+        private final long startNanos = System.nanoTime();
         private final Map<Integer, Span> attempts = new HashMap<>();
-        private boolean over;
+        private boolean requestEnded;
 
-        Live(Span span, String type) {
-            this.span = span;
-            this.type = type;
+        RequestSpans(Span request, String className) {
+            this.request = request;
+            this.className = className;
+        }
+
+        boolean isComplete() {
+            return requestEnded && attempts.isEmpty();
+        }
+
+        double secondsSinceStart() {
+            return (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
         }
     }
 
     private final io.opentelemetry.api.trace.Tracer spans;
-    private final LongCounter requests;
-    private final LongCounter attempts;
-    private final DoubleHistogram duration;
+    private final LongCounter requestCounter;
+    private final LongCounter attemptCounter;
+    private final DoubleHistogram requestDuration;
     private final Function<X, String> classOf;
     private final Function<X, String> idOf;
     private final Tracer<X> next;
-    private final Map<X, Live> live = new IdentityHashMap<>();
+    private final IdentityHashMap<X, RequestSpans> inFlight = new IdentityHashMap<>();
 
-    OtlpTracer(OpenTelemetry telemetry, Function<X, String> classOf, Function<X, String> idOf, Tracer<X> next) {
+    OtlpTracer(OpenTelemetry sdk, Function<X, String> classOf, Function<X, String> idOf, Tracer<X> next) {
         this.classOf = classOf;
         this.idOf = idOf;
         this.next = next;
-        spans = telemetry.getTracer("lineward");
-        Meter meter = telemetry.getMeter("lineward");
-        requests = meter.counterBuilder("lineward.requests")
+        spans = sdk.getTracer(INSTRUMENTATION_SCOPE);
+        Meter meter = sdk.getMeter(INSTRUMENTATION_SCOPE);
+        requestCounter = meter.counterBuilder("lineward.requests")
                 .setUnit("{request}")
                 .setDescription("Requests that are over")
                 .build();
-        attempts = meter.counterBuilder("lineward.attempts")
+        attemptCounter = meter.counterBuilder("lineward.attempts")
                 .setUnit("{attempt}")
                 .setDescription("Attempts that have ended")
                 .build();
-        duration = meter.histogramBuilder("lineward.request.duration")
+        requestDuration = meter.histogramBuilder("lineward.request.duration")
                 .setUnit("s")
                 .setDescription("From the taking of a request to its end")
                 .build();
@@ -71,60 +84,57 @@
 
     @Override
     public void requestAdmitted(X exchange) {
-        String type = classOf.apply(exchange);
-        live.put(
-                exchange,
-                new Live(
-                        spans.spanBuilder("request")
-                                .setSpanKind(SpanKind.SERVER)
-                                .setAttribute(CLASS, type)
-                                .setAttribute(REQUEST, idOf.apply(exchange))
-                                .startSpan(),
-                        type));
+        String className = classOf.apply(exchange);
+        Span span = spans.spanBuilder("request")
+                .setSpanKind(SpanKind.SERVER)
+                .setAttribute(CLASS, className)
+                .setAttribute(REQUEST, idOf.apply(exchange))
+                .startSpan();
+        inFlight.put(exchange, new RequestSpans(span, className));
         next.requestAdmitted(exchange);
     }
 
     @Override
     public void attemptStarted(X exchange, int attempt, String engine) {
-        Live request = live.get(exchange);
+        RequestSpans request = inFlight.get(exchange);
         if (request != null) {
-            request.attempts.put(
-                    attempt,
-                    spans.spanBuilder("attempt")
-                            .setSpanKind(SpanKind.CLIENT)
-                            .setParent(Context.root().with(request.span))
-                            .setAttribute(ENGINE, engine)
-                            .setAttribute(CLASS, request.type)
-                            .setAttribute(ATTEMPT, (long) attempt)
-                            .startSpan());
+            Span span = spans.spanBuilder("attempt")
+                    .setSpanKind(SpanKind.CLIENT)
+                    .setParent(Context.root().with(request.request))
+                    .setAttribute(ENGINE, engine)
+                    .setAttribute(CLASS, request.className)
+                    .setAttribute(ATTEMPT, (long) attempt)
+                    .startSpan();
+            request.attempts.put(attempt, span);
         }
         next.attemptStarted(exchange, attempt, engine);
     }
 
     @Override
     public void attemptEnded(X exchange, int attempt, AttemptOutcome outcome) {
-        Live request = live.get(exchange);
+        RequestSpans request = inFlight.get(exchange);
         Span span = request == null ? null : request.attempts.remove(attempt);
         if (span != null) {
-            String word = word(outcome);
-            attempts.add(1, Attributes.of(CLASS, request.type, OUTCOME, word));
-            end(span, word, outcome == AttemptOutcome.OK);
-            forgetIfOver(exchange, request);
+            String value = OutcomeAttribute.valueOf(outcome);
+            attemptCounter.add(1, Attributes.of(CLASS, request.className, OUTCOME, value));
+            end(span, value, outcome == AttemptOutcome.OK);
+            removeIfComplete(exchange, request);
         }
         next.attemptEnded(exchange, attempt, outcome);
     }
 
     @Override
     public void requestEnded(X exchange, Ending ending) {
-        Live request = live.get(exchange);
+        RequestSpans request = inFlight.get(exchange);
         if (request != null) {
-            String word = word(ending);
-            Attributes attributes = Attributes.of(CLASS, request.type, OUTCOME, word);
-            requests.add(1, attributes);
-            duration.record((System.nanoTime() - request.since) / NANOS, attributes);
-            end(request.span, word, ending == Ending.SERVED || ending == Ending.CANCELLED);
-            request.over = true;
-            forgetIfOver(exchange, request);
+            String value = OutcomeAttribute.valueOf(ending);
+            Attributes attributes = Attributes.of(CLASS, request.className, OUTCOME, value);
+            requestCounter.add(1, attributes);
+            requestDuration.record(request.secondsSinceStart(), attributes);
+            // A request that its client cancelled is no fault of ours.
+            end(request.request, value, ending == Ending.SERVED || ending == Ending.CANCELLED);
+            request.requestEnded = true;
+            removeIfComplete(exchange, request);
         }
         next.requestEnded(exchange, ending);
     }
@@ -134,21 +144,17 @@
         next.log(text);
     }
 
-    private void forgetIfOver(X exchange, Live request) {
-        if (request.over && request.attempts.isEmpty()) {
-            live.remove(exchange);
+    private void removeIfComplete(X exchange, RequestSpans request) {
+        if (request.isComplete()) {
+            inFlight.remove(exchange);
         }
     }
 
-    private static void end(Span span, String outcome, boolean good) {
+    private static void end(Span span, String outcome, boolean successful) {
         span.setAttribute(OUTCOME, outcome);
-        if (!good) {
+        if (!successful) {
             span.setStatus(StatusCode.ERROR);
         }
         span.end();
     }
-
-    private static String word(Enum<?> value) {
-        return value.name().toLowerCase(Locale.ROOT);
-    }
 }
--- /dev/null
+++ b/src/main/java/lineward/telemetry/OutcomeAttribute.java
@@ -0,0 +1,36 @@
+package lineward.telemetry;
+
+import lineward.core.Tracer;
+import lineward.scheduling.AttemptOutcome;
+
+/**
+ * The values of the exported attribute {@code lineward.outcome}. Dashboards and alerts read them, so they are
+ * listed here and do not follow the names of the enums' constants.
+ */
+final class OutcomeAttribute {
+    private OutcomeAttribute() {}
+
+    /** Returns the exported value for the way in which an attempt ended. */
+    static String valueOf(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case OK -> "ok";
+            case ERROR -> "error";
+            case REJECTED -> "full";
+            case TIMEOUT -> "timeout";
+            case CONNECT_FAILED -> "connect_failed";
+            case RESET -> "reset";
+            case CANCELLED -> "cancelled";
+            case NOT_STARTED -> "moot";
+        };
+    }
+
+    /** Returns the exported value for the way in which a request ended. */
+    static String valueOf(Tracer.Ending ending) {
+        return switch (ending) {
+            case SERVED -> "served";
+            case REJECTED -> "refused";
+            case FAILED -> "failed";
+            case CANCELLED -> "aborted";
+        };
+    }
+}
--- a/src/main/java/lineward/telemetry/Telemetry.java
+++ b/src/main/java/lineward/telemetry/Telemetry.java
@@ -10,15 +10,16 @@
 import lineward.core.Tracer;
 
 /**
- * The export of spans and metrics over OTLP, set up by the standard variables. It runs on threads of its own
- * behind a bounded queue: what the collector does not take is dropped, and no request waits for it.
+ * The export of spans and metrics over OTLP, configured by the standard environment variables. It runs on
+ * threads of its own behind a bounded queue: what the collector does not accept is dropped, and no request
+ * waits for it.
  */
 public final class Telemetry implements AutoCloseable {
     private static final String ENDPOINT = "OTEL_EXPORTER_OTLP_ENDPOINT";
     private static final String TRACES_ENDPOINT = "OTEL_EXPORTER_OTLP_TRACES_ENDPOINT";
     private static final String METRICS_ENDPOINT = "OTEL_EXPORTER_OTLP_METRICS_ENDPOINT";
-    /** What is handed over at the end may take so long; the answers have all gone out by then. */
-    private static final int LAST_EXPORT_MS = 1500;
+    /** Time for the last export at shutdown; the responses have all gone out by then. */
+    private static final int LAST_EXPORT_TIMEOUT_MS = 1500;
 
     private final OpenTelemetrySdk sdk;
 
@@ -28,35 +29,24 @@
 
     /** Returns whether the environment names a collector. */
     public static boolean isOn(Map<String, String> environment) {
-        return List.of(ENDPOINT, TRACES_ENDPOINT, METRICS_ENDPOINT).stream()
-                .anyMatch(name -> !environment.getOrDefault(name, "").isBlank());
+        List<String> endpoints = List.of(ENDPOINT, TRACES_ENDPOINT, METRICS_ENDPOINT);
+        return endpoints.stream().anyMatch(variable -> isSet(environment, variable));
     }
 
     /**
-     * @param name of this front end, as the service's instance
+     * Starts the export that the environment asks for.
+     *
+     * @param name of this front end, exported as the id of the service's instance
      * @throws IllegalArgumentException with a plain reason if the variables can't be used
      */
     public static Telemetry start(Map<String, String> environment, String name) {
-        boolean all = !environment.getOrDefault(ENDPOINT, "").isBlank();
-        boolean traces = all || !environment.getOrDefault(TRACES_ENDPOINT, "").isBlank();
-        boolean metrics = all || !environment.getOrDefault(METRICS_ENDPOINT, "").isBlank();
+        boolean all = isSet(environment, ENDPOINT);
+        boolean traces = all || isSet(environment, TRACES_ENDPOINT);
+        boolean metrics = all || isSet(environment, METRICS_ENDPOINT);
         try {
-            // Only what the environment leaves open: the variables go before these.
             return new Telemetry(AutoConfiguredOpenTelemetrySdk.builder()
                     .disableShutdownHook()
-                    .addPropertiesSupplier(() -> Map.of(
-                            "otel.service.name",
-                            "lineward",
-                            "otel.resource.attributes",
-                            "service.instance.id=" + name,
-                            "otel.exporter.otlp.protocol",
-                            "http/protobuf",
-                            "otel.traces.exporter",
-                            traces ? "otlp" : "none",
-                            "otel.metrics.exporter",
-                            metrics ? "otlp" : "none",
-                            "otel.logs.exporter",
-                            "none"))
+                    .addPropertiesSupplier(() -> defaults(name, traces, metrics))
                     .build()
                     .getOpenTelemetrySdk());
         } catch (ConfigurationException e) {
@@ -64,18 +54,45 @@
         }
     }
 
+    private static boolean isSet(Map<String, String> environment, String variable) {
+        return !environment.getOrDefault(variable, "").isBlank();
+    }
+
+    /** Returns the SDK's properties where the environment leaves them open: its variables take precedence. */
+    private static Map<String, String> defaults(String name, boolean traces, boolean metrics) {
+        return Map.of(
+                "otel.service.name",
+                "lineward",
+                "otel.resource.attributes",
+                "service.instance.id=" + name,
+                "otel.exporter.otlp.protocol",
+                "http/protobuf",
+                "otel.traces.exporter",
+                exporter(traces),
+                "otel.metrics.exporter",
+                exporter(metrics),
+                "otel.logs.exporter",
+                exporter(false));
+    }
+
+    private static String exporter(boolean enabled) {
+        return enabled ? "otlp" : "none";
+    }
+
     /**
-     * @param classOf names a request's class
-     * @param idOf names a request
-     * @param next is told all the same
+     * Returns a tracer that exports and passes each event on.
+     *
+     * @param classOf returns a request's class
+     * @param idOf returns a request's id
+     * @param next receives each event as well
      */
     public <X> Tracer<X> tracer(Function<X, String> classOf, Function<X, String> idOf, Tracer<X> next) {
         return new OtlpTracer<>(sdk, classOf, idOf, next);
     }
 
-    /** Hands over what is left, for a moment at most. */
+    /** Exports what is left, within {@value #LAST_EXPORT_TIMEOUT_MS} ms at most. */
     @Override
     public void close() {
-        sdk.shutdown().join(LAST_EXPORT_MS, TimeUnit.MILLISECONDS);
+        sdk.shutdown().join(LAST_EXPORT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/test/java/lineward/telemetry/TelemetryTest.java
+++ b/src/test/java/lineward/telemetry/TelemetryTest.java
@@ -20,19 +20,19 @@
 import lineward.thrift.Platform;
 import org.testng.annotations.Test;
 
-/** The export over OTLP, against a stand-in collector. */
+/** The export over OTLP, against a fake collector. */
 public class TelemetryTest {
     private final List<Span> spans = new CopyOnWriteArrayList<>();
     private final List<String> metrics = new CopyOnWriteArrayList<>();
 
-    private HttpServer collector(CountDownLatch holdUntil) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
+    private HttpServer collector(CountDownLatch release) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.setExecutor(Executors.newCachedThreadPool());
         server.createContext("/v1/traces", exchange -> {
             ExportTraceServiceRequest.parseFrom(exchange.getRequestBody())
                     .getResourceSpansList()
                     .forEach(r -> r.getScopeSpansList().forEach(s -> spans.addAll(s.getSpansList())));
-            awaitQuietly(holdUntil);
+            awaitQuietly(release);
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
         });
@@ -77,9 +77,9 @@
     }
 
     @Test
-    public void requestsAndAttemptsBecomeSpansAndMetrics() throws IOException {
+    public void requestsAndAttemptsAreExportedAsSpansAndMetrics() throws IOException {
         HttpServer collector = collector(new CountDownLatch(0));
-        // What another test's program exported, whose queue drops spans, is none of this one's.
+        // Spans that another test's program exported late are not this one's.
         spans.clear();
         metrics.clear();
         try (Platform platform = new Platform(variables(collector))) {
@@ -107,11 +107,11 @@
         }
     }
 
-    /** Guards against a collector that takes connections and never answers: requests must not wait for it. */
+    /** The collector accepts connections and never responds: requests must not wait for it. */
     @Test
-    public void aSilentCollectorDelaysNobodyAndSpansAreDropped() throws IOException {
-        CountDownLatch hold = new CountDownLatch(1);
-        HttpServer collector = collector(hold);
+    public void anUnresponsiveCollectorDelaysNoRequestAndSpansAreDropped() throws IOException {
+        CountDownLatch release = new CountDownLatch(1);
+        HttpServer collector = collector(release);
         spans.clear();
         try (Platform platform = new Platform(variables(collector))) {
             long start = System.nanoTime();
@@ -120,13 +120,13 @@
             Program.await("the first batch", () -> !spans.isEmpty());
             assertTrue(spans.size() <= 16, "queue of 8 and batch of 8, got " + spans.size());
         } finally {
-            hold.countDown();
+            release.countDown();
             collector.stop(0);
         }
     }
 
     @Test
-    public void withoutAnEndpointItIsOff() {
+    public void exportIsOffWithoutAnEndpoint() {
         assertFalse(Telemetry.isOn(Map.of("OTEL_SERVICE_NAME", "x")));
         assertTrue(Telemetry.isOn(Map.of("OTEL_EXPORTER_OTLP_METRICS_ENDPOINT", "http://127.0.0.1:4318")));
     }
