--- a/src/main/java/lineward/frontend/ClientRegistry.java
+++ b/src/main/java/lineward/frontend/ClientRegistry.java
@@ -9,115 +9,129 @@
 import java.util.function.LongSupplier;
 
 /**
- * The connections of a front's clients, by what they are at: some have never spoken, some wait for an answer,
- * some rest. When room is short those make way that miss it least; who waits for an answer never does.
+ * The connections of a protocol's clients, by state: silent (has never sent a request), awaiting a response,
+ * idle, or closing. When the registry is full, a silent or idle connection is evicted; one that awaits a
+ * response never is. Used on the event loop alone.
  *
  * @param <C> a connection
  */
 public final class ClientRegistry<C> {
-    /** Part of the table that may be taken by those that never spoke: a crowd of them evicts its own. */
-    private static final int SILENT_PART = 4;
-    /** Part of the table that may leave in order where room is short: they hold descriptors beside it. */
-    private static final int LEAVING_PART = 16;
+    /** Silent connections beyond this fraction of the capacity evict their own kind: a flood hits itself. */
+    private static final int SILENT_DIVISOR = 4;
+    /**
+     * Connections closing gracefully to make room, as a fraction: they hold descriptors beyond the capacity.
+     */
+    private static final int CLOSING_DIVISOR = 16;
 
-    private final int most;
+    private final int capacity;
     private final LongSupplier nanoClock;
     private final Consumer<C> closer;
-    private final Consumer<C> leaver;
-    /** Each with the time since when; the longest there first. */
+    private final Consumer<C> gracefulCloser;
+
+    /** Each map holds the time since when a connection is in that state, in nanoseconds; the oldest first. */
     private final Map<C, Long> silent = new LinkedHashMap<>();
 
-    private final Map<C, Long> waiting = new LinkedHashMap<>();
-    private final Map<C, Long> resting = new LinkedHashMap<>();
-    /** Told to leave: each is gone soon, or speaks and is among the others again. */
-    private final Map<C, Long> leaving = new LinkedHashMap<>();
+    private final Map<C, Long> awaitingResponse = new LinkedHashMap<>();
+    private final Map<C, Long> idle = new LinkedHashMap<>();
+    /** Each disconnects soon, or sends a request and leaves this state. */
+    private final Map<C, Long> closing = new LinkedHashMap<>();
 
     /**
-     * @param most connections held at once
+     * Creates an empty registry.
+     *
+     * @param capacity connections held at once, without those that are closing
+     * @param nanoClock has the origin and the rate of {@link System#nanoTime}
      * @param closer closes a connection at once
-     * @param leaver lets a connection end in order, unless it speaks first
+     * @param leaver closes a connection unless it sends a request first
      */
-    public ClientRegistry(int most, LongSupplier nanoClock, Consumer<C> closer, Consumer<C> leaver) {
-        this.most = most;
+    public ClientRegistry(int capacity, LongSupplier nanoClock, Consumer<C> closer, Consumer<C> leaver) {
+        this.capacity = capacity;
         this.nanoClock = nanoClock;
         this.closer = closer;
-        this.leaver = leaver;
+        this.gracefulCloser = leaver;
     }
 
-    /** A connection has come; where there is no room, one closes: perhaps this one. */
+    /** Registers a new connection; if the registry is full, one is closed, perhaps this one. */
     public void connected(C client) {
-        move(client, silent);
-        if (size() - leaving.size() <= most) {
-            return;
+        changeState(client, silent);
+        if (size() - closing.size() > capacity) {
+            evictOne();
         }
-        if (silent.size() > most / SILENT_PART || resting.isEmpty()) {
-            close(first(silent));
-        } else if (leaving.size() < most / LEAVING_PART) {
-            closeGracefully(first(resting));
+    }
+
+    private void evictOne() {
+        if (silent.size() > capacity / SILENT_DIVISOR || idle.isEmpty()) {
+            close(oldest(silent));
+        } else if (closing.size() < capacity / CLOSING_DIVISOR) {
+            closeGracefully(oldest(idle));
         } else {
-            close(first(resting));
+            close(oldest(idle));
         }
     }
 
-    /** It has asked for something and waits. */
+    /** The connection has sent a request and awaits the response. */
     public void markWaiting(C client) {
-        move(client, waiting);
+        changeState(client, awaitingResponse);
     }
 
-    /** It has spoken and waits for nothing. */
+    /** The connection has sent a request before and awaits no response. */
     public void markIdle(C client) {
-        move(client, resting);
+        changeState(client, idle);
     }
 
-    /** It is gone. */
+    /** The connection is closed. */
     public void disconnected(C client) {
         silent.remove(client);
-        waiting.remove(client);
-        resting.remove(client);
-        leaving.remove(client);
+        awaitingResponse.remove(client);
+        idle.remove(client);
+        closing.remove(client);
     }
 
-    /** Lets a connection that waits for nothing end in order. */
+    /** Closes a connection that awaits no response, unless it sends a request first. */
     public void closeGracefully(C client) {
-        move(client, leaving);
-        leaver.accept(client);
+        changeState(client, closing);
+        gracefulCloser.accept(client);
     }
 
-    /** Returns the connections held, those that are leaving included. */
+    /** Returns the number of connections, those that are closing included. */
     public int size() {
-        return silent.size() + waiting.size() + resting.size() + leaving.size();
+        return silent.size() + awaitingResponse.size() + idle.size() + closing.size();
     }
 
-    /** Returns all connections but those that are leaving. */
+    /** Returns all connections but those that are closing. */
     public List<C> all() {
         List<C> all = new ArrayList<>(silent.keySet());
-        all.addAll(waiting.keySet());
-        all.addAll(resting.keySet());
+        all.addAll(awaitingResponse.keySet());
+        all.addAll(idle.keySet());
         return all;
     }
 
-    /** Closes each of these connections with that chance, so that few close at a time; 1 closes all. */
-    public static <C> void closeSome(List<C> resting, double chance, Consumer<C> closer) {
-        resting.stream()
-                .filter(c -> ThreadLocalRandom.current().nextDouble() < chance)
+    /**
+     * Closes each of these connections with this probability, so that they don't all reconnect at once.
+     *
+     * @param probability in [0, 1]; 1 closes all
+     */
+    public static <C> void closeSome(List<C> clients, double probability, Consumer<C> closer) {
+        clients.stream()
+                .filter(client -> ThreadLocalRandom.current().nextDouble() < probability)
                 .forEach(closer);
     }
 
-    /** Lets the connections go that have come and said nothing in all that time. */
-    public void closeSilent(long nanos) {
-        long before = nanoClock.getAsLong() - nanos;
-        while (!silent.isEmpty() && silent.values().iterator().next() <= before) {
-            closeGracefully(first(silent));
+    /** Closes connections gracefully that have been silent for so long. */
+    public void closeSilent(long silentNanos) {
+        long latestNanos = nanoClock.getAsLong() - silentNanos;
+        while (!silent.isEmpty() && silent.values().iterator().next() <= latestNanos) {
+            closeGracefully(oldest(silent));
         }
     }
 
-    private void move(C client, Map<C, Long> to) {
+    private void changeState(C client, Map<C, Long> state) {
         disconnected(client);
-        to.put(client, nanoClock.getAsLong());
+        state.put(client, nanoClock.getAsLong());
     }
 
-    private static <C> C first(Map<C, Long> some) {
-        return some.keySet().iterator().next();
+    private static <C> C oldest(Map<C, Long> state) {
+        return state.keySet().iterator().next();
     }
 
     private void close(C client) {
--- a/src/main/java/lineward/frontend/LingeringClose.java
+++ b/src/main/java/lineward/frontend/LingeringClose.java
@@ -5,57 +5,70 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
- * Ends a connection that rests, so that nothing is lost on it. What the peer has sent by then is read first,
- * and may keep the connection open. Else the sending half is shut, and what still comes is read and dropped
- * until the peer closes too: a close over unread bytes resets the connection and drops answers on their way.
+ * Closes an idle connection so that no request or response is lost. What the peer has sent by then is read
+ * first, and may keep the connection open. Otherwise the sending half is shut down, and what still arrives is
+ * read and dropped until the peer closes too: a close over unread bytes would reset the connection and drop
+ * responses on their way.
  */
 public final class LingeringClose extends ChannelInboundHandlerAdapter {
-    private static final String NAME = "lingering-close";
-    /** A turn of the loop that reads what is there lies between the decision and the shutdown. */
+    private static final String HANDLER_NAME = "lingering-close";
+    /**
+     * Gives the event loop a turn in which it reads what has arrived, between the decision and the shutdown.
+     */
     private static final int READ_AHEAD_MS = 1;
-    /** A peer that listens closes within a round trip; one that does not must not hold a descriptor long. */
-    private static final int LASTS_MS = 500;
+    /**
+     * A peer that reads closes within a round trip; one that does not must not hold a descriptor for long.
+     */
+    private static final int LINGER_MS = 500;
 
     private LingeringClose() {}
 
     /**
-     * Ends the connection, unless something comes first; one that is ending already is passed over.
+     * Closes the connection unless a request arrives first; one that is closing already is skipped.
      *
-     * @param rests whether the connection still rests
-     * @param staysOpen is called where it does not
+     * @param idle whether the connection is still idle once all that has arrived is read
+     * @param staysOpen is called where it is not
      */
-    public static void begin(Channel channel, BooleanSupplier rests, Runnable staysOpen) {
-        afterReading(channel, rests, staysOpen, () -> {
-            if (channel instanceof DuplexChannel duplex) {
-                channel.pipeline().addFirst(NAME, new LingeringClose());
-                duplex.shutdownOutput();
-                channel.eventLoop().schedule(() -> channel.close(), LASTS_MS, TimeUnit.MILLISECONDS);
-            } else {
-                channel.close();
+    public static void begin(Channel channel, BooleanSupplier idle, Runnable staysOpen) {
+        afterReading(channel, idle, staysOpen, () -> shutDown(channel));
+    }
+
+    /** Does the same for a peer that has never sent anything and awaits no response: nothing lingers. */
+    public static void closeSilent(Channel channel, BooleanSupplier idle, Runnable staysOpen) {
+        afterReading(channel, idle, staysOpen, () -> Channels.close(channel));
+    }
+
+    private static void afterReading(Channel channel, BooleanSupplier idle, Runnable staysOpen, Runnable end) {
+        schedule(channel, READ_AHEAD_MS, () -> {
+            if (!channel.isActive() || isClosing(channel)) {
+                return;
             }
+            Runnable next = idle.getAsBoolean() ? end : staysOpen;
+            next.run();
         });
     }
 
-    /** The same for a peer that has never spoken and is owed no answer: nothing lingers. */
-    public static void closeSilent(Channel channel, BooleanSupplier rests, Runnable staysOpen) {
-        afterReading(channel, rests, staysOpen, channel::close);
+    private static boolean isClosing(Channel channel) {
+        return channel.pipeline().get(HANDLER_NAME) != null;
+    }
+
+    private static void shutDown(Channel channel) {
+        if (channel instanceof DuplexChannel duplex) {
+            channel.pipeline().addFirst(HANDLER_NAME, new LingeringClose());
+            Channels.shutdownOutput(duplex);
+            schedule(channel, LINGER_MS, () -> Channels.close(channel));
+        } else {
+            Channels.close(channel);
+        }
     }
 
-    private static void afterReading(Channel channel, BooleanSupplier rests, Runnable staysOpen, Runnable end) {
-        channel.eventLoop()
-                .schedule(
-                        () -> {
-                            if (!channel.isActive() || channel.pipeline().get(NAME) != null) {
-                                return;
-                            }
-                            (rests.getAsBoolean() ? end : staysOpen).run();
-                        },
-                        READ_AHEAD_MS,
-                        TimeUnit.MILLISECONDS);
+    private static void schedule(Channel channel, int delayMs, Runnable task) {
+        Future<?> unused = channel.eventLoop().schedule(task, delayMs, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/lineward/frontend/Listener.java
+++ b/src/main/java/lineward/frontend/Listener.java
@@ -7,15 +7,15 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 
-/** The socket at which a front's clients come in. */
+/** The listening socket of a protocol's clients. */
 public interface Listener {
     /** Starts to accept; the connections are served on the loop. */
     ChannelFuture bind(ServerBootstrap clients, EventLoopGroup loop);
 
-    /** Accepts no connection any more. */
+    /** Stops accepting connections on the channel that {@link #bind} made. */
     void stopAccepting(Channel listener);
 
-    /** Returns a socket of this process's own, bound to that address when it opens. */
+    /** Returns a listener that opens a socket of its own at that address. */
     static Listener at(InetSocketAddress address) {
         return new Listener() {
             @Override
@@ -25,7 +25,7 @@
 
             @Override
             public void stopAccepting(Channel listener) {
-                listener.close();
+                Channels.close(listener);
             }
         };
     }
--- a/src/main/java/lineward/frontend/ProtocolServer.java
+++ b/src/main/java/lineward/frontend/ProtocolServer.java
@@ -4,51 +4,60 @@
 import io.netty.channel.EventLoopGroup;
 import lineward.core.Coordinator;
 
-/** What the program asks of each front. All but listening runs on the event loop. */
+/** A client protocol as the program steers it. All but {@link #listen} runs on the event loop. */
 public interface ProtocolServer {
-    /** How a front meets its clients. */
+    /** How a server meets its clients. */
     enum Admission {
-        /** It serves all that come. */
+        /** It serves all requests and welcomes new clients. */
         OPEN,
-        /** It serves all that come, but asks for no new clients. */
+        /** It serves all requests, but asks clients to go elsewhere. */
         DRAINING,
-        /** It refuses new requests and answers what it has taken. */
+        /** It rejects new requests and completes those admitted. */
         REJECTING
     }
 
     /** Starts to listen. */
     ChannelFuture listen(EventLoopGroup loop);
 
-    /** Lets the planner decide on what came in and carries its commands out. */
+    /** Lets the scheduler decide on what has arrived, and carries its commands out. */
     void tick();
 
-    /** From now on the front meets its clients so. */
-    void setAdmission(Admission intake);
+    /** Sets how clients are met from now on. */
+    void setAdmission(Admission admission);
 
-    /** What is taken from now on has so long at most, whatever its client says. */
-    void setShutdownDeadline(int ms);
+    /** Bounds the time of requests that arrive from now on, whatever deadline their clients set. */
+    void setShutdownDeadline(int deadlineMs);
 
-    /** Fails what is still open where the process is about to be killed. */
+    /** Fails all open requests, where the process is about to be killed. */
     void failOpenRequests();
 
-    /** Closes the listener. */
+    /** Closes the listening socket, or leaves it to the processes that share it. */
     void stopListening();
 
-    /** Closes each connection whose client waits for nothing with that chance; 1 closes all. */
-    void closeIdleClients(double chance);
+    /**
+     * Closes idle connections, each with this probability.
+     *
+     * @param probability in [0, 1]; 1 closes all
+     */
+    void closeIdleClients(double probability);
 
-    /** Closes connections that say nothing, or not the rest of what they began; comes ten times a second. */
+    /** Closes connections that are silent or whose message stays incomplete; called ten times a second. */
     void closeUnresponsive();
 
     /** Closes connections to engines that have been idle for long. */
     void closeIdleEngineConnections();
 
-    /** By order an engine gets nothing from now on, or is used again; at tells when that was said. */
-    void setMaintenance(String engine, boolean out, double at);
+    /**
+     * Carries out an operator's order on an engine.
+     *
+     * @param excluded true: the engine gets no requests from now on; false: it is used again
+     * @param sinceMs when the order was given, in Unix milliseconds
+     */
+    void setMaintenance(String engine, boolean excluded, double sinceMs);
 
-    /** Returns what decides for this front. */
+    /** Returns the coordinator of this server's requests. */
     Coordinator<?> coordinator();
 
-    /** Returns whether nobody is owed an answer and every answer has been written. */
+    /** Returns whether no request is open and every response has been written. */
     boolean isDrained();
 }
--- a/src/main/java/lineward/frontend/RateLimitedLog.java
+++ b/src/main/java/lineward/frontend/RateLimitedLog.java
@@ -3,27 +3,38 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 
-/** Logs one line a second at most and counts the rest: nonsense at full speed must not cost a line each. */
+/** Logs one line a second at most and counts the rest, so that malformed input at full speed costs little. */
 public final class RateLimitedLog {
-    private static final long PAUSE = TimeUnit.SECONDS.toNanos(1);
+    private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private final Logger log;
-    private long next = System.nanoTime();
-    private int passedOver;
+    private long nextLineNanos = System.nanoTime();
+    private int suppressedLines;
 
-    /** @param log where the lines go */
+    /**
+     * Creates a log whose first line is never suppressed.
+     *
+     * @param log receives the lines
+     */
     public RateLimitedLog(Logger log) {
         this.log = log;
     }
 
-    /** Logs the line, unless one was logged a moment ago. */
-    public void info(String what, Object about, Object cause) {
-        long now = System.nanoTime();
-        if (now - next < 0) {
-            passedOver++;
+    /**
+     * Logs a line, unless one was logged within the last second.
+     *
+     * @param event what happened
+     * @param subject what it happened to
+     * @param cause why; logged without its stack trace
+     */
+    public void info(String event, Object subject, Object cause) {
+        long nowNanos = System.nanoTime();
+        if (nowNanos - nextLineNanos < 0) {
+            suppressedLines++;
             return;
         }
-        log.info("{} {}: {} ({} lines like this passed over)", what, about, cause.toString(), passedOver);
-        next = now + PAUSE;
-        passedOver = 0;
+        String format = "{} {}: {} ({} lines like this passed over)";
+        log.info(format, event, subject, cause.toString(), suppressedLines);
+        nextLineNanos = nowNanos + INTERVAL_NANOS;
+        suppressedLines = 0;
     }
 }
--- a/src/main/java/lineward/lifecycle/InheritedListener.java
+++ b/src/main/java/lineward/lifecycle/InheritedListener.java
@@ -15,9 +15,10 @@
 import lineward.frontend.Listener;
 
 /**
- * A listening socket that came as descriptor 0 and is shared with other processes. Both may wake for the same
- * connection, and the flag that keeps an accept from waiting is shared as well: should somebody clear it, the
- * accept of who comes second waits for the next connection. So a thread beside the event loop accepts.
+ * A listening socket that was inherited as descriptor 0 and is shared with other processes. Both may wake for
+ * the same connection, and the flag that makes it non-blocking is shared as well: should another process
+ * clear it, the accept that comes second blocks until the next connection. So a thread beside the event loop
+ * accepts.
  */
 public final class InheritedListener implements Listener {
     private final ServerSocketChannel socket;
@@ -27,9 +28,9 @@
     }
 
     /**
-     * Takes descriptor 0.
+     * Returns the listener on descriptor 0.
      *
-     * @throws IllegalArgumentException if the descriptor named is not 0, or no socket that listens
+     * @throws IllegalArgumentException if the descriptor named is not 0, or is no listening socket
      */
     public static InheritedListener fromDescriptor(String descriptor) {
         try {
@@ -44,16 +45,21 @@
 
     @Override
     public ChannelFuture bind(ServerBootstrap clients, EventLoopGroup loop) {
-        EventLoopGroup acceptor =
-                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
-        // One a turn: an accept that waits must not have a connection in hand that nobody serves yet.
+        DefaultThreadFactory threads = new DefaultThreadFactory("accept", true);
+        EventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory());
+        // One accept for each wake-up: one that blocks must not hold an accepted connection back.
+        ServerChannelRecvByteBufAllocator onePerWakeUp = new ServerChannelRecvByteBufAllocator();
+        onePerWakeUp.maxMessagesPerRead(1);
         return clients.group(acceptor, loop)
                 .channelFactory(() -> new NioServerSocketChannel(socket))
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, onePerWakeUp)
                 .register();
     }
 
-    /** A close would put the null device over the log, and end nothing: others hold the socket too. */
+    /**
+     * Stops reading only: a close would replace the log by the null device, and other processes hold the
+     * socket.
+     */
     @Override
     public void stopAccepting(Channel listener) {
         listener.config().setAutoRead(false);
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -1,6 +1,7 @@
 package lineward.lifecycle;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -12,184 +13,195 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What this process is at: starting, serving, sending its clients away because an operator asks, or ending
- * because of SIGTERM. All but {@link #end} runs on the event loop.
+ * Carries out the transitions of this process: starting, serving, draining by an operator's order, and the
+ * graceful shutdown after SIGTERM. All but {@link #end} runs on the event loop.
  */
 public final class Lifecycle implements AdminOperations {
-    private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
     /**
      * How this process ends after SIGTERM.
      *
-     * @param inherited whether others accept on the clients' socket: none is accepted here any more then
-     * @param lastWordMs when who still waits has to hear
+     * @param inherited whether other processes accept on the clients' socket: this one stops accepting then
+     * @param lastWordMs from SIGTERM until requests that are still open are failed
      */
     public record Ending(boolean inherited, int lastWordMs) {}
 
-    /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow wire. */
-    private static final int STILL_COMING_MS = 900;
-    /** A drain: new connections come for 0.3 s yet; then the resting ones close one by one. */
-    private static final double FIRST_CLOSE_MS = 300;
-
-    private static final double ALL_CLOSE_MS = 1500;
-    /** At an upgrade they come back to the same socket: the sooner, the shorter two share the work. */
-    private static final double ALL_HANDED_MS = 400;
-    /** From then on requests are refused: at 4 s a connection may carry none of the last 2 s. */
-    private static final double REFUSE_MS = 1800;
+    private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
+    /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow network. */
+    private static final int LATE_REQUESTS_MS = 900;
+    /** Another process's maintenance order has to be in effect here well within a second. */
+    private static final int PEER_POLL_MS = 100;
 
-    private static final double NANOS = 1e6;
-    /** Another process's word on an engine has to hold here well within a second. */
-    private static final int LOOK_MS = 100;
+    private static final double NANOS_PER_MS = 1e6;
 
     private final EventLoop loop;
     private final Ticker ticker;
-    private final List<ProtocolServer> doors;
-    private final Metrics figures;
-    private final CountDownLatch quiet = new CountDownLatch(1);
-    private final Ending how;
-    private final HotRestart handOver;
-    private boolean serving;
-    private boolean ending;
-    private boolean draining;
-    private long leavingSince;
+    private final List<ProtocolServer> servers;
+    private final Metrics metrics;
+    private final HotRestart hotRestart;
+    private final Ending shutdown;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private ProcessState state = ProcessState.STARTING;
+    private long drainStartNanos;
 
     /**
-     * @param doors all fronts
-     * @param how this process will end
+     * Creates the lifecycle of a process that starts.
+     *
+     * @param servers the servers of all protocols; may be added to until {@link #serve}
+     * @param shutdown how this process will end
      */
     public Lifecycle(
             EventLoop loop,
             Ticker ticker,
-            List<ProtocolServer> doors,
-            Metrics figures,
-            HotRestart handOver,
-            Ending how) {
-        this.figures = figures;
-        this.handOver = handOver;
-        this.how = how;
+            List<ProtocolServer> servers,
+            Metrics metrics,
+            HotRestart hotRestart,
+            Ending shutdown) {
         this.loop = loop;
         this.ticker = ticker;
-        this.doors = doors;
+        this.servers = servers;
+        this.metrics = metrics;
+        this.hotRestart = hotRestart;
+        this.shutdown = shutdown;
     }
 
-    /** Takes in what a process before this one was told, and watches for more. */
+    /** Takes over the maintenance orders of the process before this one, and polls for more. */
     public void begin() {
-        handOver.look();
-        handOver.write();
-        ticker.every(LOOK_MS, handOver::look);
-        ticker.every(HotRestart.BEAT_MS, handOver::write);
+        hotRestart.readPeers();
+        hotRestart.writeState();
+        ticker.every(PEER_POLL_MS, hotRestart::readPeers);
+        ticker.every(HotRestart.HEARTBEAT_MS, hotRestart::writeState);
     }
 
-    /** All fronts listen: from now on this process says that it is ready. */
+    /** All protocols listen: from now on this process reports that it is ready. */
     public void serve() {
-        serving = true;
-        ticker.every(Ticker.TICK_MS, this::sendAway);
+        state = state.afterListening();
+        ticker.every(Ticker.TICK_MS, this::closeDrainedConnections);
     }
 
     @Override
     public boolean isReady() {
-        return serving && !draining && !ending;
+        return state.isReady();
     }
 
-    /** What is used already is told so and nothing more: it has not been away. */
+    /** An order that is in effect already changes nothing: the engine has not been away. */
     @Override
-    public boolean setMaintenance(String engine, boolean out) {
-        boolean known = doors.stream().anyMatch(d -> d.coordinator().isKnown(engine));
-        if (known && out != handOver.isOut(engine)) {
-            handOver.say(engine, out);
+    public boolean setMaintenance(String engine, boolean excluded) {
+        boolean listed =
+                servers.stream().anyMatch(server -> server.coordinator().isKnown(engine));
+        if (listed && excluded != hotRestart.isExcluded(engine)) {
+            hotRestart.setMaintenance(engine, excluded);
         }
-        return known;
+        return listed;
     }
 
     @Override
     public String metrics() {
-        return figures.text(doors);
+        return metrics.text(servers);
     }
 
     @Override
     public void startDrain() {
-        if (!draining) {
-            LOG.info("drain: clients are sent away");
-            draining = true;
-            leavingSince = System.nanoTime();
-            admit(Admission.DRAINING);
+        ProcessState next = state.afterDrainStarted();
+        if (next != state) {
+            LOG.info("drain started");
+            state = next;
+            drainStartNanos = System.nanoTime();
+            setAdmission(Admission.DRAINING);
         }
     }
 
     @Override
     public boolean stopDrain() {
-        if (draining && !ending) {
-            LOG.info("drain over: clients are taken again");
-            admit(Admission.OPEN);
+        ProcessState next = state.afterDrainStopped();
+        if (next != state) {
+            LOG.info("drain stopped");
+            state = next;
+            setAdmission(Admission.OPEN);
         }
-        draining &= ending;
-        return !ending;
+        return !state.isTerminating();
     }
 
-    private void admit(Admission intake) {
-        doors.forEach(d -> d.setAdmission(intake));
+    private void setAdmission(Admission admission) {
+        servers.forEach(server -> server.setAdmission(admission));
     }
 
-    /** Danger: clients whose connections all close at once come back elsewhere all at once. */
-    private void sendAway() {
-        if (ending ? !how.inherited() : !draining) {
-            return;
+    private void closeDrainedConnections() {
+        if (state.isDraining()) {
+            closeDrainedConnections(DrainSchedule.OPERATOR_DRAIN);
+        } else if (state.isTerminating() && shutdown.inherited()) {
+            closeDrainedConnections(DrainSchedule.HOT_RESTART);
         }
-        double since = (System.nanoTime() - leavingSince) / NANOS;
-        if (since >= REFUSE_MS && !ending) {
-            admit(Admission.REJECTING);
+    }
+
+    private void closeDrainedConnections(DrainSchedule schedule) {
+        double elapsedMs = (System.nanoTime() - drainStartNanos) / NANOS_PER_MS;
+        if (schedule.rejectsRequests(elapsedMs)) {
+            setAdmission(Admission.REJECTING);
         }
-        if (since >= FIRST_CLOSE_MS) {
-            double left = (ending ? ALL_HANDED_MS : ALL_CLOSE_MS) - since;
-            double chance = Ticker.TICK_MS / Math.max(Ticker.TICK_MS, left);
-            doors.forEach(d -> d.closeIdleClients(chance));
+        if (schedule.closesConnections(elapsedMs)) {
+            double probability = schedule.closeProbability(elapsedMs, Ticker.TICK_MS);
+            servers.forEach(server -> server.closeIdleClients(probability));
         }
     }
 
     /**
-     * SIGTERM: serves on while requests still come and answers all that is open; returns when nobody is owed
-     * anything. Called on a thread of its own.
+     * Shuts down gracefully after SIGTERM: serves on while requests still come, completes all that are open,
+     * and returns when every answer has been written. Called on a thread of its own.
      */
     public void end() {
-        LOG.info("SIGTERM: serving on until all is answered");
-        loop.execute(() -> {
-            ending = true;
-            leavingSince = System.nanoTime();
-            doors.forEach(d -> d.setShutdownDeadline(how.lastWordMs()));
-            if (how.inherited()) {
-                doors.forEach(ProtocolServer::stopListening);
-            } else {
-                admit(Admission.DRAINING);
-            }
-            loop.schedule(
-                    () -> ticker.every(Ticker.TICK_MS, this::finish),
-                    how.inherited() ? 0 : STILL_COMING_MS,
-                    TimeUnit.MILLISECONDS);
-            loop.schedule(this::lastWord, how.lastWordMs(), TimeUnit.MILLISECONDS);
-        });
+        LOG.info("SIGTERM: graceful shutdown, deadlineMs={}", shutdown.lastWordMs());
+        loop.execute(this::beginShutdown);
         try {
-            quiet.await();
+            drained.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        loop.submit(handOver::leave).syncUninterruptibly();
+        loop.submit(hotRestart::leave).syncUninterruptibly();
         LOG.info("all is answered");
     }
 
-    private void lastWord() {
-        LOG.info(
-                "last word: {} requests fail",
-                doors.stream().mapToInt(d -> d.coordinator().openRequests()).sum());
-        admit(Admission.REJECTING);
-        doors.forEach(ProtocolServer::failOpenRequests);
+    private void beginShutdown() {
+        state = state.afterTermination();
+        drainStartNanos = System.nanoTime();
+        servers.forEach(server -> server.setShutdownDeadline(shutdown.lastWordMs()));
+        if (shutdown.inherited()) {
+            servers.forEach(ProtocolServer::stopListening);
+        } else {
+            setAdmission(Admission.DRAINING);
+        }
+        schedule(
+                () -> ticker.every(Ticker.TICK_MS, this::completeShutdown),
+                shutdown.inherited() ? 0 : LATE_REQUESTS_MS);
+        schedule(this::failOpenRequests, shutdown.lastWordMs());
+    }
+
+    private void schedule(Runnable task, int delayMs) {
+        loop.schedule(task, delayMs, TimeUnit.MILLISECONDS).addListener(Lifecycle::logFailure);
+    }
+
+    private static void logFailure(Future<?> task) {
+        // What is cancelled is no failure: the event loop has been shut down.
+        if (!task.isSuccess() && !task.isCancelled()) {
+            LOG.error("shutdown task failed", task.cause());
+        }
+    }
+
+    private void failOpenRequests() {
+        int openRequests = servers.stream()
+                .mapToInt(server -> server.coordinator().openRequests())
+                .sum();
+        LOG.info("shutdown deadline passed: failedRequests={}", openRequests);
+        setAdmission(Admission.REJECTING);
+        servers.forEach(ProtocolServer::failOpenRequests);
     }
 
-    private void finish() {
-        if (!how.inherited()) {
-            doors.forEach(ProtocolServer::stopListening);
-            doors.forEach(d -> d.closeIdleClients(1));
+    private void completeShutdown() {
+        if (!shutdown.inherited()) {
+            servers.forEach(ProtocolServer::stopListening);
+            servers.forEach(server -> server.closeIdleClients(1));
         }
-        if (doors.stream().allMatch(ProtocolServer::isDrained)) {
-            quiet.countDown();
+        if (servers.stream().allMatch(ProtocolServer::isDrained)) {
+            drained.countDown();
         }
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/lifecycle/PeerStateCodec.java
@@ -0,0 +1,51 @@
+package lineward.lifecycle;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The JSON form of {@link PeerState}. Processes of the versions before and after this one read and write it
+ * as well, so its keys and types stay as they are.
+ */
+final class PeerStateCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String WRITTEN_AT = "at";
+    private static final String ENGINES = "engines";
+    private static final String EXCLUDED = "out";
+    private static final String SINCE = "since";
+
+    private PeerStateCodec() {}
+
+    /** Returns the file's content for that state. */
+    static String encode(PeerState state) {
+        ObjectNode root = JSON.createObjectNode().put(WRITTEN_AT, state.writtenAtMs());
+        ObjectNode engines = root.putObject(ENGINES);
+        for (MaintenanceOrder order : state.orders()) {
+            engines.putObject(order.engine()).put(EXCLUDED, order.excluded()).put(SINCE, order.sinceMs());
+        }
+        return root.toString();
+    }
+
+    /**
+     * Returns the state that a file's content stands for; orders of another form are left out.
+     *
+     * @throws JsonProcessingException if the content is no JSON
+     */
+    static PeerState decode(String content) throws JsonProcessingException {
+        JsonNode root = JSON.readTree(content);
+        List<MaintenanceOrder> orders = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> engine : root.path(ENGINES).properties()) {
+            JsonNode excluded = engine.getValue().path(EXCLUDED);
+            JsonNode since = engine.getValue().path(SINCE);
+            if (excluded.isBoolean() && since.isNumber()) {
+                orders.add(new MaintenanceOrder(engine.getKey(), excluded.asBoolean(), since.asDouble()));
+            }
+        }
+        return new PeerState(root.path(WRITTEN_AT).asDouble(0), List.copyOf(orders));
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/lifecycle/ProcessState.java
@@ -0,0 +1,73 @@
+package lineward.lifecycle;
+
+/**
+ * The states of this process, and the transitions that operators and signals cause.
+ *
+ * <p>Ordered by the usual course: the process starts, serves, perhaps drains, and terminates. A drain may be
+ * started in any state; one that is in effect when the process terminates cannot be stopped any more.
+ */
+enum ProcessState {
+    /** Not all protocols listen yet. */
+    STARTING,
+    /** Not all protocols listen yet, and an operator has started a drain. */
+    STARTING_DRAINED,
+    /** All protocols listen, and clients are welcome. */
+    SERVING,
+    /** An operator sends the clients elsewhere; the process stays. */
+    DRAINING,
+    /** SIGTERM has come: what is open is completed. */
+    TERMINATING,
+    /** SIGTERM has come, and an operator has started a drain before or after it. */
+    TERMINATING_DRAINED;
+
+    /** Returns the state once all protocols listen. */
+    ProcessState afterListening() {
+        return switch (this) {
+            case STARTING -> SERVING;
+            case STARTING_DRAINED -> DRAINING;
+            default -> this;
+        };
+    }
+
+    /** Returns the state once an operator has started a drain; the same state if one is in effect. */
+    ProcessState afterDrainStarted() {
+        return switch (this) {
+            case STARTING -> STARTING_DRAINED;
+            case SERVING -> DRAINING;
+            case TERMINATING -> TERMINATING_DRAINED;
+            default -> this;
+        };
+    }
+
+    /** Returns the state once an operator has stopped a drain; the same state if there is none to stop. */
+    ProcessState afterDrainStopped() {
+        return switch (this) {
+            case STARTING_DRAINED -> STARTING;
+            case DRAINING -> SERVING;
+            default -> this;
+        };
+    }
+
+    /** Returns the state after SIGTERM. */
+    ProcessState afterTermination() {
+        return switch (this) {
+            case STARTING, SERVING, TERMINATING -> TERMINATING;
+            case STARTING_DRAINED, DRAINING, TERMINATING_DRAINED -> TERMINATING_DRAINED;
+        };
+    }
+
+    /** Returns whether the process serves and wants new clients. */
+    boolean isReady() {
+        return this == SERVING;
+    }
+
+    /** Returns whether an operator's drain is in effect while the process stays. */
+    boolean isDraining() {
+        return this == STARTING_DRAINED || this == DRAINING;
+    }
+
+    /** Returns whether SIGTERM has come. */
+    boolean isTerminating() {
+        return this == TERMINATING || this == TERMINATING_DRAINED;
+    }
+}
--- a/src/main/java/lineward/lifecycle/Ticker.java
+++ b/src/main/java/lineward/lifecycle/Ticker.java
@@ -7,33 +7,47 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Coarse ticks on a wheel; what they call runs on the event loop. */
+/** Periodic tasks on a hashed wheel timer, coarse but cheap; the tasks run on the event loop. */
 public final class Ticker {
-    /** One tick of the wheel. */
+    /** The resolution of the timer. */
     public static final int TICK_MS = 5;
 
     private static final Logger LOG = LoggerFactory.getLogger(Ticker.class);
     private static final int WHEEL_SLOTS = 64;
+    private static final long UNLIMITED_TIMEOUTS = -1;
     private final HashedWheelTimer wheel;
 
-    /** @param loop runs all that is due */
+    /**
+     * Creates a timer whose thread starts with its first task.
+     *
+     * @param loop runs all tasks
+     */
     public Ticker(EventLoop loop) {
         wheel = new HashedWheelTimer(
-                new DefaultThreadFactory("wheel", true), TICK_MS, TimeUnit.MILLISECONDS, WHEEL_SLOTS, false, -1, loop);
+                new DefaultThreadFactory("wheel", true),
+                TICK_MS,
+                TimeUnit.MILLISECONDS,
+                WHEEL_SLOTS,
+                false,
+                UNLIMITED_TIMEOUTS,
+                loop);
     }
 
-    /** Runs the task again and again, each time so long after its last end. */
-    public void every(int ms, Runnable task) {
+    /**
+     * Runs the task periodically, each time this many milliseconds after its last end, until the process
+     * ends.
+     */
+    public void every(int periodMs, Runnable task) {
         wheel.newTimeout(
                 timeout -> {
                     try {
                         task.run();
                     } catch (RuntimeException e) {
-                        LOG.error("tick failed", e);
+                        LOG.error("periodic task failed: periodMs={}", periodMs, e);
                     }
-                    every(ms, task);
+                    every(periodMs, task);
                 },
-                ms,
+                periodMs,
                 TimeUnit.MILLISECONDS);
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/lifecycle/package-info.java
@@ -0,0 +1,13 @@
+/**
+ * The states of this process: start, serving, drain, graceful shutdown and hot restart.
+ *
+ * <p>Owns the process state with its transitions, the maintenance orders of operators, the files that the
+ * processes of a hot restart share, the inherited listening socket, and the timer of periodic tasks. Uses
+ * {@code lineward.frontend} to steer the protocol servers and implements the operations of {@code
+ * lineward.operations}.
+ *
+ * <p>Everything runs on the event loop but the call that waits for the end of a shutdown, which has a thread
+ * of its own; accepting on an inherited socket has another. Bounds: a drain's schedule, the shutdown
+ * deadline, and the size and age of the files read. Design note: docs/architecture.md.
+ */
+package lineward.lifecycle;
--- a/src/test/java/lineward/frontend/ClientRegistryTest.java
+++ b/src/test/java/lineward/frontend/ClientRegistryTest.java
@@ -9,53 +9,53 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Who is let go, and how many at a time. */
-public class ClientTableTest {
+/** Which connections are evicted or closed, and how many at a time. */
+public class ClientRegistryTest {
     @DataProvider
-    public Object[][] chances() {
+    public Object[][] probabilities() {
         return new Object[][] {{0.0, 0, 0}, {0.1, 40, 160}, {1.0, 1000, 1000}};
     }
 
-    @Test(dataProvider = "chances")
-    public void someAreClosedAtATime(double chance, int least, int most) {
+    @Test(dataProvider = "probabilities")
+    public void closeSomeClosesThatFraction(double probability, int minimum, int maximum) {
         List<Integer> closed = new ArrayList<>();
-        ClientRegistry.closeSome(IntStream.range(0, 1000).boxed().toList(), chance, closed::add);
-        assertTrue(closed.size() >= least && closed.size() <= most, closed.size() + " closed");
+        ClientRegistry.closeSome(IntStream.range(0, 1000).boxed().toList(), probability, closed::add);
+        assertTrue(closed.size() >= minimum && closed.size() <= maximum, closed.size() + " closed");
     }
 
     @Test
-    public void theLongestSilentMakesRoomAndWhoWaitsNeverDoes() {
+    public void theOldestSilentConnectionIsEvictedAndOneAwaitingAResponseNeverIs() {
         List<String> closed = new ArrayList<>();
-        List<String> left = new ArrayList<>();
-        ClientRegistry<String> table = new ClientRegistry<>(3, () -> 0, closed::add, left::add);
-        table.connected("waits");
-        table.markWaiting("waits");
-        table.connected("first");
-        table.connected("second");
-        table.connected("third");
+        List<String> closing = new ArrayList<>();
+        ClientRegistry<String> registry = new ClientRegistry<>(3, () -> 0, closed::add, closing::add);
+        registry.connected("awaiting");
+        registry.markWaiting("awaiting");
+        registry.connected("first");
+        registry.connected("second");
+        registry.connected("third");
         assertEquals(closed, List.of("first"));
-        table.closeSilent(0);
-        assertEquals(closed, List.of("first"), "silence alone ends a connection in order");
-        assertEquals(left, List.of("second", "third"));
-        assertEquals(table.all(), List.of("waits"));
-        assertEquals(table.size(), 3, "both are here until they are gone");
-        table.disconnected("second");
-        table.markWaiting("third");
-        assertEquals(table.all(), List.of("waits", "third"), "it spoke first");
+        registry.closeSilent(0);
+        assertEquals(closed, List.of("first"), "a silent connection closes gracefully");
+        assertEquals(closing, List.of("second", "third"));
+        assertEquals(registry.all(), List.of("awaiting"));
+        assertEquals(registry.size(), 3, "both count until they are disconnected");
+        registry.disconnected("second");
+        registry.markWaiting("third");
+        assertEquals(registry.all(), List.of("awaiting", "third"), "it sent a request first");
     }
 
-    /** Where room is short a few leave in order; past them descriptors count for more. */
+    /** Closing connections hold descriptors beyond the capacity, so only a few may close gracefully. */
     @Test
-    public void thoseThatLeaveInOrderAreFew() {
+    public void gracefulClosesAreBounded() {
         List<Integer> closed = new ArrayList<>();
-        List<Integer> left = new ArrayList<>();
-        ClientRegistry<Integer> table = new ClientRegistry<>(64, () -> 0, closed::add, left::add);
+        List<Integer> closing = new ArrayList<>();
+        ClientRegistry<Integer> registry = new ClientRegistry<>(64, () -> 0, closed::add, closing::add);
         for (int i = 0; i < 64 + 6; i++) {
-            table.connected(i);
-            table.markIdle(i);
+            registry.connected(i);
+            registry.markIdle(i);
         }
-        assertEquals(left, List.of(0, 1, 2, 3));
+        assertEquals(closing, List.of(0, 1, 2, 3));
         assertEquals(closed, List.of(4, 5));
-        assertEquals(table.size(), 64 + 4);
+        assertEquals(registry.size(), 64 + 4);
     }
 }
--- a/src/test/java/lineward/frontend/LingeringCloseTest.java
+++ b/src/test/java/lineward/frontend/LingeringCloseTest.java
@@ -30,12 +30,12 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** How a connection ends in order, on real sockets: the loop is held at a point until the peer has acted. */
+/** The graceful close on real sockets: the event loop blocks at a point until the peer has acted. */
 public class LingeringCloseTest {
-    /** More than the peer's socket takes at once: part of it is still here when the close is decided. */
-    private static final int LONG_ANSWER = 2 << 20;
+    /** More than the sockets buffer: part of it is still unsent when the close is decided. */
+    private static final int LONG_RESPONSE_BYTES = 2 << 20;
 
-    private static final int SMALL_BUFFER = 64 * 1024;
+    private static final int SMALL_BUFFER_BYTES = 64 * 1024;
 
     private final BlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
     private final List<String> read = new CopyOnWriteArrayList<>();
@@ -66,7 +66,7 @@
 
                             @Override
                             public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                                ctx.close();
+                                Channels.close(ctx.channel());
                             }
                         });
                     }
@@ -83,7 +83,7 @@
 
     private Socket connect() throws IOException {
         Socket peer = new Socket();
-        peer.setReceiveBufferSize(SMALL_BUFFER);
+        peer.setReceiveBufferSize(SMALL_BUFFER_BYTES);
         peer.setSoTimeout(10_000);
         peer.connect(listener.localAddress());
         return peer;
@@ -98,63 +98,62 @@
     }
 
     @Test
-    public void aRequestThatLiesUnreadAtTheDecisionIsReadAndKeepsTheConnection() throws Exception {
-        CountDownLatch decides = new CountDownLatch(1);
-        CountDownLatch written = new CountDownLatch(1);
+    public void aRequestUnreadAtTheDecisionIsReadAndKeepsTheConnection() throws Exception {
+        CountDownLatch deciding = new CountDownLatch(1);
+        CountDownLatch requestWritten = new CountDownLatch(1);
         CountDownLatch stays = new CountDownLatch(1);
         try (Socket peer = connect()) {
             Channel channel = accepted.take();
             channel.eventLoop().execute(() -> {
-                decides.countDown();
-                await(written);
+                deciding.countDown();
+                await(requestWritten);
                 LingeringClose.begin(channel, read::isEmpty, stays::countDown);
             });
-            await(decides);
+            await(deciding);
             peer.getOutputStream().write("request".getBytes(StandardCharsets.US_ASCII));
-            written.countDown();
+            requestWritten.countDown();
             await(stays);
             assertEquals(read, List.of("request"));
-            channel.eventLoop()
-                    .submit(() -> channel.writeAndFlush(Unpooled.copiedBuffer("answer", StandardCharsets.US_ASCII)));
-            assertEquals(new String(peer.getInputStream().readNBytes(6), StandardCharsets.US_ASCII), "answer");
+            byte[] response = "response".getBytes(StandardCharsets.US_ASCII);
+            channel.writeAndFlush(Unpooled.wrappedBuffer(response)).syncUninterruptibly();
+            assertEquals(peer.getInputStream().readNBytes(response.length), response);
         }
     }
 
-    /** What comes behind the shutdown reaches nobody, and the answer that is on its way arrives whole. */
+    /** What arrives after the shutdown is dropped, and the response on its way arrives complete. */
     @Test
-    public void bytesBehindTheShutdownReachNobodyAndHarmNoAnswer() throws Exception {
+    public void bytesAfterTheShutdownAreDroppedAndHarmNoResponse() throws Exception {
         SocketChannel channel;
         try (Socket peer = connect()) {
             channel = (SocketChannel) accepted.take();
-            channel.eventLoop()
-                    .submit(() -> channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[LONG_ANSWER]))
-                            .addListener(done -> LingeringClose.begin(channel, () -> true, () -> {})));
+            channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[LONG_RESPONSE_BYTES]))
+                    .addListener(written -> LingeringClose.begin(channel, () -> true, () -> {}));
             // The peer reads until the rest fits into the buffers between the two.
-            int got = 0;
-            byte[] some = new byte[SMALL_BUFFER];
-            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            int received = 0;
+            byte[] buffer = new byte[SMALL_BUFFER_BYTES];
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
             while (!channel.isOutputShutdown()) {
-                assertTrue(System.nanoTime() < until, "no shutdown");
+                assertTrue(System.nanoTime() < deadlineNanos, "no shutdown");
                 if (peer.getInputStream().available() > 0) {
-                    got += peer.getInputStream().read(some);
+                    received += peer.getInputStream().read(buffer);
                 }
             }
             peer.getOutputStream().write("late request".getBytes(StandardCharsets.US_ASCII));
-            got += peer.getInputStream().readAllBytes().length;
-            assertEquals(got, LONG_ANSWER);
+            received += peer.getInputStream().readAllBytes().length;
+            assertEquals(received, LONG_RESPONSE_BYTES);
             assertEquals(read, List.of());
         }
         Program.await("it is closed here too", () -> !channel.isOpen());
     }
 
     @Test
-    public void aPeerThatNeverClosesHoldsNothingForLong() throws Exception {
+    public void aPeerThatNeverClosesIsDisconnectedSoon() throws Exception {
         try (Socket peer = connect()) {
             Channel channel = accepted.take();
             LingeringClose.begin(channel, () -> true, () -> {});
-            long start = System.nanoTime();
+            long startNanos = System.nanoTime();
             Program.await("it is closed", () -> !channel.isOpen());
-            assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(3));
+            assertTrue(System.nanoTime() - startNanos < TimeUnit.SECONDS.toNanos(3));
             assertTrue(peer.isConnected());
         }
     }
--- a/src/test/java/lineward/lifecycle/HotRestartTest.java
+++ b/src/test/java/lineward/lifecycle/HotRestartTest.java
@@ -5,6 +5,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,19 +17,19 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** What operators said reaches the other process; what can't be trusted does no harm. */
-public class HandOverTest {
-    private static final class Heard implements HotRestart.Listener {
-        private final List<String> lines = new ArrayList<>();
+/** Maintenance orders reach the other process; files that can't be trusted do no harm. */
+public class HotRestartTest {
+    private static final class RecordingListener implements HotRestart.Listener {
+        private final List<String> events = new ArrayList<>();
 
         @Override
-        public void heldOut(String engine, boolean out, double since) {
-            lines.add(engine + (out ? " out" : " back"));
+        public void heldOut(String engine, boolean excluded, double sinceMs) {
+            events.add(engine + (excluded ? " out" : " back"));
         }
 
         @Override
-        public void part(double part) {
-            lines.add("part " + part);
+        public void part(double quota) {
+            events.add("quota " + quota);
         }
     }
 
@@ -36,7 +38,7 @@
 
     @BeforeMethod
     public void start() throws IOException {
-        directory = Files.createTempDirectory("hand-over");
+        directory = Files.createTempDirectory("hot-restart");
     }
 
     @AfterMethod(alwaysRun = true)
@@ -47,44 +49,44 @@
         Files.delete(directory);
     }
 
-    private HotRestart process(Heard heard) {
+    private HotRestart process(RecordingListener listener) {
         now++; // Each process has a file of its own, named after its start.
-        return new HotRestart(directory, "n1", () -> now, heard);
+        return new HotRestart(directory, "n1", () -> now, listener);
     }
 
     @Test
-    public void theLaterWordHoldsInBothAndOutlivesTheFirstProcess() {
-        Heard first = new Heard();
+    public void theLaterOrderIsInEffectInBothProcessesAndOutlivesTheFirst() {
+        RecordingListener first = new RecordingListener();
         HotRestart old = process(first);
-        old.say("s-1", true);
-        old.say("s-2", true);
-        Heard second = new Heard();
+        old.setMaintenance("s-1", true);
+        old.setMaintenance("s-2", true);
+        RecordingListener second = new RecordingListener();
         HotRestart next = process(second);
-        next.look();
-        next.write();
-        assertEquals(second.lines, List.of("s-1 out", "s-2 out", "part 0.5"));
+        next.readPeers();
+        next.writeState();
+        assertEquals(second.events, List.of("s-1 out", "s-2 out", "quota 0.5"));
         now += 10;
-        next.say("s-1", false);
-        old.look();
-        assertEquals(first.lines, List.of("s-1 out", "s-2 out", "s-1 back", "part 0.5"));
+        next.setMaintenance("s-1", false);
+        old.readPeers();
+        assertEquals(first.events, List.of("s-1 out", "s-2 out", "s-1 back", "quota 0.5"));
         old.leave();
-        old.write();
-        next.look();
-        assertTrue(next.isOut("s-2"));
-        assertFalse(next.isOut("s-1"));
-        assertEquals(second.lines.subList(3, 5), List.of("s-1 back", "part 1.0"));
+        old.writeState();
+        next.readPeers();
+        assertTrue(next.isExcluded("s-2"));
+        assertFalse(next.isExcluded("s-1"));
+        assertEquals(second.events.subList(3, 5), List.of("s-1 back", "quota 1.0"));
     }
 
-    /** What may stand in a file beside one's own, and whether the word on s-1 in it is taken in. */
+    /** Contents of another process's file, and whether the order on s-1 in it is accepted. */
     @DataProvider
     public Object[][] files() {
-        String word = "\"engines\":{\"s-1\":{\"out\":true,\"since\":999000}}}";
+        String order = "\"engines\":{\"s-1\":{\"out\":true,\"since\":999000}}}";
         return new Object[][] {
-            {"{\"at\":1000000," + word, true},
-            {"{\"at\":991500," + word, true},
-            {"{\"at\":980000," + word, false},
-            {"{\"at\":9980000," + word, false},
-            {"{" + word, false},
+            {"{\"at\":1000000," + order, true},
+            {"{\"at\":991500," + order, true},
+            {"{\"at\":980000," + order, false},
+            {"{\"at\":9980000," + order, false},
+            {"{" + order, false},
             {"", false},
             {"{", false},
             {"[1]", false},
@@ -97,29 +99,44 @@
     }
 
     @Test(dataProvider = "files")
-    public void oldAndSpoiltFilesAreHarmless(String content, boolean taken) throws IOException {
+    public void expiredAndMalformedFilesAreHarmless(String content, boolean accepted) throws IOException {
         Files.writeString(directory.resolve("lineward-n1-77-99.engines.json"), content);
         Files.writeString(
                 directory.resolve("lineward-n2-77-99.engines.json"),
                 "{\"at\":1000000,\"engines\":{\"s-2\":{\"out\":true,\"since\":999000}}}");
-        Heard heard = new Heard();
-        HotRestart next = process(heard);
-        next.look();
-        assertEquals(next.isOut("s-1"), taken);
-        assertFalse(next.isOut("s-2"), "another front end's");
-        next.say("s-1", true);
-        assertTrue(next.isOut("s-1"));
+        RecordingListener listener = new RecordingListener();
+        HotRestart next = process(listener);
+        next.readPeers();
+        assertEquals(next.isExcluded("s-1"), accepted);
+        assertFalse(next.isExcluded("s-2"), "another front end's");
+        next.setMaintenance("s-1", true);
+        assertTrue(next.isExcluded("s-1"));
     }
 
+    /** The file was made by the form of the version before this one. */
     @Test
-    public void withoutADirectoryItHoldsHereAlone() {
+    public void theFileOfTheVersionBeforeIsReadAndKeepsItsForm() throws IOException {
+        String content;
+        try (InputStream resource = getClass().getResourceAsStream("hot-restart-1.engines.json")) {
+            content = new String(resource.readAllBytes(), StandardCharsets.UTF_8);
+        }
+        Files.writeString(directory.resolve("lineward-n1-77-99.engines.json"), content);
+        now = 1.7646540005e12;
+        RecordingListener listener = new RecordingListener();
+        process(listener).readPeers();
+        assertEquals(listener.events, List.of("s-1 out", "s-2 back", "quota 0.5"));
+        assertEquals(PeerStateCodec.encode(PeerStateCodec.decode(content)), content);
+    }
+
+    @Test
+    public void withoutADirectoryOrdersAreInEffectInThisProcessAlone() {
         for (Path none : new Path[] {null, directory.resolve("missing")}) {
-            Heard heard = new Heard();
-            HotRestart alone = new HotRestart(none, "n1", () -> now, heard);
-            alone.look();
-            alone.say("s-1", true);
+            RecordingListener listener = new RecordingListener();
+            HotRestart alone = new HotRestart(none, "n1", () -> now, listener);
+            alone.readPeers();
+            alone.setMaintenance("s-1", true);
             alone.leave();
-            assertEquals(heard.lines, List.of("s-1 out"));
+            assertEquals(listener.events, List.of("s-1 out"));
         }
     }
 }
