Split the admin endpoint into routes and handler, and the figures from their text

The handler decided on paths and wrote responses; the figures mixed counters with the text format, and the label values of a request's end followed the names of an enum's constants.

AdminRoutes holds the table of paths and what each replies, AdminReply a response, AdminHandler the connection. PrometheusText writes the format, Metrics counts, and Ending.label() gives the label's value. Tests say their behaviour in the field's terms. Futures that nobody awaits go through Channels.

--- a/src/main/java/lineward/frontend/ClientRegistry.java
+++ b/src/main/java/lineward/frontend/ClientRegistry.java
@@ -40,15 +40,15 @@
      * Creates an empty registry.
      *
      * @param capacity connections held at once, without those that are closing
-     * @param nanoClock has the origin and the rate of {@link System#nanoTime}
+     * @param clock in nanoseconds, has the origin and the rate of {@link System#nanoTime}
      * @param closer closes a connection at once
-     * @param leaver closes a connection unless it sends a request first
+     * @param gracefulCloser closes a connection unless it sends a request first
      */
-    public ClientRegistry(int capacity, LongSupplier nanoClock, Consumer<C> closer, Consumer<C> leaver) {
+    public ClientRegistry(int capacity, LongSupplier clock, Consumer<C> closer, Consumer<C> gracefulCloser) {
         this.capacity = capacity;
-        this.nanoClock = nanoClock;
+        this.nanoClock = clock;
         this.closer = closer;
-        this.gracefulCloser = leaver;
+        this.gracefulCloser = gracefulCloser;
     }
 
     /** Registers a new connection; if the registry is full, one is closed, perhaps this one. */
--- a/src/main/java/lineward/frontend/LingeringClose.java
+++ b/src/main/java/lineward/frontend/LingeringClose.java
@@ -35,15 +35,15 @@
      * @param staysOpen is called where it is not
      */
     public static void begin(Channel channel, BooleanSupplier idle, Runnable staysOpen) {
-        afterReading(channel, idle, staysOpen, () -> shutDown(channel));
+        afterRead(channel, idle, staysOpen, () -> shutDown(channel));
     }
 
     /** Does the same for a peer that has never sent anything and awaits no response: nothing lingers. */
     public static void closeSilent(Channel channel, BooleanSupplier idle, Runnable staysOpen) {
-        afterReading(channel, idle, staysOpen, () -> Channels.close(channel));
+        afterRead(channel, idle, staysOpen, () -> Channels.close(channel));
     }
 
-    private static void afterReading(Channel channel, BooleanSupplier idle, Runnable staysOpen, Runnable end) {
+    private static void afterRead(Channel channel, BooleanSupplier idle, Runnable staysOpen, Runnable end) {
         schedule(channel, READ_AHEAD_MS, () -> {
             if (!channel.isActive() || isClosing(channel)) {
                 return;
--- a/src/main/java/lineward/operations/AdminHandler.java
+++ b/src/main/java/lineward/operations/AdminHandler.java
@@ -12,132 +12,74 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
-import java.nio.charset.StandardCharsets;
-import java.util.Map;
-import java.util.function.BiFunction;
+import lineward.frontend.Channels;
 import lineward.frontend.ClientRegistry;
 
-/** Answers one call and lets its caller go. */
+/** Replies to the first request of a connection and closes it; see {@link AdminRoutes} for the replies. */
 final class AdminHandler extends SimpleChannelInboundHandler<Object> {
-    private record Reply(HttpResponseStatus status, String text) {
-        static Reply yes(String text) {
-            return new Reply(HttpResponseStatus.OK, text);
-        }
-    }
-
-    /** What can be asked at a path; the answer may depend on the body. */
-    private record Call(HttpMethod method, BiFunction<AdminOperations, String, Reply> answer) {}
-
-    private static final Map<String, Call> CALLS = Map.of(
-            "/ops/readiness",
-                    new Call(
-                            HttpMethod.GET,
-                            (ops, body) -> ops.isReady()
-                                    ? Reply.yes("ready\n")
-                                    : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n")),
-            "/ops/stats", new Call(HttpMethod.GET, (ops, body) -> Reply.yes(ops.metrics())),
-            "/ops/query-engines/down", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, true)),
-            "/ops/query-engines/up", new Call(HttpMethod.POST, (ops, body) -> hold(ops, body, false)),
-            "/ops/drain/start",
-                    new Call(HttpMethod.POST, (ops, body) -> {
-                        ops.startDrain();
-                        return Reply.yes("draining\n");
-                    }),
-            "/ops/drain/stop",
-                    new Call(
-                            HttpMethod.POST,
-                            (ops, body) -> ops.stopDrain()
-                                    ? Reply.yes("serving\n")
-                                    : new Reply(HttpResponseStatus.CONFLICT, "the process is ending\n")));
-
-    private static Reply hold(AdminOperations ops, String engine, boolean out) {
-        return ops.setMaintenance(engine, out)
-                ? Reply.yes(engine + (out ? " is left out\n" : " is used\n"))
-                : new Reply(HttpResponseStatus.NOT_FOUND, "no query engine " + engine + " is known\n");
-    }
+    private static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
     private final AdminOperations operations;
-    private final ClientRegistry<Channel> callers;
-    private boolean answered;
+    private final ClientRegistry<Channel> clients;
+    private boolean replied;
 
-    AdminHandler(AdminOperations operations, ClientRegistry<Channel> callers) {
+    AdminHandler(AdminOperations operations, ClientRegistry<Channel> clients) {
         this.operations = operations;
-        this.callers = callers;
+        this.clients = clients;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        callers.connected(ctx.channel());
+        clients.connected(ctx.channel());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        callers.disconnected(ctx.channel());
+        clients.disconnected(ctx.channel());
     }
 
+    /** Takes a complete request, or the aggregator's mark for one too large. */
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
-        // One call for each connection: what comes behind it is passed over.
-        if (answered) {
+        // One request for each connection: what follows is dropped.
+        if (replied) {
             return;
         }
-        answered = true;
+        replied = true;
         if (message == AdminRequestAggregator.TOO_LARGE) {
-            send(ctx, new Reply(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large\n"), null);
-            return;
-        }
-        FullHttpRequest request = (FullHttpRequest) message;
-        Call call =
-                request.decoderResult().isSuccess() ? CALLS.get(new QueryStringDecoder(request.uri()).path()) : null;
-        if (!request.decoderResult().isSuccess()) {
-            send(ctx, new Reply(HttpResponseStatus.BAD_REQUEST, "no call that can be read\n"), null);
-        } else if (call == null) {
-            send(ctx, new Reply(HttpResponseStatus.NOT_FOUND, "no such path\n"), null);
-        } else if (!call.method().equals(request.method())) {
-            send(ctx, new Reply(HttpResponseStatus.METHOD_NOT_ALLOWED, "not by that method\n"), call.method());
+            send(ctx, AdminRoutes.bodyTooLarge());
         } else {
-            send(
-                    ctx,
-                    call.answer()
-                            .apply(
-                                    operations,
-                                    request.content()
-                                            .toString(StandardCharsets.UTF_8)
-                                            .strip()),
-                    null);
+            send(ctx, AdminRoutes.handle(operations, (FullHttpRequest) message));
         }
     }
 
     /**
-     * Only our half is closed: a close with bytes of the caller unread would reset the connection and take
-     * the answer with it. The caller's close, or the end of its time, ends the rest.
+     * Closes the sending half only: a close with bytes of the client unread would reset the connection and
+     * drop the response. The client's close or the request timeout closes the rest.
      */
-    private static void send(ChannelHandlerContext ctx, Reply reply, HttpMethod allowed) {
-        ByteBuf text = ByteBufUtil.writeUtf8(ctx.alloc(), reply.text());
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(), text);
-        response.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
-                .set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes())
+    private static void send(ChannelHandlerContext ctx, AdminReply reply) {
+        ByteBuf body = ByteBufUtil.writeUtf8(ctx.alloc(), reply.text());
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(), body);
+        HttpHeaders headers = response.headers();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        if (allowed != null) {
-            response.headers().set(HttpHeaderNames.ALLOW, allowed.name());
-        }
-        ctx.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
-            if (done.isSuccess() && done.channel() instanceof DuplexChannel duplex) {
-                duplex.shutdownOutput();
+        reply.allowedMethod().ifPresent(method -> headers.set(HttpHeaderNames.ALLOW, method.name()));
+        // The pipeline releases the response, and the body with it.
+        ctx.writeAndFlush(response).addListener((ChannelFutureListener) written -> {
+            if (written.isSuccess() && written.channel() instanceof DuplexChannel duplex) {
+                Channels.shutdownOutput(duplex);
             } else {
-                done.channel().close();
+                Channels.close(written.channel());
             }
         });
     }
 
-    /** Who hangs up amid a call is owed nothing. */
+    /** A client that disconnects during its request is owed nothing. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        ctx.close();
+        Channels.close(ctx.channel());
     }
 }
--- a/src/main/java/lineward/operations/AdminOperations.java
+++ b/src/main/java/lineward/operations/AdminOperations.java
@@ -1,23 +1,24 @@
 package lineward.operations;
 
-/** What operators may ask of this process. All of it runs on the event loop. */
+/** What operators may order of this process and ask of it. All of it runs on the event loop. */
 public interface AdminOperations {
-    /** Returns whether this process can serve and wants to. */
+    /** Returns whether this process serves and wants new clients. */
     boolean isReady();
 
     /**
-     * Leaves an engine out, or uses it again.
+     * Excludes an engine from all new requests, or uses it again.
      *
-     * @return false if no such engine is known
+     * @param engine the engine's id
+     * @return false if no such engine is listed
      */
-    boolean setMaintenance(String engine, boolean out);
+    boolean setMaintenance(String engine, boolean excluded);
 
-    /** Returns what this process has done and holds, in the text format of Prometheus. */
+    /** Returns the counters and gauges of this process, in the text format of Prometheus. */
     String metrics();
 
-    /** Sends clients away; the process stays. */
+    /** Starts to send clients elsewhere; the process stays. No effect if a drain is in effect. */
     void startDrain();
 
-    /** Returns whether clients are taken again; not while the process ends. */
+    /** Welcomes clients again; returns false if the process terminates, so that a drain can't be stopped. */
     boolean stopDrain();
 }
--- /dev/null
+++ b/src/main/java/lineward/operations/AdminReply.java
@@ -0,0 +1,26 @@
+package lineward.operations;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+
+/**
+ * A response of the admin endpoint.
+ *
+ * @param text the body
+ * @param allowedMethod for the header of that name, where the request's method was wrong
+ */
+record AdminReply(HttpResponseStatus status, String text, Optional<HttpMethod> allowedMethod) {
+    static AdminReply ok(String text) {
+        return of(HttpResponseStatus.OK, text);
+    }
+
+    static AdminReply of(HttpResponseStatus status, String text) {
+        return new AdminReply(status, text, Optional.empty());
+    }
+
+    static AdminReply methodNotAllowed(HttpMethod allowed) {
+        HttpResponseStatus status = HttpResponseStatus.METHOD_NOT_ALLOWED;
+        return new AdminReply(status, "not by that method\n", Optional.of(allowed));
+    }
+}
--- a/src/main/java/lineward/operations/AdminRequestAggregator.java
+++ b/src/main/java/lineward/operations/AdminRequestAggregator.java
@@ -4,15 +4,15 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 
-/** Gathers a call's body, the id of an engine at most; a larger one becomes an answer of its own. */
+/** Collects a request with its body, which is an engine's id at most; one too large is replaced by a mark. */
 final class AdminRequestAggregator extends HttpObjectAggregator {
-    /** Handed on in the place of a call whose body is too large. */
+    /** Passed on in place of a request whose body is too large. */
     static final Object TOO_LARGE = new Object();
 
-    private static final int LARGEST_BODY = 1024;
+    private static final int MAX_BODY_BYTES = 1024;
 
     AdminRequestAggregator() {
-        super(LARGEST_BODY);
+        super(MAX_BODY_BYTES);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/lineward/operations/AdminRoutes.java
@@ -0,0 +1,78 @@
+package lineward.operations;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+
+/** The paths of the admin endpoint: which operation each carries out, and what it replies. */
+final class AdminRoutes {
+    /** A path's method, and the operation on it; the reply may depend on the request's body. */
+    private record Route(HttpMethod method, BiFunction<AdminOperations, String, AdminReply> operation) {}
+
+    private static final Map<String, Route> ROUTES = Map.of(
+            "/ops/readiness", get(AdminRoutes::readiness),
+            "/ops/stats", get(operations -> AdminReply.ok(operations.metrics())),
+            "/ops/query-engines/down", post((operations, engine) -> setMaintenance(operations, engine, true)),
+            "/ops/query-engines/up", post((operations, engine) -> setMaintenance(operations, engine, false)),
+            "/ops/drain/start", post((operations, body) -> startDrain(operations)),
+            "/ops/drain/stop", post((operations, body) -> stopDrain(operations)));
+
+    private AdminRoutes() {}
+
+    private static Route get(Function<AdminOperations, AdminReply> operation) {
+        return new Route(HttpMethod.GET, (operations, body) -> operation.apply(operations));
+    }
+
+    private static Route post(BiFunction<AdminOperations, String, AdminReply> operation) {
+        return new Route(HttpMethod.POST, operation);
+    }
+
+    /** Carries a complete request out and returns the reply to it. */
+    static AdminReply handle(AdminOperations operations, FullHttpRequest request) {
+        if (!request.decoderResult().isSuccess()) {
+            return AdminReply.of(HttpResponseStatus.BAD_REQUEST, "no call that can be read\n");
+        }
+        Route route = ROUTES.get(new QueryStringDecoder(request.uri()).path());
+        if (route == null) {
+            return AdminReply.of(HttpResponseStatus.NOT_FOUND, "no such path\n");
+        }
+        if (!route.method().equals(request.method())) {
+            return AdminReply.methodNotAllowed(route.method());
+        }
+        String body = request.content().toString(StandardCharsets.UTF_8).strip();
+        return route.operation().apply(operations, body);
+    }
+
+    /** Returns the reply to a request whose body is larger than any that is expected. */
+    static AdminReply bodyTooLarge() {
+        return AdminReply.of(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large\n");
+    }
+
+    private static AdminReply readiness(AdminOperations operations) {
+        return operations.isReady()
+                ? AdminReply.ok("ready\n")
+                : AdminReply.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
+    }
+
+    private static AdminReply setMaintenance(AdminOperations operations, String engine, boolean excluded) {
+        return operations.setMaintenance(engine, excluded)
+                ? AdminReply.ok(engine + (excluded ? " is left out\n" : " is used\n"))
+                : AdminReply.of(HttpResponseStatus.NOT_FOUND, "no query engine " + engine + " is known\n");
+    }
+
+    private static AdminReply startDrain(AdminOperations operations) {
+        operations.startDrain();
+        return AdminReply.ok("draining\n");
+    }
+
+    private static AdminReply stopDrain(AdminOperations operations) {
+        return operations.stopDrain()
+                ? AdminReply.ok("serving\n")
+                : AdminReply.of(HttpResponseStatus.CONFLICT, "the process is ending\n");
+    }
+}
--- a/src/main/java/lineward/operations/AdminServer.java
+++ b/src/main/java/lineward/operations/AdminServer.java
@@ -11,31 +11,34 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import lineward.frontend.Channels;
 import lineward.frontend.ClientRegistry;
 
-/** The second address, where operators call: HTTP/1.1, one call for each connection. */
+/** The admin endpoint at an address of its own: HTTP/1.1, one request for each connection. */
 public final class AdminServer {
-    /** Callers at once; the one that has been silent longest makes room. */
-    private static final int MOST_CALLERS = 32;
-    /** A call is due whole within this, and its answer taken. */
-    private static final long PATIENCE = TimeUnit.MILLISECONDS.toNanos(900);
+    /** Connections at once; beyond them the one that has been silent longest is closed. */
+    private static final int MAX_CLIENTS = 32;
+    /** Time in which a request has to be complete, and its response read. */
+    private static final long REQUEST_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
-    private static final int LONGEST_LINE = 1024;
-    private static final int LARGEST_HEADER = 4096;
+    private static final int MAX_REQUEST_LINE_BYTES = 1024;
+    private static final int MAX_HEADERS_BYTES = 4096;
 
     private final AdminOperations operations;
-    private final ClientRegistry<Channel> callers =
-            new ClientRegistry<>(MOST_CALLERS, System::nanoTime, Channel::close, Channel::close);
+    private final ClientRegistry<Channel> clients =
+            new ClientRegistry<>(MAX_CLIENTS, System::nanoTime, Channels::close, Channels::close);
 
-    /** @param operations carries out what is asked */
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param operations carries out what operators order
+     */
     public AdminServer(AdminOperations operations) {
         this.operations = operations;
     }
 
     /** Starts to listen. */
     public ChannelFuture listen(EventLoopGroup loop, InetSocketAddress address) {
-        HttpDecoderConfig bounds =
-                new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LARGEST_HEADER);
         return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -44,18 +47,25 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpServerCodec(bounds),
-                                        new AdminRequestAggregator(),
-                                        new AdminHandler(operations, callers));
+                        initialize(channel);
                     }
                 })
                 .bind(address);
     }
 
-    /** Closes the connections of callers that have not asked, or not left, in time. */
+    private void initialize(Channel channel) {
+        HttpDecoderConfig bounds = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADERS_BYTES);
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(bounds),
+                        new AdminRequestAggregator(),
+                        new AdminHandler(operations, clients));
+    }
+
+    /** Closes the connections of clients that have not sent their request, or read its response, in time. */
     public void closeSilent() {
-        callers.closeSilent(PATIENCE);
+        clients.closeSilent(REQUEST_TIMEOUT_NANOS);
     }
 }
--- a/src/main/java/lineward/operations/Metrics.java
+++ b/src/main/java/lineward/operations/Metrics.java
@@ -2,8 +2,7 @@
 
 import java.util.Collection;
 import java.util.EnumMap;
-import java.util.List;
-import java.util.Locale;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
@@ -13,137 +12,152 @@
 import lineward.frontend.ProtocolServer;
 import lineward.spool.SpoolPolicy;
 
-/** What this process has done since its start, in the text format of Prometheus. */
+/** What this process has done since its start, and what it holds now. Used on the event loop alone. */
 public final class Metrics {
-    /** How a request ended. */
+    /** How a request ended, as operators count it. */
     public enum Ending {
-        FULFILLED,
-        THROTTLED,
-        FAULTED
+        /** Its client got the engine's response. */
+        FULFILLED("fulfilled"),
+        /** It was rejected. */
+        THROTTLED("throttled"),
+        /** It failed. */
+        FAULTED("faulted");
+
+        private final String label;
+
+        Ending(String label) {
+            this.label = label;
+        }
+
+        /** Returns the value of the label {@code status}, which dashboards read. */
+        public String label() {
+            return label;
+        }
     }
 
-    private static final String PREFIX = "edge_relay_";
-    private final Map<String, Map<Ending, Long>> ended = new TreeMap<>();
-    private long relayed;
-    private LongSupplier listAge;
-    private LongSupplier unread;
+    private static final String REQUESTS = "operations_total";
+    private static final String CLASS_LABEL = "priority";
+    private static final String ENDING_LABEL = "status";
+
+    /** A row for each class announced, which are those of the configuration. */
+    private final Map<String, Map<Ending, Long>> endedRequests = new TreeMap<>();
+
+    private long forwardedAttempts;
+    /** Null, like the next two, where there is nothing to measure. */
+    private LongSupplier listAgeMs;
+
+    private LongSupplier unreadBytes;
     private Supplier<SpoolPolicy.Figures> spool;
 
-    /** The classes whose figures are there from the start, at 0. */
+    /** Adds classes whose counters are shown from the start, at 0. */
     public void announce(Collection<String> classes) {
-        for (String type : classes) {
-            Map<Ending, Long> row = ended.computeIfAbsent(type, t -> new EnumMap<>(Ending.class));
-            List.of(Ending.values()).forEach(end -> row.putIfAbsent(end, 0L));
+        for (String className : classes) {
+            endedRequests.computeIfAbsent(className, name -> emptyRow());
         }
     }
 
-    /** A request of that class has ended; a class never announced is passed over. */
-    public void ended(String type, Ending end) {
-        Map<Ending, Long> row = ended.get(type);
+    private static Map<Ending, Long> emptyRow() {
+        Map<Ending, Long> row = new EnumMap<>(Ending.class);
+        for (Ending ending : Ending.values()) {
+            row.put(ending, 0L);
+        }
+        return row;
+    }
+
+    /** Counts a request of that class that has ended; a class never announced is ignored. */
+    public void ended(String className, Ending ending) {
+        Map<Ending, Long> row = endedRequests.get(className);
         if (row != null) {
-            row.merge(end, 1L, Long::sum);
+            row.merge(ending, 1L, Long::sum);
         }
     }
 
-    /** An attempt has been written whole to an engine. */
+    /** Counts an attempt that has been written completely to an engine. */
     public void relayed() {
-        relayed++;
+        forwardedAttempts++;
     }
 
-    /** @param ageMs tells how long ago the list of engines was last heard of */
+    /**
+     * Sets the source of the endpoint list's age.
+     *
+     * @param ageMs milliseconds since discovery's last usable response
+     */
     public void listAge(LongSupplier ageMs) {
-        listAge = ageMs;
+        listAgeMs = ageMs;
     }
 
-    /** @param bytes tells how many bytes of answers clients have not taken yet */
+    /**
+     * Sets the source of the bytes that wait for clients.
+     *
+     * @param bytes of responses that clients have not read yet
+     */
     public void unread(LongSupplier bytes) {
-        unread = bytes;
+        unreadBytes = bytes;
     }
 
-    /** @param now tells what the spool holds */
-    public void spool(Supplier<SpoolPolicy.Figures> now) {
-        spool = now;
+    /**
+     * Sets the source of the spool's figures.
+     *
+     * @param figures what the spool holds now
+     */
+    public void spool(Supplier<SpoolPolicy.Figures> figures) {
+        spool = figures;
     }
 
-    /** Returns all figures; what the fronts hold now is asked of them. */
-    public String text(Collection<ProtocolServer> doors) {
-        StringBuilder text = new StringBuilder();
-        head(text, "operations_total", "counter", "Requests that have ended, by class and end.");
-        ended.forEach((type, row) -> row.forEach((end, count) -> text.append(PREFIX)
-                .append("operations_total{priority=\"")
-                .append(escaped(type))
-                .append("\",status=\"")
-                .append(end.name().toLowerCase(Locale.ROOT))
-                .append("\"} ")
-                .append(count)
-                .append('\n')));
-        one(text, "relayed_total", "counter", "Attempts written whole to query engines.", relayed);
-        one(text, "open_requests", "gauge", "Requests taken and not yet ended.", sum(doors, Coordinator::openRequests));
-        one(text, "registry_entries", "gauge", "Query engines on the list.", sum(doors, Coordinator::listedEngines));
-        one(
-                text,
-                "out_of_rotation",
-                "gauge",
-                "Query engines on the list that get nothing now.",
-                sum(doors, Coordinator::excludedEngines));
-        if (listAge != null) {
-            one(
-                    text,
-                    "list_age_ms",
-                    "gauge",
-                    "Milliseconds since the journal's last usable answer.",
-                    listAge.getAsLong());
-        }
-        if (unread != null) {
-            one(
-                    text,
-                    "unread_answer_bytes",
-                    "gauge",
-                    "Bytes of answers that clients have not taken yet.",
-                    unread.getAsLong());
+    /** Returns all figures in the text format of Prometheus; gauges are read from these servers. */
+    public String text(Collection<ProtocolServer> servers) {
+        PrometheusText text = new PrometheusText();
+        writeRequests(text, servers);
+        writeEngines(text, servers);
+        if (unreadBytes != null) {
+            String help = "Bytes of answers that clients have not taken yet.";
+            text.gauge("unread_answer_bytes", help, unreadBytes.getAsLong());
         }
         if (spool != null) {
-            spool(text, spool.get());
+            writeSpool(text, spool.get());
         }
         return text.toString();
     }
 
-    private static void spool(StringBuilder text, SpoolPolicy.Figures now) {
-        one(text, "spool_held_bytes", "gauge", "Bytes of results held in memory.", now.heldBytes());
-        one(text, "spool_filed_bytes", "gauge", "Bytes of results on files.", now.filedBytes());
-        one(text, "spool_results", "gauge", "Results held.", now.results());
-        one(text, "spool_readers", "gauge", "Clients and cursors that read results.", now.readers());
-        one(text, "spool_returned_total", "counter", "Results given back.", now.returned());
-        one(text, "spool_lapsed_total", "counter", "Results given back because nobody read.", now.lapsed());
-        one(text, "spool_refused_total", "counter", "Statements refused because the spool was full.", now.refused());
-        one(text, "spool_slowed_total", "counter", "Results whose engine had to wait for the reader.", now.slowed());
+    private void writeRequests(PrometheusText text, Collection<ProtocolServer> servers) {
+        text.labelledCounter(REQUESTS, "Requests that have ended, by class and end.");
+        endedRequests.forEach((className, row) -> row.forEach((ending, count) -> {
+            Map<String, String> labels = new LinkedHashMap<>();
+            labels.put(CLASS_LABEL, className);
+            labels.put(ENDING_LABEL, ending.label());
+            text.sample(REQUESTS, labels, count);
+        }));
+        text.counter("relayed_total", "Attempts written whole to query engines.", forwardedAttempts);
+        long openRequests = sum(servers, Coordinator::openRequests);
+        text.gauge("open_requests", "Requests taken and not yet ended.", openRequests);
     }
 
-    private static int sum(Collection<ProtocolServer> doors, ToIntFunction<Coordinator<?>> figure) {
-        return doors.stream().map(ProtocolServer::coordinator).mapToInt(figure).sum();
-    }
-
-    private static void one(StringBuilder text, String name, String type, String help, long value) {
-        head(text, name, type, help);
-        text.append(PREFIX).append(name).append(' ').append(value).append('\n');
+    private void writeEngines(PrometheusText text, Collection<ProtocolServer> servers) {
+        long listed = sum(servers, Coordinator::listedEngines);
+        text.gauge("registry_entries", "Query engines on the list.", listed);
+        long excluded = sum(servers, Coordinator::excludedEngines);
+        text.gauge("out_of_rotation", "Query engines on the list that get nothing now.", excluded);
+        if (listAgeMs != null) {
+            String help = "Milliseconds since the journal's last usable answer.";
+            text.gauge("list_age_ms", help, listAgeMs.getAsLong());
+        }
     }
 
-    private static void head(StringBuilder text, String name, String type, String help) {
-        text.append("# HELP ")
-                .append(PREFIX)
-                .append(name)
-                .append(' ')
-                .append(help)
-                .append('\n')
-                .append("# TYPE ")
-                .append(PREFIX)
-                .append(name)
-                .append(' ')
-                .append(type)
-                .append('\n');
+    private static void writeSpool(PrometheusText text, SpoolPolicy.Figures now) {
+        text.gauge("spool_held_bytes", "Bytes of results held in memory.", now.heldBytes());
+        text.gauge("spool_filed_bytes", "Bytes of results on files.", now.filedBytes());
+        text.gauge("spool_results", "Results held.", now.results());
+        text.gauge("spool_readers", "Clients and cursors that read results.", now.readers());
+        text.counter("spool_returned_total", "Results given back.", now.returned());
+        text.counter("spool_lapsed_total", "Results given back because nobody read.", now.lapsed());
+        text.counter("spool_refused_total", "Statements refused because the spool was full.", now.refused());
+        text.counter("spool_slowed_total", "Results whose engine had to wait for the reader.", now.slowed());
     }
 
-    private static String escaped(String label) {
-        return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    private static int sum(Collection<ProtocolServer> servers, ToIntFunction<Coordinator<?>> figure) {
+        return servers.stream()
+                .map(ProtocolServer::coordinator)
+                .mapToInt(figure)
+                .sum();
     }
 }
--- a/src/main/java/lineward/operations/MetricsTracer.java
+++ b/src/main/java/lineward/operations/MetricsTracer.java
@@ -1,25 +1,28 @@
 package lineward.operations;
 
+import java.util.Optional;
 import java.util.function.Function;
 import lineward.core.Tracer;
 import lineward.scheduling.AttemptOutcome;
 
 /**
- * Counts each request that ends at the planner, once; what its client took back is in no figure.
+ * Counts each request that the scheduler completes, once; one that its client cancelled is not counted.
  *
- * @param <X> the front's own record of a request
+ * @param <X> the protocol's own record of a request
  */
 public final class MetricsTracer<X> implements Tracer<X> {
-    private final Metrics figures;
+    private final Metrics metrics;
     private final Function<X, String> classOf;
     private final Tracer<X> next;
 
     /**
-     * @param classOf names a request's class
-     * @param next is told all the same
+     * Creates a tracer that counts and passes each event on.
+     *
+     * @param classOf returns a request's class
+     * @param next receives each event as well
      */
-    public MetricsTracer(Metrics figures, Function<X, String> classOf, Tracer<X> next) {
-        this.figures = figures;
+    public MetricsTracer(Metrics metrics, Function<X, String> classOf, Tracer<X> next) {
+        this.metrics = metrics;
         this.classOf = classOf;
         this.next = next;
     }
@@ -41,15 +44,19 @@
 
     @Override
     public void requestEnded(X exchange, Ending ending) {
-        switch (ending) {
-            case SERVED -> figures.ended(classOf.apply(exchange), Metrics.Ending.FULFILLED);
-            case REJECTED -> figures.ended(classOf.apply(exchange), Metrics.Ending.THROTTLED);
-            case FAILED -> figures.ended(classOf.apply(exchange), Metrics.Ending.FAULTED);
-            case CANCELLED -> {}
-        }
+        countedAs(ending).ifPresent(counted -> metrics.ended(classOf.apply(exchange), counted));
         next.requestEnded(exchange, ending);
     }
 
+    private static Optional<Metrics.Ending> countedAs(Ending ending) {
+        return switch (ending) {
+            case SERVED -> Optional.of(Metrics.Ending.FULFILLED);
+            case REJECTED -> Optional.of(Metrics.Ending.THROTTLED);
+            case FAILED -> Optional.of(Metrics.Ending.FAULTED);
+            case CANCELLED -> Optional.empty();
+        };
+    }
+
     @Override
     public void log(String text) {
         next.log(text);
--- /dev/null
+++ b/src/main/java/lineward/operations/PrometheusText.java
@@ -0,0 +1,79 @@
+package lineward.operations;
+
+import java.util.Map;
+
+/** Writes figures in the text format of Prometheus, version 0.0.4. */
+final class PrometheusText {
+    /** The kinds of figures, by the format's words. */
+    private enum Kind {
+        COUNTER("counter"),
+        GAUGE("gauge");
+
+        private final String word;
+
+        Kind(String word) {
+            this.word = word;
+        }
+    }
+
+    private static final String PREFIX = "edge_relay_";
+    private final StringBuilder text = new StringBuilder();
+
+    /** Writes a counter without labels. */
+    void counter(String name, String help, long value) {
+        head(name, Kind.COUNTER, help);
+        sample(name, value);
+    }
+
+    /** Writes the head of a counter whose samples, which have labels, follow. */
+    void labelledCounter(String name, String help) {
+        head(name, Kind.COUNTER, help);
+    }
+
+    /** Writes a gauge. */
+    void gauge(String name, String help, long value) {
+        head(name, Kind.GAUGE, help);
+        sample(name, value);
+    }
+
+    /** Writes a sample with labels, in the map's order. */
+    void sample(String name, Map<String, String> labels, long value) {
+        text.append(PREFIX).append(name).append('{');
+        String separator = "";
+        for (Map.Entry<String, String> label : labels.entrySet()) {
+            text.append(separator).append(label.getKey()).append("=\"").append(escape(label.getValue()));
+            text.append('"');
+            separator = ",";
+        }
+        text.append("} ").append(value).append('\n');
+    }
+
+    private void sample(String name, long value) {
+        text.append(PREFIX).append(name).append(' ').append(value).append('\n');
+    }
+
+    private void head(String name, Kind kind, String help) {
+        text.append("# HELP ")
+                .append(PREFIX)
+                .append(name)
+                .append(' ')
+                .append(help)
+                .append('\n');
+        text.append("# TYPE ")
+                .append(PREFIX)
+                .append(name)
+                .append(' ')
+                .append(kind.word)
+                .append('\n');
+    }
+
+    private static String escape(String label) {
+        return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+
+    /** Returns all that has been written. */
+    @Override
+    public String toString() {
+        return text.toString();
+    }
+}
--- a/src/test/java/lineward/operations/CallTest.java
+++ b/src/test/java/lineward/operations/AdminServerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -16,8 +17,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** The second address answers what is right, at once, whoever else hangs on to it. */
-public class CallTest {
+/** The admin endpoint replies correctly and in time, whatever other clients do. */
+public class AdminServerTest {
     private Platform platform;
     private Operator operator;
 
@@ -33,8 +34,12 @@
         platform.close();
     }
 
+    private Socket connect() throws IOException {
+        return new Socket(InetAddress.getLoopbackAddress(), platform.program().operations());
+    }
+
     @DataProvider
-    public Object[][] calls() {
+    public Object[][] requests() {
         return new Object[][] {
             {"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n", 200},
             {"GET /ops/readiness?a=b HTTP/1.0\r\n\r\n", 200},
@@ -54,38 +59,39 @@
         };
     }
 
-    @Test(dataProvider = "calls")
-    public void eachCallHasItsAnswerInTime(String bytes, int status) throws IOException {
-        long start = System.nanoTime();
+    @Test(dataProvider = "requests")
+    public void eachRequestGetsItsResponseInTime(String bytes, int status) throws IOException {
+        long startNanos = System.nanoTime();
         assertEquals(operator.raw(bytes).status(), status);
-        assertTrue(Operator.millisSince(start) < 2000, "answered or closed in time");
+        assertTrue(Operator.millisSince(startNanos) < 2000, "response or close in time");
     }
 
     @Test
-    public void aCallInPiecesIsAnswered() throws IOException {
-        byte[] call = "POST /ops/query-engines/down HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-9"
+    public void aRequestInTwoPiecesGetsItsResponse() throws IOException {
+        byte[] request = "POST /ops/query-engines/down HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-9"
                 .getBytes(StandardCharsets.US_ASCII);
-        for (int cut = 1; cut < call.length; cut++) {
-            try (Socket socket = new Socket("127.0.0.1", platform.program().operations())) {
+        for (int firstBytes = 1; firstBytes < request.length; firstBytes++) {
+            try (Socket socket = connect()) {
                 socket.setTcpNoDelay(true);
-                socket.getOutputStream().write(call, 0, cut);
-                socket.getOutputStream().write(call, cut, call.length - cut);
-                String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-                assertTrue(answer.startsWith("HTTP/1.1 404 "), answer);
+                socket.getOutputStream().write(request, 0, firstBytes);
+                socket.getOutputStream().write(request, firstBytes, request.length - firstBytes);
+                byte[] bytes = socket.getInputStream().readAllBytes();
+                String response = new String(bytes, StandardCharsets.US_ASCII);
+                assertTrue(response.startsWith("HTTP/1.1 404 "), response);
             }
         }
     }
 
     @Test
-    public void whoSaysNothingKeepsNobodyOut() throws IOException {
+    public void silentConnectionsKeepNoClientOut() throws IOException {
         List<Socket> silent = new ArrayList<>();
         try {
             for (int i = 0; i < 100; i++) {
-                silent.add(new Socket("127.0.0.1", platform.program().operations()));
+                silent.add(connect());
             }
-            long start = System.nanoTime();
+            long startNanos = System.nanoTime();
             assertTrue(operator.isReady());
-            assertTrue(Operator.millisSince(start) < 1000);
+            assertTrue(Operator.millisSince(startNanos) < 1000);
         } finally {
             for (Socket socket : silent) {
                 socket.close();
--- a/src/test/java/lineward/operations/Operator.java
+++ b/src/test/java/lineward/operations/Operator.java
@@ -1,43 +1,54 @@
 package lineward.operations;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import lineward.Program;
 
-/** Calls a program's second address as operators do. */
+/** A client of a program's admin endpoint. */
 public final class Operator {
-    /** An answer: its status, 0 where the connection ended without one, and its body. */
+    /** A response: its status, 0 where the connection was closed without one, and its body. */
     public record Answer(int status, String body) {}
 
+    private static final String HEADERS_END = "\r\n\r\n";
+
     private final int port;
 
+    /** Creates a client for that program. */
     public Operator(Program program) {
         this.port = program.operations();
     }
 
-    /** Returns what comes back for these bytes until the connection ends. */
+    /** Sends these bytes and returns the response, complete at the close of the connection. */
     Answer raw(String bytes) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout(10_000);
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-            String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            return all.isEmpty()
-                    ? new Answer(0, "")
-                    : new Answer(Integer.parseInt(all.split(" ")[1]), all.substring(all.indexOf("\r\n\r\n") + 4));
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            return response.isEmpty() ? new Answer(0, "") : parse(response);
         }
     }
 
+    private static Answer parse(String response) {
+        String status = response.split(" ", 3)[1];
+        String body = response.substring(response.indexOf(HEADERS_END) + HEADERS_END.length());
+        return new Answer(Integer.parseInt(status), body);
+    }
+
+    /** Sends a GET request. */
     public Answer get(String path) throws IOException {
         return raw("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
     }
 
+    /** Sends a POST request; the body is ASCII. */
     public Answer post(String path, String body) throws IOException {
-        return raw("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        String headers = "Host: x\r\nContent-Length: " + body.length();
+        return raw("POST " + path + " HTTP/1.1\r\n" + headers + HEADERS_END + body);
     }
 
-    /** Returns whether the program says that it is ready. */
+    /** Returns whether the program reports that it is ready. */
     public boolean isReady() {
         try {
             return get("/ops/readiness").status() == 200;
@@ -46,7 +57,7 @@
         }
     }
 
-    static long millisSince(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    static long millisSince(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
 }
--- a/src/test/java/lineward/telemetry/TelemetryTest.java
+++ b/src/test/java/lineward/telemetry/TelemetryTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
+import java.util.function.Predicate;
 import lineward.Program;
 import lineward.thrift.Platform;
 import org.testng.annotations.Test;
@@ -97,11 +98,9 @@
             assertEquals(outcome(request), "served");
             Program.await(
                     "the refusal", () -> spans.stream().anyMatch(s -> outcome(s).equals("refused")));
-            Program.await(
-                    "counts by class and outcome",
-                    () -> metrics.stream()
-                            .anyMatch(m ->
-                                    m.contains("lineward.requests") && m.contains("look") && m.contains("refused")));
+            List<String> expected = List.of("lineward.requests", "look", "refused");
+            Predicate<String> isExpected = metric -> expected.stream().allMatch(metric::contains);
+            Program.await("counts by class and outcome", () -> metrics.stream().anyMatch(isExpected));
         } finally {
             collector.stop(0);
         }
