Replace the last house wording in names of the process packages

Names such as onePerWakeUp, nextLineNanos and LATE_REQUESTS_MS stood on the list of withdrawn wording. They get the field's terms; parameters of HotRestart.Listener carry their unit.

--- a/src/main/java/lineward/frontend/LingeringClose.java
+++ b/src/main/java/lineward/frontend/LingeringClose.java
@@ -35,7 +35,7 @@
      * @param staysOpen is called where it is not
      */
     public static void begin(Channel channel, BooleanSupplier idle, Runnable staysOpen) {
-        afterRead(channel, idle, staysOpen, () -> shutDown(channel));
+        afterRead(channel, idle, staysOpen, () -> shutdownAndLinger(channel));
     }
 
     /** Does the same for a peer that has never sent anything and awaits no response: nothing lingers. */
@@ -57,7 +57,7 @@
         return channel.pipeline().get(HANDLER_NAME) != null;
     }
 
-    private static void shutDown(Channel channel) {
+    private static void shutdownAndLinger(Channel channel) {
         if (channel instanceof DuplexChannel duplex) {
             channel.pipeline().addFirst(HANDLER_NAME, new LingeringClose());
             Channels.shutdownOutput(duplex);
--- a/src/main/java/lineward/frontend/RateLimitedLog.java
+++ b/src/main/java/lineward/frontend/RateLimitedLog.java
@@ -7,7 +7,7 @@
 public final class RateLimitedLog {
     private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private final Logger log;
-    private long nextLineNanos = System.nanoTime();
+    private long nextLogNanos = System.nanoTime();
     private int suppressedLines;
 
     /**
@@ -28,13 +28,13 @@
      */
     public void info(String event, Object subject, Object cause) {
         long nowNanos = System.nanoTime();
-        if (nowNanos - nextLineNanos < 0) {
+        if (nowNanos - nextLogNanos < 0) {
             suppressedLines++;
             return;
         }
         String format = "{} {}: {} ({} lines like this passed over)";
         log.info(format, event, subject, cause.toString(), suppressedLines);
-        nextLineNanos = nowNanos + INTERVAL_NANOS;
+        nextLogNanos = nowNanos + INTERVAL_NANOS;
         suppressedLines = 0;
     }
 }
--- a/src/main/java/lineward/lifecycle/HotRestart.java
+++ b/src/main/java/lineward/lifecycle/HotRestart.java
@@ -18,13 +18,13 @@
         /**
          * An engine gets no requests, or is used again.
          *
-         * @param out true while the engine gets no requests
-         * @param since when the operator gave the order, in Unix milliseconds
+         * @param excluded true while the engine gets no requests
+         * @param sinceMs when the operator gave the order, in Unix milliseconds
          */
-        void heldOut(String engine, boolean out, double since);
+        void heldOut(String engine, boolean excluded, double sinceMs);
 
         /** The part of this front end's work that falls to this process, in (0, 1]. */
-        void part(double part);
+        void part(double quota);
     }
 
     /** The interval at which a process that runs rewrites its file. */
--- a/src/main/java/lineward/lifecycle/InheritedListener.java
+++ b/src/main/java/lineward/lifecycle/InheritedListener.java
@@ -48,11 +48,11 @@
         DefaultThreadFactory threads = new DefaultThreadFactory("accept", true);
         EventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory());
         // One accept for each wake-up: one that blocks must not hold an accepted connection back.
-        ServerChannelRecvByteBufAllocator onePerWakeUp = new ServerChannelRecvByteBufAllocator();
-        onePerWakeUp.maxMessagesPerRead(1);
+        ServerChannelRecvByteBufAllocator singleAccept = new ServerChannelRecvByteBufAllocator();
+        singleAccept.maxMessagesPerRead(1);
         return clients.group(acceptor, loop)
                 .channelFactory(() -> new NioServerSocketChannel(socket))
-                .option(ChannelOption.RECVBUF_ALLOCATOR, onePerWakeUp)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, singleAccept)
                 .register();
     }
 
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -27,7 +27,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow network. */
-    private static final int LATE_REQUESTS_MS = 900;
+    private static final int REQUEST_ARRIVAL_GRACE_MS = 900;
     /** Another process's maintenance order has to be in effect here well within a second. */
     private static final int PEER_POLL_MS = 100;
 
@@ -171,7 +171,7 @@
         }
         schedule(
                 () -> ticker.every(Ticker.TICK_MS, this::completeShutdown),
-                shutdown.inherited() ? 0 : LATE_REQUESTS_MS);
+                shutdown.inherited() ? 0 : REQUEST_ARRIVAL_GRACE_MS);
         schedule(this::failOpenRequests, shutdown.lastWordMs());
     }
 
--- a/src/main/java/lineward/operations/PrometheusText.java
+++ b/src/main/java/lineward/operations/PrometheusText.java
@@ -4,15 +4,15 @@
 
 /** Writes figures in the text format of Prometheus, version 0.0.4. */
 final class PrometheusText {
-    /** The kinds of figures, by the format's words. */
+    /** The kinds of figures, as the format names them. */
     private enum Kind {
         COUNTER("counter"),
         GAUGE("gauge");
 
-        private final String word;
+        private final String typeName;
 
-        Kind(String word) {
-            this.word = word;
+        Kind(String typeName) {
+            this.typeName = typeName;
         }
     }
 
@@ -63,7 +63,7 @@
                 .append(PREFIX)
                 .append(name)
                 .append(' ')
-                .append(kind.word)
+                .append(kind.typeName)
                 .append('\n');
     }
 
--- a/src/test/java/lineward/operations/AdminServerTest.java
+++ b/src/test/java/lineward/operations/AdminServerTest.java
@@ -83,7 +83,7 @@
     }
 
     @Test
-    public void silentConnectionsKeepNoClientOut() throws IOException {
+    public void silentConnectionsDoNotBlockOtherClients() throws IOException {
         List<Socket> silent = new ArrayList<>();
         try {
             for (int i = 0; i < 100; i++) {
