Read a spooled segment that today's version wrote

Stored results have to stay readable while the spool's code is rewritten. A small segment with its manifest, written by the code before any change, is now a test resource: it is recovered with its manifest, index and blocks, and what is written now equals it to the byte.

--- /dev/null
+++ b/src/test/java/lineward/spool/store/StoredSegmentTest.java
@@ -0,0 +1,98 @@
+package lineward.spool.store;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A segment that an earlier version wrote stays readable, and what is written now is the same to the byte. */
+public class StoredSegmentTest {
+    private static final String STORED = "stored-v1" + SpoolFolder.ENDING;
+    private static final long CREATED_MS = 1_790_000_000_000L;
+    private static final Manifest MANIFEST =
+            new Manifest("reporting", "orders/2026-11", "6b1f0c", CREATED_MS + 250, 30, 9200);
+
+    private Path folder;
+
+    @BeforeMethod
+    public void makeFolder() throws IOException {
+        folder = Files.createTempDirectory("stored");
+    }
+
+    @AfterMethod
+    public void dropFolder() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
+        }
+    }
+
+    /** A head without rows, a block that compresses, one that does not, and an end without rows. */
+    private static List<byte[]> blocks() {
+        byte[] repeated = new byte[6000];
+        Arrays.fill(repeated, (byte) 'x');
+        byte[] random = new byte[3000];
+        new Random(11).nextBytes(random);
+        return List.of(new byte[150], repeated, random, new byte[50]);
+    }
+
+    private static int rows(int block) {
+        return List.of(0, 20, 10, 0).get(block);
+    }
+
+    private byte[] stored() throws IOException {
+        try (InputStream in = StoredSegmentTest.class.getResourceAsStream(STORED)) {
+            return in.readAllBytes();
+        }
+    }
+
+    private static Path write(Path folder) throws IOException {
+        Segment segment = new Segment(folder.resolve(STORED));
+        segment.create(CREATED_MS);
+        List<Segment.Place> places = new ArrayList<>();
+        long firstRow = 0;
+        for (int i = 0; i < blocks().size(); i++) {
+            places.add(segment.append(blocks().get(i), firstRow, rows(i)));
+            firstRow += rows(i);
+        }
+        segment.complete(MANIFEST, places);
+        return segment.path();
+    }
+
+    @Test
+    public void storedSegmentIsRecoveredWithManifestIndexAndBlocks() throws IOException {
+        Files.write(folder.resolve(STORED), stored());
+        try (SpoolFolder held = SpoolFolder.take(folder)) {
+            SpoolFolder.Recovered recovered = held.recover();
+            assertEquals(recovered.dropped(), List.of());
+            Segment.Found found = recovered.whole().get(0);
+            assertEquals(found.manifest(), MANIFEST);
+            assertEquals(found.bytes(), stored().length);
+            assertEquals(found.blocks().size(), blocks().size());
+            for (int i = 0; i < blocks().size(); i++) {
+                Segment.Place place = found.blocks().get(i);
+                assertEquals(place.rows(), rows(i));
+                assertEquals(found.segment().read(place), blocks().get(i));
+            }
+        }
+    }
+
+    @Test
+    public void segmentIsWrittenAsItWasStored() throws IOException {
+        assertEquals(Files.readAllBytes(write(folder)), stored());
+    }
+
+    /** Writes the resource into the folder given; run once, with the version whose files are to stay readable. */
+    public static void main(String[] args) throws IOException {
+        write(Path.of(args[0]));
+    }
+}
