Take the spool's segment files apart: format, footer, codec, typed faults

A segment's footer is now a class of its own, the kinds of blocks carry their code instead of an ordinal, and recovery asks a typed fault whether a segment may be deleted instead of the beginning of a message. The form on file is unchanged: the stored segment reads and is written as before.

--- a/src/main/java/lineward/spool/store/BlockCodec.java
+++ b/src/main/java/lineward/spool/store/BlockCodec.java
@@ -1,49 +1,62 @@
 package lineward.spool.store;
 
+import java.nio.ByteBuffer;
 import net.jpountz.lz4.LZ4Compressor;
 import net.jpountz.lz4.LZ4Exception;
 import net.jpountz.lz4.LZ4Factory;
 import net.jpountz.lz4.LZ4SafeDecompressor;
 
 /**
- * Packs blocks by LZ4, in Java alone: no native library is unpacked and no memory is held beside the heap.
- * The decompressor is the one that checks its bounds, as a file may hold anything.
+ * Compresses blocks by LZ4, in Java alone: no native library is unpacked and no memory outside the heap is
+ * used. The decompressor is the one that checks its bounds, as a file may contain anything.
  */
 final class BlockCodec {
-    /** Packed blocks must save one part in so many, or they stay as they are. */
-    private static final int LEAST_SAVING = 8;
+    /** A block is stored compressed only if that saves at least one part in so many. */
+    private static final int MIN_SAVING_DIVISOR = 8;
 
     private static final LZ4Compressor COMPRESSOR = LZ4Factory.safeInstance().fastCompressor();
     private static final LZ4SafeDecompressor DECOMPRESSOR =
             LZ4Factory.safeInstance().safeDecompressor();
 
-    /** @param length bytes of the array that count */
-    record Packed(SegmentFormat.Kind kind, byte[] bytes, int length) {}
+    /** A payload as it is stored, from its buffer's position to its limit. */
+    record Encoded(SegmentFormat.Kind kind, ByteBuffer payload) {}
 
     private BlockCodec() {}
 
-    static Packed pack(byte[] raw) {
-        byte[] out = new byte[COMPRESSOR.maxCompressedLength(raw.length)];
-        int length = COMPRESSOR.compress(raw, 0, raw.length, out, 0, out.length);
-        return length <= raw.length - raw.length / LEAST_SAVING
-                ? new Packed(SegmentFormat.Kind.LZ4, out, length)
-                : new Packed(SegmentFormat.Kind.RAW, raw, raw.length);
+    /** Returns the block compressed, or as it is where compression saves too little. */
+    static Encoded encode(byte[] raw) {
+        byte[] compressed = new byte[COMPRESSOR.maxCompressedLength(raw.length)];
+        int length = COMPRESSOR.compress(raw, 0, raw.length, compressed, 0, compressed.length);
+        return length <= raw.length - raw.length / MIN_SAVING_DIVISOR
+                ? new Encoded(SegmentFormat.Kind.LZ4, ByteBuffer.wrap(compressed, 0, length))
+                : new Encoded(SegmentFormat.Kind.RAW, ByteBuffer.wrap(raw));
     }
 
-    static byte[] unpack(SegmentFormat.Kind kind, byte[] in, int from, int stored, int raw)
-            throws CorruptSegmentException {
-        byte[] out = new byte[raw];
-        if (kind != SegmentFormat.Kind.LZ4) {
-            SegmentFormat.check(stored == raw, "a block has not its length");
-            System.arraycopy(in, from, out, 0, raw);
-            return out;
-        }
+    /**
+     * Returns the bytes of a block before compression.
+     *
+     * @param payload the stored bytes, all that remain
+     * @throws CorruptSegmentException if they don't yield exactly so many bytes
+     */
+    static byte[] decode(SegmentFormat.Kind kind, ByteBuffer payload, int rawBytes) throws CorruptSegmentException {
+        byte[] raw = new byte[rawBytes];
+        int length = kind == SegmentFormat.Kind.LZ4 ? decompress(payload, raw) : copy(payload, raw);
+        CorruptSegmentException.check(length == rawBytes, "a block has not its length");
+        return raw;
+    }
+
+    private static int decompress(ByteBuffer payload, byte[] raw) throws CorruptSegmentException {
         try {
-            int length = DECOMPRESSOR.decompress(in, from, stored, out, 0, raw);
-            SegmentFormat.check(length == raw, "a block has not its length");
-            return out;
+            return DECOMPRESSOR.decompress(
+                    payload, payload.position(), payload.remaining(), ByteBuffer.wrap(raw), 0, raw.length);
         } catch (LZ4Exception e) {
-            throw new CorruptSegmentException("a block can't be unpacked");
+            throw new CorruptSegmentException("a block can't be unpacked", e);
         }
     }
+
+    private static int copy(ByteBuffer payload, byte[] raw) {
+        int length = payload.remaining();
+        payload.get(raw, 0, Math.min(length, raw.length));
+        return length;
+    }
 }
--- a/src/main/java/lineward/spool/store/CorruptSegmentException.java
+++ b/src/main/java/lineward/spool/store/CorruptSegmentException.java
@@ -2,11 +2,34 @@
 
 import java.io.IOException;
 
-/** A segment can't be used: cut, spoilt, foreign or of an unknown version. The message says which. */
+/**
+ * A segment can't be used because it is truncated, corrupt, foreign or of an unknown version. The message says
+ * which, {@link #fault} how recovery has to treat it.
+ */
 public final class CorruptSegmentException extends IOException {
     private static final long serialVersionUID = 1L;
 
-    CorruptSegmentException(String message) {
+    private final SegmentFault fault;
+
+    CorruptSegmentException(SegmentFault fault, String message) {
         super(message);
+        this.fault = fault;
+    }
+
+    CorruptSegmentException(String message, Throwable cause) {
+        super(message, cause);
+        this.fault = SegmentFault.CORRUPT;
+    }
+
+    /** Returns the kind of fault. */
+    public SegmentFault fault() {
+        return fault;
+    }
+
+    /** Throws a corrupt segment's exception with this message unless the condition holds. */
+    static void check(boolean condition, String otherwise) throws CorruptSegmentException {
+        if (!condition) {
+            throw new CorruptSegmentException(SegmentFault.CORRUPT, otherwise);
+        }
     }
 }
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -1,6 +1,7 @@
 package lineward.spool.store;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import static lineward.spool.store.CorruptSegmentException.check;
+
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,30 +9,30 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.List;
 
 /** One result on file. Every call opens the file, does its work and closes it; all of them block. */
 public final class Segment {
-    private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int INDEX_ENTRY = 28;
-
     /**
-     * Where a block stands.
+     * Where a block is stored.
      *
-     * @param at its first byte in the file
-     * @param bytes in the file, head included
+     * @param at offset of its first byte in the file
+     * @param bytes in the file, header included
+     * @param firstRow number of its first row in the result, from 0
+     * @param raw bytes once it is decompressed, without its header
      */
     public record Place(long at, int bytes, long firstRow, int rows, int raw) {}
 
     /**
-     * A whole result as it was found on file.
+     * A complete result as it was found on file.
      *
+     * @param blocks in their order
      * @param bytes of the file
      */
     public record Found(Segment segment, Manifest manifest, List<Place> blocks, long bytes) {}
 
     private final Path path;
+    /** Length of the file, where the next block goes. */
     private long end;
 
     Segment(Path path) {
@@ -43,59 +44,50 @@
         return path;
     }
 
-    /** Returns the length that the file has now. */
+    /** Returns the length that the file has now, in bytes. */
     public long length() {
         return end;
     }
 
-    /** Makes the file; one of that name must not be there. */
+    /** Creates the file; one of that name must not exist. */
     void create(long createdMs) throws IOException {
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)) {
-            write(channel, SegmentFormat.head(createdMs), 0);
+            writeFully(channel, SegmentFormat.header(createdMs), 0);
         }
-        end = SegmentFormat.HEAD;
+        end = SegmentFormat.HEADER_BYTES;
     }
 
-    /** Appends a block of rows, packed where that helps. */
+    /** Appends a block of rows, compressed where that helps, and returns where it is stored. */
     Place append(byte[] raw, long firstRow, int rows) throws IOException {
-        BlockCodec.Packed packed = BlockCodec.pack(raw);
-        ByteBuffer block =
-                SegmentFormat.block(packed.kind(), packed.bytes(), packed.length(), raw.length, firstRow, rows);
+        BlockCodec.Encoded encoded = BlockCodec.encode(raw);
+        ByteBuffer block = SegmentFormat.block(encoded.kind(), encoded.payload(), raw.length, firstRow, rows);
         Place place = new Place(end, block.remaining(), firstRow, rows, raw.length);
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
-            write(channel, block, end);
+            writeFully(channel, block, end);
         }
         end += place.bytes();
         return place;
     }
 
-    /** Writes manifest and index behind the blocks: from then on the result is whole. */
+    /** Writes manifest and index behind the blocks: from then on the result is complete. */
     void complete(Manifest manifest, List<Place> blocks) throws IOException {
-        byte[] json = JSON.writeValueAsBytes(manifest);
-        ByteBuffer footer = ByteBuffer.allocate(8 + json.length + blocks.size() * INDEX_ENTRY);
-        footer.putInt(json.length).put(json).putInt(blocks.size());
-        blocks.forEach(b -> footer.putLong(b.at())
-                .putInt(b.bytes())
-                .putLong(b.firstRow())
-                .putInt(b.rows())
-                .putInt(b.raw()));
-        BlockCodec.Packed packed =
-                new BlockCodec.Packed(SegmentFormat.Kind.MANIFEST, footer.array(), footer.capacity());
+        ByteBuffer footer = new SegmentFooter(manifest, blocks).encode();
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
             ByteBuffer block = SegmentFormat.block(
-                    packed.kind(), packed.bytes(), packed.length(), packed.length(), manifest.rows(), 0);
-            long at = end;
+                    SegmentFormat.Kind.MANIFEST, footer, footer.remaining(), manifest.rows(), 0);
+            long footerOffset = end;
             end += block.remaining();
-            write(channel, block, at);
-            write(channel, SegmentFormat.trailer(at), end);
-            end += SegmentFormat.TRAILER;
-            // A client that comes back after a loss of power should find what it was told of.
+            writeFully(channel, block, footerOffset);
+            writeFully(channel, SegmentFormat.trailer(footerOffset), end);
+            end += SegmentFormat.TRAILER_BYTES;
+            // A client that comes back after a loss of power should find what it was promised.
             channel.force(false);
         }
     }
 
     /**
-     * @return the bytes of a block, unpacked
+     * Returns the bytes of a block, decompressed.
+     *
      * @throws CorruptSegmentException if they are not what was written, to the bit
      */
     public byte[] read(Place place) throws IOException {
@@ -103,94 +95,92 @@
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
             readFully(channel, block, place.at());
         }
-        return unpack(block.flip(), place);
+        return decode(block.flip(), place);
     }
 
-    private static byte[] unpack(ByteBuffer block, Place place) throws CorruptSegmentException {
-        SegmentFormat.BlockHead head = SegmentFormat.readBlockHead(block);
-        SegmentFormat.verify(block, head);
-        SegmentFormat.check(
-                head.kind() != SegmentFormat.Kind.MANIFEST
-                        && head.firstRow() == place.firstRow()
-                        && head.rows() == place.rows()
-                        && head.raw() == place.raw(),
-                "a block stands at another's place");
-        return BlockCodec.unpack(head.kind(), block.array(), SegmentFormat.BLOCK_HEAD, head.stored(), head.raw());
+    private static byte[] decode(ByteBuffer block, Place place) throws CorruptSegmentException {
+        SegmentFormat.BlockHeader header = SegmentFormat.readBlockHeader(block);
+        SegmentFormat.verify(block, header);
+        check(isBlockAt(place, header), "a block stands at another's place");
+        ByteBuffer payload = block.slice(SegmentFormat.BLOCK_HEADER_BYTES, header.storedBytes());
+        return BlockCodec.decode(header.kind(), payload, header.rawBytes());
+    }
+
+    private static boolean isBlockAt(Place place, SegmentFormat.BlockHeader header) {
+        return header.kind() != SegmentFormat.Kind.MANIFEST
+                && header.firstRow() == place.firstRow()
+                && header.rows() == place.rows()
+                && header.rawBytes() == place.raw();
     }
 
     /**
-     * Takes a file in again: its head, trailer, manifest and index are checked here, each block when it is
-     * read.
+     * Recovers a file: its header, trailer, manifest and index are checked here, each block when it is read.
      *
-     * @throws CorruptSegmentException if it is no whole result
+     * @throws CorruptSegmentException if it is no complete result
      */
     static Found open(Path path) throws IOException {
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
             long size = channel.size();
-            SegmentFormat.check(size >= SegmentFormat.HEAD, "it is cut within its head");
-            ByteBuffer head = ByteBuffer.allocate(SegmentFormat.HEAD);
-            readFully(channel, head, 0);
-            SegmentFormat.readHead(head.flip());
-            SegmentFormat.check(
-                    size >= SegmentFormat.HEAD + SegmentFormat.BLOCK_HEAD + SegmentFormat.TRAILER,
-                    "it was never completed");
-            ByteBuffer trailer = ByteBuffer.allocate(SegmentFormat.TRAILER);
-            readFully(channel, trailer, size - SegmentFormat.TRAILER);
-            long at = SegmentFormat.readTrailer(trailer.flip());
-            SegmentFormat.check(
-                    at >= SegmentFormat.HEAD
-                            && at <= size - SegmentFormat.TRAILER - SegmentFormat.BLOCK_HEAD
-                            && size - at <= SegmentFormat.LARGEST,
-                    "its trailer is spoilt");
-            ByteBuffer footer = ByteBuffer.allocate((int) (size - SegmentFormat.TRAILER - at));
-            readFully(channel, footer, at);
-            SegmentFormat.BlockHead block = SegmentFormat.readBlockHead(footer.flip());
-            SegmentFormat.verify(footer, block);
-            SegmentFormat.check(block.kind() == SegmentFormat.Kind.MANIFEST, "it has no manifest");
+            checkHeader(channel, size);
+            long footerOffset = readTrailer(channel, size);
+            SegmentFooter footer = readFooter(channel, footerOffset, size);
             Segment segment = new Segment(path);
             segment.end = size;
-            return index(segment, footer.position(SegmentFormat.BLOCK_HEAD), at);
+            return new Found(segment, footer.manifest(), footer.blocks(), size);
         }
     }
 
-    private static Found index(Segment segment, ByteBuffer in, long footerAt) throws IOException {
-        byte[] json = new byte[in.getInt()];
-        in.get(json);
-        Manifest manifest = JSON.readValue(json, Manifest.class);
-        int count = in.getInt();
-        List<Place> blocks = new ArrayList<>(count);
-        long at = SegmentFormat.HEAD;
-        long row = 0;
-        for (int i = 0; i < count; i++) {
-            Place place = new Place(in.getLong(), in.getInt(), in.getLong(), in.getInt(), in.getInt());
-            SegmentFormat.check(place.at() == at && place.firstRow() == row, "its index has a gap");
-            at += place.bytes();
-            row += place.rows();
-            blocks.add(place);
-        }
-        SegmentFormat.check(at == footerAt && row == manifest.rows(), "its index has a gap at the end");
-        return new Found(segment, manifest, blocks, segment.end);
+    private static void checkHeader(FileChannel channel, long size) throws IOException {
+        check(size >= SegmentFormat.HEADER_BYTES, "it is cut within its head");
+        SegmentFormat.readHeader(read(channel, 0, SegmentFormat.HEADER_BYTES));
+        int shortest = SegmentFormat.HEADER_BYTES + SegmentFormat.BLOCK_HEADER_BYTES + SegmentFormat.TRAILER_BYTES;
+        check(size >= shortest, "it was never completed");
     }
 
+    private static long readTrailer(FileChannel channel, long size) throws IOException {
+        long trailerOffset = size - SegmentFormat.TRAILER_BYTES;
+        long footerOffset = SegmentFormat.readTrailer(read(channel, trailerOffset, SegmentFormat.TRAILER_BYTES));
+        boolean isInFile = footerOffset >= SegmentFormat.HEADER_BYTES
+                && footerOffset <= trailerOffset - SegmentFormat.BLOCK_HEADER_BYTES;
+        check(isInFile && size - footerOffset <= SegmentFormat.MAX_BLOCK_BYTES, "its trailer is spoilt");
+        return footerOffset;
+    }
+
+    private static SegmentFooter readFooter(FileChannel channel, long footerOffset, long size) throws IOException {
+        int length = (int) (size - SegmentFormat.TRAILER_BYTES - footerOffset);
+        ByteBuffer block = read(channel, footerOffset, length);
+        SegmentFormat.BlockHeader header = SegmentFormat.readBlockHeader(block);
+        SegmentFormat.verify(block, header);
+        check(header.kind() == SegmentFormat.Kind.MANIFEST, "it has no manifest");
+        return SegmentFooter.decode(block.position(SegmentFormat.BLOCK_HEADER_BYTES), footerOffset);
+    }
+
+    /** Deletes the file if it exists. */
     void delete() throws IOException {
         Files.deleteIfExists(path);
     }
 
-    private static void write(FileChannel channel, ByteBuffer bytes, long at) throws IOException {
-        long to = at;
-        while (bytes.hasRemaining()) {
-            to += channel.write(bytes, to);
+    private static ByteBuffer read(FileChannel channel, long offset, int length) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(length);
+        readFully(channel, buffer, offset);
+        return buffer.flip();
+    }
+
+    private static void writeFully(FileChannel channel, ByteBuffer buffer, long offset) throws IOException {
+        long position = offset;
+        while (buffer.hasRemaining()) {
+            position += channel.write(buffer, position);
         }
     }
 
-    private static void readFully(FileChannel channel, ByteBuffer into, long at) throws IOException {
-        long from = at;
-        while (into.hasRemaining()) {
-            int read = channel.read(into, from);
+    private static void readFully(FileChannel channel, ByteBuffer buffer, long offset) throws IOException {
+        long position = offset;
+        while (buffer.hasRemaining()) {
+            int read = channel.read(buffer, position);
             if (read < 0) {
                 throw new EOFException("the file ends early");
             }
-            from += read;
+            position += read;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/spool/store/SegmentFooter.java
@@ -0,0 +1,64 @@
+package lineward.spool.store;
+
+import static lineward.spool.store.CorruptSegmentException.check;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The payload of a segment's last block: the manifest as JSON and the index of all blocks before it.
+ *
+ * @param blocks in their order, without gaps from the header to this block
+ */
+record SegmentFooter(Manifest manifest, List<Segment.Place> blocks) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int LENGTH_BYTES = 4;
+    private static final int INDEX_ENTRY_BYTES = 28;
+
+    /** Returns the bytes of this footer, ready to be stored. */
+    ByteBuffer encode() throws IOException {
+        byte[] json = JSON.writeValueAsBytes(manifest);
+        int indexBytes = LENGTH_BYTES + blocks.size() * INDEX_ENTRY_BYTES;
+        ByteBuffer footer = ByteBuffer.allocate(LENGTH_BYTES + json.length + indexBytes);
+        footer.putInt(json.length).put(json).putInt(blocks.size());
+        blocks.forEach(block -> footer.putLong(block.at())
+                .putInt(block.bytes())
+                .putLong(block.firstRow())
+                .putInt(block.rows())
+                .putInt(block.raw()));
+        return footer.flip();
+    }
+
+    /**
+     * Reads a footer from the buffer's position on.
+     *
+     * @param footerOffset where its block begins in the file, which is where the last indexed block ends
+     * @throws CorruptSegmentException if the index has a gap
+     */
+    static SegmentFooter decode(ByteBuffer footer, long footerOffset) throws IOException {
+        byte[] json = new byte[footer.getInt()];
+        footer.get(json);
+        Manifest manifest = JSON.readValue(json, Manifest.class);
+        int count = footer.getInt();
+        List<Segment.Place> blocks = new ArrayList<>(count);
+        long offset = SegmentFormat.HEADER_BYTES;
+        long row = 0;
+        for (int i = 0; i < count; i++) {
+            Segment.Place block = readEntry(footer);
+            check(block.at() == offset && block.firstRow() == row, "its index has a gap");
+            offset += block.bytes();
+            row += block.rows();
+            blocks.add(block);
+        }
+        check(offset == footerOffset && row == manifest.rows(), "its index has a gap at the end");
+        return new SegmentFooter(manifest, blocks);
+    }
+
+    private static Segment.Place readEntry(ByteBuffer footer) {
+        return new Segment.Place(
+                footer.getLong(), footer.getInt(), footer.getLong(), footer.getInt(), footer.getInt());
+    }
+}
--- a/src/main/java/lineward/spool/store/SegmentFormat.java
+++ b/src/main/java/lineward/spool/store/SegmentFormat.java
@@ -1,143 +1,173 @@
 package lineward.spool.store;
 
+import static lineward.spool.store.CorruptSegmentException.check;
+
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32C;
 
 /**
- * The bytes of a segment, free of I/O. All numbers are big-endian.
+ * Encodes and decodes the fixed parts of a segment, without I/O. All numbers are big-endian.
  *
  * <pre>
- * head     magic(8) version(4) createdMs(8) crc(4)                             24 bytes
+ * header   magic(8) version(4) createdMs(8) crc(4)                             24 bytes
  * block    kind(1) zero(3) stored(4) raw(4) firstRow(8) rows(4) crc(4)         28 bytes, then the payload
- * trailer  footerAt(8) magic(4) crc(4)                                         16 bytes
+ * trailer  footerOffset(8) magic(4) crc(4)                                     16 bytes
  * </pre>
  */
 final class SegmentFormat {
     static final int VERSION = 1;
-    static final int HEAD = 24;
-    static final int BLOCK_HEAD = 28;
-    static final int TRAILER = 16;
+    static final int HEADER_BYTES = 24;
+    static final int BLOCK_HEADER_BYTES = 28;
+    static final int TRAILER_BYTES = 16;
     /** Of a block, raw or stored: a block is 64 KB and one row at most. */
-    static final int LARGEST = 64 << 20;
+    static final int MAX_BLOCK_BYTES = 64 << 20;
 
+    private static final int CRC_BYTES = 4;
     private static final long MAGIC =
             ByteBuffer.wrap("LWSPOOL\n".getBytes(StandardCharsets.US_ASCII)).getLong();
     private static final int TRAILER_MAGIC = 0x4c57454e;
 
-    /** What a block holds. */
+    /** What a block contains; its code is the first byte of the block. */
     enum Kind {
-        RAW,
-        LZ4,
-        MANIFEST
+        RAW(0),
+        LZ4(1),
+        MANIFEST(2);
+
+        private final byte code;
+
+        Kind(int code) {
+            this.code = (byte) code;
+        }
+
+        private static Kind of(byte code) throws CorruptSegmentException {
+            for (Kind kind : values()) {
+                if (kind.code == code) {
+                    return kind;
+                }
+            }
+            throw new CorruptSegmentException(SegmentFault.CORRUPT, "a block of an unknown kind");
+        }
     }
 
     /**
-     * A block's head.
+     * The header of a block.
      *
-     * @param stored bytes of the payload in the file
-     * @param raw bytes of it once it is unpacked
+     * @param storedBytes of the payload in the file
+     * @param rawBytes of the payload once it is decompressed
+     * @param crc CRC32C of the other fields and the payload
      */
-    record BlockHead(Kind kind, int stored, int raw, long firstRow, int rows, int crc) {}
+    record BlockHeader(Kind kind, int storedBytes, int rawBytes, long firstRow, int rows, int crc) {
+        private boolean isWithinBounds() {
+            return isLength(storedBytes) && isLength(rawBytes) && firstRow >= 0 && rows >= 0;
+        }
+
+        private static boolean isLength(int bytes) {
+            return bytes >= 0 && bytes <= MAX_BLOCK_BYTES;
+        }
+    }
 
     private SegmentFormat() {}
 
-    static ByteBuffer head(long createdMs) {
-        ByteBuffer out =
-                ByteBuffer.allocate(HEAD).putLong(MAGIC).putInt(VERSION).putLong(createdMs);
-        return out.putInt(crc(out.array(), 0, HEAD - 4)).flip();
+    /** Returns a segment's header. */
+    static ByteBuffer header(long createdMs) {
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES)
+                .putLong(MAGIC)
+                .putInt(VERSION)
+                .putLong(createdMs);
+        return header.putInt(crc(header, HEADER_BYTES - CRC_BYTES)).flip();
     }
 
     /**
-     * @return when the segment was begun, in Unix milliseconds
+     * Returns when the segment was begun, in Unix milliseconds.
+     *
      * @throws CorruptSegmentException if these are not the first bytes of a segment of a version known here
      */
-    static long readHead(ByteBuffer in) throws CorruptSegmentException {
-        check(in.remaining() >= HEAD && in.getLong(0) == MAGIC, "it is no segment");
-        check(in.getInt(8) == VERSION, "its version is " + in.getInt(8) + ", known is " + VERSION);
-        check(in.getInt(HEAD - 4) == crc(bytes(in, HEAD - 4), 0, HEAD - 4), "its head is spoilt");
-        return in.getLong(12);
+    static long readHeader(ByteBuffer header) throws CorruptSegmentException {
+        check(header.remaining() >= HEADER_BYTES && header.getLong(0) == MAGIC, "it is no segment");
+        int version = header.getInt(8);
+        if (version != VERSION) {
+            throw new CorruptSegmentException(
+                    SegmentFault.UNKNOWN_VERSION, "its version is " + version + ", known is " + VERSION);
+        }
+        int crcOffset = HEADER_BYTES - CRC_BYTES;
+        check(header.getInt(crcOffset) == crc(header, crcOffset), "its head is spoilt");
+        return header.getLong(12);
     }
 
-    /** Returns head and payload of a block, ready to be written. */
-    static ByteBuffer block(Kind kind, byte[] payload, int stored, int raw, long firstRow, int rows) {
-        ByteBuffer out = ByteBuffer.allocate(BLOCK_HEAD + stored);
-        out.put((byte) kind.ordinal())
+    /** Returns header and payload of a block, ready to be written. */
+    static ByteBuffer block(Kind kind, ByteBuffer payload, int rawBytes, long firstRow, int rows) {
+        int storedBytes = payload.remaining();
+        ByteBuffer block = ByteBuffer.allocate(BLOCK_HEADER_BYTES + storedBytes);
+        block.put(kind.code)
                 .put(new byte[3])
-                .putInt(stored)
-                .putInt(raw)
+                .putInt(storedBytes)
+                .putInt(rawBytes)
                 .putLong(firstRow)
                 .putInt(rows)
                 .putInt(0)
-                .put(payload, 0, stored);
-        CRC32C crc = new CRC32C();
-        crc.update(out.array(), 0, BLOCK_HEAD - 4);
-        crc.update(out.array(), BLOCK_HEAD, stored);
-        return out.putInt(BLOCK_HEAD - 4, (int) crc.getValue()).flip();
-    }
-
-    static BlockHead readBlockHead(ByteBuffer in) throws CorruptSegmentException {
-        check(in.remaining() >= BLOCK_HEAD, "a block ends early");
-        int at = in.position();
-        int kind = in.get(at);
-        check(kind >= 0 && kind < Kind.values().length, "a block of an unknown kind");
-        BlockHead head = new BlockHead(
-                Kind.values()[kind],
-                in.getInt(at + 4),
-                in.getInt(at + 8),
-                in.getLong(at + 12),
-                in.getInt(at + 20),
-                in.getInt(at + 24));
-        check(
-                head.stored >= 0
-                        && head.stored <= LARGEST
-                        && head.raw >= 0
-                        && head.raw <= LARGEST
-                        && head.firstRow >= 0
-                        && head.rows >= 0,
-                "a block's head is spoilt");
-        return head;
+                .put(payload.duplicate());
+        return block.putInt(BLOCK_HEADER_BYTES - CRC_BYTES, blockCrc(block, storedBytes))
+                .flip();
     }
 
-    /** @throws CorruptSegmentException if head and payload do not belong together, to the bit */
-    static void verify(ByteBuffer block, BlockHead head) throws CorruptSegmentException {
-        check(block.remaining() == BLOCK_HEAD + head.stored, "a block ends early");
-        CRC32C crc = new CRC32C();
-        crc.update(block.array(), 0, BLOCK_HEAD - 4);
-        crc.update(block.array(), BLOCK_HEAD, head.stored);
-        check((int) crc.getValue() == head.crc, "a block is spoilt");
+    /**
+     * Returns the header of the block at the buffer's position, which stays as it is.
+     *
+     * @throws CorruptSegmentException if it can't be a block's header
+     */
+    static BlockHeader readBlockHeader(ByteBuffer block) throws CorruptSegmentException {
+        check(block.remaining() >= BLOCK_HEADER_BYTES, "a block ends early");
+        int start = block.position();
+        BlockHeader header = new BlockHeader(
+                Kind.of(block.get(start)),
+                block.getInt(start + 4),
+                block.getInt(start + 8),
+                block.getLong(start + 12),
+                block.getInt(start + 20),
+                block.getInt(start + 24));
+        check(header.isWithinBounds(), "a block's head is spoilt");
+        return header;
     }
 
-    static ByteBuffer trailer(long footerAt) {
-        ByteBuffer out = ByteBuffer.allocate(TRAILER).putLong(footerAt).putInt(TRAILER_MAGIC);
-        return out.putInt(crc(out.array(), 0, TRAILER - 4)).flip();
+    /**
+     * Checks a block that fills the whole buffer.
+     *
+     * @throws CorruptSegmentException if header and payload are not those that were written, to the bit
+     */
+    static void verify(ByteBuffer block, BlockHeader header) throws CorruptSegmentException {
+        check(block.remaining() == BLOCK_HEADER_BYTES + header.storedBytes, "a block ends early");
+        check(blockCrc(block, header.storedBytes) == header.crc, "a block is spoilt");
     }
 
-    /** Returns where the manifest's block begins. */
-    static long readTrailer(ByteBuffer in) throws CorruptSegmentException {
-        check(
-                in.remaining() == TRAILER
-                        && in.getInt(8) == TRAILER_MAGIC
-                        && in.getInt(12) == crc(bytes(in, TRAILER - 4), 0, TRAILER - 4),
-                "it was never completed");
-        return in.getLong(0);
+    /** Returns a segment's trailer, which marks it as complete. */
+    static ByteBuffer trailer(long footerOffset) {
+        ByteBuffer trailer = ByteBuffer.allocate(TRAILER_BYTES).putLong(footerOffset).putInt(TRAILER_MAGIC);
+        return trailer.putInt(crc(trailer, TRAILER_BYTES - CRC_BYTES)).flip();
     }
 
-    static void check(boolean holds, String otherwise) throws CorruptSegmentException {
-        if (!holds) {
-            throw new CorruptSegmentException(otherwise);
-        }
+    /**
+     * Returns the offset of the block with the manifest.
+     *
+     * @throws CorruptSegmentException if this is no trailer
+     */
+    static long readTrailer(ByteBuffer trailer) throws CorruptSegmentException {
+        boolean isTrailer = trailer.remaining() == TRAILER_BYTES && trailer.getInt(8) == TRAILER_MAGIC;
+        int crcOffset = TRAILER_BYTES - CRC_BYTES;
+        check(isTrailer && trailer.getInt(crcOffset) == crc(trailer, crcOffset), "it was never completed");
+        return trailer.getLong(0);
     }
 
-    private static byte[] bytes(ByteBuffer in, int length) {
-        byte[] bytes = new byte[length];
-        in.get(0, bytes);
-        return bytes;
+    private static int blockCrc(ByteBuffer block, int storedBytes) {
+        CRC32C crc = new CRC32C();
+        crc.update(block.slice(0, BLOCK_HEADER_BYTES - CRC_BYTES));
+        crc.update(block.slice(BLOCK_HEADER_BYTES, storedBytes));
+        return (int) crc.getValue();
     }
 
-    private static int crc(byte[] bytes, int from, int length) {
+    private static int crc(ByteBuffer bytes, int length) {
         CRC32C crc = new CRC32C();
-        crc.update(bytes, from, length);
+        crc.update(bytes.slice(0, length));
         return (int) crc.getValue();
     }
 }
--- a/src/main/java/lineward/spool/store/SegmentStore.java
+++ b/src/main/java/lineward/spool/store/SegmentStore.java
@@ -9,26 +9,28 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Reads and writes segments beside the event loop: one thread writes, in the order asked for, and two read.
- * What waits is bounded by the caller, which counts the bytes under way; each call's end is told on the event
- * loop.
+ * Reads and writes segments beside the event loop: one thread writes, in the order of the calls, and two read.
+ * The queues are bounded by the caller, which counts the bytes that are being written; each call completes on
+ * the event loop.
  */
 public final class SegmentStore implements AutoCloseable {
-    private static final int READERS = 2;
-    private static final int THREADS_LIVE_S = 10;
-    private static final int END_TAKES_S = 5;
+    private static final int READER_THREADS = 2;
+    private static final int THREAD_KEEP_ALIVE_S = 10;
+    private static final int SHUTDOWN_TIMEOUT_S = 5;
 
-    /** Hears how a call ended. */
+    /** Is notified how a call ended. */
     @FunctionalInterface
-    public interface Done<T> {
+    public interface Completion<T> {
         /**
-         * @param result null if it failed
-         * @param failure null if it did not
+         * Called once, on the event loop.
+         *
+         * @param result null if the call failed
+         * @param failure null if it succeeded
          */
-        void done(T result, IOException failure);
+        void completed(T result, IOException failure);
     }
 
-    /** The file of one result; made by the first block. */
+    /** The file of one result; created by the first block. Its fields belong to the writer thread. */
     public static final class Handle {
         private Segment segment;
         private boolean deleted;
@@ -48,19 +50,24 @@
     }
 
     private final SpoolFolder folder;
-    private final Executor loop;
+    private final Executor eventLoop;
     private final ThreadPoolExecutor writer = threads("spool-write", 1);
-    private final ThreadPoolExecutor readers = threads("spool-read", READERS);
-
-    /** @param loop hears the ends of all calls */
-    public SegmentStore(SpoolFolder folder, Executor loop) {
+    private final ThreadPoolExecutor readers = threads("spool-read", READER_THREADS);
+
+    /**
+     * Starts no thread before the first call.
+     *
+     * @param folder closed with this store
+     * @param eventLoop on which all calls complete
+     */
+    public SegmentStore(SpoolFolder folder, Executor eventLoop) {
         this.folder = folder;
-        this.loop = loop;
+        this.eventLoop = eventLoop;
     }
 
-    private static ThreadPoolExecutor threads(String name, int most) {
+    private static ThreadPoolExecutor threads(String name, int count) {
         ThreadPoolExecutor threads = new ThreadPoolExecutor(
-                most, most, THREADS_LIVE_S, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), task -> {
+                count, count, THREAD_KEEP_ALIVE_S, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), task -> {
                     Thread thread = new Thread(task, name);
                     thread.setDaemon(true);
                     return thread;
@@ -69,29 +76,31 @@
         return threads;
     }
 
-    private <T> void on(ThreadPoolExecutor threads, Task<T> task, Done<T> then) {
+    private <T> void submit(ThreadPoolExecutor threads, Task<T> task, Completion<T> completion) {
         threads.execute(() -> {
-            T result = null;
-            IOException failure = null;
+            T result;
             try {
                 result = task.run();
-            } catch (IOException e) {
-                failure = e;
-            } catch (UncheckedIOException e) {
-                failure = e.getCause();
-            } catch (RuntimeException e) {
+            } catch (IOException | RuntimeException e) {
                 // A file that is not what it seems must not end a worker.
-                failure = new IOException(e);
+                IOException failure = asIoException(e);
+                eventLoop.execute(() -> completion.completed(null, failure));
+                return;
             }
-            T told = result;
-            IOException why = failure;
-            loop.execute(() -> then.done(told, why));
+            eventLoop.execute(() -> completion.completed(result, null));
         });
     }
 
-    /** Appends a block to a result's file, which its first block makes. */
-    public void append(Handle handle, byte[] raw, long firstRow, int rows, Done<Segment.Place> then) {
-        on(
+    private static IOException asIoException(Exception failure) {
+        if (failure instanceof IOException ioException) {
+            return ioException;
+        }
+        return failure instanceof UncheckedIOException unchecked ? unchecked.getCause() : new IOException(failure);
+    }
+
+    /** Appends a block to a result's file, which its first block creates. */
+    public void append(Handle handle, byte[] raw, long firstRow, int rows, Completion<Segment.Place> completion) {
+        submit(
                 writer,
                 () -> {
                     if (handle.deleted) {
@@ -102,12 +111,12 @@
                     }
                     return handle.segment.append(raw, firstRow, rows);
                 },
-                then);
+                completion);
     }
 
-    /** Makes a result on file whole; tells the bytes of its file. */
-    public void complete(Handle handle, Manifest manifest, List<Segment.Place> blocks, Done<Long> then) {
-        on(
+    /** Completes a result on file; the completion receives the length of its file in bytes. */
+    public void complete(Handle handle, Manifest manifest, List<Segment.Place> blocks, Completion<Long> completion) {
+        submit(
                 writer,
                 () -> {
                     if (handle.deleted || handle.segment == null) {
@@ -116,17 +125,17 @@
                     handle.segment.complete(manifest, blocks);
                     return handle.segment.length();
                 },
-                then);
+                completion);
     }
 
-    /** Reads a block, unpacked and checked. */
-    public void read(Handle handle, Segment.Place place, Done<byte[]> then) {
-        on(readers, () -> handle.segment.read(place), then);
+    /** Reads a block; the completion receives its bytes, decompressed and checked. */
+    public void read(Handle handle, Segment.Place location, Completion<byte[]> completion) {
+        submit(readers, () -> handle.segment.read(location), completion);
     }
 
-    /** Deletes a result's file, behind all that was asked of it before. */
-    public void delete(Handle handle, Done<Void> then) {
-        on(
+    /** Deletes a result's file, after all that was asked of it before. */
+    public void delete(Handle handle, Completion<Void> completion) {
+        submit(
                 writer,
                 () -> {
                     handle.deleted = true;
@@ -135,16 +144,17 @@
                     }
                     return null;
                 },
-                then);
+                completion);
     }
 
-    /** Ends the workers once what was asked has been done, 5 s at most, and lets go of the folder. */
+    /** Ends the threads once what was asked has been done, 5 s at most, and releases the folder. */
     @Override
     public void close() throws IOException {
         writer.shutdown();
         readers.shutdown();
         try {
-            writer.awaitTermination(END_TAKES_S, TimeUnit.SECONDS);
+            // The threads are daemons: what is not written in time is dropped as incomplete at the next start.
+            writer.awaitTermination(SHUTDOWN_TIMEOUT_S, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/lineward/spool/store/SpoolFolder.java
+++ b/src/main/java/lineward/spool/store/SpoolFolder.java
@@ -14,22 +14,31 @@
 import java.util.UUID;
 
 /**
- * A folder of segments, held by one process at a time. Its lock is the file system's: a process that is
- * killed lets go of it, and one that ends hands it to the next.
+ * A folder of segments, locked by one process at a time. The lock is the file system's: it ends with the
+ * process, however that ends.
  */
 public final class SpoolFolder implements AutoCloseable {
-    /** The ending of a segment's name; nothing else in the folder is ever touched. */
-    static final String ENDING = ".lwseg";
+    /** The suffix of a segment's name; nothing else in the folder is ever touched. */
+    static final String SEGMENT_SUFFIX = ".lwseg";
 
-    private static final String LOCK = "lineward-spool.lock";
+    private static final String LOCK_NAME = "lineward-spool.lock";
 
-    /** What became of the folder's files at the start. */
+    /**
+     * What the folder contains.
+     *
+     * @param whole complete results, in no order
+     * @param dropped segments that can't be used
+     */
     public record Recovered(List<Segment.Found> whole, List<Spoilt> dropped) {}
 
-    /** A segment that can't be used, and why. */
-    public record Spoilt(Path path, String why) {}
+    /**
+     * A segment that can't be used.
+     *
+     * @param why in words, for logs and operators
+     */
+    public record Spoilt(Path path, SegmentFault fault, String why) {}
 
-    /** Another process holds the folder. */
+    /** Another process has locked the folder. */
     public static final class HeldException extends IOException {
         private static final long serialVersionUID = 1L;
 
@@ -39,78 +48,91 @@
     }
 
     private final Path folder;
-    private final FileChannel lock;
+    /** Owns the lock, which ends as it is closed. */
+    private final FileChannel lockFile;
 
-    private SpoolFolder(Path folder, FileChannel lock) {
+    private SpoolFolder(Path folder, FileChannel lockFile) {
         this.folder = folder;
-        this.lock = lock;
+        this.lockFile = lockFile;
     }
 
     /**
-     * Takes the folder, and makes it where it is not there.
+     * Locks the folder, and creates it where it does not exist.
      *
-     * @throws IOException with one plain line if it can't be used or another process holds it
+     * @throws HeldException if another process, or this one, has locked it
+     * @throws IOException with one plain line if it can't be used
      */
     public static SpoolFolder take(Path folder) throws IOException {
+        createFolder(folder);
+        FileChannel lockFile = openLockFile(folder);
+        if (!tryLock(lockFile)) {
+            lockFile.close();
+            throw new HeldException("spool folder " + folder + " is held by another process");
+        }
+        return new SpoolFolder(folder, lockFile);
+    }
+
+    private static void createFolder(Path folder) throws IOException {
         try {
             Files.createDirectories(folder);
         } catch (IOException e) {
             throw new IOException("spool folder " + folder + " can't be made", e);
         }
-        FileChannel channel;
+    }
+
+    private static FileChannel openLockFile(Path folder) throws IOException {
         try {
-            channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            return FileChannel.open(folder.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         } catch (IOException e) {
             throw new IOException("spool folder " + folder + " can't be written", e);
         }
-        FileLock held;
+    }
+
+    private static boolean tryLock(FileChannel lockFile) throws IOException {
         try {
-            held = channel.tryLock();
+            FileLock lock = lockFile.tryLock();
+            return lock != null;
         } catch (OverlappingFileLockException e) {
-            held = null;
-        }
-        if (held == null) {
-            channel.close();
-            throw new HeldException("spool folder " + folder + " is held by another process");
+            // This process itself has locked it.
+            return false;
         }
-        return new SpoolFolder(folder, channel);
     }
 
-    /** Takes whole results in and deletes segments that are not whole; other files stay as they are. */
+    /** Returns the complete results and deletes segments that are not complete; other files stay as they are. */
     public Recovered recover() throws IOException {
-        Recovered seen = look(folder);
-        for (Spoilt spoilt : seen.dropped()) {
-            // A version that is not known here may be a later program's, which would miss it.
-            if (!spoilt.why().startsWith("its version")) {
-                Files.deleteIfExists(spoilt.path());
+        Recovered recovered = look(folder);
+        for (Spoilt segment : recovered.dropped()) {
+            if (segment.fault().isDeletedByRecovery()) {
+                Files.deleteIfExists(segment.path());
             }
         }
-        return seen;
+        return recovered;
     }
 
-    /** Looks at a folder and changes nothing; who holds it does not matter. */
+    /** Returns what a folder contains and changes nothing, whether it is locked or not. */
     public static Recovered look(Path folder) throws IOException {
-        List<Segment.Found> whole = new ArrayList<>();
-        List<Spoilt> dropped = new ArrayList<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + ENDING)) {
+        List<Segment.Found> complete = new ArrayList<>();
+        List<Spoilt> unusable = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SEGMENT_SUFFIX)) {
             for (Path file : files) {
                 try {
-                    whole.add(Segment.open(file));
+                    complete.add(Segment.open(file));
+                } catch (CorruptSegmentException e) {
+                    unusable.add(new Spoilt(file, e.fault(), e.getMessage()));
                 } catch (IOException | RuntimeException e) {
                     // Whatever the bytes are, they end neither the start nor another result.
-                    dropped.add(new Spoilt(
-                            file, e instanceof CorruptSegmentException ? e.getMessage() : "it can't be read: " + e));
+                    unusable.add(new Spoilt(file, SegmentFault.UNREADABLE, "it can't be read: " + e));
                 }
             }
         } catch (NotDirectoryException e) {
             throw new IOException(folder + " is no folder", e);
         }
-        return new Recovered(whole, dropped);
+        return new Recovered(complete, unusable);
     }
 
     /** Returns a new segment, with its file. */
     Segment create(long createdMs) throws IOException {
-        Segment segment = new Segment(folder.resolve(UUID.randomUUID() + ENDING));
+        Segment segment = new Segment(folder.resolve(UUID.randomUUID() + SEGMENT_SUFFIX));
         segment.create(createdMs);
         return segment;
     }
@@ -122,6 +144,6 @@
 
     @Override
     public void close() throws IOException {
-        lock.close();
+        lockFile.close();
     }
 }
--- a/src/measure/java/lineward/spool/store/SpoolFixture.java
+++ b/src/measure/java/lineward/spool/store/SpoolFixture.java
@@ -24,7 +24,7 @@
     /** Writes so many results of so many megabytes that no packing makes smaller. */
     public static void fill(Path folder, int results, int megabytes) throws IOException {
         for (int r = 0; r < results; r++) {
-            Segment segment = new Segment(folder.resolve("r" + r + SpoolFolder.ENDING));
+            Segment segment = new Segment(folder.resolve("r" + r + SpoolFolder.SEGMENT_SUFFIX));
             segment.create(1);
             List<Segment.Place> places = new ArrayList<>();
             for (int i = 0; i < megabytes * 16; i++) {
@@ -44,7 +44,7 @@
     /** Returns blocks that were read and are not what was written, over so many seeded cuts and flips. */
     public static int wrongBytes(Path folder, Random random, int times) throws IOException {
         int wrong = 0;
-        Path file = folder.resolve("spoilt" + SpoolFolder.ENDING);
+        Path file = folder.resolve("spoilt" + SpoolFolder.SEGMENT_SUFFIX);
         List<byte[]> blocks = new ArrayList<>();
         Segment segment = new Segment(file);
         Files.deleteIfExists(file);
--- a/src/test/java/lineward/spool/store/SegmentTest.java
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -5,8 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -48,7 +50,7 @@
     }
 
     private Path write(String name, List<byte[]> blocks) throws IOException {
-        Segment segment = new Segment(folder.resolve(name + SpoolFolder.ENDING));
+        Segment segment = new Segment(folder.resolve(name + SpoolFolder.SEGMENT_SUFFIX));
         segment.create(1);
         List<Segment.Place> places = new ArrayList<>();
         for (int i = 0; i < blocks.size(); i++) {
@@ -82,7 +84,7 @@
     public void cutAtEachByteItIsNoWholeResult() throws IOException {
         List<byte[]> blocks = blocks(new Random(1), 3);
         byte[] whole = Files.readAllBytes(write("a", blocks));
-        Path cut = folder.resolve("cut" + SpoolFolder.ENDING);
+        Path cut = folder.resolve("cut" + SpoolFolder.SEGMENT_SUFFIX);
         for (int length = 0; length < whole.length; length++) {
             Files.write(cut, Arrays.copyOf(whole, length));
             assertThrows(IOException.class, () -> Segment.open(cut));
@@ -107,7 +109,7 @@
                     default -> System.arraycopy(spoilt, 0, spoilt, at, Math.min(100, spoilt.length - at));
                 }
             }
-            Path file = folder.resolve("spoilt" + SpoolFolder.ENDING);
+            Path file = folder.resolve("spoilt" + SpoolFolder.SEGMENT_SUFFIX);
             Files.write(file, spoilt);
             assertTrue(!servesWrongBytes(file, blocks), "seed " + seed);
             noticed += Arrays.equals(bytes, spoilt) ? 0 : 1;
@@ -128,14 +130,14 @@
         return new Object[][] {
             {new byte[0], "cut"},
             {new byte[100], "no segment"},
-            {"#!/bin/sh\necho hello and much more text to fill the head".getBytes(), "no segment"},
-            {SegmentFormat.head(1).putInt(8, 9).array(), "its version is 9"}
+            {"#!/bin/sh\necho hello and much more text to fill the head".getBytes(StandardCharsets.US_ASCII), "no segment"},
+            {SegmentFormat.header(1).putInt(8, 9).array(), "its version is 9"}
         };
     }
 
     @Test(dataProvider = "foreign")
     public void filesOfOthersAreToldByTheirHead(byte[] bytes, String why) throws IOException {
-        Path file = folder.resolve("x" + SpoolFolder.ENDING);
+        Path file = folder.resolve("x" + SpoolFolder.SEGMENT_SUFFIX);
         Files.write(file, bytes);
         SpoolFolder.Recovered seen = SpoolFolder.look(folder);
         assertEquals(seen.whole().size(), 0);
@@ -146,20 +148,20 @@
     @Test
     public void recoveryKeepsWholeResultsForeignFilesAndUnknownVersionsAndDropsTheRest() throws IOException {
         write("good", blocks(new Random(3), 4));
-        Segment partial = new Segment(folder.resolve("partial" + SpoolFolder.ENDING));
+        Segment partial = new Segment(folder.resolve("partial" + SpoolFolder.SEGMENT_SUFFIX));
         partial.create(1);
         partial.append(new byte[100], 0, 1);
         Files.writeString(folder.resolve("notes.txt"), "not ours");
         Files.write(
-                folder.resolve("later" + SpoolFolder.ENDING),
-                SegmentFormat.head(1).putInt(8, 2).array());
+                folder.resolve("later" + SpoolFolder.SEGMENT_SUFFIX),
+                SegmentFormat.header(1).putInt(8, 2).array());
         try (SpoolFolder held = SpoolFolder.take(folder)) {
             SpoolFolder.Recovered seen = held.recover();
             assertEquals(seen.whole().size(), 1);
             assertEquals(seen.whole().get(0).manifest().key(), "good");
         }
         assertTrue(Files.exists(folder.resolve("notes.txt")));
-        assertTrue(Files.exists(folder.resolve("later" + SpoolFolder.ENDING)));
+        assertTrue(Files.exists(folder.resolve("later" + SpoolFolder.SEGMENT_SUFFIX)));
         assertTrue(Files.notExists(partial.path()));
     }
 
@@ -190,7 +192,7 @@
         Path one = write("one", blocks(new Random(4), 2));
         Path two = write("two", blocks(new Random(5), 2));
         Segment.Found found = Segment.open(one);
-        Files.move(two, one, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        Files.move(two, one, StandardCopyOption.REPLACE_EXISTING);
         assertThrows(
                 IOException.class, () -> found.segment().read(found.blocks().get(1)));
         Files.delete(one);
--- a/src/test/java/lineward/spool/store/StoredSegmentTest.java
+++ b/src/test/java/lineward/spool/store/StoredSegmentTest.java
@@ -17,7 +17,7 @@
 
 /** A segment that an earlier version wrote stays readable, and what is written now is the same to the byte. */
 public class StoredSegmentTest {
-    private static final String STORED = "stored-v1" + SpoolFolder.ENDING;
+    private static final String STORED = "stored-v1" + SpoolFolder.SEGMENT_SUFFIX;
     private static final long CREATED_MS = 1_790_000_000_000L;
     private static final Manifest MANIFEST =
             new Manifest("reporting", "orders/2026-11", "6b1f0c", CREATED_MS + 250, 30, 9200);
