--- /dev/null
+++ b/src/main/java/lineward/spool/Block.java
@@ -0,0 +1,93 @@
+package lineward.spool;
+
+import lineward.spool.store.Segment;
+
+/** One block of a result: bytes that are in memory, on their way to the result's file, or there alone. */
+final class Block {
+    private enum Storage {
+        MEMORY,
+        /** Still in memory, but accounted for on file. */
+        BEING_WRITTEN,
+        FILE
+    }
+
+    private final long firstRow;
+    private final int rows;
+    private final int rawBytes;
+    private Storage storage;
+    /** Null once it is on file. */
+    private byte[] data;
+    /** Null until it is on file. */
+    private Segment.Place location;
+
+    private Block(long firstRow, int rows, int rawBytes) {
+        this.firstRow = firstRow;
+        this.rows = rows;
+        this.rawBytes = rawBytes;
+    }
+
+    static Block inMemory(long firstRow, int rows, byte[] data) {
+        Block block = new Block(firstRow, rows, data.length);
+        block.storage = Storage.MEMORY;
+        block.data = data;
+        return block;
+    }
+
+    static Block onFile(Segment.Place location) {
+        Block block = new Block(location.firstRow(), location.rows(), location.raw());
+        block.written(location);
+        return block;
+    }
+
+    void writeStarted() {
+        storage = Storage.BEING_WRITTEN;
+    }
+
+    void written(Segment.Place newLocation) {
+        storage = Storage.FILE;
+        location = newLocation;
+        data = null;
+    }
+
+    void writeFailed() {
+        storage = Storage.MEMORY;
+    }
+
+    boolean isInMemory() {
+        return storage == Storage.MEMORY;
+    }
+
+    boolean isBeingWritten() {
+        return storage == Storage.BEING_WRITTEN;
+    }
+
+    boolean isOnFile() {
+        return storage == Storage.FILE;
+    }
+
+    boolean containsRow(long row) {
+        return row >= firstRow && row < firstRow + rows;
+    }
+
+    long firstRow() {
+        return firstRow;
+    }
+
+    int rows() {
+        return rows;
+    }
+
+    int rawBytes() {
+        return rawBytes;
+    }
+
+    /** Returns its bytes, or null if they have to be loaded from file. */
+    byte[] data() {
+        return data;
+    }
+
+    /** Returns where it is on file, or null before. */
+    Segment.Place location() {
+        return location;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/spool/BlockBuffer.java
@@ -0,0 +1,58 @@
+package lineward.spool;
+
+import java.util.Arrays;
+
+/** Gathers rows until they make a block. */
+final class BlockBuffer {
+    /** Rows are gathered into blocks of about this size; a longer row makes a longer block. */
+    static final int BLOCK_BYTES = 64 << 10;
+
+    private static final int MIN_GROWTH_BYTES = 1024;
+    private static final byte[] EMPTY = {};
+
+    private byte[] bytes = EMPTY;
+    private int length;
+    private int rows;
+
+    /** Makes space for so many bytes, and returns their offset in {@link #array}. */
+    int reserve(int count) {
+        if (length + count > bytes.length) {
+            int grown = Math.min(2 * bytes.length + MIN_GROWTH_BYTES, BLOCK_BYTES);
+            bytes = Arrays.copyOf(bytes, Math.max(length + count, grown));
+        }
+        return length;
+    }
+
+    /** Returns the array with the space reserved last; another one after each {@link #reserve}. */
+    byte[] array() {
+        return bytes;
+    }
+
+    /** Counts so many reserved bytes as written. */
+    void commit(int count, boolean endsRow) {
+        length += count;
+        rows += endsRow ? 1 : 0;
+    }
+
+    boolean isEmpty() {
+        return length == 0;
+    }
+
+    boolean isFull() {
+        return length >= BLOCK_BYTES;
+    }
+
+    /** Returns what was gathered as a block whose first row has that number, and starts anew. */
+    Block removeBlock(long firstRow) {
+        byte[] data = length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
+        Block block = Block.inMemory(firstRow, rows, data);
+        clear();
+        return block;
+    }
+
+    void clear() {
+        bytes = EMPTY;
+        length = 0;
+        rows = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/spool/BlockPlacement.java
@@ -0,0 +1,80 @@
+package lineward.spool;
+
+import lineward.spool.SpoolPolicy.Placement;
+
+/** Decides where blocks are stored, and when an engine has to wait for the readers. */
+final class BlockPlacement {
+    /** One result may use this ratio of the memory; the rest of it goes to files. */
+    private static final double RESULT_MEMORY_RATIO = 0.25;
+    /** An engine that waits is read again once what is stored has fallen to one part in so many of its bound. */
+    private static final int RESUME_DIVISOR = 2;
+
+    private final SpoolLimits limits;
+    private final SpoolLedger ledger;
+    private final FileBackoff fileBackoff;
+    private long backpressured;
+
+    BlockPlacement(SpoolLimits limits, SpoolLedger ledger, FileBackoff fileBackoff) {
+        this.limits = limits;
+        this.ledger = ledger;
+        this.fileBackoff = fileBackoff;
+    }
+
+    /** Decides where a block of a result goes and accounts for it there. */
+    Placement allocate(ResultAccount account, long bytes, double nowMs) {
+        boolean withinQuota = isWithinQuota(account, bytes);
+        boolean fitsMemory = withinQuota && fitsMemory(account, bytes);
+        boolean fitsFile = withinQuota && fitsFile(account, bytes, nowMs);
+        // A result with a key is to outlive the process.
+        if (fitsFile && (account.keyed || !fitsMemory)) {
+            ledger.addFile(account);
+            ledger.addToFile(account, bytes);
+            account.endBackpressure();
+            return Placement.FILE;
+        }
+        ledger.addToMemory(account, bytes);
+        if (fitsMemory) {
+            account.endBackpressure();
+            return Placement.MEMORY;
+        }
+        if (!account.hasBackpressure()) {
+            backpressured++;
+            account.startBackpressure(nowMs);
+        }
+        return Placement.MEMORY_WITH_BACKPRESSURE;
+    }
+
+    private boolean isWithinQuota(ResultAccount account, long bytes) {
+        return account.bytes() + bytes <= limits.resultBytes()
+                && ledger.bytesOf(account.user) + bytes <= limits.userBytes();
+    }
+
+    private boolean fitsMemory(ResultAccount account, long bytes) {
+        // Without files a result may use all of the memory that is free.
+        boolean withinResultRatio =
+                limits.fileBytes() == 0 || account.memoryBytes + bytes <= RESULT_MEMORY_RATIO * limits.memoryBytes();
+        return withinResultRatio && ledger.memoryBytes() + bytes <= limits.memoryBytes();
+    }
+
+    private boolean fitsFile(ResultAccount account, long bytes, double nowMs) {
+        boolean mayHaveFile = account.hasFile || ledger.files() < limits.files();
+        boolean hasSpace = ledger.fileBytes() + bytes <= limits.fileBytes();
+        return mayHaveFile && hasSpace && fileBackoff.isOver(nowMs);
+    }
+
+    /** Returns whether the engine may be read: what is stored of this result leaves capacity for more. */
+    boolean mayReadEngine(ResultAccount account) {
+        return !account.hasBackpressure() || account.memoryBytes == 0 || hasCapacityAgain(account);
+    }
+
+    private boolean hasCapacityAgain(ResultAccount account) {
+        return ledger.memoryBytes() <= limits.memoryBytes() / RESUME_DIVISOR
+                && account.bytes() <= limits.resultBytes() / RESUME_DIVISOR
+                && ledger.bytesOf(account.user) <= limits.userBytes() / RESUME_DIVISOR;
+    }
+
+    /** Returns how many times a result's engine had to wait for its reader. */
+    long backpressured() {
+        return backpressured;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/spool/BlockSequence.java
@@ -0,0 +1,60 @@
+package lineward.spool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import lineward.spool.store.Segment;
+
+/** The blocks of a result in their order, numbered from 0; the first ones may have been removed. */
+final class BlockSequence {
+    static final int NOT_FOUND = -1;
+
+    private final List<Block> blocks = new ArrayList<>();
+    /** How many blocks have been removed before the first that is left. */
+    private int removed;
+
+    void add(Block block) {
+        blocks.add(block);
+    }
+
+    /** Returns the number that the next block will have. */
+    int end() {
+        return removed + blocks.size();
+    }
+
+    Block get(int number) {
+        return blocks.get(number - removed);
+    }
+
+    /** Removes blocks before that number, up to the first that is being written. */
+    void removeBefore(int number, Consumer<Block> onRemoved) {
+        while (removed < number && !blocks.isEmpty() && !blocks.get(0).isBeingWritten()) {
+            Block block = blocks.remove(0);
+            removed++;
+            onRemoved.accept(block);
+        }
+    }
+
+    void clear() {
+        blocks.clear();
+    }
+
+    /** Returns the number of the block with that row of the result, or {@link #NOT_FOUND}. */
+    int numberOfRow(long row) {
+        for (int i = 0; i < blocks.size(); i++) {
+            if (blocks.get(i).containsRow(row)) {
+                return removed + i;
+            }
+        }
+        return NOT_FOUND;
+    }
+
+    /** Returns whether there are blocks, and all are on file. */
+    boolean isOnFile() {
+        return !blocks.isEmpty() && blocks.stream().allMatch(Block::isOnFile);
+    }
+
+    List<Segment.Place> locations() {
+        return blocks.stream().map(Block::location).toList();
+    }
+}
--- a/src/main/java/lineward/spool/Spool.java
+++ b/src/main/java/lineward/spool/Spool.java
@@ -1,9 +1,11 @@
 package lineward.spool;
 
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
 import lineward.spool.store.Manifest;
 import lineward.spool.store.Segment;
@@ -12,27 +14,35 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** All spooled results of one front. Confined to the event loop; {@link SpoolPolicy} decides for it. */
+/** All spooled results of one front end. Confined to the event loop; {@link SpoolPolicy} decides for it. */
 public final class Spool implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Spool.class);
-    /** Blocks on their way to files, for all results together: past it engines wait for the disk. */
-    private static final long MOST_UNDER_WAY = 4L << 20;
+    /** Blocks that are being written, for all results together: past it engines wait for the disk. */
+    private static final long MAX_PENDING_WRITE_BYTES = 4L << 20;
 
-    private record Name(String user, String key) {}
+    private record ResultKey(String user, String key) {
+        static ResultKey of(ResultDescription description) {
+            return new ResultKey(description.user(), description.key());
+        }
+    }
 
     private final SpoolPolicy policy;
     /** Null: there are no files. */
     private final SegmentStore store;
 
     private final DoubleSupplier clock;
+    /** Bounded by {@link SpoolLimits#results}, above which statements are rejected. */
     private final Map<Long, SpooledResult> results = new HashMap<>();
-    private final Map<Name, SpooledResult> named = new HashMap<>();
-    private long underWay;
-    private boolean writesFail;
+
+    private final Map<ResultKey, SpooledResult> resultsByKey = new HashMap<>();
+    private long pendingWriteBytes;
+    private boolean lastWriteFailed;
 
     /**
+     * Creates an empty spool.
+     *
      * @param store null: memory alone
-     * @param clock in milliseconds, never going back
+     * @param clock in milliseconds, monotonic
      */
     public Spool(SpoolLimits limits, SegmentStore store, DoubleSupplier clock) {
         this.policy = new SpoolPolicy(store == null ? limits.withoutFiles() : limits);
@@ -40,32 +50,34 @@
         this.clock = clock;
     }
 
-    /** Takes in what an earlier process left whole; of two with one name the later holds. */
+    /** Takes over the complete results of an earlier process; of two with one key the later one remains. */
     public void restore(SpoolFolder.Recovered recovered) {
         recovered.whole().stream()
-                .sorted((a, b) ->
-                        Long.compare(a.manifest().createdMs(), b.manifest().createdMs()))
+                .sorted(Comparator.comparingLong(found -> found.manifest().createdMs()))
                 .forEach(this::restore);
         LOG.info(
-                "spool: {} whole results taken in again, {} dropped",
-                named.size(),
+                "spool recovered results={} dropped={}",
+                resultsByKey.size(),
                 recovered.dropped().size());
         recovered
                 .dropped()
-                .forEach(d -> LOG.info("spool: {} dropped: {}", d.path().getFileName(), d.why()));
+                .forEach(segment -> LOG.info(
+                        "spool segment dropped file={} cause=\"{}\"",
+                        segment.path().getFileName(),
+                        segment.why()));
     }
 
     private void restore(Segment.Found found) {
-        Manifest m = found.manifest();
-        forget(m.user(), m.key());
-        long id = policy.restore(m.user(), found.bytes(), clock.getAsDouble());
-        SpooledResult result = new SpooledResult(
-                this, id, m.user(), m.key(), m.statement(), new SegmentStore.Handle(found.segment()), found.blocks());
+        Manifest manifest = found.manifest();
+        forget(manifest.user(), manifest.key());
+        long id = policy.restore(manifest.user(), found.bytes(), now());
+        ResultDescription description = new ResultDescription(manifest.user(), manifest.key(), manifest.statement());
+        SpooledResult result = SpooledResult.restore(this, id, description, found);
         results.put(id, result);
-        named.put(new Name(m.user(), m.key()), result);
+        resultsByKey.put(ResultKey.of(description), result);
     }
 
-    /** Lets a user's statement in, or refuses it before it runs. */
+    /** Admits a user's statement, or rejects it before it runs. */
     public SpoolPolicy.Admission admit(String user) {
         return policy.admit(user, now());
     }
@@ -77,49 +89,51 @@
      * @param statement digest of what was asked
      */
     public SpooledResult begin(String user, String key, String statement) {
-        makeRoom(user);
-        long id = policy.begin(user, !key.isEmpty(), now());
-        SpooledResult result = new SpooledResult(this, id, user, key, statement, new SegmentStore.Handle(), List.of());
+        reclaimFor(user);
+        ResultDescription description = new ResultDescription(user, key, statement);
+        long id = policy.begin(user, description.isKeyed(), now());
+        SpooledResult result = SpooledResult.begin(this, id, description);
         results.put(id, result);
-        if (!key.isEmpty()) {
+        if (description.isKeyed()) {
             // Whoever asks under the same key from now on reads along, and nothing is run again.
-            named.putIfAbsent(new Name(user, key), result);
+            resultsByKey.putIfAbsent(ResultKey.of(description), result);
         }
         return result;
     }
 
-    /** Returns that user's result under that key, whole or growing, or null: what others hold is not told. */
+    /** Returns that user's result under that key, complete or growing, or null; never another user's. */
     public SpooledResult find(String user, String key) {
-        return named.get(new Name(user, key));
+        return resultsByKey.get(new ResultKey(user, key));
     }
 
-    /** Gives the result of that name back. */
-    public void forget(String user, String key) {
-        SpooledResult old = named.get(new Name(user, key));
-        if (old != null) {
-            old.release();
+    private void forget(String user, String key) {
+        SpooledResult earlier = find(user, key);
+        if (earlier != null) {
+            earlier.release();
         }
     }
 
-    /** Ends what has lapsed and lets engines go on for which there is room again; ten times a second. */
+    /** Ends what has expired and lets engines go on where there is capacity again; called ten times a second. */
     public void tick() {
-        for (long id : policy.lapsed(now())) {
+        for (long id : policy.expire(now())) {
             SpooledResult result = results.get(id);
             if (result != null) {
-                result.lapse();
+                result.expire();
             }
         }
-        List.copyOf(results.values()).forEach(SpooledResult::flow);
+        List.copyOf(results.values()).forEach(SpooledResult::notifyFlow);
     }
 
-    /** Returns the figures as they stand. */
+    /** Returns the gauges and counters as they stand. */
     public SpoolPolicy.Figures figures() {
         return policy.figures();
     }
 
-    private void makeRoom(String user) {
-        for (List<Long> spare = policy.pressed(user); !spare.isEmpty(); spare = policy.pressed(user)) {
-            spare.forEach(id -> results.get(id).release());
+    private void reclaimFor(String user) {
+        OptionalLong next = policy.selectForReclaim(user);
+        while (next.isPresent()) {
+            results.get(next.getAsLong()).release();
+            next = policy.selectForReclaim(user);
         }
     }
 
@@ -136,23 +150,28 @@
     }
 
     boolean diskKeepsUp() {
-        return underWay < MOST_UNDER_WAY;
+        return pendingWriteBytes < MAX_PENDING_WRITE_BYTES;
+    }
+
+    void writeStarted(long bytes) {
+        pendingWriteBytes += bytes;
     }
 
-    void underWay(long bytes) {
-        underWay += bytes;
+    void writeEnded(long bytes) {
+        pendingWriteBytes -= bytes;
     }
 
-    void wrote(IOException failure) {
-        if (failure != null && !writesFail) {
-            LOG.warn("spool: a write failed, results stay in memory for now: {}", failure.toString());
+    /** Logs the first failure of a row of them; null: the write succeeded. */
+    void logWriteFailure(IOException failure) {
+        if (failure != null && !lastWriteFailed) {
+            LOG.warn("spool write failed, results stay in memory for now cause=\"{}\"", failure.toString());
         }
-        writesFail = failure != null;
+        lastWriteFailed = failure != null;
     }
 
-    void gone(SpooledResult result) {
+    void remove(SpooledResult result) {
         results.remove(result.id());
-        named.remove(new Name(result.user(), result.key()), result);
+        resultsByKey.remove(ResultKey.of(result.description()), result);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/lineward/spool/SpoolAdmission.java
@@ -0,0 +1,106 @@
+package lineward.spool;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Decides which statements are admitted, and which complete results are given up for new ones.
+ *
+ * <p>What a reader is owed is never given up while it reads: only complete results with a key that nobody reads
+ * are, the least recently used first.
+ */
+final class SpoolAdmission {
+    /** Above this ratio of a bound nothing new is admitted, so that what is admitted can end. */
+    private static final double HIGH_WATER_RATIO = 0.9;
+
+    private static final long MIN_RETRY_AFTER_MS = 100;
+    private static final long MAX_RETRY_AFTER_MS = 2000;
+    private static final long MB = 1 << 20;
+    /** Advised for each megabyte that has to be released, before any release was seen. */
+    private static final double DEFAULT_MS_PER_MB = 20;
+
+    private final SpoolLimits limits;
+    private final SpoolLedger ledger;
+    private final FileBackoff fileBackoff;
+    private final ReleaseRate releaseRate;
+    private long rejected;
+
+    SpoolAdmission(SpoolLimits limits, SpoolLedger ledger, FileBackoff fileBackoff, ReleaseRate releaseRate) {
+        this.limits = limits;
+        this.ledger = ledger;
+        this.fileBackoff = fileBackoff;
+        this.releaseRate = releaseRate;
+    }
+
+    /** Admits a user's statement, or rejects it before it runs. */
+    SpoolPolicy.Admission admit(String user, double nowMs) {
+        boolean userAboveHighWater = isUserAboveHighWater(user);
+        boolean hasCapacity = !userAboveHighWater && !isAboveHighWater(nowMs) && !isResultCountReached();
+        if (hasCapacity || canReclaim(user, userAboveHighWater)) {
+            return new SpoolPolicy.Admitted();
+        }
+        rejected++;
+        return new SpoolPolicy.Turned(retryAfterMs());
+    }
+
+    private boolean isAboveHighWater(double nowMs) {
+        boolean mayUseFiles = limits.fileBytes() > 0 && fileBackoff.isOver(nowMs);
+        return mayUseFiles ? isTotalAboveHighWater() : isMemoryAboveHighWater();
+    }
+
+    private boolean isMemoryAboveHighWater() {
+        return ledger.memoryBytes() > HIGH_WATER_RATIO * limits.memoryBytes();
+    }
+
+    private boolean isTotalAboveHighWater() {
+        return ledger.bytes() > HIGH_WATER_RATIO * (limits.memoryBytes() + limits.fileBytes());
+    }
+
+    private boolean isUserAboveHighWater(String user) {
+        return ledger.bytesOf(user) > HIGH_WATER_RATIO * limits.userBytes();
+    }
+
+    private boolean isResultCountReached() {
+        return ledger.results() >= limits.results();
+    }
+
+    private boolean isFileCountReached() {
+        return limits.files() > 0 && ledger.files() >= limits.files();
+    }
+
+    private boolean canReclaim(String user, boolean onlyFromUser) {
+        return ledger.accounts().stream().anyMatch(account -> isCandidate(account, user, onlyFromUser));
+    }
+
+    private static boolean isCandidate(ResultAccount account, String user, boolean onlyFromUser) {
+        return account.isReclaimable() && (!onlyFromUser || account.user.equals(user));
+    }
+
+    private long retryAfterMs() {
+        double neededBytes = Math.max(1, (1 - HIGH_WATER_RATIO) * limits.memoryBytes());
+        double expectedMs = releaseRate.bytesPerMs() > 0
+                ? neededBytes / releaseRate.bytesPerMs()
+                : neededBytes / MB * DEFAULT_MS_PER_MB;
+        return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Math.round(expectedMs)));
+    }
+
+    /** Returns the result to be given up before one of this user begins; empty: none has to be, or can be. */
+    OptionalLong selectForReclaim(String user) {
+        boolean scarceForAll = isTotalAboveHighWater() || isFileCountReached() || isResultCountReached();
+        if (!scarceForAll && !isUserAboveHighWater(user)) {
+            return OptionalLong.empty();
+        }
+        return ledger.accountsById().entrySet().stream()
+                .filter(entry -> isCandidate(entry.getValue(), user, !scarceForAll))
+                .min(Comparator.comparingDouble(entry -> entry.getValue().lastUsedMs))
+                .map(Map.Entry::getKey)
+                .map(OptionalLong::of)
+                .orElse(OptionalLong.empty());
+    }
+
+    /** Returns how many statements were rejected. */
+    long rejected() {
+        return rejected;
+    }
+}
--- a/src/main/java/lineward/spool/SpoolPolicy.java
+++ b/src/main/java/lineward/spool/SpoolPolicy.java
@@ -1,53 +1,50 @@
 package lineward.spool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.OptionalLong;
 
 /**
- * Decides on what the spool holds. Free of I/O; times are milliseconds of one monotonic clock. It books bytes
- * by result, user and place, and every byte booked is given back by {@link #release} or {@link #consumed}.
- *
- * <p>Order under pressure: lapsed results first, then whole results with a key that nobody reads, the one
- * untouched longest first; what a reader is owed is never given back while it reads.
+ * Decides for the spool: who is admitted, where blocks go, when an engine waits, which results expire and which
+ * are given up for others. Without I/O; times are milliseconds of one monotonic clock. Events of results that
+ * have been released are ignored where they may still arrive.
  */
 public final class SpoolPolicy {
-    /** Above this part of all room nothing new is admitted, so that what is admitted can end. */
-    static final double ADMIT_BELOW = 0.9;
-    /** One result may take this part of the memory; the rest of it goes to files. */
-    static final double MEMORY_PART = 0.25;
-    /** After a failed write files are left alone for so long. */
-    static final double FILE_PAUSE_MS = 5000;
-    /** A result of which the engine has to be slowed down for so long without a byte read is ended. */
-    static final double STALL_MS = 20_000;
-
-    private static final long SHORTEST_RETURN_MS = 100;
-    private static final long LONGEST_RETURN_MS = 2000;
-    private static final double WORD_PER_MB_MS = 20;
-
-    /** Where a block goes. */
-    public enum Place {
-        /** It is held in memory. */
+    /** Where a block is stored. */
+    public enum Placement {
+        /** In memory. */
         MEMORY,
-        /** It is written to the result's file. */
+        /** In the result's file. */
         FILE,
-        /** There is no room: it is held all the same, but the engine is not read until the reader is on. */
-        SLOW
+        /** In memory past the bounds: the engine is not read until the reader has caught up. */
+        MEMORY_WITH_BACKPRESSURE
     }
 
-    /** Whether a statement whose result may be spooled is let in. */
+    /** Whether a statement whose result may be spooled is admitted. */
     public sealed interface Admission {}
 
-    /** It is let in. */
+    /** It is admitted. */
     public record Admitted() implements Admission {}
 
-    /** Refused before it runs. @param retryAfterMs when there should be room again */
+    /**
+     * It is rejected before it runs.
+     *
+     * @param retryAfterMs when there should be capacity again, in milliseconds from now
+     */
     public record Turned(long retryAfterMs) implements Admission {}
 
-    /** What the figures show. */
+    /**
+     * The gauges and counters of a spool.
+     *
+     * @param heldBytes in memory now
+     * @param filedBytes on files now, as stored
+     * @param results now
+     * @param readers now
+     * @param returned results released so far
+     * @param lapsed results that expired so far
+     * @param refused statements rejected so far
+     * @param slowed times so far that an engine had to wait for a reader
+     */
     public record Figures(
             long heldBytes,
             long filedBytes,
@@ -58,292 +55,175 @@
             long refused,
             long slowed) {}
 
-    private static final class Entry {
-        final String user;
-        final boolean keyed;
-        boolean complete;
-        int readers;
-        long memory;
-        long filed;
-        boolean file;
-        double touched;
-        double slowSince = Double.NaN;
-
-        Entry(String user, boolean keyed, double now) {
-            this.user = user;
-            this.keyed = keyed;
-            this.touched = now;
-        }
-
-        long bytes() {
-            return memory + filed;
-        }
-    }
-
     private final SpoolLimits limits;
-    private final Map<Long, Entry> entries = new LinkedHashMap<>();
-    private final Map<String, Long> byUser = new HashMap<>();
-    private long lastId;
-    private long memory;
-    private long filed;
-    private int files;
-    private double filesAgainAt = Double.NEGATIVE_INFINITY;
-    private long returned;
-    private long lapsed;
-    private long refused;
-    private long slowed;
-    /** Bytes a millisecond that have lately been given back, for the advice on when to return. */
-    private double returnRate;
-
-    private double ratedAt = Double.NaN;
-
-    /** @param limits the bounds */
+    private final SpoolLedger ledger = new SpoolLedger();
+    private final FileBackoff fileBackoff = new FileBackoff();
+    private final ReleaseRate releaseRate = new ReleaseRate();
+    private final BlockPlacement placement;
+    private final SpoolAdmission admission;
+    private final LeasePolicy leases;
+    private long released;
+    private long expired;
+
+    /** Creates the policy of an empty spool. */
     public SpoolPolicy(SpoolLimits limits) {
         this.limits = limits;
+        this.placement = new BlockPlacement(limits, ledger, fileBackoff);
+        this.admission = new SpoolAdmission(limits, ledger, fileBackoff, releaseRate);
+        this.leases = new LeasePolicy(limits);
     }
 
-    /** Lets a user's statement in, or refuses it before it runs. */
-    public Admission admit(String user, double now) {
-        boolean full = limits.fileBytes() > 0 && now >= filesAgainAt
-                ? memory + filed > ADMIT_BELOW * (limits.memoryBytes() + limits.fileBytes())
-                : memory > ADMIT_BELOW * limits.memoryBytes();
-        boolean greedy = byUser.getOrDefault(user, 0L) > ADMIT_BELOW * limits.userBytes();
-        if (!full && !greedy && entries.size() < limits.results() || reclaimable(user, greedy)) {
-            return new Admitted();
-        }
-        refused++;
-        double need = Math.max(1, (1 - ADMIT_BELOW) * limits.memoryBytes());
-        double wait = returnRate > 0 ? need / returnRate : need / (1 << 20) * WORD_PER_MB_MS;
-        return new Turned(Math.min(LONGEST_RETURN_MS, Math.max(SHORTEST_RETURN_MS, Math.round(wait))));
-    }
-
-    private boolean reclaimable(String user, boolean ofUser) {
-        return entries.values().stream().anyMatch(e -> isSpare(e) && (!ofUser || e.user.equals(user)));
+    /** Admits a user's statement, or rejects it before it runs. */
+    public Admission admit(String user, double nowMs) {
+        return admission.admit(user, nowMs);
     }
 
-    private static boolean isSpare(Entry e) {
-        return e.keyed && e.complete && e.readers == 0;
+    /** Returns the result to be given up before one of this user begins; empty: none has to be, or can be. */
+    public OptionalLong selectForReclaim(String user) {
+        return admission.selectForReclaim(user);
     }
 
     /** Returns the number of a new result. */
-    public long begin(String user, boolean keyed, double now) {
-        entries.put(++lastId, new Entry(user, keyed, now));
-        return lastId;
+    public long begin(String user, boolean keyed, double nowMs) {
+        return ledger.open(user, keyed, nowMs);
     }
 
-    /** Books a result that was found on file at the start. @return its number */
-    public long restore(String user, long bytes, double now) {
-        long id = begin(user, true, now);
-        Entry e = entries.get(id);
-        e.complete = true;
-        e.file = true;
-        files++;
-        filed(e, bytes);
+    /** Accounts for a complete result that was found on file at the start, and returns its number. */
+    public long restore(String user, long fileBytes, double nowMs) {
+        long id = ledger.open(user, true, nowMs);
+        ResultAccount account = ledger.account(id);
+        account.complete = true;
+        ledger.addFile(account);
+        ledger.addToFile(account, fileBytes);
         return id;
     }
 
     /**
-     * Decides where a block of a result goes and books it there; a block on file is booked as large as it is
-     * until {@link #stored} tells what it takes.
+     * Decides where a block of a result goes and accounts for it there; a block on file counts with its raw
+     * length until {@link #blockStored} tells its stored one.
      */
-    public Place place(long id, long bytes, double now) {
-        Entry e = entries.get(id);
-        boolean grows = e.bytes() + bytes <= limits.resultBytes()
-                && byUser.getOrDefault(e.user, 0L) + bytes <= limits.userBytes();
-        // Without files a result may have all of the memory that is free.
-        boolean fits = grows
-                && memory + bytes <= limits.memoryBytes()
-                && (limits.fileBytes() == 0 || e.memory + bytes <= MEMORY_PART * limits.memoryBytes());
-        boolean onFile = grows
-                && now >= filesAgainAt
-                && filed + bytes <= limits.fileBytes()
-                && (e.file || files < limits.files());
-        // What has a key is to outlive the process.
-        if (onFile && (e.keyed || !fits)) {
-            if (!e.file) {
-                e.file = true;
-                files++;
-            }
-            filed(e, bytes);
-            e.slowSince = Double.NaN;
-            return Place.FILE;
-        }
-        held(e, bytes);
-        if (fits) {
-            e.slowSince = Double.NaN;
-            return Place.MEMORY;
-        }
-        if (Double.isNaN(e.slowSince)) {
-            slowed++;
-            e.slowSince = now;
-        }
-        return Place.SLOW;
+    public Placement allocate(long id, long bytes, double nowMs) {
+        return placement.allocate(ledger.account(id), bytes, nowMs);
     }
 
-    /** A block has been written: it takes that much in the place of what was booked. */
-    public void stored(long id, long booked, long takes) {
-        Entry e = entries.get(id);
-        if (e != null) {
-            filed(e, takes - booked);
+    /** Corrects what is accounted for a block once it is on file. */
+    public void blockStored(long id, long allocatedBytes, long storedBytes) {
+        ResultAccount account = ledger.account(id);
+        if (account != null) {
+            ledger.addToFile(account, storedBytes - allocatedBytes);
         }
     }
 
-    /** A write failed: its block is held in memory after all, and files are left alone for a while. */
-    public void writeFailed(long id, long booked, double now) {
-        filesAgainAt = now + FILE_PAUSE_MS;
-        Entry e = entries.get(id);
-        if (e != null) {
-            filed(e, -booked);
-            held(e, booked);
+    /** Moves a block whose write failed back to memory, and keeps off the files for a while. */
+    public void writeFailed(long id, long allocatedBytes, double nowMs) {
+        fileBackoff.writeFailed(nowMs);
+        ResultAccount account = ledger.account(id);
+        if (account != null) {
+            ledger.addToFile(account, -allocatedBytes);
+            ledger.addToMemory(account, allocatedBytes);
         }
     }
 
-    /** Returns whether the engine may be read on: what is held of this result leaves room for more. */
-    public boolean mayGrow(long id) {
-        Entry e = entries.get(id);
-        return e != null
-                && (Double.isNaN(e.slowSince)
-                        || e.memory == 0
-                        || memory <= limits.memoryBytes() / 2
-                                && e.bytes() <= limits.resultBytes() / 2
-                                && byUser.getOrDefault(e.user, 0L) <= limits.userBytes() / 2);
+    /** Returns whether the engine may be read: what is stored of this result leaves capacity for more. */
+    public boolean mayReadEngine(long id) {
+        ResultAccount account = ledger.account(id);
+        return account != null && placement.mayReadEngine(account);
     }
 
     /**
-     * @param bytes taken of the result so far
+     * Returns whether the first row goes out now, though the result is not complete.
+     *
+     * @param bytes received of the result so far
      * @param ageMs of the attempt
-     * @param patienceMs that it has in all
-     * @return whether the first row goes out now, though the result is not whole
+     * @param timeoutMs of the attempt
      */
-    public boolean opens(long id, long bytes, double ageMs, double patienceMs) {
-        Entry e = entries.get(id);
-        return bytes > limits.holdBytes()
-                || ageMs > limits.holdPart() * patienceMs
-                || e != null && !Double.isNaN(e.slowSince);
+    public boolean shouldStartResponse(long id, long bytes, double ageMs, double timeoutMs) {
+        ResultAccount account = ledger.account(id);
+        boolean hasBackpressure = account != null && account.hasBackpressure();
+        boolean isOld = ageMs > limits.responseDelayRatio() * timeoutMs;
+        return hasBackpressure || isOld || bytes > limits.responseBufferBytes();
     }
 
-    /** The result is whole. */
-    public void complete(long id, double now) {
-        Entry e = entries.get(id);
-        e.complete = true;
-        e.slowSince = Double.NaN;
-        e.touched = now;
+    /** The result is complete. */
+    public void complete(long id, double nowMs) {
+        ResultAccount account = ledger.account(id);
+        account.complete = true;
+        account.endBackpressure();
+        account.lastUsedMs = nowMs;
     }
 
     /** A reader has come. */
-    public void opened(long id, double now) {
-        Entry e = entries.get(id);
-        e.readers++;
-        e.touched = now;
+    public void readerOpened(long id, double nowMs) {
+        ResultAccount account = ledger.account(id);
+        account.readers++;
+        account.lastUsedMs = nowMs;
     }
 
-    /** A reader has taken something: its lease begins anew. */
-    public void read(long id, double now) {
-        Entry e = entries.get(id);
-        if (e != null) {
-            e.touched = now;
-            if (!Double.isNaN(e.slowSince)) {
-                e.slowSince = now;
-            }
+    /** A reader has taken a block: its lease begins anew. */
+    public void blockRead(long id, double nowMs) {
+        ResultAccount account = ledger.account(id);
+        if (account == null) {
+            return;
+        }
+        account.lastUsedMs = nowMs;
+        if (account.hasBackpressure()) {
+            account.startBackpressure(nowMs);
         }
     }
 
-    /** A reader has left. @return whether nothing is owed any more, so that the result is to be released */
-    public boolean closed(long id, double now) {
-        Entry e = entries.get(id);
-        if (e == null) {
+    /** A reader has left; returns whether nobody is owed anything any more, so that the result can go. */
+    public boolean readerClosed(long id, double nowMs) {
+        ResultAccount account = ledger.account(id);
+        if (account == null) {
             return false;
         }
-        e.readers--;
-        e.touched = now;
-        return e.readers <= 0 && !(e.keyed && e.complete);
-    }
-
-    /** A block that was held in memory has been read and is not needed again. */
-    public void consumed(long id, long bytes, double now) {
-        Entry e = entries.get(id);
-        if (e != null) {
-            held(e, -bytes);
-            rate(bytes, now);
+        account.readers--;
+        account.lastUsedMs = nowMs;
+        boolean mayBeReadAgain = account.keyed && account.complete;
+        return account.readers <= 0 && !mayBeReadAgain;
+    }
+
+    /** A block that was in memory has been read and is not needed again. */
+    public void memoryReleased(long id, long bytes, double nowMs) {
+        ResultAccount account = ledger.account(id);
+        if (account != null) {
+            ledger.addToMemory(account, -bytes);
+            releaseRate.add(bytes, nowMs);
         }
     }
 
-    /** The result is gone, with all that it held. */
-    public void release(long id, double now) {
-        Entry e = entries.remove(id);
-        if (e != null) {
-            returned++;
-            rate(e.bytes(), now);
-            held(e, -e.memory);
-            filed(e, -e.filed);
-            files -= e.file ? 1 : 0;
+    /** The result is gone, with all that was stored of it. */
+    public void release(long id, double nowMs) {
+        ResultAccount account = ledger.account(id);
+        if (account != null) {
+            released++;
+            releaseRate.add(account.bytes(), nowMs);
+            ledger.close(id);
         }
     }
 
-    /** Returns results whose lease has lapsed, or that are stalled: they are to be ended and released. */
-    public List<Long> lapsed(double now) {
+    /** Returns results whose lease has expired, or that are stalled: they are to be ended and released. */
+    public List<Long> expire(double nowMs) {
         List<Long> due = new ArrayList<>();
-        entries.forEach((id, e) -> {
-            boolean idle = now - e.touched > (e.keyed && e.readers == 0 ? limits.keyLeaseMs() : limits.leaseMs());
-            boolean stalled = !Double.isNaN(e.slowSince) && now - e.slowSince > STALL_MS;
-            if (idle && (e.complete || e.readers > 0) || stalled) {
+        ledger.accountsById().forEach((id, account) -> {
+            if (leases.isExpired(account, nowMs)) {
                 due.add(id);
             }
         });
-        lapsed += due.size();
+        expired += due.size();
         return due;
     }
 
-    /** Returns results to be given back now because room is short, least missed first. */
-    public List<Long> pressed(String user) {
-        boolean all = memory + filed > ADMIT_BELOW * (limits.memoryBytes() + limits.fileBytes())
-                || files >= limits.files() && limits.files() > 0
-                || entries.size() >= limits.results();
-        boolean own = byUser.getOrDefault(user, 0L) > ADMIT_BELOW * limits.userBytes();
-        if (!all && !own) {
-            return List.of();
-        }
-        return entries.entrySet().stream()
-                .filter(e -> isSpare(e.getValue()) && (all || e.getValue().user.equals(user)))
-                .min(Comparator.comparingDouble(e -> e.getValue().touched))
-                .map(e -> List.of(e.getKey()))
-                .orElse(List.of());
-    }
-
-    /** Returns the figures as they stand. */
+    /** Returns the gauges and counters as they stand. */
     public Figures figures() {
         return new Figures(
-                memory,
-                filed,
-                entries.size(),
-                entries.values().stream().mapToInt(e -> e.readers).sum(),
-                returned,
-                lapsed,
-                refused,
-                slowed);
-    }
-
-    private void held(Entry e, long bytes) {
-        e.memory += bytes;
-        memory += bytes;
-        ofUser(e, bytes);
-    }
-
-    private void filed(Entry e, long bytes) {
-        e.filed += bytes;
-        filed += bytes;
-        ofUser(e, bytes);
-    }
-
-    private void ofUser(Entry e, long bytes) {
-        byUser.merge(e.user, bytes, Long::sum);
-        byUser.remove(e.user, 0L);
-    }
-
-    /** A rate that forgets: each return weighs half as much a second later. */
-    private void rate(long bytes, double now) {
-        double since = Double.isNaN(ratedAt) ? 0 : now - ratedAt;
-        returnRate = returnRate * Math.pow(2, -since / 1000) + bytes * Math.log(2) / 1000;
-        ratedAt = now;
+                ledger.memoryBytes(),
+                ledger.fileBytes(),
+                ledger.results(),
+                ledger.accounts().stream().mapToInt(account -> account.readers).sum(),
+                released,
+                expired,
+                admission.rejected(),
+                placement.backpressured());
     }
 }
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -61,20 +61,20 @@
     Place append(byte[] raw, long firstRow, int rows) throws IOException {
         BlockCodec.Encoded encoded = BlockCodec.encode(raw);
         ByteBuffer block = SegmentFormat.block(encoded.kind(), encoded.payload(), raw.length, firstRow, rows);
-        Place place = new Place(end, block.remaining(), firstRow, rows, raw.length);
+        Place location = new Place(end, block.remaining(), firstRow, rows, raw.length);
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
             writeFully(channel, block, end);
         }
-        end += place.bytes();
-        return place;
+        end += location.bytes();
+        return location;
     }
 
     /** Writes manifest and index behind the blocks: from then on the result is complete. */
     void complete(Manifest manifest, List<Place> blocks) throws IOException {
         ByteBuffer footer = new SegmentFooter(manifest, blocks).encode();
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
-            ByteBuffer block = SegmentFormat.block(
-                    SegmentFormat.Kind.MANIFEST, footer, footer.remaining(), manifest.rows(), 0);
+            ByteBuffer block =
+                    SegmentFormat.block(SegmentFormat.Kind.MANIFEST, footer, footer.remaining(), manifest.rows(), 0);
             long footerOffset = end;
             end += block.remaining();
             writeFully(channel, block, footerOffset);
@@ -90,27 +90,27 @@
      *
      * @throws CorruptSegmentException if they are not what was written, to the bit
      */
-    public byte[] read(Place place) throws IOException {
-        ByteBuffer block = ByteBuffer.allocate(place.bytes());
+    public byte[] read(Place location) throws IOException {
+        ByteBuffer block = ByteBuffer.allocate(location.bytes());
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
-            readFully(channel, block, place.at());
+            readFully(channel, block, location.at());
         }
-        return decode(block.flip(), place);
+        return decode(block.flip(), location);
     }
 
-    private static byte[] decode(ByteBuffer block, Place place) throws CorruptSegmentException {
+    private static byte[] decode(ByteBuffer block, Place location) throws CorruptSegmentException {
         SegmentFormat.BlockHeader header = SegmentFormat.readBlockHeader(block);
         SegmentFormat.verify(block, header);
-        check(isBlockAt(place, header), "a block stands at another's place");
+        check(isBlockAt(location, header), "a block stands at another's place");
         ByteBuffer payload = block.slice(SegmentFormat.BLOCK_HEADER_BYTES, header.storedBytes());
         return BlockCodec.decode(header.kind(), payload, header.rawBytes());
     }
 
-    private static boolean isBlockAt(Place place, SegmentFormat.BlockHeader header) {
+    private static boolean isBlockAt(Place location, SegmentFormat.BlockHeader header) {
         return header.kind() != SegmentFormat.Kind.MANIFEST
-                && header.firstRow() == place.firstRow()
-                && header.rows() == place.rows()
-                && header.rawBytes() == place.raw();
+                && header.firstRow() == location.firstRow()
+                && header.rows() == location.rows()
+                && header.rawBytes() == location.raw();
     }
 
     /**
--- a/src/main/java/lineward/spool/store/SegmentFooter.java
+++ b/src/main/java/lineward/spool/store/SegmentFooter.java
@@ -58,7 +58,6 @@
     }
 
     private static Segment.Place readEntry(ByteBuffer footer) {
-        return new Segment.Place(
-                footer.getLong(), footer.getInt(), footer.getLong(), footer.getInt(), footer.getInt());
+        return new Segment.Place(footer.getLong(), footer.getInt(), footer.getLong(), footer.getInt(), footer.getInt());
     }
 }
--- a/src/main/java/lineward/spool/store/SegmentFormat.java
+++ b/src/main/java/lineward/spool/store/SegmentFormat.java
@@ -71,10 +71,8 @@
 
     /** Returns a segment's header. */
     static ByteBuffer header(long createdMs) {
-        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES)
-                .putLong(MAGIC)
-                .putInt(VERSION)
-                .putLong(createdMs);
+        ByteBuffer header =
+                ByteBuffer.allocate(HEADER_BYTES).putLong(MAGIC).putInt(VERSION).putLong(createdMs);
         return header.putInt(crc(header, HEADER_BYTES - CRC_BYTES)).flip();
     }
 
@@ -142,7 +140,8 @@
 
     /** Returns a segment's trailer, which marks it as complete. */
     static ByteBuffer trailer(long footerOffset) {
-        ByteBuffer trailer = ByteBuffer.allocate(TRAILER_BYTES).putLong(footerOffset).putInt(TRAILER_MAGIC);
+        ByteBuffer trailer =
+                ByteBuffer.allocate(TRAILER_BYTES).putLong(footerOffset).putInt(TRAILER_MAGIC);
         return trailer.putInt(crc(trailer, TRAILER_BYTES - CRC_BYTES)).flip();
     }
 
--- a/src/measure/java/lineward/spool/store/SpoolFixture.java
+++ b/src/measure/java/lineward/spool/store/SpoolFixture.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import java.util.stream.Stream;
 
-/** Fills folders with results and spoils them, for measurements. */
+/** Fills folders with results and corrupts them, for measurements. */
 public final class SpoolFixture {
     private static final int BLOCK = 64 << 10;
 
@@ -21,16 +21,16 @@
         return block;
     }
 
-    /** Writes so many results of so many megabytes that no packing makes smaller. */
+    /** Writes so many results of so many megabytes that do not compress. */
     public static void fill(Path folder, int results, int megabytes) throws IOException {
         for (int r = 0; r < results; r++) {
             Segment segment = new Segment(folder.resolve("r" + r + SpoolFolder.SEGMENT_SUFFIX));
             segment.create(1);
-            List<Segment.Place> places = new ArrayList<>();
+            List<Segment.Place> locations = new ArrayList<>();
             for (int i = 0; i < megabytes * 16; i++) {
-                places.add(segment.append(block(r, i), 10L * i, 10));
+                locations.add(segment.append(block(r, i), 10L * i, 10));
             }
-            segment.complete(new Manifest("u", "k" + r, "d", 1, 160L * megabytes, 0), places);
+            segment.complete(new Manifest("u", "k" + r, "d", 1, 160L * megabytes, 0), locations);
         }
     }
 
@@ -41,34 +41,34 @@
         }
     }
 
-    /** Returns blocks that were read and are not what was written, over so many seeded cuts and flips. */
+    /** Returns blocks that were read and are not what was written, over so many seeded truncations and bit flips. */
     public static int wrongBytes(Path folder, Random random, int times) throws IOException {
         int wrong = 0;
-        Path file = folder.resolve("spoilt" + SpoolFolder.SEGMENT_SUFFIX);
+        Path file = folder.resolve("corrupt" + SpoolFolder.SEGMENT_SUFFIX);
         List<byte[]> blocks = new ArrayList<>();
         Segment segment = new Segment(file);
         Files.deleteIfExists(file);
         segment.create(1);
-        List<Segment.Place> places = new ArrayList<>();
+        List<Segment.Place> locations = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             blocks.add(block(0, i));
-            places.add(segment.append(blocks.get(i), 10L * i, 10));
+            locations.add(segment.append(blocks.get(i), 10L * i, 10));
         }
-        segment.complete(new Manifest("u", "k", "d", 1, 30, 0), places);
+        segment.complete(new Manifest("u", "k", "d", 1, 30, 0), locations);
         byte[] good = Files.readAllBytes(file);
         for (int t = 0; t < times; t++) {
-            byte[] spoilt = random.nextBoolean() ? Arrays.copyOf(good, random.nextInt(good.length)) : good.clone();
-            if (spoilt.length > 0 && random.nextBoolean()) {
-                spoilt[random.nextInt(spoilt.length)] ^= (byte) (1 << random.nextInt(8));
+            byte[] corrupt = random.nextBoolean() ? Arrays.copyOf(good, random.nextInt(good.length)) : good.clone();
+            if (corrupt.length > 0 && random.nextBoolean()) {
+                corrupt[random.nextInt(corrupt.length)] ^= (byte) (1 << random.nextInt(8));
             }
-            Files.write(file, spoilt);
+            Files.write(file, corrupt);
             try {
                 Segment.Found found = Segment.open(file);
                 for (int i = 0; i < found.blocks().size(); i++) {
                     wrong += Arrays.equals(found.segment().read(found.blocks().get(i)), blocks.get(i)) ? 0 : 1;
                 }
             } catch (IOException | RuntimeException e) {
-                // Told, not served.
+                // Reported, not served.
             }
         }
         Files.delete(file);
--- /dev/null
+++ b/src/test/java/lineward/spool/ResultStateTest.java
@@ -0,0 +1,51 @@
+package lineward.spool;
+
+import static lineward.spool.ResultState.BROKEN;
+import static lineward.spool.ResultState.COMPLETE;
+import static lineward.spool.ResultState.EXPIRED_BROKEN;
+import static lineward.spool.ResultState.EXPIRED_COMPLETE;
+import static lineward.spool.ResultState.EXPIRED_GROWING;
+import static lineward.spool.ResultState.EXPIRED_RELEASED;
+import static lineward.spool.ResultState.GROWING;
+import static lineward.spool.ResultState.RELEASED;
+import static org.testng.Assert.assertEquals;
+
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The transition table of a spooled result's state. */
+public class ResultStateTest {
+    @DataProvider
+    public Object[][] transitions() {
+        return new Object[][] {
+            // state, after complete, after fail, after expire, after release
+            {GROWING, COMPLETE, BROKEN, EXPIRED_GROWING, RELEASED},
+            {COMPLETE, COMPLETE, COMPLETE, EXPIRED_COMPLETE, RELEASED},
+            {BROKEN, BROKEN, BROKEN, EXPIRED_BROKEN, RELEASED},
+            {RELEASED, RELEASED, RELEASED, EXPIRED_RELEASED, RELEASED},
+            {EXPIRED_GROWING, EXPIRED_COMPLETE, EXPIRED_BROKEN, EXPIRED_GROWING, EXPIRED_RELEASED},
+            {EXPIRED_COMPLETE, EXPIRED_COMPLETE, EXPIRED_COMPLETE, EXPIRED_COMPLETE, EXPIRED_RELEASED},
+            {EXPIRED_BROKEN, EXPIRED_BROKEN, EXPIRED_BROKEN, EXPIRED_BROKEN, EXPIRED_RELEASED},
+            {EXPIRED_RELEASED, EXPIRED_RELEASED, EXPIRED_RELEASED, EXPIRED_RELEASED, EXPIRED_RELEASED},
+        };
+    }
+
+    @Test(dataProvider = "transitions")
+    public void eventLeadsToState(
+            ResultState state, ResultState completed, ResultState failed, ResultState expired, ResultState released) {
+        assertEquals(state.complete(), completed);
+        assertEquals(state.fail(), failed);
+        assertEquals(state.expire(), expired);
+        assertEquals(state.release(), released);
+    }
+
+    @Test
+    public void tableCoversEveryState() {
+        Set<Object> covered = Arrays.stream(transitions()).map(row -> row[0]).collect(Collectors.toSet());
+        assertEquals(covered, EnumSet.allOf(ResultState.class));
+    }
+}
--- a/src/test/java/lineward/spool/SpoolTest.java
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -20,17 +20,17 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Results that are written and read at once, on a stand-in for the event loop that this thread turns. */
+/** Results that are written and read at once, on an event loop that this thread runs. */
 public class SpoolTest {
     private static final long MB = 1 << 20;
-    private final LinkedBlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Runnable> eventLoop = new LinkedBlockingQueue<>();
     private Path folder;
     private double now;
 
     @BeforeMethod
     public void makeFolder() throws IOException {
         folder = Files.createTempDirectory("spool");
-        loop.clear();
+        eventLoop.clear();
         now = 0;
     }
 
@@ -46,17 +46,17 @@
         if (!files) {
             return new Spool(limits, null, () -> now);
         }
-        SpoolFolder held = SpoolFolder.take(folder);
-        SpoolFolder.Recovered found = held.recover();
-        Spool spool = new Spool(limits, new SegmentStore(held, loop::add), () -> now);
+        SpoolFolder lockedFolder = SpoolFolder.take(folder);
+        SpoolFolder.Recovered found = lockedFolder.recover();
+        Spool spool = new Spool(limits, new SegmentStore(lockedFolder, eventLoop::add), () -> now);
         spool.restore(found);
         return spool;
     }
 
-    private void turn() {
+    private void runNextTask() {
         try {
-            Runnable task = loop.poll(5, TimeUnit.SECONDS);
-            assertNotNull(task, "nothing happens any more");
+            Runnable task = eventLoop.poll(5, TimeUnit.SECONDS);
+            assertNotNull(task, "no task within 5 s");
             task.run();
         } catch (InterruptedException e) {
             throw new AssertionError(e);
@@ -78,18 +78,18 @@
     private byte[] drain(SpooledResult.Reader reader) {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         while (reader.ahead() == Ahead.MORE) {
-            SpooledResult.Piece piece = reader.poll();
-            if (piece == null) {
-                turn();
+            SpooledResult.Piece chunk = reader.poll();
+            if (chunk == null) {
+                runNextTask();
             } else {
-                all.writeBytes(piece.bytes());
+                all.writeBytes(chunk.bytes());
             }
         }
         return all.toByteArray();
     }
 
     @Test
-    public void whatIsReadIsWhatWasWrittenWhereverItLay() throws IOException, InterruptedException {
+    public void readBytesEqualWrittenBytesInMemoryAndOnFile() throws IOException, InterruptedException {
         for (int seed = 0; seed < 20; seed++) {
             Random random = new Random(seed);
             try (Spool spool = spool(seed % 2 == 0)) {
@@ -105,26 +105,26 @@
                         reader = result.read(() -> {});
                     }
                     while (reader != null && (seed % 2 != 0 || random.nextInt(3) == 0)) {
-                        SpooledResult.Piece piece = reader.poll();
-                        if (piece == null) {
+                        SpooledResult.Piece chunk = reader.poll();
+                        if (chunk == null) {
                             break;
                         }
-                        read.writeBytes(piece.bytes());
+                        read.writeBytes(chunk.bytes());
                     }
                 }
                 result.complete();
                 read.writeBytes(drain(reader));
                 assertEquals(reader.ahead(), Ahead.END);
                 assertEquals(read.toByteArray(), wrote.toByteArray(), "seed " + seed);
-                // Every block has reached its file and been forgotten before the reader leaves.
-                for (Runnable told = loop.poll(200, TimeUnit.MILLISECONDS);
-                        told != null;
-                        told = loop.poll(200, TimeUnit.MILLISECONDS)) {
-                    told.run();
+                // Every block has reached its file and been released before the reader leaves.
+                for (Runnable task = eventLoop.poll(200, TimeUnit.MILLISECONDS);
+                        task != null;
+                        task = eventLoop.poll(200, TimeUnit.MILLISECONDS)) {
+                    task.run();
                 }
                 reader.close();
                 while (spool.figures().results() > 0) {
-                    turn();
+                    runNextTask();
                 }
                 assertEquals(spool.figures().heldBytes() + spool.figures().filedBytes(), 0);
             }
@@ -139,7 +139,7 @@
     }
 
     @Test
-    public void aNamedResultOutlivesItsProcessAndOnlyItsUserFindsIt() throws IOException {
+    public void keyedResultSurvivesRestartForItsUserAlone() throws IOException {
         byte[] row = row(new Random(1));
         try (Spool first = spool(true)) {
             SpooledResult result = first.begin("u", "k", "digest");
@@ -148,52 +148,52 @@
             }
             result.complete();
             for (int i = 0; i < 4; i++) {
-                turn();
+                runNextTask();
             }
             SpooledResult partial = first.begin("u", "half", "digest");
             append(partial, new byte[100_000], true);
-            turn();
+            runNextTask();
         }
         try (Spool second = spool(true)) {
             assertNull(second.find("other", "k"));
-            assertNull(second.find("u", "half"), "what was not whole is dropped");
+            assertNull(second.find("u", "half"), "an incomplete result is dropped");
             SpooledResult found = second.find("u", "k");
             assertEquals(found.statement(), "digest");
             SpooledResult.Reader reader = found.read(() -> {});
             assertEquals(drain(reader).length, 20 * row.length);
             SpooledResult.Reader page = found.read(() -> {});
             int before = page.seek(15);
-            SpooledResult.Piece piece = null;
-            while (piece == null) {
-                piece = page.poll();
-                if (piece == null) {
-                    turn();
+            SpooledResult.Piece chunk = null;
+            while (chunk == null) {
+                chunk = page.poll();
+                if (chunk == null) {
+                    runNextTask();
                 }
             }
-            assertTrue(before >= 0 && before < piece.rows());
+            assertTrue(before >= 0 && before < chunk.rows());
             reader.close();
             page.close();
             now = 5001;
             second.tick();
-            assertNull(second.find("u", "k"), "its lease has lapsed");
-            turn();
+            assertNull(second.find("u", "k"), "its lease has expired");
+            runNextTask();
             assertEquals(second.figures().filedBytes(), 0);
         }
         assertEquals(segments(), 0);
     }
 
     /**
-     * The folder goes away under the writer, as a full or lost disk does: nothing is lost, the engine waits.
+     * The folder goes away under the writer, as a full or lost disk does: no byte is lost, the engine waits.
      */
     @Test
-    public void whenWritesFailTheResultStaysInMemory() throws IOException, InterruptedException {
+    public void resultStaysInMemoryWhenWritesFail() throws IOException, InterruptedException {
         try (Spool spool = spool(true)) {
             SpooledResult result = spool.begin("u", "", "");
             byte[] row = new byte[100_000];
             for (int i = 0; i < 6; i++) {
                 append(result, row, true);
             }
-            turn();
+            runNextTask();
             try (Stream<Path> files = Files.list(folder)) {
                 files.filter(f -> f.toString().endsWith("lwseg"))
                         .forEach(f -> f.toFile().delete());
@@ -202,22 +202,22 @@
             while (result.wantsMore() && rows < 100) {
                 append(result, row, true);
                 rows++;
-                Runnable told = loop.poll(20, TimeUnit.MILLISECONDS);
-                if (told != null) {
-                    told.run();
+                Runnable task = eventLoop.poll(20, TimeUnit.MILLISECONDS);
+                if (task != null) {
+                    task.run();
                 }
             }
-            assertTrue(rows < 100, "the engine is slowed");
+            assertTrue(rows < 100, "backpressure reaches the engine");
             SpooledResult.Reader reader = result.read(() -> {});
             int got = 0;
             while (reader.ahead() == Ahead.MORE) {
-                SpooledResult.Piece piece = reader.poll();
-                if (piece == null) {
+                SpooledResult.Piece chunk = reader.poll();
+                if (chunk == null) {
                     break;
                 }
-                got += piece.bytes().length;
+                got += chunk.bytes().length;
             }
-            // The first block on file is gone with its file; what lies before it has been served.
+            // The first block on file is gone with its file; what lies before it has been read.
             assertTrue(got >= row.length, got + " bytes");
             result.release();
             assertEquals(spool.figures().heldBytes(), 0);
@@ -225,17 +225,17 @@
     }
 
     @Test
-    public void aReaderThatStopsLosesItsResult() throws IOException {
+    public void resultExpiresWhenItsReaderStops() throws IOException {
         try (Spool spool = spool(false)) {
             SpooledResult result = spool.begin("u", "", "");
             append(result, new byte[200_000], true);
-            int[] told = new int[1];
-            SpooledResult.Reader reader = result.read(() -> told[0]++);
+            int[] notifications = new int[1];
+            SpooledResult.Reader reader = result.read(() -> notifications[0]++);
             reader.poll();
             result.complete();
             now = 1001;
             spool.tick();
-            assertTrue(told[0] > 0);
+            assertTrue(notifications[0] > 0);
             assertEquals(reader.ahead(), Ahead.LAPSED);
             reader.close();
             assertEquals(spool.figures().heldBytes(), 0);
@@ -244,7 +244,7 @@
     }
 
     @Test
-    public void aBrokenResultSaysSoBehindItsLastByte() throws IOException {
+    public void failedResultIsReportedBehindItsLastByte() throws IOException {
         try (Spool spool = spool(false)) {
             SpooledResult result = spool.begin("u", "", "");
             SpooledResult.Reader reader = result.read(() -> {});
--- a/src/test/java/lineward/spool/store/SegmentTest.java
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -19,7 +19,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Segments that were cut, spoilt, swapped or written by others: none serves a wrong byte. */
+/** Segments that were truncated, corrupted, replaced or written by others: none serves a wrong byte. */
 public class SegmentTest {
     private Path folder;
 
@@ -52,11 +52,11 @@
     private Path write(String name, List<byte[]> blocks) throws IOException {
         Segment segment = new Segment(folder.resolve(name + SpoolFolder.SEGMENT_SUFFIX));
         segment.create(1);
-        List<Segment.Place> places = new ArrayList<>();
+        List<Segment.Place> locations = new ArrayList<>();
         for (int i = 0; i < blocks.size(); i++) {
-            places.add(segment.append(blocks.get(i), 10L * i, 10));
+            locations.add(segment.append(blocks.get(i), 10L * i, 10));
         }
-        segment.complete(new Manifest("u", name, "d", 1, 10L * blocks.size(), 0), places);
+        segment.complete(new Manifest("u", name, "d", 1, 10L * blocks.size(), 0), locations);
         return segment.path();
     }
 
@@ -74,51 +74,51 @@
                     return true;
                 }
             } catch (IOException e) {
-                // Told, not served.
+                // Reported, not served.
             }
         }
         return found.blocks().size() != blocks.size();
     }
 
     @Test
-    public void cutAtEachByteItIsNoWholeResult() throws IOException {
+    public void segmentTruncatedAtAnyByteIsIncomplete() throws IOException {
         List<byte[]> blocks = blocks(new Random(1), 3);
-        byte[] whole = Files.readAllBytes(write("a", blocks));
-        Path cut = folder.resolve("cut" + SpoolFolder.SEGMENT_SUFFIX);
-        for (int length = 0; length < whole.length; length++) {
-            Files.write(cut, Arrays.copyOf(whole, length));
-            assertThrows(IOException.class, () -> Segment.open(cut));
+        byte[] complete = Files.readAllBytes(write("a", blocks));
+        Path truncated = folder.resolve("cut" + SpoolFolder.SEGMENT_SUFFIX);
+        for (int length = 0; length < complete.length; length++) {
+            Files.write(truncated, Arrays.copyOf(complete, length));
+            assertThrows(IOException.class, () -> Segment.open(truncated));
         }
     }
 
     @Test
-    public void aThousandSeededFlipsCutsAndSwapsServeNoWrongByte() throws IOException {
-        int noticed = 0;
+    public void corruptionOfAThousandSeedsServesNoWrongByte() throws IOException {
+        int injected = 0;
         for (int seed = 0; seed < 1000; seed++) {
             Random random = new Random(seed);
             List<byte[]> blocks = blocks(random, 1 + random.nextInt(5));
             byte[] bytes = Files.readAllBytes(write("s" + seed, blocks));
             int faults = 1 + random.nextInt(3);
-            byte[] spoilt = bytes.clone();
+            byte[] corrupt = bytes.clone();
             for (int i = 0; i < faults; i++) {
-                int at = random.nextInt(spoilt.length);
+                int at = random.nextInt(corrupt.length);
                 switch (random.nextInt(4)) {
-                    case 0 -> spoilt[at] ^= (byte) (1 << random.nextInt(8));
-                    case 1 -> spoilt = Arrays.copyOf(spoilt, at + 1);
-                    case 2 -> Arrays.fill(spoilt, at, Math.min(spoilt.length, at + 512), (byte) 0);
-                    default -> System.arraycopy(spoilt, 0, spoilt, at, Math.min(100, spoilt.length - at));
+                    case 0 -> corrupt[at] ^= (byte) (1 << random.nextInt(8));
+                    case 1 -> corrupt = Arrays.copyOf(corrupt, at + 1);
+                    case 2 -> Arrays.fill(corrupt, at, Math.min(corrupt.length, at + 512), (byte) 0);
+                    default -> System.arraycopy(corrupt, 0, corrupt, at, Math.min(100, corrupt.length - at));
                 }
             }
-            Path file = folder.resolve("spoilt" + SpoolFolder.SEGMENT_SUFFIX);
-            Files.write(file, spoilt);
+            Path file = folder.resolve("corrupt" + SpoolFolder.SEGMENT_SUFFIX);
+            Files.write(file, corrupt);
             assertTrue(!servesWrongBytes(file, blocks), "seed " + seed);
-            noticed += Arrays.equals(bytes, spoilt) ? 0 : 1;
+            injected += Arrays.equals(bytes, corrupt) ? 0 : 1;
         }
-        assertTrue(noticed > 900, "faults were there at all: " + noticed);
+        assertTrue(injected > 900, "faults were injected at all: " + injected);
     }
 
     @Test
-    public void theCheckerFindsAWrongByte() throws IOException {
+    public void checkerFindsAWrongByte() throws IOException {
         List<byte[]> blocks = blocks(new Random(2), 2);
         Path file = write("a", blocks);
         List<byte[]> others = List.of(blocks.get(0), new byte[] {1, 2, 3});
@@ -130,23 +130,27 @@
         return new Object[][] {
             {new byte[0], "cut"},
             {new byte[100], "no segment"},
-            {"#!/bin/sh\necho hello and much more text to fill the head".getBytes(StandardCharsets.US_ASCII), "no segment"},
+            {
+                "#!/bin/sh\necho hello and much more text to fill the head".getBytes(StandardCharsets.US_ASCII),
+                "no segment"
+            },
             {SegmentFormat.header(1).putInt(8, 9).array(), "its version is 9"}
         };
     }
 
     @Test(dataProvider = "foreign")
-    public void filesOfOthersAreToldByTheirHead(byte[] bytes, String why) throws IOException {
+    public void foreignFileIsRecognisedByItsHeader(byte[] bytes, String why) throws IOException {
         Path file = folder.resolve("x" + SpoolFolder.SEGMENT_SUFFIX);
         Files.write(file, bytes);
-        SpoolFolder.Recovered seen = SpoolFolder.look(folder);
-        assertEquals(seen.whole().size(), 0);
+        SpoolFolder.Recovered recovered = SpoolFolder.look(folder);
+        assertEquals(recovered.whole().size(), 0);
         assertTrue(
-                seen.dropped().get(0).why().contains(why), seen.dropped().get(0).why());
+                recovered.dropped().get(0).why().contains(why),
+                recovered.dropped().get(0).why());
     }
 
     @Test
-    public void recoveryKeepsWholeResultsForeignFilesAndUnknownVersionsAndDropsTheRest() throws IOException {
+    public void recoveryKeepsCompleteResultsForeignFilesAndUnknownVersionsOnly() throws IOException {
         write("good", blocks(new Random(3), 4));
         Segment partial = new Segment(folder.resolve("partial" + SpoolFolder.SEGMENT_SUFFIX));
         partial.create(1);
@@ -155,10 +159,10 @@
         Files.write(
                 folder.resolve("later" + SpoolFolder.SEGMENT_SUFFIX),
                 SegmentFormat.header(1).putInt(8, 2).array());
-        try (SpoolFolder held = SpoolFolder.take(folder)) {
-            SpoolFolder.Recovered seen = held.recover();
-            assertEquals(seen.whole().size(), 1);
-            assertEquals(seen.whole().get(0).manifest().key(), "good");
+        try (SpoolFolder lockedFolder = SpoolFolder.take(folder)) {
+            SpoolFolder.Recovered recovered = lockedFolder.recover();
+            assertEquals(recovered.whole().size(), 1);
+            assertEquals(recovered.whole().get(0).manifest().key(), "good");
         }
         assertTrue(Files.exists(folder.resolve("notes.txt")));
         assertTrue(Files.exists(folder.resolve("later" + SpoolFolder.SEGMENT_SUFFIX)));
@@ -166,7 +170,7 @@
     }
 
     @Test
-    public void aSecondHolderIsRefusedUntilTheFirstLetsGo() throws IOException {
+    public void folderIsLockedUntilClosed() throws IOException {
         try (SpoolFolder first = SpoolFolder.take(folder)) {
             assertEquals(first.toString(), folder.toString());
             assertThrows(SpoolFolder.HeldException.class, () -> SpoolFolder.take(folder));
@@ -175,7 +179,7 @@
     }
 
     @Test
-    public void aFolderThatCannotBeMadeIsToldInOneLine() throws IOException {
+    public void folderThatCannotBeCreatedFailsWithOneLine() throws IOException {
         Path file = folder.resolve("file");
         Files.writeString(file, "");
         IOException e = null;
@@ -188,7 +192,7 @@
     }
 
     @Test
-    public void aFileThatWasRemovedOrSwappedIsToldNotServed() throws IOException {
+    public void removedOrReplacedFileFailsTheRead() throws IOException {
         Path one = write("one", blocks(new Random(4), 2));
         Path two = write("two", blocks(new Random(5), 2));
         Segment.Found found = Segment.open(one);
--- a/src/test/java/lineward/spool/store/StoredSegmentTest.java
+++ b/src/test/java/lineward/spool/store/StoredSegmentTest.java
@@ -58,30 +58,30 @@
     private static Path write(Path folder) throws IOException {
         Segment segment = new Segment(folder.resolve(STORED));
         segment.create(CREATED_MS);
-        List<Segment.Place> places = new ArrayList<>();
+        List<Segment.Place> locations = new ArrayList<>();
         long firstRow = 0;
         for (int i = 0; i < blocks().size(); i++) {
-            places.add(segment.append(blocks().get(i), firstRow, rows(i)));
+            locations.add(segment.append(blocks().get(i), firstRow, rows(i)));
             firstRow += rows(i);
         }
-        segment.complete(MANIFEST, places);
+        segment.complete(MANIFEST, locations);
         return segment.path();
     }
 
     @Test
     public void storedSegmentIsRecoveredWithManifestIndexAndBlocks() throws IOException {
         Files.write(folder.resolve(STORED), stored());
-        try (SpoolFolder held = SpoolFolder.take(folder)) {
-            SpoolFolder.Recovered recovered = held.recover();
+        try (SpoolFolder lockedFolder = SpoolFolder.take(folder)) {
+            SpoolFolder.Recovered recovered = lockedFolder.recover();
             assertEquals(recovered.dropped(), List.of());
             Segment.Found found = recovered.whole().get(0);
             assertEquals(found.manifest(), MANIFEST);
             assertEquals(found.bytes(), stored().length);
             assertEquals(found.blocks().size(), blocks().size());
             for (int i = 0; i < blocks().size(); i++) {
-                Segment.Place place = found.blocks().get(i);
-                assertEquals(place.rows(), rows(i));
-                assertEquals(found.segment().read(place), blocks().get(i));
+                Segment.Place location = found.blocks().get(i);
+                assertEquals(location.rows(), rows(i));
+                assertEquals(found.segment().read(location), blocks().get(i));
             }
         }
     }
