--- a/src/main/java/lineward/spool/BlockPlacement.java
+++ b/src/main/java/lineward/spool/BlockPlacement.java
@@ -6,7 +6,7 @@
 final class BlockPlacement {
     /** One result may use this ratio of the memory; the rest of it goes to files. */
     private static final double RESULT_MEMORY_RATIO = 0.25;
-    /** An engine that waits is read again once what is stored has fallen to one part in so many of its bound. */
+    /** Backpressure ends once what is stored has fallen to one part in so many of each bound. */
     private static final int RESUME_DIVISOR = 2;
 
     private final SpoolLimits limits;
@@ -51,23 +51,23 @@
 
     private boolean fitsMemory(ResultAccount account, long bytes) {
         // Without files a result may use all of the memory that is free.
-        boolean withinResultRatio =
-                limits.fileBytes() == 0 || account.memoryBytes + bytes <= RESULT_MEMORY_RATIO * limits.memoryBytes();
-        return withinResultRatio && ledger.memoryBytes() + bytes <= limits.memoryBytes();
+        double resultMemoryBytes = RESULT_MEMORY_RATIO * limits.memoryBytes();
+        boolean withinRatio = limits.fileBytes() == 0 || account.memoryBytes + bytes <= resultMemoryBytes;
+        return withinRatio && ledger.memoryBytes() + bytes <= limits.memoryBytes();
     }
 
     private boolean fitsFile(ResultAccount account, long bytes, double nowMs) {
         boolean mayHaveFile = account.hasFile || ledger.files() < limits.files();
         boolean hasSpace = ledger.fileBytes() + bytes <= limits.fileBytes();
-        return mayHaveFile && hasSpace && fileBackoff.isOver(nowMs);
+        return mayHaveFile && hasSpace && fileBackoff.hasElapsed(nowMs);
     }
 
     /** Returns whether the engine may be read: what is stored of this result leaves capacity for more. */
     boolean mayReadEngine(ResultAccount account) {
-        return !account.hasBackpressure() || account.memoryBytes == 0 || hasCapacityAgain(account);
+        return !account.hasBackpressure() || account.memoryBytes == 0 || hasCapacityToResume(account);
     }
 
-    private boolean hasCapacityAgain(ResultAccount account) {
+    private boolean hasCapacityToResume(ResultAccount account) {
         return ledger.memoryBytes() <= limits.memoryBytes() / RESUME_DIVISOR
                 && account.bytes() <= limits.resultBytes() / RESUME_DIVISOR
                 && ledger.bytesOf(account.user) <= limits.userBytes() / RESUME_DIVISOR;
--- a/src/main/java/lineward/spool/FileBackoff.java
+++ b/src/main/java/lineward/spool/FileBackoff.java
@@ -10,7 +10,7 @@
         untilMs = nowMs + PAUSE_MS;
     }
 
-    boolean isOver(double nowMs) {
+    boolean hasElapsed(double nowMs) {
         return nowMs >= untilMs;
     }
 }
--- a/src/main/java/lineward/spool/ResultReader.java
+++ b/src/main/java/lineward/spool/ResultReader.java
@@ -70,8 +70,10 @@
 
     @Override
     public SpooledResult.Ahead ahead() {
-        boolean unreadable = loadFailure != null;
-        return unreadable && !result.isExpired() ? SpooledResult.Ahead.BROKEN : result.ahead(nextBlock);
+        if (loadFailure != null && !result.isExpired()) {
+            return SpooledResult.Ahead.BROKEN;
+        }
+        return result.ahead(nextBlock);
     }
 
     @Override
--- a/src/main/java/lineward/spool/ResultState.java
+++ b/src/main/java/lineward/spool/ResultState.java
@@ -1,8 +1,8 @@
 package lineward.spool;
 
 /**
- * The state of a spooled result: how much of it has come, and whether its lease has expired. An expired result
- * remains until its last reader has left, as each reader has to be notified.
+ * The state of a spooled result: how much of it has come, and whether its lease has expired. An expired
+ * result remains until its last reader has left, as each reader has to be notified.
  */
 enum ResultState {
     /** The engine still sends. */
--- a/src/main/java/lineward/spool/Spool.java
+++ b/src/main/java/lineward/spool/Spool.java
@@ -71,7 +71,8 @@
         Manifest manifest = found.manifest();
         forget(manifest.user(), manifest.key());
         long id = policy.restore(manifest.user(), found.bytes(), now());
-        ResultDescription description = new ResultDescription(manifest.user(), manifest.key(), manifest.statement());
+        String statement = manifest.statement();
+        ResultDescription description = new ResultDescription(manifest.user(), manifest.key(), statement);
         SpooledResult result = SpooledResult.restore(this, id, description, found);
         results.put(id, result);
         resultsByKey.put(ResultKey.of(description), result);
@@ -113,7 +114,7 @@
         }
     }
 
-    /** Ends what has expired and lets engines go on where there is capacity again; called ten times a second. */
+    /** Ends what has expired and lets engines go on where there is capacity; called ten times a second. */
     public void tick() {
         for (long id : policy.expire(now())) {
             SpooledResult result = results.get(id);
--- a/src/main/java/lineward/spool/SpoolAdmission.java
+++ b/src/main/java/lineward/spool/SpoolAdmission.java
@@ -7,7 +7,7 @@
 /**
  * Decides which statements are admitted, and which complete results are given up for new ones.
  *
- * <p>What a reader is owed is never given up while it reads: only complete results with a key that nobody reads
+ * <p>Nothing is given up that a reader still needs: only complete results with a key and without readers
  * are, the least recently used first.
  */
 final class SpoolAdmission {
@@ -16,7 +16,7 @@
 
     private static final long MIN_RETRY_AFTER_MS = 100;
     private static final long MAX_RETRY_AFTER_MS = 2000;
-    private static final long MB = 1 << 20;
+    private static final long BYTES_PER_MB = 1 << 20;
     /** Advised for each megabyte that has to be released, before any release was seen. */
     private static final double DEFAULT_MS_PER_MB = 20;
 
@@ -45,7 +45,7 @@
     }
 
     private boolean isAboveHighWater(double nowMs) {
-        boolean mayUseFiles = limits.fileBytes() > 0 && fileBackoff.isOver(nowMs);
+        boolean mayUseFiles = limits.fileBytes() > 0 && fileBackoff.hasElapsed(nowMs);
         return mayUseFiles ? isTotalAboveHighWater() : isMemoryAboveHighWater();
     }
 
@@ -81,7 +81,7 @@
         double neededBytes = Math.max(1, (1 - HIGH_WATER_RATIO) * limits.memoryBytes());
         double expectedMs = releaseRate.bytesPerMs() > 0
                 ? neededBytes / releaseRate.bytesPerMs()
-                : neededBytes / MB * DEFAULT_MS_PER_MB;
+                : neededBytes / BYTES_PER_MB * DEFAULT_MS_PER_MB;
         return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Math.round(expectedMs)));
     }
 
--- a/src/main/java/lineward/spool/SpoolLimits.java
+++ b/src/main/java/lineward/spool/SpoolLimits.java
@@ -11,7 +11,8 @@
  * @param resultBytes of one result; past it the engine is slowed to the reader's speed
  * @param responseBufferBytes a result that is no longer is complete before its first row goes out, so that a
  *     failed attempt leaves no trace
- * @param responseDelayRatio part of an attempt's timeout after which the first row goes out all the same, 0 to 1
+ * @param responseDelayRatio part of an attempt's timeout, 0 to 1, after which the first row goes out all the
+ *     same
  * @param leaseMs a result whose reader has taken nothing for so long is released
  * @param keyLeaseMs a result with a key that no reader has touched for so long is released
  */
@@ -36,15 +37,13 @@
     public SpoolLimits {
         require(memoryBytes >= MIN_MEMORY_BYTES, "memory is below 1 MB");
         require(fileBytes >= 0 && files >= 0, "files and their bytes can't be negative");
-        require(areCapacitiesPositive(results, userBytes, resultBytes), "results and their bytes must be positive");
-        require(responseBufferBytes >= 0 && isRatio(responseDelayRatio), "what is held must lie in its range");
+        boolean capacitiesPositive = results > 0 && userBytes > 0 && resultBytes > 0;
+        require(capacitiesPositive, "results and their bytes must be positive");
+        boolean bufferInRange = responseBufferBytes >= 0 && isRatio(responseDelayRatio);
+        require(bufferInRange, "what is held must lie in its range");
         require(leaseMs > 0 && keyLeaseMs > 0, "leases must be positive");
     }
 
-    private static boolean areCapacitiesPositive(int results, long userBytes, long resultBytes) {
-        return results > 0 && userBytes > 0 && resultBytes > 0;
-    }
-
     private static boolean isRatio(double value) {
         return value >= 0 && value <= 1;
     }
--- a/src/main/java/lineward/spool/SpoolPolicy.java
+++ b/src/main/java/lineward/spool/SpoolPolicy.java
@@ -5,9 +5,9 @@
 import java.util.OptionalLong;
 
 /**
- * Decides for the spool: who is admitted, where blocks go, when an engine waits, which results expire and which
- * are given up for others. Without I/O; times are milliseconds of one monotonic clock. Events of results that
- * have been released are ignored where they may still arrive.
+ * Decides for the spool: who is admitted, where blocks go, when an engine waits, which results expire and
+ * which are given up for others. Without I/O; times are milliseconds of one monotonic clock. Events of
+ * results that have been released are ignored where they may still arrive.
  */
 public final class SpoolPolicy {
     /** Where a block is stored. */
@@ -179,8 +179,8 @@
         }
         account.readers--;
         account.lastUsedMs = nowMs;
-        boolean mayBeReadAgain = account.keyed && account.complete;
-        return account.readers <= 0 && !mayBeReadAgain;
+        boolean isRetained = account.keyed && account.complete;
+        return account.readers <= 0 && !isRetained;
     }
 
     /** A block that was in memory has been read and is not needed again. */
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -7,9 +7,9 @@
 import lineward.spool.store.SegmentStore;
 
 /**
- * One result: blocks in the order in which they came, in memory or on file, that grows until it is complete. A
- * result without a key is read once and its blocks are released as they are read; one with a key stays until
- * its lease ends. Confined to the event loop.
+ * One result: blocks in the order in which they came, in memory or on file, that grows until it is complete.
+ * A result without a key is read once and its blocks are released as they are read; one with a key stays
+ * until its lease ends. Confined to the event loop.
  */
 public final class SpooledResult {
     /** What a reader finds at its position. */
@@ -301,7 +301,7 @@
         return !state.isReleased() && !state.isExpired();
     }
 
-    /** Returns a block by its number, or null if it has not come; what has come of it makes a block at once. */
+    /** Returns a block by its number, or null if nothing of it has come; a growing one is sealed. */
     Block blockOrNull(int number) {
         if (number == blocks.end()) {
             seal();
@@ -344,8 +344,8 @@
     void readerClosed(ResultReader reader) {
         readers.remove(reader);
         boolean isUnowed = spool.policy().readerClosed(id, spool.now());
-        boolean mayStillBeAskedFor = description.isKeyed() && state == ResultState.GROWING;
-        if (isUnowed && !mayStillBeAskedFor) {
+        boolean isStillNeeded = description.isKeyed() && state == ResultState.GROWING;
+        if (isUnowed && !isStillNeeded) {
             release();
         }
     }
--- a/src/main/java/lineward/spool/store/BlockCodec.java
+++ b/src/main/java/lineward/spool/store/BlockCodec.java
@@ -1,6 +1,7 @@
 package lineward.spool.store;
 
 import java.nio.ByteBuffer;
+import lineward.spool.store.SegmentFormat.Kind;
 import net.jpountz.lz4.LZ4Compressor;
 import net.jpountz.lz4.LZ4Exception;
 import net.jpountz.lz4.LZ4Factory;
@@ -19,7 +20,7 @@
             LZ4Factory.safeInstance().safeDecompressor();
 
     /** A payload as it is stored, from its buffer's position to its limit. */
-    record Encoded(SegmentFormat.Kind kind, ByteBuffer payload) {}
+    record Encoded(Kind kind, ByteBuffer payload) {}
 
     private BlockCodec() {}
 
@@ -28,8 +29,8 @@
         byte[] compressed = new byte[COMPRESSOR.maxCompressedLength(raw.length)];
         int length = COMPRESSOR.compress(raw, 0, raw.length, compressed, 0, compressed.length);
         return length <= raw.length - raw.length / MIN_SAVING_DIVISOR
-                ? new Encoded(SegmentFormat.Kind.LZ4, ByteBuffer.wrap(compressed, 0, length))
-                : new Encoded(SegmentFormat.Kind.RAW, ByteBuffer.wrap(raw));
+                ? new Encoded(Kind.LZ4, ByteBuffer.wrap(compressed, 0, length))
+                : new Encoded(Kind.RAW, ByteBuffer.wrap(raw));
     }
 
     /**
@@ -38,9 +39,9 @@
      * @param payload the stored bytes, all that remain
      * @throws CorruptSegmentException if they don't yield exactly so many bytes
      */
-    static byte[] decode(SegmentFormat.Kind kind, ByteBuffer payload, int rawBytes) throws CorruptSegmentException {
+    static byte[] decode(Kind kind, ByteBuffer payload, int rawBytes) throws CorruptSegmentException {
         byte[] raw = new byte[rawBytes];
-        int length = kind == SegmentFormat.Kind.LZ4 ? decompress(payload, raw) : copy(payload, raw);
+        int length = kind == Kind.LZ4 ? decompress(payload, raw) : copy(payload, raw);
         CorruptSegmentException.check(length == rawBytes, "a block has not its length");
         return raw;
     }
--- a/src/main/java/lineward/spool/store/CorruptSegmentException.java
+++ b/src/main/java/lineward/spool/store/CorruptSegmentException.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 
 /**
- * A segment can't be used because it is truncated, corrupt, foreign or of an unknown version. The message says
- * which, {@link #fault} how recovery has to treat it.
+ * A segment can't be used because it is truncated, corrupt, foreign or of an unknown version. The message
+ * says which, {@link #fault} how recovery has to treat it.
  */
 public final class CorruptSegmentException extends IOException {
     private static final long serialVersionUID = 1L;
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -7,9 +7,11 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.List;
+import java.util.Set;
 
 /** One result on file. Every call opens the file, does its work and closes it; all of them block. */
 public final class Segment {
@@ -51,7 +53,8 @@
 
     /** Creates the file; one of that name must not exist. */
     void create(long createdMs) throws IOException {
-        try (FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)) {
+        Set<OpenOption> options = Set.of(StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        try (FileChannel channel = FileChannel.open(path, options)) {
             writeFully(channel, SegmentFormat.header(createdMs), 0);
         }
         end = SegmentFormat.HEADER_BYTES;
@@ -73,8 +76,9 @@
     void complete(Manifest manifest, List<Place> blocks) throws IOException {
         ByteBuffer footer = new SegmentFooter(manifest, blocks).encode();
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
+            int footerBytes = footer.remaining();
             ByteBuffer block =
-                    SegmentFormat.block(SegmentFormat.Kind.MANIFEST, footer, footer.remaining(), manifest.rows(), 0);
+                    SegmentFormat.block(SegmentFormat.Kind.MANIFEST, footer, footerBytes, manifest.rows(), 0);
             long footerOffset = end;
             end += block.remaining();
             writeFully(channel, block, footerOffset);
@@ -133,26 +137,26 @@
     private static void checkHeader(FileChannel channel, long size) throws IOException {
         check(size >= SegmentFormat.HEADER_BYTES, "it is cut within its head");
         SegmentFormat.readHeader(read(channel, 0, SegmentFormat.HEADER_BYTES));
-        int shortest = SegmentFormat.HEADER_BYTES + SegmentFormat.BLOCK_HEADER_BYTES + SegmentFormat.TRAILER_BYTES;
-        check(size >= shortest, "it was never completed");
+        check(size >= SegmentFormat.MIN_COMPLETE_BYTES, "it was never completed");
     }
 
     private static long readTrailer(FileChannel channel, long size) throws IOException {
         long trailerOffset = size - SegmentFormat.TRAILER_BYTES;
-        long footerOffset = SegmentFormat.readTrailer(read(channel, trailerOffset, SegmentFormat.TRAILER_BYTES));
+        ByteBuffer trailer = read(channel, trailerOffset, SegmentFormat.TRAILER_BYTES);
+        long footerOffset = SegmentFormat.readTrailer(trailer);
         boolean isInFile = footerOffset >= SegmentFormat.HEADER_BYTES
                 && footerOffset <= trailerOffset - SegmentFormat.BLOCK_HEADER_BYTES;
         check(isInFile && size - footerOffset <= SegmentFormat.MAX_BLOCK_BYTES, "its trailer is spoilt");
         return footerOffset;
     }
 
-    private static SegmentFooter readFooter(FileChannel channel, long footerOffset, long size) throws IOException {
-        int length = (int) (size - SegmentFormat.TRAILER_BYTES - footerOffset);
-        ByteBuffer block = read(channel, footerOffset, length);
+    private static SegmentFooter readFooter(FileChannel channel, long offset, long size) throws IOException {
+        int length = (int) (size - SegmentFormat.TRAILER_BYTES - offset);
+        ByteBuffer block = read(channel, offset, length);
         SegmentFormat.BlockHeader header = SegmentFormat.readBlockHeader(block);
         SegmentFormat.verify(block, header);
         check(header.kind() == SegmentFormat.Kind.MANIFEST, "it has no manifest");
-        return SegmentFooter.decode(block.position(SegmentFormat.BLOCK_HEADER_BYTES), footerOffset);
+        return SegmentFooter.decode(block.position(SegmentFormat.BLOCK_HEADER_BYTES), offset);
     }
 
     /** Deletes the file if it exists. */
--- a/src/main/java/lineward/spool/store/SegmentFooter.java
+++ b/src/main/java/lineward/spool/store/SegmentFooter.java
@@ -58,6 +58,11 @@
     }
 
     private static Segment.Place readEntry(ByteBuffer footer) {
-        return new Segment.Place(footer.getLong(), footer.getInt(), footer.getLong(), footer.getInt(), footer.getInt());
+        long offset = footer.getLong();
+        int storedBytes = footer.getInt();
+        long firstRow = footer.getLong();
+        int rows = footer.getInt();
+        int rawBytes = footer.getInt();
+        return new Segment.Place(offset, storedBytes, firstRow, rows, rawBytes);
     }
 }
--- a/src/main/java/lineward/spool/store/SegmentFormat.java
+++ b/src/main/java/lineward/spool/store/SegmentFormat.java
@@ -20,6 +20,8 @@
     static final int HEADER_BYTES = 24;
     static final int BLOCK_HEADER_BYTES = 28;
     static final int TRAILER_BYTES = 16;
+    /** Of a complete segment, which has at least the block with its manifest. */
+    static final int MIN_COMPLETE_BYTES = HEADER_BYTES + BLOCK_HEADER_BYTES + TRAILER_BYTES;
     /** Of a block, raw or stored: a block is 64 KB and one row at most. */
     static final int MAX_BLOCK_BYTES = 64 << 20;
 
--- a/src/main/java/lineward/spool/store/SegmentStore.java
+++ b/src/main/java/lineward/spool/store/SegmentStore.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Reads and writes segments beside the event loop: one thread writes, in the order of the calls, and two read.
- * The queues are bounded by the caller, which counts the bytes that are being written; each call completes on
- * the event loop.
+ * Reads and writes segments beside the event loop: one thread writes, in the order of the calls, and two
+ * read. The queues are bounded by the caller, which counts the bytes that are being written; each call
+ * completes on the event loop.
  */
 public final class SegmentStore implements AutoCloseable {
     private static final int READER_THREADS = 2;
@@ -95,56 +95,59 @@
         if (failure instanceof IOException ioException) {
             return ioException;
         }
-        return failure instanceof UncheckedIOException unchecked ? unchecked.getCause() : new IOException(failure);
+        if (failure instanceof UncheckedIOException unchecked) {
+            return unchecked.getCause();
+        }
+        return new IOException(failure);
     }
 
     /** Appends a block to a result's file, which its first block creates. */
-    public void append(Handle handle, byte[] raw, long firstRow, int rows, Completion<Segment.Place> completion) {
+    public void append(Handle file, byte[] raw, long firstRow, int rows, Completion<Segment.Place> onEnd) {
         submit(
                 writer,
                 () -> {
-                    if (handle.deleted) {
+                    if (file.deleted) {
                         throw new IOException("the result is gone");
                     }
-                    if (handle.segment == null) {
-                        handle.segment = folder.create(System.currentTimeMillis());
+                    if (file.segment == null) {
+                        file.segment = folder.create(System.currentTimeMillis());
                     }
-                    return handle.segment.append(raw, firstRow, rows);
+                    return file.segment.append(raw, firstRow, rows);
                 },
-                completion);
+                onEnd);
     }
 
     /** Completes a result on file; the completion receives the length of its file in bytes. */
-    public void complete(Handle handle, Manifest manifest, List<Segment.Place> blocks, Completion<Long> completion) {
+    public void complete(Handle file, Manifest manifest, List<Segment.Place> index, Completion<Long> onEnd) {
         submit(
                 writer,
                 () -> {
-                    if (handle.deleted || handle.segment == null) {
+                    if (file.deleted || file.segment == null) {
                         throw new IOException("the result is gone");
                     }
-                    handle.segment.complete(manifest, blocks);
-                    return handle.segment.length();
+                    file.segment.complete(manifest, index);
+                    return file.segment.length();
                 },
-                completion);
+                onEnd);
     }
 
     /** Reads a block; the completion receives its bytes, decompressed and checked. */
-    public void read(Handle handle, Segment.Place location, Completion<byte[]> completion) {
-        submit(readers, () -> handle.segment.read(location), completion);
+    public void read(Handle file, Segment.Place location, Completion<byte[]> onEnd) {
+        submit(readers, () -> file.segment.read(location), onEnd);
     }
 
     /** Deletes a result's file, after all that was asked of it before. */
-    public void delete(Handle handle, Completion<Void> completion) {
+    public void delete(Handle file, Completion<Void> onEnd) {
         submit(
                 writer,
                 () -> {
-                    handle.deleted = true;
-                    if (handle.segment != null) {
-                        handle.segment.delete();
+                    file.deleted = true;
+                    if (file.segment != null) {
+                        file.segment.delete();
                     }
                     return null;
                 },
-                completion);
+                onEnd);
     }
 
     /** Ends the threads once what was asked has been done, 5 s at most, and releases the folder. */
@@ -153,7 +156,7 @@
         writer.shutdown();
         readers.shutdown();
         try {
-            // The threads are daemons: what is not written in time is dropped as incomplete at the next start.
+            // The threads are daemons: what is not written in time is dropped at the next start.
             writer.awaitTermination(SHUTDOWN_TIMEOUT_S, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/lineward/spool/store/SpoolFolder.java
+++ b/src/main/java/lineward/spool/store/SpoolFolder.java
@@ -65,7 +65,7 @@
     public static SpoolFolder take(Path folder) throws IOException {
         createFolder(folder);
         FileChannel lockFile = openLockFile(folder);
-        if (!tryLock(lockFile)) {
+        if (!acquireLock(lockFile)) {
             lockFile.close();
             throw new HeldException("spool folder " + folder + " is held by another process");
         }
@@ -81,14 +81,15 @@
     }
 
     private static FileChannel openLockFile(Path folder) throws IOException {
+        Path path = folder.resolve(LOCK_NAME);
         try {
-            return FileChannel.open(folder.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            return FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         } catch (IOException e) {
             throw new IOException("spool folder " + folder + " can't be written", e);
         }
     }
 
-    private static boolean tryLock(FileChannel lockFile) throws IOException {
+    private static boolean acquireLock(FileChannel lockFile) throws IOException {
         try {
             FileLock lock = lockFile.tryLock();
             return lock != null;
@@ -98,7 +99,7 @@
         }
     }
 
-    /** Returns the complete results and deletes segments that are not complete; other files stay as they are. */
+    /** Returns the complete results and deletes segments that are not; other files stay as they are. */
     public Recovered recover() throws IOException {
         Recovered recovered = look(folder);
         for (Spoilt segment : recovered.dropped()) {
@@ -121,7 +122,8 @@
                     unusable.add(new Spoilt(file, e.fault(), e.getMessage()));
                 } catch (IOException | RuntimeException e) {
                     // Whatever the bytes are, they end neither the start nor another result.
-                    unusable.add(new Spoilt(file, SegmentFault.UNREADABLE, "it can't be read: " + e));
+                    String reason = "it can't be read: " + e;
+                    unusable.add(new Spoilt(file, SegmentFault.UNREADABLE, reason));
                 }
             }
         } catch (NotDirectoryException e) {
--- a/src/measure/java/lineward/spool/store/SpoolFixture.java
+++ b/src/measure/java/lineward/spool/store/SpoolFixture.java
@@ -41,7 +41,7 @@
         }
     }
 
-    /** Returns blocks that were read and are not what was written, over so many seeded truncations and bit flips. */
+    /** Returns how many blocks were read but differ from those written, over seeded corruptions. */
     public static int wrongBytes(Path folder, Random random, int times) throws IOException {
         int wrong = 0;
         Path file = folder.resolve("corrupt" + SpoolFolder.SEGMENT_SUFFIX);
@@ -57,7 +57,10 @@
         segment.complete(new Manifest("u", "k", "d", 1, 30, 0), locations);
         byte[] good = Files.readAllBytes(file);
         for (int t = 0; t < times; t++) {
-            byte[] corrupt = random.nextBoolean() ? Arrays.copyOf(good, random.nextInt(good.length)) : good.clone();
+            byte[] corrupt = good.clone();
+            if (random.nextBoolean()) {
+                corrupt = Arrays.copyOf(good, random.nextInt(good.length));
+            }
             if (corrupt.length > 0 && random.nextBoolean()) {
                 corrupt[random.nextInt(corrupt.length)] ^= (byte) (1 << random.nextInt(8));
             }
@@ -65,7 +68,8 @@
             try {
                 Segment.Found found = Segment.open(file);
                 for (int i = 0; i < found.blocks().size(); i++) {
-                    wrong += Arrays.equals(found.segment().read(found.blocks().get(i)), blocks.get(i)) ? 0 : 1;
+                    byte[] read = found.segment().read(found.blocks().get(i));
+                    wrong += Arrays.equals(read, blocks.get(i)) ? 0 : 1;
                 }
             } catch (IOException | RuntimeException e) {
                 // Reported, not served.
--- a/src/test/java/lineward/spool/ResultStateTest.java
+++ b/src/test/java/lineward/spool/ResultStateTest.java
@@ -36,11 +36,15 @@
 
     @Test(dataProvider = "transitions")
     public void eventLeadsToState(
-            ResultState state, ResultState completed, ResultState failed, ResultState expired, ResultState released) {
-        assertEquals(state.complete(), completed);
-        assertEquals(state.fail(), failed);
-        assertEquals(state.expire(), expired);
-        assertEquals(state.release(), released);
+            ResultState state,
+            ResultState afterComplete,
+            ResultState afterFail,
+            ResultState afterExpire,
+            ResultState afterRelease) {
+        assertEquals(state.complete(), afterComplete);
+        assertEquals(state.fail(), afterFail);
+        assertEquals(state.expire(), afterExpire);
+        assertEquals(state.release(), afterRelease);
     }
 
     @Test
--- a/src/test/java/lineward/spool/SpoolPolicyTest.java
+++ b/src/test/java/lineward/spool/SpoolPolicyTest.java
@@ -20,7 +20,8 @@
     private static final long MB = 1 << 20;
 
     private static SpoolLimits limits(long fileMb) {
-        return new SpoolLimits(8 * MB, fileMb * MB, fileMb > 0 ? 4 : 0, 6, 20 * MB, 12 * MB, MB, 0.5, 1000, 5000);
+        int files = fileMb > 0 ? 4 : 0;
+        return new SpoolLimits(8 * MB, fileMb * MB, files, 6, 20 * MB, 12 * MB, MB, 0.5, 1000, 5000);
     }
 
     @DataProvider
@@ -89,7 +90,8 @@
     @Test(dataProvider = "responseStarts")
     public void responseStartIsDelayedWithinBounds(long bytes, int ageMs, int timeoutMs, boolean starts) {
         SpoolPolicy policy = new SpoolPolicy(limits(0));
-        assertEquals(policy.shouldStartResponse(policy.begin("a", false, 0), bytes, ageMs, timeoutMs), starts);
+        long id = policy.begin("a", false, 0);
+        assertEquals(policy.shouldStartResponse(id, bytes, ageMs, timeoutMs), starts);
     }
 
     @Test
@@ -176,7 +178,8 @@
             for (int step = 0; step < 300; step++) {
                 double now = step * 10.0;
                 if (random.nextInt(4) == 0 && inMemory.size() < 20) {
-                    inMemory.put(policy.begin("u" + random.nextInt(3), random.nextBoolean(), now), new ArrayList<>());
+                    long begun = policy.begin("u" + random.nextInt(3), random.nextBoolean(), now);
+                    inMemory.put(begun, new ArrayList<>());
                 }
                 List<Long> ids = new ArrayList<>(inMemory.keySet());
                 if (ids.isEmpty()) {
@@ -214,7 +217,8 @@
                         "seed " + seed);
             }
             List.copyOf(inMemory.keySet()).forEach(id -> policy.release(id, 1e6));
-            assertEquals(policy.figures().heldBytes() + policy.figures().filedBytes(), 0, "seed " + seed);
+            SpoolPolicy.Figures atEnd = policy.figures();
+            assertEquals(atEnd.heldBytes() + atEnd.filedBytes(), 0, "seed " + seed);
             assertEquals(policy.figures().results(), 0);
         }
     }
--- a/src/test/java/lineward/spool/SpoolTest.java
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -42,7 +42,8 @@
     }
 
     private Spool spool(boolean files) throws IOException {
-        SpoolLimits limits = new SpoolLimits(2 * MB, 64 * MB, 100, 100, 64 * MB, 32 * MB, MB, 0.5, 1000, 5000);
+        long total = 64 * MB;
+        SpoolLimits limits = new SpoolLimits(2 * MB, total, 100, 100, total, 32 * MB, MB, 0.5, 1000, 5000);
         if (!files) {
             return new Spool(limits, null, () -> now);
         }
--- a/src/test/java/lineward/spool/store/SegmentTest.java
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -127,13 +127,11 @@
 
     @DataProvider
     public Object[][] foreign() {
+        String script = "#!/bin/sh\necho hello and much more text to fill the head";
         return new Object[][] {
             {new byte[0], "cut"},
             {new byte[100], "no segment"},
-            {
-                "#!/bin/sh\necho hello and much more text to fill the head".getBytes(StandardCharsets.US_ASCII),
-                "no segment"
-            },
+            {script.getBytes(StandardCharsets.US_ASCII), "no segment"},
             {SegmentFormat.header(1).putInt(8, 9).array(), "its version is 9"}
         };
     }
@@ -179,7 +177,7 @@
     }
 
     @Test
-    public void folderThatCannotBeCreatedFailsWithOneLine() throws IOException {
+    public void folderThatCannotBeCreatedFailsWithSingleLineMessage() throws IOException {
         Path file = folder.resolve("file");
         Files.writeString(file, "");
         IOException e = null;
