--- a/src/main/java/lineward/mysql/Auth.java
+++ b/src/main/java/lineward/mysql/Auth.java
@@ -11,7 +11,7 @@
 import java.util.Base64;
 import javax.crypto.Cipher;
 
-/** Proofs of a password by a nonce, as the two usual plugins make them. */
+/** Proofs of a password by a nonce, as the two supported authentication plugins compute them. */
 final class Auth {
     static final String NATIVE = "mysql_native_password";
     static final String SHA2 = "caching_sha2_password";
@@ -29,6 +29,7 @@
         return nonce;
     }
 
+    /** Returns whether the plugin is supported. */
     static boolean known(String plugin) {
         return plugin.equals(NATIVE) || plugin.equals(SHA2);
     }
@@ -40,18 +41,19 @@
         }
         byte[] text = password.getBytes(CharsetUtil.UTF_8);
         if (plugin.equals(NATIVE)) {
-            byte[] once = digest("SHA-1", text);
-            return xor(once, digest("SHA-1", nonce, digest("SHA-1", once)));
+            byte[] hash = digest("SHA-1", text);
+            return xor(hash, digest("SHA-1", nonce, digest("SHA-1", hash)));
         }
-        byte[] once = digest("SHA-256", text);
-        return xor(once, digest("SHA-256", digest("SHA-256", once), nonce));
+        byte[] hash = digest("SHA-256", text);
+        return xor(hash, digest("SHA-256", digest("SHA-256", hash), nonce));
     }
 
+    /** Returns whether the proof given is that of the password; compares in constant time. */
     static boolean proves(String plugin, String password, byte[] nonce, byte[] given) {
         return MessageDigest.isEqual(proof(plugin, password, nonce), given);
     }
 
-    /** Returns the password for a server that has to see it whole, under the key that the server sent. */
+    /** Returns the password encrypted with the RSA key of a server that asks for the password itself. */
     static byte[] sealed(String password, byte[] nonce, String pem) throws GeneralSecurityException {
         String base64 = pem.replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
         PublicKey key = KeyFactory.getInstance("RSA")
@@ -77,11 +79,11 @@
         }
     }
 
-    private static byte[] xor(byte[] a, byte[] b) {
-        byte[] out = new byte[a.length];
-        for (int i = 0; i < out.length; i++) {
-            out[i] = (byte) (a[i] ^ b[i]);
+    private static byte[] xor(byte[] left, byte[] right) {
+        byte[] result = new byte[left.length];
+        for (int i = 0; i < result.length; i++) {
+            result[i] = (byte) (left[i] ^ right[i]);
         }
-        return out;
+        return result;
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/mysql/ClientCommands.java
@@ -0,0 +1,234 @@
+package lineward.mysql;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.DecoderException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Carries out the commands of one authenticated client: answers them here or hands them on to an engine. */
+final class ClientCommands {
+    private static final int MAX_LONG_DATA_BYTES = 1 << 20;
+    private static final int STATEMENT_ID_BYTES = 4;
+    private static final int PARAMETER_NUMBER_BYTES = 2;
+    /** What stands for the id of a statement in a packet too short to hold one. */
+    private static final long NO_STATEMENT_ID = -1;
+
+    private final ClientSession session;
+    private final MysqlServer server;
+    private final ReplyWriter replies;
+    private final SessionSettings settings;
+    private final PreparedStatements statements;
+    private final SpoolStream stream;
+    private final QueryRunner queries;
+
+    ClientCommands(
+            ClientSession session,
+            MysqlServer server,
+            ReplyWriter replies,
+            SessionSettings settings,
+            PreparedStatements statements,
+            SpoolStream stream,
+            QueryRunner queries) {
+        this.session = session;
+        this.server = server;
+        this.replies = replies;
+        this.settings = settings;
+        this.statements = statements;
+        this.stream = stream;
+        this.queries = queries;
+    }
+
+    /**
+     * Carries out one command.
+     *
+     * @param payload the command's number and its arguments
+     * @throws DecoderException if the payload is empty
+     */
+    void execute(ByteBuf payload) {
+        if (!payload.isReadable()) {
+            throw new DecoderException("empty command");
+        }
+        switch (payload.readUnsignedByte()) {
+            case Commands.QUIT -> replies.close();
+            case Commands.PING -> replies.sendOk();
+            case Commands.INIT_DB -> queries.useSchema(payload.toString(StandardCharsets.ISO_8859_1));
+            case Commands.QUERY -> query(payload);
+            case Commands.STATISTICS -> sendStatistics();
+            case Commands.PREPARE -> prepare(payload);
+            case Commands.EXECUTE -> executeStatement(payload);
+            case Commands.LONG_DATA -> addLongData(payload);
+            case Commands.CLOSE -> closeStatement(payload);
+            case Commands.RESET -> resetStatement(payload);
+            case Commands.RESET_CONNECTION -> resetConnection();
+            case Commands.FETCH -> fetch(payload);
+            default -> replies.sendError(Failure.unknownCommand());
+        }
+    }
+
+    private void sendStatistics() {
+        ByteBuf packet = Packets.begin(replies.alloc(), replies.nextSequence());
+        packet.writeCharSequence(server.statistics(), StandardCharsets.UTF_8);
+        replies.send(Packets.done(packet));
+    }
+
+    private void query(ByteBuf payload) {
+        String text = payload.toString(StandardCharsets.UTF_8);
+        StatementKind kind = StatementKind.of(text);
+        if (kind instanceof StatementKind.Rejected rejected) {
+            replies.sendError(rejected.failure());
+        } else if (kind instanceof StatementKind.NoOperation) {
+            replies.sendOk();
+        } else if (kind instanceof StatementKind.UseSchema use) {
+            queries.useSchema(Texts.latin1(use.schema()));
+        } else if (kind instanceof StatementKind.SetVariables) {
+            changeSettings(text);
+        } else if (kind instanceof StatementKind.ShowWarnings) {
+            sendLocalResult(LocalResult.NO_WARNINGS);
+        } else {
+            readOrRun(payload, text, kind instanceof StatementKind.Write);
+        }
+    }
+
+    private void changeSettings(String text) {
+        try {
+            settings.set(text);
+            replies.sendOk();
+        } catch (UnsupportedSettingException e) {
+            replies.sendError(
+                    e.getMessage().startsWith("autocommit")
+                            ? Failure.noTransaction("SET " + e.getMessage())
+                            : Failure.unsupported(e.getMessage()));
+        }
+    }
+
+    private void sendLocalResult(LocalResult result) {
+        replies.send(result.encode(replies.alloc(), replies.nextSequence(), replies.dialect()));
+    }
+
+    private void readOrRun(ByteBuf payload, String text, boolean writes) {
+        Optional<LocalResult> local = settings.read(text);
+        if (local.isPresent()) {
+            sendLocalResult(local.get());
+            return;
+        }
+        SpoolHint hint = SpoolHint.of(payload.toString(StandardCharsets.ISO_8859_1));
+        Work.Query work = new Work.Query(queries.schema(), hint.statement());
+        if (writes || hint.key().isEmpty()) {
+            queries.run(work, text, writes, Query.Spooling.PLAIN);
+        } else if (!stream.answer(hint, work.digest(), null)) {
+            queries.run(work, text, false, new Query.Spooling(hint.key(), work.digest(), null));
+        }
+    }
+
+    private void prepare(ByteBuf payload) {
+        String text = payload.toString(StandardCharsets.UTF_8);
+        StatementKind kind = StatementKind.of(text);
+        if (kind instanceof StatementKind.Rejected rejected) {
+            replies.sendError(rejected.failure());
+        } else if (!kind.canBePrepared()) {
+            replies.sendError(Failure.notPreparable());
+        } else if (!statements.reserve(payload.readableBytes())) {
+            replies.sendError(Failure.tooMany("prepared statements"));
+        } else {
+            // To prepare changes nothing, whatever the statement does when it is executed.
+            String latin1 = payload.toString(StandardCharsets.ISO_8859_1);
+            queries.run(new Work.Prepare(queries.schema(), latin1), text, false, Query.Spooling.PLAIN);
+        }
+    }
+
+    private void executeStatement(ByteBuf payload) {
+        ClientStatement statement = readStatement(payload);
+        if (statement == null) {
+            return;
+        }
+        boolean opensCursor = ClientStatement.wantsCursor(payload);
+        statement.closeCursor();
+        Work.Execute work;
+        try {
+            work = statement.execute(payload);
+        } catch (IllegalArgumentException e) {
+            replies.sendError(Failure.wrongArguments(e.getMessage()));
+            return;
+        }
+        String text = Texts.utf8(statement.text);
+        boolean writes = StatementKind.of(text) instanceof StatementKind.Write;
+        ClientStatement cursor = opensCursor && !writes ? statement : null;
+        String key = writes ? "" : statement.hint.key();
+        String digest = key.isEmpty() ? "" : work.digest();
+        if (key.isEmpty() || !stream.answer(statement.hint, digest, cursor)) {
+            queries.run(work, text, writes, new Query.Spooling(key, digest, cursor));
+        }
+    }
+
+    /**
+     * This command has no reply; too much data closes the connection, as the execution would miss a part of
+     * it.
+     */
+    private void addLongData(ByteBuf payload) {
+        if (payload.readableBytes() < STATEMENT_ID_BYTES + PARAMETER_NUMBER_BYTES) {
+            return;
+        }
+        ClientStatement statement = statements.get(payload.readUnsignedIntLE());
+        if (statement == null) {
+            return;
+        }
+        int parameter = payload.readUnsignedShortLE();
+        if (statement.longBytes() + payload.readableBytes() > MAX_LONG_DATA_BYTES) {
+            session.closeWith(Failure.tooLarge(MAX_LONG_DATA_BYTES));
+            return;
+        }
+        byte[] bytes = new byte[payload.readableBytes()];
+        payload.readBytes(bytes);
+        statement.add(new Work.LongData(parameter, bytes));
+    }
+
+    /** This command has no reply. */
+    private void closeStatement(ByteBuf payload) {
+        statements.close(readStatementId(payload));
+    }
+
+    private void resetStatement(ByteBuf payload) {
+        ClientStatement statement = readStatement(payload);
+        if (statement != null) {
+            statement.reset();
+            replies.sendOk();
+        }
+    }
+
+    private void resetConnection() {
+        statements.closeAll();
+        settings.reset();
+        queries.resetSchema();
+        replies.sendOk();
+    }
+
+    private void fetch(ByteBuf payload) {
+        long id = readStatementId(payload);
+        ClientStatement statement = findStatement(id);
+        if (statement == null) {
+            return;
+        }
+        if (!statement.hasCursor() || payload.readableBytes() < Integer.BYTES) {
+            replies.sendError(Failure.noCursor(id));
+            return;
+        }
+        stream.fetch(statement, payload.readUnsignedIntLE());
+    }
+
+    private ClientStatement readStatement(ByteBuf payload) {
+        return findStatement(readStatementId(payload));
+    }
+
+    private static long readStatementId(ByteBuf payload) {
+        return payload.readableBytes() < STATEMENT_ID_BYTES ? NO_STATEMENT_ID : payload.readUnsignedIntLE();
+    }
+
+    /** Returns the statement; null if there is none, which the client has been told then. */
+    private ClientStatement findStatement(long id) {
+        ClientStatement statement = statements.get(id);
+        if (statement == null) {
+            replies.sendError(Failure.unknownStatement(id));
+        }
+        return statement;
+    }
+}
--- a/src/main/java/lineward/mysql/ClientStatement.java
+++ b/src/main/java/lineward/mysql/ClientStatement.java
@@ -4,10 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A statement that a client has prepared: the front keeps its text, as any engine may have to run it. */
+/** A statement that a client has prepared. Its text is kept, as any engine may have to run it. */
 final class ClientStatement {
-    private static final int HEAD = 5;
-    private static final int READ_ONLY = 1;
+    /** Bytes of an execution's flags and iteration count. */
+    private static final int HEAD_BYTES = 5;
+
+    private static final int READ_ONLY_CURSOR = 1;
+    private static final int TYPES_FOLLOW = 1;
+    private static final int BYTES_PER_TYPE = 2;
 
     final String schema;
     /** Without the hint. */
@@ -15,18 +19,18 @@
 
     final SpoolHint hint;
     final int params;
-    final int kept;
-    /** Null: none was ever opened. */
+    /** Bytes of its text that count against the limit for all clients. */
+    final int reservedBytes;
+    /** Null: none is open. */
     OpenCursor cursor;
 
     private final List<Work.LongData> longData = new ArrayList<>();
     private byte[] types;
 
-    /** @param kept bytes that its text is booked with */
-    ClientStatement(String schema, SpoolHint hint, int params, int kept) {
+    ClientStatement(String schema, SpoolHint hint, int params, int reservedBytes) {
         this.schema = schema;
         this.text = hint.statement();
-        this.kept = kept;
+        this.reservedBytes = reservedBytes;
         this.hint = hint;
         this.params = params;
     }
@@ -44,7 +48,7 @@
 
     /** Returns whether an execution with these arguments asks for a read-only cursor. */
     static boolean wantsCursor(ByteBuf arguments) {
-        return arguments.isReadable() && arguments.getByte(arguments.readerIndex()) == READ_ONLY;
+        return arguments.isReadable() && arguments.getByte(arguments.readerIndex()) == READ_ONLY_CURSOR;
     }
 
     void add(Work.LongData data) {
@@ -55,7 +59,7 @@
         return longData.stream().mapToInt(d -> d.bytes().length).sum();
     }
 
-    /** Drops the pieces sent ahead, and the cursor. */
+    /** Drops the data sent ahead of an execution, and the cursor. */
     void reset() {
         longData.clear();
         closeCursor();
@@ -63,31 +67,22 @@
 
     /**
      * Takes the arguments of an execution. A client gives the types of its parameters once; whichever engine
-     * runs the statement has not heard them, so they always go along.
+     * runs the statement may not know them, so they always go along.
      *
      * @param in what follows the statement's id
-     * @throws IllegalArgumentException with a plain reason if they can't be used
+     * @throws IllegalArgumentException if they are malformed or ask for another kind of cursor
      */
     Work.Execute execute(ByteBuf in) {
-        ByteBuf out = in.alloc().heapBuffer(in.readableBytes() + 2 * params + 1);
+        ByteBuf out = in.alloc().heapBuffer(in.readableBytes() + BYTES_PER_TYPE * params + 1);
         try {
             int flags = in.readUnsignedByte();
-            if (flags > READ_ONLY) {
+            if (flags > READ_ONLY_CURSOR) {
                 throw new IllegalArgumentException("only read-only cursors are supported");
             }
-            // The cursor is the front's own: the engine is to send all rows and be free.
-            out.writeByte(0).writeBytes(in, HEAD - 1);
+            // The cursor is kept here: the engine sends all rows at once and is free for another statement.
+            out.writeByte(0).writeBytes(in, HEAD_BYTES - 1);
             if (params > 0) {
-                out.writeBytes(in, (params + 7) / 8);
-                if (in.readByte() == 1) {
-                    byte[] told = new byte[2 * params];
-                    in.readBytes(told);
-                    types = told;
-                }
-                if (types == null) {
-                    throw new IllegalArgumentException("no types of parameters");
-                }
-                out.writeByte(1).writeBytes(types).writeBytes(in);
+                copyParameters(in, out);
             }
             byte[] arguments = new byte[out.readableBytes()];
             out.readBytes(arguments);
@@ -99,4 +94,18 @@
             longData.clear();
         }
     }
+
+    private void copyParameters(ByteBuf in, ByteBuf out) {
+        int nullBitmapBytes = (params + Byte.SIZE - 1) / Byte.SIZE;
+        out.writeBytes(in, nullBitmapBytes);
+        if (in.readByte() == TYPES_FOLLOW) {
+            byte[] received = new byte[BYTES_PER_TYPE * params];
+            in.readBytes(received);
+            types = received;
+        }
+        if (types == null) {
+            throw new IllegalArgumentException("no types of parameters");
+        }
+        out.writeByte(TYPES_FOLLOW).writeBytes(types).writeBytes(in);
+    }
 }
--- a/src/main/java/lineward/mysql/Commands.java
+++ b/src/main/java/lineward/mysql/Commands.java
@@ -1,6 +1,6 @@
 package lineward.mysql;
 
-/** First bytes of the commands that the front knows. */
+/** First bytes of the commands that are supported; the protocol's names begin with COM_. */
 final class Commands {
     static final int QUIT = 0x01;
     static final int INIT_DB = 0x02;
--- a/src/main/java/lineward/mysql/Dialect.java
+++ b/src/main/java/lineward/mysql/Dialect.java
@@ -41,7 +41,7 @@
     /** Returns a whole held reply as the client wants it; takes the reply over. */
     ByteBuf whole(ByteBufAllocator alloc, ByteBuf reply, boolean prepared) {
         int first = Packets.first(reply);
-        if (this == PLAIN || first == Packets.ERR || first == Packets.OK && !prepared) {
+        if (this == PLAIN || first == Packets.ERR || (first == Packets.OK && !prepared)) {
             return reply;
         }
         ByteBuf out = alloc.buffer(reply.readableBytes() + ROW_END);
@@ -77,8 +77,8 @@
     /** Returns columns as they stand in the spool, as the client wants them where a cursor is open. */
     ByteBuf cursor(ByteBufAllocator alloc, byte[] head) {
         int sequence = head[head.length - EOF_FRAME + Packets.HEAD - 1] & 0xff;
-        return Unpooled.wrappedBuffer(
-                Unpooled.wrappedBuffer(head, 0, head.length - EOF_FRAME), end(alloc, sequence, Packets.CURSOR_EXISTS));
+        ByteBuf columns = Unpooled.wrappedBuffer(head, 0, head.length - EOF_FRAME);
+        return Unpooled.wrappedBuffer(columns, end(alloc, sequence, Packets.CURSOR_EXISTS));
     }
 
     /**
--- a/src/main/java/lineward/mysql/Failure.java
+++ b/src/main/java/lineward/mysql/Failure.java
@@ -1,8 +1,14 @@
 package lineward.mysql;
 
-/** An error packet's content: number, SQLSTATE and a message for people. */
+/**
+ * The content of an error packet, and one factory method for each error that is not an engine's.
+ *
+ * @param code MySQL's error number
+ * @param state SQLSTATE, five characters
+ * @param message for people
+ */
 record Failure(int code, String state, String message) {
-    /** The final answer of what the module refused: nothing was changed, trying again is harmless. */
+    /** The final answer to a statement that was rejected: nothing was changed, and a retry is safe. */
     static Failure refused(long retryAfterMs) {
         return new Failure(
                 1637,
@@ -11,17 +17,17 @@
                         + (retryAfterMs > 0 ? "; come back in " + retryAfterMs + " ms" : ""));
     }
 
-    /** The final answer of what may have run and is not known to have ended. */
+    /** The final answer to a statement that may have run and is not known to have ended. */
     static Failure failed() {
         return new Failure(1317, "70100", "failed: no whole answer came from the engine, it may have run");
     }
 
-    /** In the place of a row: what came before is not the whole result. */
+    /** In the place of a row: the rows before it are not the complete result. */
     static Failure brokenOff() {
         return new Failure(1317, "70100", "failed: the engine broke off amid the rows");
     }
 
-    /** In the place of a row: nobody has read for so long that the rest was given back. */
+    /** In the place of a row: nobody has read for so long that the remaining rows were released. */
     static Failure lapsed() {
         return new Failure(1317, "70100", "the result was given back, as nobody read it for too long");
     }
@@ -30,7 +36,7 @@
         return new Failure(1421, "HY000", "the statement " + id + " has no open cursor");
     }
 
-    /** The same for a key that never was, that has lapsed and that is another user's. */
+    /** The same for a key that is unknown, that has expired and that is another user's. */
     static Failure noResult() {
         return new Failure(1210, "HY000", "no result stands under that key");
     }
@@ -47,6 +53,10 @@
         return new Failure(1235, "0A000", what + " can't be kept: each statement may run on another engine");
     }
 
+    static Failure notPreparable() {
+        return new Failure(1295, "HY000", "USE, SET and SHOW WARNINGS can't be prepared");
+    }
+
     static Failure noTransaction(String what) {
         return new Failure(1179, "25000", what + " is not possible here: every statement commits by itself");
     }
@@ -63,8 +73,8 @@
         return new Failure(1210, "HY000", "wrong arguments: " + why);
     }
 
-    static Failure tooLarge(int most) {
-        return new Failure(1153, "08S01", "packet larger than the " + most + " bytes allowed");
+    static Failure tooLarge(int maxBytes) {
+        return new Failure(1153, "08S01", "packet larger than the " + maxBytes + " bytes allowed");
     }
 
     static Failure tooMany(String what) {
@@ -79,7 +89,7 @@
         return new Failure(1040, "08004", "too many connections");
     }
 
-    static Failure badHandshake() {
+    static Failure malformedHandshake() {
         return new Failure(1043, "08S01", "bad handshake");
     }
 }
--- a/src/main/java/lineward/mysql/LocalResult.java
+++ b/src/main/java/lineward/mysql/LocalResult.java
@@ -2,63 +2,72 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import java.nio.charset.StandardCharsets;
+import java.util.List;
 
-/** A result of one row of texts, or none, that the front answers by itself. */
-final class LocalResult {
-    private static final int VAR_STRING = 253;
-    private static final int WIDEST = 1024;
+/**
+ * A result of one row of texts, or of none, that is answered without an engine.
+ *
+ * @param labels of the columns
+ * @param row one value for each column; empty: the result has no rows
+ */
+record LocalResult(List<String> labels, List<String> row) {
+    /**
+     * The answer to SHOW WARNINGS: the engine's connection has had other clients since the statement before.
+     */
+    static final LocalResult NO_WARNINGS = new LocalResult(List.of("Level", "Code", "Message"), List.of());
 
-    private LocalResult() {}
+    private static final String CATALOG = "def";
+    private static final int TYPE_VAR_STRING = 253;
+    private static final int MAX_VALUE_BYTES = 1024;
+    /** Bytes of a column definition behind its texts. */
+    private static final int FIXED_FIELDS_BYTES = 12;
 
-    static ByteBuf of(ByteBufAllocator alloc, int first, Dialect dialect, SessionSettings.Reading reading) {
-        int sequence = first;
+    LocalResult {
+        labels = List.copyOf(labels);
+        row = List.copyOf(row);
+    }
+
+    /** Returns the packets of the result, the first with this sequence number. */
+    ByteBuf encode(ByteBufAllocator alloc, int firstSequence, Dialect dialect) {
+        int sequence = firstSequence;
         ByteBuf out = alloc.buffer();
-        ByteBuf count =
-                Packets.begin(alloc, sequence++).writeByte(reading.labels().size());
-        add(out, count);
-        for (String label : reading.labels()) {
-            ByteBuf column = Packets.begin(alloc, sequence++);
-            for (String text : new String[] {"def", "", "", "", label, ""}) {
-                text(column, text);
-            }
-            column.writeByte(12)
-                    .writeShortLE(Handshake.UTF8MB4)
-                    .writeIntLE(WIDEST)
-                    .writeByte(VAR_STRING)
-                    .writeShortLE(0)
-                    .writeByte(0)
-                    .writeShortLE(0);
-            add(out, column);
+        append(out, Packets.done(Packets.begin(alloc, sequence++).writeByte(labels.size())));
+        for (String label : labels) {
+            append(out, column(alloc, sequence++, label));
         }
         if (dialect == Dialect.PLAIN) {
-            add(out, Packets.eof(alloc, sequence++, 0));
+            append(out, Packets.eof(alloc, sequence++, 0));
         }
-        if (!reading.values().isEmpty()) {
-            ByteBuf row = Packets.begin(alloc, sequence++);
-            reading.values().forEach(value -> text(row, value));
-            add(out, row);
+        if (!row.isEmpty()) {
+            ByteBuf values = Packets.begin(alloc, sequence++);
+            row.forEach(value -> Packets.writeText(values, value));
+            append(out, Packets.done(values));
         }
-        return append(out, dialect.end(alloc, sequence, 0));
-    }
-
-    private static ByteBuf add(ByteBuf to, ByteBuf packet) {
-        return append(to, Packets.done(packet));
+        append(out, dialect.end(alloc, sequence, 0));
+        return out;
     }
 
-    private static ByteBuf append(ByteBuf to, ByteBuf packet) {
-        to.writeBytes(packet);
-        packet.release();
-        return to;
+    private static ByteBuf column(ByteBufAllocator alloc, int sequence, String label) {
+        ByteBuf column = Packets.begin(alloc, sequence);
+        String schema = "";
+        String table = "";
+        String originalTable = "";
+        String originalLabel = "";
+        for (String text : List.of(CATALOG, schema, table, originalTable, label, originalLabel)) {
+            Packets.writeText(column, text);
+        }
+        column.writeByte(FIXED_FIELDS_BYTES)
+                .writeShortLE(Handshake.UTF8MB4)
+                .writeIntLE(MAX_VALUE_BYTES)
+                .writeByte(TYPE_VAR_STRING)
+                .writeShortLE(0) // flags
+                .writeByte(0) // decimals
+                .writeShortLE(0); // filler
+        return Packets.done(column);
     }
 
-    private static void text(ByteBuf out, String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        if (bytes.length > 250) {
-            out.writeByte(0xfc).writeShortLE(bytes.length);
-        } else {
-            out.writeByte(bytes.length);
-        }
-        out.writeBytes(bytes);
+    private static void append(ByteBuf out, ByteBuf packets) {
+        out.writeBytes(packets);
+        packets.release();
     }
 }
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -9,9 +9,9 @@
 import lineward.spool.SpoolLimits;
 
 /**
- * What the MySQL front is told.
+ * The configuration of the MySQL front end.
  *
- * @param listen where clients connect; null: the front is off
+ * @param listen address on which clients connect; null: the front end is off
  * @param users passwords by name
  * @param spool where results are spooled
  */
@@ -31,7 +31,15 @@
     public record Spooling(SpoolLimits limits, Path folder) {}
 
     /**
-     * @param maxPacket largest packet of a client
+     * Limits of connections, statements and packets.
+     *
+     * @param maxClients client connections; one more is told that there are too many
+     * @param maxPacket largest payload of a client's packet, in bytes
+     * @param maxStatements prepared statements of one client
+     * @param linksPerEngine connections to one engine
+     * @param connectTimeoutMs how long a connection to an engine may take to open
+     * @param idleMs how long a connection to an engine may stay unused before it is closed
+     * @param maxAttempts attempts for one statement that may be retried
      */
     public record Bounds(
             int maxClients,
@@ -42,18 +50,39 @@
             int idleMs,
             int maxAttempts) {}
 
-    /** One engine. */
+    /**
+     * One engine.
+     *
+     * @param name unique among the engines
+     * @param user that this server logs in as
+     * @param condition whether it takes new statements
+     */
     public record Engine(
-            String name, InetSocketAddress address, String user, String password, int cores, EndpointState condition) {}
+            String name,
+            InetSocketAddress address,
+            String user,
+            String password,
+            int cores, // by which its concurrency limit is set
+            EndpointState condition) {}
 
     /**
      * A class of statements.
      *
-     * @param match finds the statements of this class; the first class that matches is taken
+     * @param match finds the statements of this class; the first class that matches counts
+     * @param aimMs latency objective
+     * @param deadlineMs time behind which a statement is answered with an error
+     * @param worth priority weight against other classes
+     * @param threads of an engine that a statement occupies
      */
-    public record QueryClass(String name, Pattern match, double aimMs, double deadlineMs, double worth, int threads) {}
+    public record QueryClass(
+            String name,
+            Pattern match,
+            double aimMs, // the key in the deploy file has this name
+            double deadlineMs,
+            double worth,
+            int threads) {}
 
-    /** Returns the place of the class of a statement. */
+    /** Returns the index of the class of a statement; the last class takes what no other matches. */
     int classOf(String text) {
         for (int i = 0; i < classes.size() - 1; i++) {
             if (classes.get(i).match().matcher(text).find()) {
--- a/src/main/java/lineward/mysql/OpenCursor.java
+++ b/src/main/java/lineward/mysql/OpenCursor.java
@@ -8,7 +8,7 @@
 
 /**
  * Rows of a spooled result as they are asked for: a read-only cursor, whose columns go out first and whose
- * rows as they are fetched, or one page of a result, columns and rows in one reply. The engine has no part in
+ * rows as they are fetched, or one page of a result, columns and rows in one reply. No engine has a part in
  * it. One fetch at a time, as a client sends one command at a time.
  */
 final class OpenCursor implements Outflow {
@@ -21,31 +21,31 @@
     private boolean done;
     private boolean over;
     private boolean moving;
-    private long wanted;
+    private long rowsWanted;
     private final Dialect dialect;
-    private final long from;
-    private final long page;
-    private int skip;
+    private final long firstRow;
+    private final long pageRows;
+    private int rowsToSkip;
     private int sequence;
     private byte[] rows = new byte[0];
-    private int at;
+    private int offset;
 
     /**
-     * @param from the first row that is fetched, counted from 0; past 0 only in a whole result with a key
-     * @param page rows of the one reply that is wanted; negative: a cursor
-     * @param ending hears that a fetch, or the cursor's opening, is over; more may follow while it ended well
+     * @param firstRow the first row to send, counted from 0; past 0 only in a complete result with a key
+     * @param pageRows rows of the one reply that is asked for; negative: a cursor
+     * @param ending is called when a fetch, or the opening of the cursor, has ended
      */
     OpenCursor(
             Channel channel,
             SpooledResult result,
             Dialect dialect,
-            long from,
-            long page,
+            long firstRow,
+            long pageRows,
             Consumer<ByteBuf> out,
             Ending ending) {
         this.dialect = dialect;
-        this.from = from;
-        this.page = page;
+        this.firstRow = firstRow;
+        this.pageRows = pageRows;
         this.channel = channel;
         this.out = out;
         this.ending = ending;
@@ -59,7 +59,7 @@
 
     /** Asks for that many rows. */
     void fetch(long count) {
-        wanted = count;
+        rowsWanted = count;
         fetching = true;
         sequence = 1;
         move();
@@ -76,7 +76,7 @@
                 open();
             }
             if (fetching) {
-                send();
+                sendFetched();
             }
             if (reader.ahead() == SpooledResult.Ahead.LAPSED) {
                 end(SpooledResult.Ahead.LAPSED);
@@ -96,13 +96,13 @@
         }
         byte[] columns = head.bytes();
         columnsSent = true;
-        if (from > 0) {
-            skip = reader.seek(from);
-            done = skip < 0;
+        if (firstRow > 0) {
+            rowsToSkip = reader.seek(firstRow);
+            done = rowsToSkip < 0;
         }
-        if (page >= 0) {
+        if (pageRows >= 0) {
             out.accept(dialect.columns(columns));
-            wanted = page;
+            rowsWanted = pageRows;
             fetching = true;
             sequence = dialect.behindColumns(columns);
         } else {
@@ -111,24 +111,23 @@
         }
     }
 
-    private void send() {
-        while (wanted > 0 && !done && channel.isWritable()) {
-            if (at == rows.length && !nextBlock()) {
+    private void sendFetched() {
+        while (rowsWanted > 0 && !done && channel.isWritable()) {
+            if (offset == rows.length && !nextBlock()) {
                 return;
             }
             if (!done) {
-                some();
+                sendRows();
             }
         }
-        if (wanted == 0 || done) {
-            // Told at once where it is known, so that a client spares itself a fetch of nothing.
-            if (!done && at == rows.length && reader.ahead() == SpooledResult.Ahead.MORE) {
+        if (rowsWanted == 0 || done) {
+            // The last row is announced as soon as it is known, which spares the client an empty fetch.
+            if (!done && offset == rows.length && reader.ahead() == SpooledResult.Ahead.MORE) {
                 nextBlock();
             }
             fetching = false;
-            out.accept(dialect.end(
-                    channel.alloc(), sequence, page >= 0 ? 0 : done ? Packets.LAST_ROW_SENT : Packets.CURSOR_EXISTS));
-            done |= page >= 0;
+            out.accept(dialect.end(channel.alloc(), sequence, endStatus()));
+            done |= pageRows >= 0;
             if (done) {
                 close();
             }
@@ -136,13 +135,21 @@
         }
     }
 
+    /** Returns the status behind the rows that were asked for. */
+    private int endStatus() {
+        if (pageRows >= 0) {
+            return 0;
+        }
+        return done ? Packets.LAST_ROW_SENT : Packets.CURSOR_EXISTS;
+    }
+
     /** Returns whether there is something to go on with: rows, or the knowledge that there are none left. */
     private boolean nextBlock() {
         SpooledResult.Piece piece = reader.poll();
         if (piece != null && piece.rows() > 0) {
             // Other readers see the same bytes: the numbers of this reply go into a copy.
             rows = piece.bytes().clone();
-            at = 0;
+            offset = 0;
             return true;
         }
         // Behind the rows stands the packet that ends them.
@@ -157,27 +164,27 @@
     }
 
     /** Sends rows of the present block, as many as are wanted, under numbers of this reply. */
-    private void some() {
-        int begin = at;
-        while (at < rows.length && wanted > 0) {
+    private void sendRows() {
+        int begin = offset;
+        while (offset < rows.length && rowsWanted > 0) {
             boolean more = true;
             int number = sequence;
             while (more) {
-                rows[at + Packets.HEAD - 1] = (byte) sequence++;
-                int length = Packets.length(rows, at);
-                at += length;
+                rows[offset + Packets.HEAD - 1] = (byte) sequence++;
+                int length = Packets.length(rows, offset);
+                offset += length;
                 more = length == Packets.HEAD + Packets.LONGEST;
             }
-            if (skip > 0) {
-                skip--;
+            if (rowsToSkip > 0) {
+                rowsToSkip--;
                 sequence = number;
-                begin = at;
+                begin = offset;
             } else {
-                wanted--;
+                rowsWanted--;
             }
         }
-        if (at > begin) {
-            out.accept(Unpooled.wrappedBuffer(rows, begin, at - begin));
+        if (offset > begin) {
+            out.accept(Unpooled.wrappedBuffer(rows, begin, offset - begin));
         }
     }
 
--- a/src/main/java/lineward/mysql/Outflow.java
+++ b/src/main/java/lineward/mysql/Outflow.java
@@ -2,18 +2,23 @@
 
 import lineward.spool.SpooledResult;
 
-/** Something that flows to a client from the spool, at the client's speed. */
+/** A reply that is sent to a client from the spool, at the speed at which the client reads it. */
 interface Outflow {
-    /** Hears how it ended. */
+    /** Is called when the reply, or a part of it, has ended. */
     @FunctionalInterface
     interface Ending {
-        /** @param sequence number that the next packet of this reply would have */
+        /**
+         * The reply has ended, or pauses until the next fetch.
+         *
+         * @param how why it ended; MORE: a fetch may follow
+         * @param sequence number that the next packet of this reply would have; 0: none may follow
+         */
         void over(SpooledResult.Ahead how, int sequence);
     }
 
-    /** Sends what the client has room for; to be called when it may have more. */
+    /** Sends what the client can take; to be called when it may take more. */
     void move();
 
-    /** Nothing more is wanted. */
+    /** Releases the spooled result; nothing more is sent. */
     void close();
 }
--- a/src/main/java/lineward/mysql/PacketDecoder.java
+++ b/src/main/java/lineward/mysql/PacketDecoder.java
@@ -6,19 +6,20 @@
 import io.netty.handler.codec.TooLongFrameException;
 import java.util.List;
 
-/** Cuts a connection's bytes into whole frames with heads; an over-long one is told before it is read. */
+/** Splits a connection's bytes into packets with heads; one that is too long fails before it is read. */
 final class PacketDecoder extends ByteToMessageDecoder {
-    private final int most;
-    private boolean broken;
+    private final int maxPayloadBytes;
+    /** Set behind a packet that was too long: the bytes that follow have no packet boundaries. */
+    private boolean failed;
 
-    /** @param most bytes of a payload */
-    PacketDecoder(int most) {
-        this.most = most;
+    /** @param maxPayloadBytes largest payload of a packet */
+    PacketDecoder(int maxPayloadBytes) {
+        this.maxPayloadBytes = maxPayloadBytes;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        if (broken) {
+        if (failed) {
             in.skipBytes(in.readableBytes());
             return;
         }
@@ -26,8 +27,8 @@
             return;
         }
         int length = in.getUnsignedMediumLE(in.readerIndex());
-        if (length > most) {
-            broken = true;
+        if (length > maxPayloadBytes) {
+            failed = true;
             throw new TooLongFrameException("packet of " + length + " bytes");
         }
         if (in.readableBytes() >= Packets.HEAD + length) {
--- a/src/main/java/lineward/mysql/Packets.java
+++ b/src/main/java/lineward/mysql/Packets.java
@@ -18,9 +18,13 @@
     /** An EOF packet is shorter than this; a row that begins with the same byte is longer. */
     private static final int EOF_LESS_THAN = 9;
 
+    /** First bytes of length-encoded integers: the number follows in so many bytes. */
     private static final int LENGTH_2 = 0xfc;
+
     private static final int LENGTH_3 = 0xfd;
     private static final int LENGTH_8 = 0xfe;
+    /** The largest length that stands in the first byte itself. */
+    private static final int MAX_LENGTH_IN_ONE_BYTE = 250;
 
     private Packets() {}
 
@@ -48,7 +52,10 @@
 
     /** Returns the length, head included, of the packet that begins there. */
     static int length(byte[] packets, int at) {
-        return HEAD + (packets[at] & 0xff | (packets[at + 1] & 0xff) << 8 | (packets[at + 2] & 0xff) << 16);
+        int low = packets[at] & 0xff;
+        int middle = packets[at + 1] & 0xff;
+        int high = packets[at + 2] & 0xff;
+        return HEAD + (low | (middle << 8) | (high << 16));
     }
 
     static ByteBuf error(ByteBufAllocator alloc, int sequence, Failure failure) {
@@ -59,7 +66,8 @@
 
     /** Returns a frame of one command with its bytes, to be released by the caller. */
     static ByteBuf command(ByteBufAllocator alloc, int command, ByteBuf rest) {
-        return done(begin(alloc, 0).writeByte(command).writeBytes(rest, rest.readerIndex(), rest.readableBytes()));
+        ByteBuf frame = begin(alloc, 0).writeByte(command);
+        return done(frame.writeBytes(rest, rest.readerIndex(), rest.readableBytes()));
     }
 
     static ByteBuf command(ByteBufAllocator alloc, int command, String text) {
@@ -105,6 +113,18 @@
         };
     }
 
+    /** Writes a text of less than 64 KiB behind its length. */
+    static void writeText(ByteBuf out, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        if (bytes.length > MAX_LENGTH_IN_ONE_BYTE) {
+            out.writeByte(LENGTH_2).writeShortLE(bytes.length);
+        } else {
+            out.writeByte(bytes.length);
+        }
+        out.writeBytes(bytes);
+    }
+
+    /** Reads a text that ends with a zero byte, or with the packet. */
     static String zeroEnded(ByteBuf in) {
         int length = in.bytesBefore((byte) 0);
         if (length < 0) {
--- a/src/main/java/lineward/mysql/Query.java
+++ b/src/main/java/lineward/mysql/Query.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import lineward.spool.SpooledResult;
 
-/** One command of a client that an engine must answer. */
+/** One command of a client that an engine must answer, with the attempt that runs for it. */
 public final class Query {
     final ClientSession client;
     final Work work;
@@ -20,9 +20,9 @@
     /**
      * How its result is spooled.
      *
-     * @param key empty: the client names it by none
+     * @param key by which the client names it; empty: by none
      * @param digest of the statement, where there is a key
-     * @param cursor whose rows are fetched one page after the other; null: all are sent
+     * @param cursor statement whose rows are fetched page by page; null: all are sent in one reply
      */
     record Spooling(String key, String digest, ClientStatement cursor) {
         static final Spooling PLAIN = new Spooling("", "", null);
@@ -33,7 +33,7 @@
     }
 
     /**
-     * @param type the place of its class in the planner's settings
+     * @param type index of its class in the scheduler's settings
      * @param settings of the session, which must hold at the engine
      */
     Query(ClientSession client, Work work, int type, Map<String, String> settings, Spooling spooling) {
@@ -44,7 +44,7 @@
         this.spooling = spooling;
     }
 
-    /** Returns the place of its class in the configuration. */
+    /** Returns the index of its class in the configuration. */
     public int place() {
         return type / 2;
     }
--- a/src/main/java/lineward/mysql/SetReader.java
+++ b/src/main/java/lineward/mysql/SetReader.java
@@ -9,32 +9,42 @@
 
 /** Reads a SET statement into assignments of session variables. */
 final class SetReader {
+    private static final String THIS_FORM = "this form of SET";
+    private static final String THIS_VALUE = "this value";
+    private static final String USER_VARIABLE = "a user variable";
+    private static final Set<String> ISOLATION_LEVELS =
+            Set.of("REPEATABLE-READ", "READ-COMMITTED", "READ-UNCOMMITTED", "SERIALIZABLE");
+
     private final SqlTokens tokens;
     private final String text;
-    private final UnaryOperator<String> current;
+    private final UnaryOperator<String> currentValues;
+    /** Whether the tokens stand at one, and not behind the last. */
     private boolean more;
 
     /**
-     * @param current tells the value of a variable, for a value that is built on one; null if it is not known
+     * @param currentValues returns the value of a variable, for a value built on one; null if it is unknown
      */
-    SetReader(String text, UnaryOperator<String> current) {
+    SetReader(String text, UnaryOperator<String> currentValues) {
         this.text = text;
         this.tokens = new SqlTokens(text);
-        this.current = current;
+        this.currentValues = currentValues;
     }
 
-    /** @throws SessionSettings.UnkeepableException if it sets what is no setting of this session */
-    List<SessionSettings.Assignment> read() throws SessionSettings.UnkeepableException {
-        List<SessionSettings.Assignment> all = new ArrayList<>();
+    /**
+     * Returns the assignments in the order in which they stand.
+     *
+     * @throws UnsupportedSettingException if it sets anything but variables of this session
+     */
+    List<Assignment> read() throws UnsupportedSettingException {
+        List<Assignment> assignments = new ArrayList<>();
         tokens.next();
         advance();
         do {
-            all.add(assignment());
+            assignments.add(assignment());
         } while (more && tokens.is(",") && advance());
-        if (more && !(tokens.is(";") && !advance())) {
-            throw unkeepable("this form of SET");
-        }
-        return all;
+        boolean complete = !more || (tokens.is(";") && !advance());
+        require(complete, THIS_FORM);
+        return assignments;
     }
 
     private boolean advance() {
@@ -42,135 +52,145 @@
         return more;
     }
 
-    private static SessionSettings.UnkeepableException unkeepable(String what) {
-        return new SessionSettings.UnkeepableException(what);
+    private boolean at(String word) {
+        return more && tokens.is(word);
     }
 
-    private SessionSettings.Assignment assignment() throws SessionSettings.UnkeepableException {
+    private Assignment assignment() throws UnsupportedSettingException {
         scope();
         require(more, "an empty SET");
         String name = tokens.text().toLowerCase(Locale.ROOT);
-        if (name.equals("transaction")) {
-            return transaction();
-        }
-        if (name.equals("character") || name.equals("charset")) {
-            require(name.equals("charset") || advance() && tokens.is("set"), "this form of SET");
-            name = "names";
-        }
-        advance();
-        if (name.equals("names")) {
-            String charset = value();
-            if (more && tokens.is("collate")) {
-                advance();
-                charset += " " + value();
+        return switch (name) {
+            case "transaction" -> transaction();
+            case "names", "charset" -> names();
+            case "character" -> {
+                require(advance() && tokens.is("set"), THIS_FORM);
+                yield names();
             }
-            return new SessionSettings.Assignment(name, charset);
+            default -> variable(name);
+        };
+    }
+
+    private Assignment names() throws UnsupportedSettingException {
+        advance();
+        String charset = value();
+        if (at("collate")) {
+            advance();
+            charset += " " + value();
         }
-        if (more && tokens.is(":")) {
+        return new Assignment("names", charset);
+    }
+
+    private Assignment variable(String name) throws UnsupportedSettingException {
+        advance();
+        if (at(":")) {
             advance();
         }
-        require(more && tokens.is("="), "this form of SET");
+        require(at("="), THIS_FORM);
         advance();
-        return new SessionSettings.Assignment(name, expression());
+        return new Assignment(name, at("concat") ? concat() : value());
     }
 
     /** Passes over {@code SESSION}, {@code LOCAL} and the signs that say the same. */
-    private void scope() throws SessionSettings.UnkeepableException {
+    private void scope() throws UnsupportedSettingException {
         if (tokens.is("@")) {
-            require(advance() && tokens.is("@"), "a user variable");
+            require(advance() && tokens.is("@"), USER_VARIABLE);
             advance();
-            if (isScope()) {
+            if (isSessionScope()) {
                 advance();
-                require(more && tokens.is("."), "this form of SET");
+                require(at("."), THIS_FORM);
                 advance();
             }
-        } else if (isScope()) {
+        } else if (isSessionScope()) {
             advance();
         }
-        require(
-                !tokens.is("global")
-                        && !tokens.is("persist")
-                        && !tokens.is("persist_only")
-                        && !tokens.is("password")
-                        && !tokens.is("role"),
-                "SET " + tokens.text());
+        require(!isOtherScope(), "SET " + tokens.text());
+    }
+
+    private boolean isSessionScope() {
+        return at("session") || at("local");
     }
 
-    private boolean isScope() {
-        return more && (tokens.is("session") || tokens.is("local"));
+    /** Returns whether it is set for others too, or not a variable at all. */
+    private boolean isOtherScope() {
+        return tokens.is("global")
+                || tokens.is("persist")
+                || tokens.is("persist_only")
+                || tokens.is("password")
+                || tokens.is("role");
     }
 
-    private SessionSettings.Assignment transaction() throws SessionSettings.UnkeepableException {
-        require(advance() && tokens.is("isolation") && advance() && tokens.is("level"), "this form of SET");
+    private Assignment transaction() throws UnsupportedSettingException {
+        require(advance() && tokens.is("isolation") && advance() && tokens.is("level"), THIS_FORM);
         StringBuilder level = new StringBuilder();
         while (advance() && tokens.kind() == SqlTokens.Kind.WORD) {
             level.append(level.isEmpty() ? "" : "-").append(tokens.text().toUpperCase(Locale.ROOT));
         }
-        require(
-                Set.of("REPEATABLE-READ", "READ-COMMITTED", "READ-UNCOMMITTED", "SERIALIZABLE")
-                        .contains(level.toString()),
-                "this isolation level");
-        return new SessionSettings.Assignment("transaction_isolation", "'" + level + "'");
+        require(ISOLATION_LEVELS.contains(level.toString()), "this isolation level");
+        return new Assignment("transaction_isolation", "'" + level + "'");
     }
 
-    private String expression() throws SessionSettings.UnkeepableException {
-        if (more && tokens.is("concat")) {
-            return concat();
-        }
-        return value();
-    }
-
-    /** Drivers add to a mode that way; what stands there now is known here. */
-    private String concat() throws SessionSettings.UnkeepableException {
-        require(advance() && tokens.is("("), "this form of SET");
+    /** Drivers extend sql_mode by CONCAT(@@sql_mode, …); the present value is known here. */
+    private String concat() throws UnsupportedSettingException {
+        require(advance() && tokens.is("("), THIS_FORM);
         StringBuilder joined = new StringBuilder();
         do {
             advance();
-            String part = value();
-            joined.append(part.startsWith("'") || part.startsWith("\"") ? part.substring(1, part.length() - 1) : part);
-        } while (more && tokens.is(","));
-        require(more && tokens.is(")"), "this form of SET");
+            joined.append(unquoted(value()));
+        } while (at(","));
+        require(at(")"), THIS_FORM);
         advance();
-        require(joined.indexOf("'") < 0 && joined.indexOf("\\") < 0, "this value");
+        require(joined.indexOf("'") < 0 && joined.indexOf("\\") < 0, THIS_VALUE);
         return "'" + joined + "'";
     }
 
-    private String value() throws SessionSettings.UnkeepableException {
+    private static String unquoted(String part) {
+        boolean isQuoted = part.startsWith("'") || part.startsWith("\"");
+        return isQuoted ? part.substring(1, part.length() - 1) : part;
+    }
+
+    private String value() throws UnsupportedSettingException {
         require(more, "a SET without a value");
-        StringBuilder value = new StringBuilder();
-        if (tokens.is("@")) {
-            require(advance() && tokens.is("@") && advance(), "a user variable");
-            if (isScope()) {
-                require(advance() && tokens.is(".") && advance(), "this form of SET");
-            }
-            String known = current.apply(tokens.text().toLowerCase(Locale.ROOT));
-            require(known != null && known.indexOf('\'') < 0, "a value built on " + tokens.text());
-            value.append('\'').append(known).append('\'');
-            advance();
-            return value.toString();
+        return tokens.is("@") ? variableValue() : literal();
+    }
+
+    private String variableValue() throws UnsupportedSettingException {
+        require(advance() && tokens.is("@") && advance(), USER_VARIABLE);
+        if (isSessionScope()) {
+            require(advance() && tokens.is(".") && advance(), THIS_FORM);
         }
+        String current = currentValues.apply(tokens.text().toLowerCase(Locale.ROOT));
+        require(current != null && current.indexOf('\'') < 0, "a value built on " + tokens.text());
+        advance();
+        return "'" + current + "'";
+    }
+
+    private String literal() throws UnsupportedSettingException {
+        StringBuilder value = new StringBuilder();
         if (tokens.is("-")) {
             value.append('-');
             advance();
         }
-        require(
-                more && tokens.kind() != SqlTokens.Kind.SYMBOL && tokens.kind() != SqlTokens.Kind.EXECUTABLE_COMMENT,
-                "this value");
+        require(isLiteral(), THIS_VALUE);
         value.append(text, tokens.start(), tokens.end());
         advance();
-        // A number with a point is three tokens.
-        if (more && tokens.is(".")) {
+        // A number with a decimal point is three tokens.
+        if (at(".")) {
             advance();
-            require(more && tokens.kind() == SqlTokens.Kind.NUMBER, "this value");
+            require(more && tokens.kind() == SqlTokens.Kind.NUMBER, THIS_VALUE);
             value.append('.').append(tokens.text());
             advance();
         }
         return value.toString();
     }
 
-    private static void require(boolean holds, String otherwise) throws SessionSettings.UnkeepableException {
-        if (!holds) {
-            throw unkeepable(otherwise);
-        }
+    private boolean isLiteral() {
+        boolean isSymbol = tokens.kind() == SqlTokens.Kind.SYMBOL;
+        boolean isExecutableComment = tokens.kind() == SqlTokens.Kind.EXECUTABLE_COMMENT;
+        return more && !isSymbol && !isExecutableComment;
+    }
+
+    private static void require(boolean supported, String otherwise) throws UnsupportedSettingException {
+        UnsupportedSettingException.require(supported, otherwise);
     }
 }
--- a/src/main/java/lineward/mysql/SpoolHint.java
+++ b/src/main/java/lineward/mysql/SpoolHint.java
@@ -17,7 +17,7 @@
     private static final Pattern HINT = Pattern.compile("/\\*\\s*lineward:key=([A-Za-z0-9_.-]{1,64})"
             + "(?:\\s+from=(\\d{1,12}))?(?:\\s+rows=(\\d{1,12}))?\\s*\\*/");
 
-    /** Returns what the text asks for; the first hint counts. */
+    /** Returns the first hint of a statement; one without a key if it has none. */
     static SpoolHint of(String text) {
         if (!text.contains("lineward:key=")) {
             return new SpoolHint("", 0, -1, text);
@@ -33,7 +33,7 @@
                 text.substring(0, hint.start()) + text.substring(hint.end()));
     }
 
-    /** Returns whether a part of the result is wanted, which must be there. */
+    /** Returns whether a page of the result is asked for, which must exist already. */
     boolean isPart() {
         return from > 0 || rows >= 0;
     }
--- a/src/main/java/lineward/mysql/Texts.java
+++ b/src/main/java/lineward/mysql/Texts.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 
-/** Texts of clients travel as Latin-1 strings of their bytes; these take them there and back. */
+/** Clients' texts are forwarded as Latin-1 strings of their bytes; converts them to and from UTF-8. */
 final class Texts {
     private Texts() {}
 
--- a/src/main/java/lineward/mysql/Work.java
+++ b/src/main/java/lineward/mysql/Work.java
@@ -8,12 +8,12 @@
 import java.util.HexFormat;
 import java.util.List;
 
-/** What one attempt has an engine do, from scratch. Texts are Latin-1 strings of the client's bytes. */
+/** What one attempt has an engine do. Texts are Latin-1 strings of the client's bytes. */
 sealed interface Work {
     /** The schema in which it runs; empty where the client chose none. */
     String schema();
 
-    /** Returns whether the engine's session may be another behind it, unseen by the front. */
+    /** Returns whether it may change the engine's session unnoticed: its connection can't be reused. */
     default boolean leavesTraces() {
         return false;
     }
@@ -35,16 +35,23 @@
         }
     }
 
-    /** Prepares a text, for what the client is to know of it. */
+    /** Prepares a text, of which the client learns the parameters and columns. */
     record Prepare(String schema, String text) implements Work {}
 
     /**
      * Prepares a text anew, unless this engine's connection has it, and runs it.
      *
-     * @param params how many parameters the client was told of
+     * @param params number of parameters that the client knows of
      * @param arguments what follows the statement's id, with the types always in place
      */
-    record Execute(String schema, String text, int params, byte[] arguments, List<LongData> longData) implements Work {
+    @SuppressWarnings("ArrayRecordComponent") // Never compared, and its array never changes.
+    record Execute(
+            String schema,
+            String text,
+            int params,
+            byte[] arguments, // as they are sent
+            List<LongData> longData)
+            implements Work {
         @Override
         public boolean leavesTraces() {
             return Work.leavesTraces(text);
@@ -52,16 +59,16 @@
 
         /** Returns a digest of all that its result depends on. */
         String digest() {
-            return Work.digest(List.of(bytes(schema), bytes(text), arguments, joined()));
+            return Work.digest(List.of(bytes(schema), bytes(text), arguments, longDataBytes()));
         }
 
-        private byte[] joined() {
-            ByteArrayOutputStream all = new ByteArrayOutputStream();
+        private byte[] longDataBytes() {
+            ByteArrayOutputStream joined = new ByteArrayOutputStream();
             for (LongData data : longData) {
-                all.write(data.param());
-                all.writeBytes(data.bytes());
+                joined.write(data.param());
+                joined.writeBytes(data.bytes());
             }
-            return all.toByteArray();
+            return joined.toByteArray();
         }
     }
 
@@ -87,5 +94,6 @@
     }
 
     /** A piece of a parameter sent ahead of the execution. */
+    @SuppressWarnings("ArrayRecordComponent") // Never compared, and its array never changes.
     record LongData(int param, byte[] bytes) {}
 }
--- a/src/test/java/lineward/mysql/CustomersTest.java
+++ b/src/test/java/lineward/mysql/CustomersTest.java
@@ -33,7 +33,9 @@
                 "listen = \"127.0.0.1:0\"\n"
                         + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
                         + "[[class]]\nname = \"all\"\naim-ms = 2000\ndeadline-ms = 9000\n"
-                        + "[[engine]]\nname = \"one\"\naddress = \"" + engine.address() + "\"\nuser = \"front\"\n");
+                        + "[[engine]]\nname = \"one\"\naddress = \""
+                        + engine.address()
+                        + "\"\nuser = \"front\"\n");
         program = new Program(Map.of(), "mysql", file.toString());
     }
 
--- a/src/test/java/lineward/mysql/DialectTest.java
+++ b/src/test/java/lineward/mysql/DialectTest.java
@@ -12,7 +12,8 @@
 /** Replies as clients that know CLIENT_DEPRECATE_EOF want them, to the byte. */
 public class DialectTest {
     private static final String EOF_3 = "05000003fe01000200";
-    private static final String HEAD = "0100000101" + "020000020303" + EOF_3;
+    private static final String COLUMNS = "0100000101" + "020000020303";
+    private static final String HEAD = COLUMNS + EOF_3;
     private static final String ROW = "0200000401aa";
     private static final String EOF_5 = "05000005fe01000200";
 
@@ -27,9 +28,9 @@
     @DataProvider
     public Object[][] replies() {
         return new Object[][] {
-            {HEAD + ROW + EOF_5, false, "0100000101" + "020000020303" + "0200000301aa" + "07000004fe000002000100"},
-            {HEAD + "05000004fe01000200", false, "0100000101" + "020000020303" + "07000003fe000002000100"},
-            {HEAD + "03000004ff0104", false, "0100000101" + "020000020303" + "03000003ff0104"},
+            {HEAD + ROW + EOF_5, false, COLUMNS + "0200000301aa" + "07000004fe000002000100"},
+            {HEAD + "05000004fe01000200", false, COLUMNS + "07000003fe000002000100"},
+            {HEAD + "03000004ff0104", false, COLUMNS + "03000003ff0104"},
             {"0700000100000002000000", false, "0700000100000002000000"},
             {"03000001ff0104", false, "03000001ff0104"},
             {
@@ -42,25 +43,22 @@
 
     @Test(dataProvider = "replies")
     public void aHeldReplyIsFramedAnew(String reply, boolean prepared, String expected) {
-        assertEquals(
-                ByteBufUtil.hexDump(Dialect.SHORT.whole(UnpooledByteBufAllocator.DEFAULT, bytes(reply), prepared)),
-                expected);
-        assertEquals(
-                ByteBufUtil.hexDump(Dialect.PLAIN.whole(UnpooledByteBufAllocator.DEFAULT, bytes(reply), prepared)),
-                reply);
+        UnpooledByteBufAllocator alloc = UnpooledByteBufAllocator.DEFAULT;
+        ByteBuf reframed = Dialect.SHORT.whole(alloc, bytes(reply), prepared);
+        assertEquals(ByteBufUtil.hexDump(reframed), expected);
+        ByteBuf unchanged = Dialect.PLAIN.whole(alloc, bytes(reply), prepared);
+        assertEquals(ByteBufUtil.hexDump(unchanged), reply);
     }
 
     @Test
     public void spooledPiecesAreFramedAnewAndStayAsTheyAre() {
         UnpooledByteBufAllocator alloc = UnpooledByteBufAllocator.DEFAULT;
         byte[] rows = array(ROW + "0200000501bb");
-        assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.columns(array(HEAD))), "0100000101" + "020000020303");
-        assertEquals(
-                ByteBufUtil.hexDump(Dialect.SHORT.cursor(alloc, array(HEAD))),
-                "0100000101" + "020000020303" + "07000003fe000042000000");
-        assertEquals(
-                ByteBufUtil.hexDump(Dialect.PLAIN.cursor(alloc, array(HEAD))),
-                "0100000101" + "020000020303" + "05000003fe00004200");
+        assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.columns(array(HEAD))), COLUMNS);
+        String shortCursor = ByteBufUtil.hexDump(Dialect.SHORT.cursor(alloc, array(HEAD)));
+        assertEquals(shortCursor, COLUMNS + "07000003fe000042000000");
+        String plainCursor = ByteBufUtil.hexDump(Dialect.PLAIN.cursor(alloc, array(HEAD)));
+        assertEquals(plainCursor, COLUMNS + "05000003fe00004200");
         assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.rows(rows)), "0200000301aa" + "0200000401bb");
         assertEquals(ByteBufUtil.hexDump(rows), ROW + "0200000501bb");
         assertEquals(ByteBufUtil.hexDump(Dialect.SHORT.tail(alloc, array(EOF_5))), "07000004fe000002000100");
--- a/src/test/java/lineward/mysql/DriverTest.java
+++ b/src/test/java/lineward/mysql/DriverTest.java
@@ -33,7 +33,8 @@
         Files.writeString(
                 file,
                 "listen = \"127.0.0.1:0\"\n[[user]]\nname = \"office\"\npassword = \"secret\"\n"
-                        + "[[class]]\nname = \"all\"\ndeadline-ms = 9000\n[[engine]]\nname = \"one\"\naddress = \""
+                        + "[[class]]\nname = \"all\"\ndeadline-ms = 9000\n"
+                        + "[[engine]]\nname = \"one\"\naddress = \""
                         + engine.address() + "\"\nuser = \"front\"\n");
         program = new Program(Map.of(), "mysql", file.toString());
     }
--- a/src/test/java/lineward/mysql/SessionSettingsTest.java
+++ b/src/test/java/lineward/mysql/SessionSettingsTest.java
@@ -1,15 +1,18 @@
 package lineward.mysql;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertThrows;
 
 import java.util.Map;
+import java.util.Optional;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** What clients set and ask at their login and later, as tables. */
 public class SessionSettingsTest {
+    private static final String DRIVER_QUERY =
+            "/* driver */SELECT  @@session.auto_increment_increment AS a, @@wait_timeout AS w;";
+
     @DataProvider
     public Object[][] kept() {
         return new Object[][] {
@@ -45,9 +48,9 @@
 
     @Test(dataProvider = "kept")
     public void whatCanBeKeptIsKeptAsItWasWritten(String text, Map<String, String> engines)
-            throws SessionSettings.UnkeepableException {
+            throws UnsupportedSettingException {
         SessionSettings settings = new SessionSettings();
-        settings.take(text);
+        settings.set(text);
         assertEquals(settings.forEngines(), engines);
         settings.reset();
         assertEquals(settings.forEngines(), Map.of());
@@ -74,10 +77,10 @@
     @Test(dataProvider = "unkeepable")
     public void whatCannotBeKeptIsRefusedWholeWithTheReason(String text, String why) {
         SessionSettings settings = new SessionSettings();
-        SessionSettings.UnkeepableException e = null;
+        UnsupportedSettingException e = null;
         try {
-            settings.take(text);
-        } catch (SessionSettings.UnkeepableException thrown) {
+            settings.set(text);
+        } catch (UnsupportedSettingException thrown) {
             e = thrown;
         }
         assertEquals(e == null ? "taken" : e.getMessage(), why);
@@ -88,8 +91,7 @@
     public Object[][] readings() {
         return new Object[][] {
             {"SELECT @@version_comment LIMIT 1", "[@@version_comment]", "[lineward]"},
-            {"/* driver */SELECT  @@session.auto_increment_increment AS a, @@wait_timeout AS w;", "[a, w]", "[1, 28800]"
-            },
+            {DRIVER_QUERY, "[a, w]", "[1, 28800]"},
             {"select @@tx_isolation t", "[t]", "[REPEATABLE-READ]"},
             {"select @@sql_mode", "[@@sql_mode]", "[ANSI]"},
             {"select @@no_such_thing", null, null},
@@ -103,15 +105,15 @@
 
     @Test(dataProvider = "readings")
     public void variablesAloneAreAnsweredFromTheTable(String text, String labels, String values)
-            throws SessionSettings.UnkeepableException {
+            throws UnsupportedSettingException {
         SessionSettings settings = new SessionSettings();
-        settings.take("set sql_mode = 'ANSI'");
-        SessionSettings.Reading reading = settings.read(text);
+        settings.set("set sql_mode = 'ANSI'");
+        Optional<LocalResult> result = settings.read(text);
         if (labels == null) {
-            assertNull(reading);
+            assertEquals(result, Optional.empty());
         } else {
-            assertEquals(reading.labels().toString(), labels);
-            assertEquals(reading.values().toString(), values);
+            assertEquals(result.orElseThrow().labels().toString(), labels);
+            assertEquals(result.orElseThrow().row().toString(), values);
         }
     }
 
@@ -123,10 +125,10 @@
     }
 
     @Test
-    public void manySettingsAreBounded() throws SessionSettings.UnkeepableException {
+    public void manySettingsAreBounded() throws UnsupportedSettingException {
         SessionSettings settings = new SessionSettings();
-        settings.take("set sql_notes = 1");
-        assertThrows(SessionSettings.UnkeepableException.class, () -> settings.take("set sql_notes = 1, no_such = 2"));
+        settings.set("set sql_notes = 1");
+        assertThrows(UnsupportedSettingException.class, () -> settings.set("set sql_notes = 1, no_such = 2"));
         assertEquals(settings.forEngines(), Map.of("sql_notes", "1"));
     }
 }
--- /dev/null
+++ b/src/test/java/lineward/mysql/SessionStateTest.java
@@ -0,0 +1,84 @@
+package lineward.mysql;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Set;
+import lineward.mysql.SessionState.Event;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * The transition table of a client's session, complete: one row for each state, one column for each event.
+ */
+public class SessionStateTest {
+    private static final Event[] EVENTS = {
+        Event.AUTH_SWITCH_REQUESTED,
+        Event.AUTHENTICATED,
+        Event.QUERY_STARTED,
+        Event.QUERY_ENDED,
+        Event.STREAM_STARTED,
+        Event.STREAM_ENDED,
+        Event.CLOSE_REQUESTED,
+        Event.DISCONNECTED
+    };
+
+    /** The states behind each event; a dash where the event leaves the state as it is. */
+    @DataProvider
+    public Object[][] transitions() {
+        return new Object[][] {
+            {"AWAITING_LOGIN", "AWAITING_PROOF IDLE - - - - REJECTING DISCONNECTED"},
+            {"AWAITING_PROOF", "- IDLE - - - - REJECTING DISCONNECTED"},
+            {"IDLE", "- - EXECUTING - STREAMING - CLOSING DISCONNECTED"},
+            {"EXECUTING", "- - - IDLE EXECUTING_AND_STREAMING - CLOSING DISCONNECTED"},
+            {"STREAMING", "- - - - - IDLE CLOSING DISCONNECTED"},
+            {"EXECUTING_AND_STREAMING", "- - - STREAMING - EXECUTING CLOSING DISCONNECTED"},
+            {"REJECTING", "- - - - - - - DISCONNECTED"},
+            {"CLOSING", "- - - - - - - DISCONNECTED"},
+            {"DISCONNECTED", "- - - - - - - -"}
+        };
+    }
+
+    @Test(dataProvider = "transitions")
+    public void eachEventLeadsFromAStateToTheNext(String from, String row) {
+        SessionState state = SessionState.valueOf(from);
+        String[] expected = row.split(" ", EVENTS.length);
+        assertEquals(EVENTS.length, expected.length);
+        for (int i = 0; i < EVENTS.length; i++) {
+            SessionState next = expected[i].equals("-") ? state : SessionState.valueOf(expected[i]);
+            assertEquals(state.after(EVENTS[i]), next, from + " on " + EVENTS[i]);
+        }
+    }
+
+    @Test
+    public void theTableHoldsEveryStateAndEvent() {
+        assertEquals(Set.of(EVENTS), EnumSet.allOf(Event.class));
+        assertEquals(Arrays.stream(transitions()).map(row -> row[0]).toList(), names());
+    }
+
+    private static Object names() {
+        return Arrays.stream(SessionState.values()).map(Enum::name).toList();
+    }
+
+    @Test
+    public void packetsAreProcessedBeforeLoginAndBetweenCommandsOnly() {
+        Set<SessionState> accepting = EnumSet.noneOf(SessionState.class);
+        Set<SessionState> unauthenticated = EnumSet.noneOf(SessionState.class);
+        for (SessionState state : SessionState.values()) {
+            if (state.acceptsPackets()) {
+                accepting.add(state);
+            }
+            if (state.isUnauthenticated()) {
+                unauthenticated.add(state);
+            }
+        }
+        Set<SessionState> beforeLogin = EnumSet.of(SessionState.AWAITING_LOGIN, SessionState.AWAITING_PROOF);
+        assertTrue(accepting.remove(SessionState.IDLE), "between commands");
+        assertEquals(accepting, beforeLogin);
+        assertEquals(
+                unauthenticated,
+                Set.of(SessionState.AWAITING_LOGIN, SessionState.AWAITING_PROOF, SessionState.REJECTING));
+    }
+}
--- a/src/test/java/lineward/mysql/StandInClient.java
+++ b/src/test/java/lineward/mysql/StandInClient.java
@@ -1,6 +1,7 @@
 package lineward.mysql;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
@@ -25,7 +26,7 @@
     }
 
     StandInClient(int port, String plugin, String user, String password, String schema) throws IOException {
-        wire = new Wire(new Socket("127.0.0.1", port));
+        wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), port));
         byte[] greeting = wire.read();
         int nonceAt = 1 + new String(greeting, StandardCharsets.ISO_8859_1).indexOf('\0', 1) + 4;
         byte[] nonce = Arrays.copyOf(Arrays.copyOfRange(greeting, nonceAt, nonceAt + 8), 20);
@@ -171,8 +172,8 @@
     private Result result(byte[] first) throws IOException {
         if ((first[0] & 0xff) == 0xff) {
             String text = new String(first, 4, first.length - 4, StandardCharsets.UTF_8);
-            return new Result(
-                    first[1] & 0xff | (first[2] & 0xff) << 8, text.substring(0, 5), text.substring(5), List.of());
+            int code = (first[1] & 0xff) | ((first[2] & 0xff) << 8);
+            return new Result(code, text.substring(0, 5), text.substring(5), List.of());
         }
         List<byte[]> rows = new ArrayList<>();
         if (first[0] == 0) {
--- a/src/test/java/lineward/mysql/StatementKindTest.java
+++ b/src/test/java/lineward/mysql/StatementKindTest.java
@@ -13,6 +13,8 @@
 
 /** The parsers of the MySQL front: what statements ask for, and packets. */
 public class StatementKindTest {
+    private static final byte[] COLUMN = {3, 'd', 'e', 'f'};
+
     @DataProvider
     public Object[][] statements() {
         return new Object[][] {
@@ -33,22 +35,22 @@
             {"call p()", "Write"},
             {"", "Write"},
             {"truncate t", "Write"},
-            {"select @a := 1", "Refused"},
-            {"select @a", "Refused"},
-            {"select get_lock('a', 1)", "Refused"},
-            {"select Last_Insert_Id ()", "Refused"},
-            {"start transaction", "Refused"},
-            {"begin", "Refused"},
-            {"lock tables t read", "Refused"},
-            {"prepare s from 'select 1'", "Refused"},
-            {"drop temporary table t", "Refused"},
-            {"set sql_mode = ''", "Setting"},
-            {"rollback to s", "Refused"},
-            {"rollback work to s", "Refused"},
-            {"rollback", "Nothing"},
-            {"COMMIT", "Nothing"},
-            {"SET NAMES 'utf8mb4' COLLATE x", "Setting"},
-            {"use `sales`", "Use"}
+            {"select @a := 1", "Rejected"},
+            {"select @a", "Rejected"},
+            {"select get_lock('a', 1)", "Rejected"},
+            {"select Last_Insert_Id ()", "Rejected"},
+            {"start transaction", "Rejected"},
+            {"begin", "Rejected"},
+            {"lock tables t read", "Rejected"},
+            {"prepare s from 'select 1'", "Rejected"},
+            {"drop temporary table t", "Rejected"},
+            {"set sql_mode = ''", "SetVariables"},
+            {"rollback to s", "Rejected"},
+            {"rollback work to s", "Rejected"},
+            {"rollback", "NoOperation"},
+            {"COMMIT", "NoOperation"},
+            {"SET NAMES 'utf8mb4' COLLATE x", "SetVariables"},
+            {"use `sales`", "UseSchema"}
         };
     }
 
@@ -64,16 +66,16 @@
         ByteBuf frame = channel.readInbound();
         assertEquals(frame.readableBytes(), 5);
         frame.release();
-        assertThrows(
-                TooLongFrameException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {0, 0})));
+        ByteBuf restOfHead = Unpooled.wrappedBuffer(new byte[] {0, 0});
+        assertThrows(TooLongFrameException.class, () -> channel.writeInbound(restOfHead));
     }
 
     @DataProvider
     public Object[][] replies() {
         return new Object[][] {
             {false, new byte[][] {{0, 0, 0, 2, 0, 0, 0}}, "LAST_OK"},
-            {false, new byte[][] {{1}, {3, 'd', 'e', 'f'}, {-2, 0, 0, 2, 0}, {1, 'x'}, {-2, 0, 0, 2, 0}}, "LAST_OK"},
-            {false, new byte[][] {{1}, {3, 'd', 'e', 'f'}, {-2, 0, 0, 2, 0}, {1, 'x'}}, "ROW"},
+            {false, new byte[][] {{1}, COLUMN, {-2, 0, 0, 2, 0}, {1, 'x'}, {-2, 0, 0, 2, 0}}, "LAST_OK"},
+            {false, new byte[][] {{1}, COLUMN, {-2, 0, 0, 2, 0}, {1, 'x'}}, "ROW"},
             {false, new byte[][] {{1}, {3}, {-2, 0, 0, 2, 0}}, "HEAD_END"},
             {false, new byte[][] {{-1, 1, 4}}, "LAST_ERROR"},
             {false, new byte[][] {{1}, {3}, {-2, 0, 0, 2, 0}, {-1, 1, 4}}, "LAST_ERROR"},
--- a/src/test/java/lineward/mysql/Wire.java
+++ b/src/test/java/lineward/mysql/Wire.java
@@ -69,7 +69,7 @@
                     length >> 8 & 0xff,
                     length >> 16,
                     sequence++ & 0xff,
-                    at == 0 && length == payload.length ? payload : Arrays.copyOfRange(payload, at, at + length));
+                    Arrays.copyOfRange(payload, at, at + length));
             at += length;
             if (gathered == null) {
                 out.write(packet);
@@ -116,11 +116,12 @@
 
     static byte[] text(String text) {
         byte[] content = text.getBytes(StandardCharsets.UTF_8);
+        int length = content.length;
         if (content.length < 251) {
             return bytes(content.length, content);
         }
         return content.length < 1 << 16
                 ? bytes(0xfc, content.length & 0xff, content.length >> 8, content)
-                : bytes(0xfd, content.length & 0xff, content.length >> 8 & 0xff, content.length >> 16, content);
+                : bytes(0xfd, length & 0xff, length >> 8 & 0xff, length >> 16, content);
     }
 }
