Order the reset and the execution in the MySQL front test by what the program has read

Need: with an update, DIE_AFTER_PREPARE and FULL were answered 1317 in place of 0 when the execution went out on a connection whose reset the program had not read yet; the verdict depended on timing. FULL besides closed its listener and so never answered 1040.

Change: these cases wait until the program has closed its ends of the reset connections (their inodes are gone from its descriptors) and only then execute; the engine of FULL keeps accepting and rejects with 1040. The opposite order is a case of its own: the engine resets when the execution has come, which must end in 1317, with no run and no retry. The loops that look for the faulty engine have a bound.

--- /dev/null
+++ b/src/test/java/lineward/mysql/ChildSockets.java
@@ -0,0 +1,67 @@
+package lineward.mysql;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Sockets that the child processes of this one hold, by which a test sees that a child has closed its end. */
+final class ChildSockets {
+    private static final List<Path> SOCKET_TABLES = List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
+    private static final int REMOTE_ADDRESS_COLUMN = 2;
+    private static final int INODE_COLUMN = 9;
+
+    private final Set<String> links;
+
+    private ChildSockets(Set<String> links) {
+        this.links = links;
+    }
+
+    /** Returns the sockets that are connected to that port of this host now. */
+    static ChildSockets connectedTo(int port) throws IOException {
+        String suffix = String.format(":%04X", port);
+        Set<String> links = new HashSet<>();
+        for (Path table : SOCKET_TABLES) {
+            if (Files.exists(table)) {
+                try (Stream<String> lines = Files.lines(table)) {
+                    lines.map(line -> line.strip().split("\\s+"))
+                            .filter(columns -> columns[REMOTE_ADDRESS_COLUMN].endsWith(suffix))
+                            .forEach(columns -> links.add("socket:[" + columns[INODE_COLUMN] + "]"));
+                }
+            }
+        }
+        return new ChildSockets(links);
+    }
+
+    /** Returns whether no child process holds any of them any more. */
+    boolean areClosed() {
+        Set<Long> children = ProcessHandle.current().children().map(ProcessHandle::pid).collect(Collectors.toSet());
+        return children.stream().noneMatch(this::isHeldBy);
+    }
+
+    private boolean isHeldBy(long process) {
+        try (Stream<Path> descriptors = Files.list(Path.of("/proc/" + process + "/fd"))) {
+            return descriptors.anyMatch(descriptor -> links.contains(target(descriptor)));
+        } catch (NoSuchFileException e) {
+            // The process has ended, and its sockets with it.
+            return false;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String target(Path descriptor) {
+        try {
+            return Files.readSymbolicLink(descriptor).toString();
+        } catch (IOException e) {
+            // Closed since it was listed.
+            return "";
+        }
+    }
+}
--- a/src/test/java/lineward/mysql/MysqlFrontTest.java
+++ b/src/test/java/lineward/mysql/MysqlFrontTest.java
@@ -1,6 +1,7 @@
 package lineward.mysql;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -19,6 +20,8 @@
 public class MysqlFrontTest {
     private static final int REFUSED = 1637;
     private static final int FAILED = 1317;
+    /** Executions within which the scheduler is sure to pick the faulty engine. */
+    private static final int MAX_EXECUTIONS = 1000;
     private StandInEngine one;
     private StandInEngine two;
     private Path file;
@@ -145,21 +148,23 @@
     @Test(dataProvider = "deaths")
     public void everyExecuteEndsThoughItsEngineDies(Trouble trouble, String text, int code) throws IOException {
         try (StandInClient client = client()) {
-            // Whichever engine the planner picks first is the one in trouble.
-            StandInClient.Statement s = client.prepare(text);
-            StandInEngine first = one.said.contains("prepare " + text) ? one : two;
+            // Whichever engine the scheduler picks first is the faulty one.
+            StandInClient.Statement statement = client.prepare(text);
+            StandInEngine first = firstToPrepare(text);
             StandInEngine other = first == one ? two : one;
             first.trouble = trouble;
-            if (trouble == Trouble.DIE_AFTER_PREPARE || trouble == Trouble.FULL) {
-                first.die();
+            boolean closedBefore = trouble == Trouble.DIE_AFTER_PREPARE || trouble == Trouble.FULL;
+            if (closedBefore) {
+                resetAndAwaitClose(first, trouble);
             }
-            boolean reached = trouble == Trouble.DIE_AFTER_PREPARE || trouble == Trouble.FULL;
             int elsewhere;
+            int executions = 0;
             StandInClient.Result result;
             do {
                 elsewhere = other.ran.size();
-                result = client.execute(s, false);
-            } while (!reached && first.ran.isEmpty());
+                result = client.execute(statement, false);
+                executions++;
+            } while (!closedBefore && first.ran.isEmpty() && executions < MAX_EXECUTIONS);
             assertEquals(result.code(), code, result.message());
             if (code == 0 && text.startsWith("select")) {
                 assertEquals(result.rows().size(), text.contains("20000") ? 20_000 : 4);
@@ -174,6 +179,49 @@
         }
     }
 
+    /**
+     * The opposite order of the cases above: the execution has gone out before the program reads the reset. The
+     * program can't know that it never ran, so that the write fails and is not retried.
+     */
+    @Test
+    public void aWriteSentBeforeTheResetIsReadFailsAndIsNotRetried() throws IOException {
+        String text = "update t set a=1";
+        try (StandInClient client = client()) {
+            StandInClient.Statement statement = client.prepare(text);
+            StandInEngine first = firstToPrepare(text);
+            first.trouble = Trouble.DIE_BEFORE_EXECUTE;
+            int runsBefore;
+            int executions = 0;
+            StandInClient.Result result;
+            do {
+                runsBefore = runs(text);
+                result = client.execute(statement, false);
+                executions++;
+            } while (!first.isDead() && executions < MAX_EXECUTIONS);
+            assertTrue(first.isDead(), "the execution reached the engine that resets its connections");
+            assertEquals(result.code(), FAILED, result.message());
+            assertEquals(result.state(), "70100");
+            assertEquals(runs(text) - runsBefore, 0, "neither the reset engine nor another one ran it");
+            assertEquals(client.query("select rows=1").rows().size(), 1, "the connection lives on");
+        }
+    }
+
+    private StandInEngine firstToPrepare(String text) {
+        return one.said.contains("prepare " + text) ? one : two;
+    }
+
+    /** Resets the engine's connections, and returns when the program has read that and closed its ends. */
+    private static void resetAndAwaitClose(StandInEngine engine, Trouble trouble) throws IOException {
+        ChildSockets open = ChildSockets.connectedTo(engine.port());
+        assertFalse(open.areClosed(), "the program is connected to the engine");
+        if (trouble == Trouble.FULL) {
+            engine.resetConnections();
+        } else {
+            engine.die();
+        }
+        Program.await("the program has read the reset", open::areClosed);
+    }
+
     @Test
     public void aSilentEngineIsGivenUpAndTheStatementIsRefusedInTime() throws IOException {
         one.trouble = Trouble.SILENT;
--- a/src/test/java/lineward/mysql/StandInEngine.java
+++ b/src/test/java/lineward/mysql/StandInEngine.java
@@ -24,6 +24,7 @@
     enum Trouble {
         NONE,
         DIE_AFTER_PREPARE,
+        DIE_BEFORE_EXECUTE,
         DIE_IN_EXECUTE,
         DIE_IN_ROW_ONE,
         DIE_AMID_ROWS,
@@ -80,6 +81,15 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    int port() {
+        return server.getLocalPort();
+    }
+
+    /** Returns whether it has ended and takes no more connections. */
+    boolean isDead() {
+        return server.isClosed();
+    }
+
     /** Returns from the last byte of the last long result until the next command came; or up to that limit. */
     double releasedAfterMs(long limit) {
         long next = nextCommandAt > lastByteAt ? nextCommandAt : limit;
@@ -94,6 +104,11 @@
     void die() throws IOException {
         beforeDeath.run();
         server.close();
+        resetConnections();
+    }
+
+    /** Resets the open connections; new ones are still accepted. */
+    void resetConnections() throws IOException {
         for (Socket socket : sockets) {
             socket.setSoLinger(true, 0);
             socket.close();
@@ -193,6 +208,10 @@
                 }
             }
             case 0x17 -> {
+                if (trouble == Trouble.DIE_BEFORE_EXECUTE) {
+                    die();
+                    return;
+                }
                 String statement = session.prepared.get(number(command));
                 said.add("execute " + Arrays.toString(Arrays.copyOfRange(command, 5, command.length)));
                 run(wire, statement, id, session, session.preparedUnder.get(number(command)));
