--- a/src/test/java/lineward/mysql/MysqlFrontTest.java
+++ b/src/test/java/lineward/mysql/MysqlFrontTest.java
@@ -1,6 +1,7 @@
 package lineward.mysql;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -19,6 +20,7 @@
 public class MysqlFrontTest {
     private static final int REFUSED = 1637;
     private static final int FAILED = 1317;
+
     private StandInEngine one;
     private StandInEngine two;
     private Path file;
@@ -43,9 +45,18 @@
     }
 
     private void configure(String stateOfOne, String stateOfTwo) throws IOException {
-        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:0\"\n[limits]\npacket = 100000\n"
-                + "[[user]]\nname = \"office\"\npassword = \"secret\"\n"
-                + "[[class]]\nname = \"all\"\naim-ms = 300\ndeadline-ms = 1500\n");
+        StringBuilder text = new StringBuilder("""
+                listen = "127.0.0.1:0"
+                [limits]
+                packet = 100000
+                [[user]]
+                name = "office"
+                password = "secret"
+                [[class]]
+                name = "all"
+                aim-ms = 300
+                deadline-ms = 1500
+                """);
         engine(text, "one", one, stateOfOne);
         engine(text, "two", two, stateOfTwo);
         Files.writeString(file, text);
@@ -84,7 +95,7 @@
     }
 
     @Test(dataProvider = "logins")
-    public void onlyTheRightPasswordLetsIn(String plugin, String password, String schema, int code) throws IOException {
+    public void loginChecksProof(String plugin, String password, String schema, int code) throws IOException {
         try (StandInClient client = new StandInClient(program.port(), plugin, password, schema)) {
             assertEquals(client.login.code(), code);
         }
@@ -143,23 +154,17 @@
 
     /** Guards against the hard case: an engine vanishes between prepare and execute, in it or amid rows. */
     @Test(dataProvider = "deaths")
-    public void everyExecuteEndsThoughItsEngineDies(Trouble trouble, String text, int code) throws IOException {
+    public void everyExecuteEndsThoughItsEngineDies(Trouble fault, String text, int code) throws IOException {
         try (StandInClient client = client()) {
-            // Whichever engine the planner picks first is the one in trouble.
-            StandInClient.Statement s = client.prepare(text);
-            StandInEngine first = one.said.contains("prepare " + text) ? one : two;
-            StandInEngine other = first == one ? two : one;
-            first.trouble = trouble;
-            if (trouble == Trouble.DIE_AFTER_PREPARE || trouble == Trouble.FULL) {
-                first.die();
+            StandInClient.Statement statement = client.prepare(text);
+            if (fault == Trouble.DIE_AFTER_PREPARE || fault == Trouble.FULL) {
+                resetAndAwaitClose(firstToPrepare(text), fault);
+            } else {
+                setFaultOfNextEngine(fault);
             }
-            boolean reached = trouble == Trouble.DIE_AFTER_PREPARE || trouble == Trouble.FULL;
-            int elsewhere;
-            StandInClient.Result result;
-            do {
-                elsewhere = other.ran.size();
-                result = client.execute(s, false);
-            } while (!reached && first.ran.isEmpty());
+            int runsBefore = runs(text);
+            StandInClient.Result result = client.execute(statement, false);
+            assertNotEquals(one.trouble, two.trouble, "one engine has the fault, the other has none");
             assertEquals(result.code(), code, result.message());
             if (code == 0 && text.startsWith("select")) {
                 assertEquals(result.rows().size(), text.contains("20000") ? 20_000 : 4);
@@ -168,12 +173,56 @@
                 assertEquals(result.state(), "70100");
             }
             if (text.startsWith("update")) {
-                assertEquals(first.ran.size() + other.ran.size() - elsewhere, 1, "runs of a write");
+                assertEquals(runs(text) - runsBefore, 1, "runs of a write");
             }
             assertEquals(client.query("select rows=1").rows().size(), 1, "the connection lives on");
         }
     }
 
+    /**
+     * The opposite order of the cases above: the execution has gone out before the program reads the reset.
+     * The program can't know that it never ran, so that the write fails and is not retried.
+     */
+    @Test
+    public void aWriteSentBeforeTheResetIsReadFailsAndIsNotRetried() throws IOException {
+        String text = "update t set a=1";
+        try (StandInClient client = client()) {
+            StandInClient.Statement statement = client.prepare(text);
+            setFaultOfNextEngine(Trouble.DIE_BEFORE_EXECUTE);
+            StandInClient.Result result = client.execute(statement, false);
+            assertNotEquals(one.isDead(), two.isDead(), "the execution reached an engine that reset it");
+            assertEquals(result.code(), FAILED, result.message());
+            assertEquals(result.state(), "70100");
+            assertEquals(runs(text), 0, "neither the reset engine nor another one ran it");
+            assertEquals(client.query("select rows=1").rows().size(), 1, "the connection lives on");
+        }
+    }
+
+    /** Whichever engine is used next has the fault, and the other one is sound from then on. */
+    private void setFaultOfNextEngine(Trouble fault) {
+        one.beforeFault = () -> two.trouble = Trouble.NONE;
+        two.beforeFault = () -> one.trouble = Trouble.NONE;
+        one.trouble = fault;
+        two.trouble = fault;
+    }
+
+    private StandInEngine firstToPrepare(String text) {
+        return one.said.contains("prepare " + text) ? one : two;
+    }
+
+    /** Resets the engine's connections, and returns when the program has read that and closed its ends. */
+    private static void resetAndAwaitClose(StandInEngine engine, Trouble trouble) throws IOException {
+        engine.trouble = trouble;
+        ChildSockets open = ChildSockets.connectedTo(engine.port());
+        assertFalse(open.areClosed(), "the program is connected to the engine");
+        if (trouble == Trouble.FULL) {
+            engine.resetConnections();
+        } else {
+            engine.die();
+        }
+        Program.await("the program has read the reset", open::areClosed);
+    }
+
     @Test
     public void aSilentEngineIsGivenUpAndTheStatementIsRefusedInTime() throws IOException {
         one.trouble = Trouble.SILENT;
@@ -247,7 +296,7 @@
     }
 
     @Test(dataProvider = "states")
-    public void stateThatCannotBeKeptIsRefusedPlainly(String text, int code, String state) throws IOException {
+    public void sessionStateNotKeptIsRejected(String text, int code, String state) throws IOException {
         try (StandInClient client = client()) {
             StandInClient.Result result = client.query(text);
             assertEquals(result.code(), code, result.message());
