Split the Thrift server into admission, forwarding, sending and the wire's words

ThriftServer (402 lines) did the jobs of listening, admitting calls, executing commands and bounding responses, and the protocol's words stood as literals in five classes. Now OpenCalls admits calls and holds their statements and ids (CallIds), CallForwarder executes the coordinator's commands, ResponseSender bounds the unread responses, and ThriftServer listens and ends connections. ThriftProtocol and CallField name the words of the wire once; ThriftValues skips what ThriftReader does not know. A call that can't be served raises the checked UnusableCallException in place of IllegalArgumentException; Call holds its state in an enum.

--- a/src/main/java/lineward/thrift/CallFields.java
+++ b/src/main/java/lineward/thrift/CallFields.java
@@ -3,64 +3,96 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 import lineward.core.RequestAttributes;
+import lineward.thrift.ThriftServer.Names;
 
-/** What a client's fields say, checked: only this reaches the decisions and the engines. */
-record CallFields(String id, String op, RequestAttributes demand) {
+/**
+ * The validated fields of a request: only these reach the decisions and the engines.
+ *
+ * @param id the request's id, 16 hexadecimal digits
+ * @param requestClass the class's name
+ * @param attributes what decisions need
+ */
+record CallFields(String id, String requestClass, RequestAttributes attributes) {
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
-    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
-    /** A wait or a work past this multiple of its class's deadline is no figure of a client of ours. */
-    private static final double WAIT_RANGE = 4;
-
-    private static final double WORK_RANGE = 1000;
-    /** A terabyte: no engine has as much. */
-    private static final double MOST_MEMORY_MB = 1 << 20;
-
+    private static final Pattern INTEGER = Pattern.compile("[0-9]{1,9}");
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
+    private static final String NO = "0";
+    private static final String YES = "1";
+    /** A client that waits for more than this multiple of its class's deadline is none of the platform's. */
+    private static final double MAX_TIME_LEFT_PER_DEADLINE = 4;
+    /** An estimate beyond this multiple of the class's deadline is none of the platform's. */
+    private static final double MAX_WORK_PER_DEADLINE = 1000;
+    /** A terabyte: no engine has as much. */
+    private static final double MAX_ESTIMATED_MEMORY_MB = 1 << 20;
 
     /**
-     * @param group of the tables that the statement names
-     * @throws IllegalArgumentException with a plain reason if a field can't be used
+     * Validates the fields of a request.
+     *
+     * @param fields by their names on the wire
+     * @param tableGroup of the tables that the statement names
+     * @throws UnusableCallException if a field can't be used
      */
-    static CallFields of(Map<String, String> fields, ThriftServer.Names names, int group) {
-        String id = matching(fields, "call", ID);
-        String op = fields.getOrDefault("op", "");
-        int type = names.classes().indexOf(op);
-        require(type >= 0, "op");
-        double deadline = names.deadlines().get(type);
-        int customer = names.tenants().isEmpty() ? 0 : names.tenants().indexOf(fields.getOrDefault("org", ""));
-        require(customer >= 0, "org");
-        int ttl = Integer.parseInt(matching(fields, "ttl", WHOLE));
-        require(ttl > 0 && ttl <= deadline * WAIT_RANGE, "ttl");
-        String repeat = fields.get("rep");
-        require(repeat == null || repeat.equals("1") || repeat.equals("0"), "rep");
-        return new CallFields(
-                id,
-                op,
-                new RequestAttributes(
-                        type,
-                        customer,
-                        ttl,
-                        decimal(fields, "work", deadline * WORK_RANGE),
-                        decimal(fields, "mem", MOST_MEMORY_MB),
-                        group,
-                        "1".equals(repeat)));
+    static CallFields parse(Map<String, String> fields, Names names, int tableGroup) throws UnusableCallException {
+        String id = matching(fields, CallField.ID, ID);
+        String requestClass = fields.getOrDefault(CallField.REQUEST_CLASS.wireName, "");
+        int classIndex = names.classes().indexOf(requestClass);
+        require(classIndex >= 0, CallField.REQUEST_CLASS);
+        double deadlineMs = names.deadlines().get(classIndex);
+        // The client is told of the first field that can't be used: their order is part of the protocol.
+        int tenant = tenant(fields, names);
+        int timeLeftMs = timeLeftMs(fields, deadlineMs);
+        boolean clientRetry = isClientRetry(fields);
+        double maxWorkMs = deadlineMs * MAX_WORK_PER_DEADLINE;
+        double workMs = optionalDecimal(fields, CallField.ESTIMATED_WORK_MS, maxWorkMs);
+        double memoryMb = optionalDecimal(fields, CallField.ESTIMATED_MEMORY_MB, MAX_ESTIMATED_MEMORY_MB);
+        RequestAttributes attributes =
+                new RequestAttributes(classIndex, tenant, timeLeftMs, workMs, memoryMb, tableGroup, clientRetry);
+        return new CallFields(id, requestClass, attributes);
+    }
+
+    private static int tenant(Map<String, String> fields, Names names) throws UnusableCallException {
+        if (names.tenants().isEmpty()) {
+            return 0;
+        }
+        int tenant = names.tenants().indexOf(fields.getOrDefault(CallField.TENANT.wireName, ""));
+        require(tenant >= 0, CallField.TENANT);
+        return tenant;
+    }
+
+    private static int timeLeftMs(Map<String, String> fields, double deadlineMs) throws UnusableCallException {
+        int timeLeftMs = Integer.parseInt(matching(fields, CallField.TIME_LEFT_MS, INTEGER));
+        boolean inRange = timeLeftMs > 0 && timeLeftMs <= deadlineMs * MAX_TIME_LEFT_PER_DEADLINE;
+        require(inRange, CallField.TIME_LEFT_MS);
+        return timeLeftMs;
     }
 
-    private static double decimal(Map<String, String> fields, String name, double most) {
-        double value = fields.containsKey(name) ? Double.parseDouble(matching(fields, name, DECIMAL)) : 0;
-        require(value <= most, name);
+    private static boolean isClientRetry(Map<String, String> fields) throws UnusableCallException {
+        String value = fields.getOrDefault(CallField.CLIENT_RETRY.wireName, NO);
+        require(value.equals(YES) || value.equals(NO), CallField.CLIENT_RETRY);
+        return value.equals(YES);
+    }
+
+    /** Returns the field's value, from 0 to the maximum; 0 if it is absent. */
+    private static double optionalDecimal(Map<String, String> fields, CallField field, double maximum)
+            throws UnusableCallException {
+        if (!fields.containsKey(field.wireName)) {
+            return 0;
+        }
+        double value = Double.parseDouble(matching(fields, field, DECIMAL));
+        require(value <= maximum, field);
         return value;
     }
 
-    private static String matching(Map<String, String> fields, String name, Pattern form) {
-        String value = fields.getOrDefault(name, "");
-        require(form.matcher(value).matches(), name);
+    private static String matching(Map<String, String> fields, CallField field, Pattern form)
+            throws UnusableCallException {
+        String value = fields.getOrDefault(field.wireName, "");
+        require(form.matcher(value).matches(), field);
         return value;
     }
 
-    private static void require(boolean usable, String name) {
+    private static void require(boolean usable, CallField field) throws UnusableCallException {
         if (!usable) {
-            throw new IllegalArgumentException("field " + name + " is missing or can't be used");
+            throw UnusableCallException.invalid(field);
         }
     }
 }
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -2,170 +2,198 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
+import lineward.frontend.ClientRegistry;
 import lineward.frontend.LingeringClose;
 import lineward.frontend.RateLimitedLog;
+import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The forwarder of one client's connection: takes out the fields that decisions need, passes on the rest. */
+/** One client's connection: takes its messages apart, and keeps the calls that it still owes a response. */
 final class ClientHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(ClientHandler.class));
-    /** Open requests that a connection carries. */
-    private static final int MOST_OPEN = 32;
-
-    private final ThriftServer front;
-    private final FrameDecoder decoder;
-    private final Map<Integer, Call> open = new HashMap<>();
+    private static final Logger LOGGER = LoggerFactory.getLogger(ClientHandler.class);
+    private static final RateLimitedLog LOG = new RateLimitedLog(LOGGER);
+    /** Calls that a connection carries at once, those with a response on its way to the client included. */
+    private static final int MAX_OPEN_CALLS = 32;
+    /** Advice to a client whose call finds this front end full. */
+    private static final long RETRY_AFTER_MS = 500;
+
+    private final ClientRegistry<ClientHandler> clients;
+    private final OpenCalls calls;
+    private final ResponseSender responses;
+    private final FrameDecoder frameDecoder;
+    private final Map<Integer, Call> openCalls = new HashMap<>();
     private Channel channel;
-    private long unread;
-    /** Answers of which the socket has not taken the last byte: their requests are open to the client. */
-    private int unsent;
+    private long unreadBytes;
+    /** Responses of which the socket has not taken the last byte: their calls are open to the client. */
+    private int unsentResponses;
 
-    private boolean spoke;
-    private int lastSeqid;
+    private boolean receivedMessage;
+    private int lastSequenceNumber;
 
-    /** @param decoder brings this handler its frames */
-    ClientHandler(ThriftServer front, FrameDecoder decoder) {
-        this.front = front;
-        this.decoder = decoder;
+    /** @param frameDecoder brings this handler its frames */
+    ClientHandler(
+            ClientRegistry<ClientHandler> clients,
+            OpenCalls calls,
+            ResponseSender responses,
+            FrameDecoder frameDecoder) {
+        this.clients = clients;
+        this.calls = calls;
+        this.responses = responses;
+        this.frameDecoder = frameDecoder;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        front.connected(this);
+        clients.connected(this);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
-        // Frames that came with the one that made us close are nobody's any more.
+        // Frames may follow the one that made this end close the connection.
         if (!ctx.channel().isActive()) {
             return;
         }
-        spoke = true;
-        // Danger: who asks on and reads nothing would fill the memory; his close must be heard all the same.
-        if (unsent >= MOST_OPEN) {
-            throw new DecoderException("more than " + MOST_OPEN + " answers not read");
+        receivedMessage = true;
+        // A client that sends and reads nothing would fill the memory; reading on shows when it closes.
+        if (unsentResponses >= MAX_OPEN_CALLS) {
+            throw new DecoderException("more than " + MAX_OPEN_CALLS + " responses not read");
         }
-        ThriftReader.Head head = ThriftReader.head(frame);
-        if (head.kind() == ThriftReader.ONEWAY && head.method().equals("abort")) {
-            abort(ThriftReader.number(frame));
-        } else if (head.kind() != ThriftReader.CALL) {
-            throw new DecoderException("message of kind " + head.kind() + " for " + head.method());
-        } else if (head.method().equals("invoke")) {
-            invoke(head.seqid(), ThriftReader.invocation(frame));
-        } else if (head.method().equals("ping")) {
-            rest();
-            send(ThriftWriter.pong(ctx.alloc(), head.seqid(), front.wantsClients()));
+        ThriftReader.Header header = ThriftReader.readHeader(frame);
+        if (header.isAbort()) {
+            abort(ThriftReader.readAbortedSequenceNumber(frame));
+        } else if (header.isCall()) {
+            call(header, frame);
         } else {
-            rest();
-            send(ThriftWriter.exception(
-                    ctx.alloc(), head.method(), head.seqid(), ThriftWriter.UNKNOWN_METHOD, "no such method"));
+            throw new DecoderException("message of kind " + header.kind() + " for " + header.method());
         }
     }
 
-    /** An answer may cross the word that takes its request back; a number never given can't be taken back. */
-    private void abort(Integer seqid) {
-        if (seqid == null || seqid > lastSeqid) {
-            throw new DecoderException("request " + seqid + " was never made");
-        }
-        Call call = open.remove(seqid);
-        if (call != null) {
-            front.abort(call);
-            rest();
+    private void call(ThriftReader.Header header, ByteBuf frame) {
+        int sequenceNumber = header.sequenceNumber();
+        switch (header.method()) {
+            case ThriftProtocol.INVOKE -> invoke(sequenceNumber, ThriftReader.readInvocation(frame));
+            case ThriftProtocol.PING -> {
+                markIdleUnlessWaiting();
+                send(ThriftWriter.pong(channel.alloc(), sequenceNumber, calls.acceptsClients()));
+            }
+            default -> {
+                markIdleUnlessWaiting();
+                send(ThriftWriter.unknownMethod(channel.alloc(), header.method(), sequenceNumber));
+            }
         }
     }
 
-    private void invoke(int seqid, ThriftReader.Invocation asked) {
-        // Two requests of one number can't be told apart: the connection is not what it should be.
-        if (seqid <= lastSeqid) {
-            throw new DecoderException("sequence number " + seqid + " does not rise");
+    /** A response may cross the abort of its call; the abort of a call that was never made is malformed. */
+    private void abort(OptionalInt sequenceNumber) {
+        if (sequenceNumber.isEmpty() || sequenceNumber.getAsInt() > lastSequenceNumber) {
+            throw new DecoderException("abort of a request that was never made");
         }
-        lastSeqid = seqid;
-        if (open.size() + unsent >= MOST_OPEN) {
-            throw new DecoderException("more than " + MOST_OPEN + " open requests");
+        Call call = openCalls.remove(sequenceNumber.getAsInt());
+        if (call != null) {
+            calls.cancel(call);
+            markIdleUnlessWaiting();
         }
-        rest();
+    }
+
+    private void invoke(int sequenceNumber, ThriftReader.Invocation invocation) {
+        requireWithinLimits(sequenceNumber);
+        markIdleUnlessWaiting();
         CallFields fields;
         try {
-            if (asked.body() == null) {
-                throw new IllegalArgumentException("no statement");
-            }
-            fields = front.read(asked.fields(), asked.body().toString(StandardCharsets.UTF_8));
-        } catch (IllegalArgumentException e) {
-            front.unusable(asked.fields().get("op"));
-            send(ThriftWriter.exception(channel.alloc(), "invoke", seqid, ThriftWriter.PROTOCOL_ERROR, e.getMessage()));
+            fields = calls.validate(invocation);
+        } catch (UnusableCallException e) {
+            calls.recordUnusable(invocation);
+            send(ThriftWriter.protocolError(channel.alloc(), sequenceNumber, e.getMessage()));
             return;
         }
-        Call call = new Call(this, seqid, fields, asked.body());
-        if (!front.take(call)) {
-            send(ThriftWriter.overloaded(channel.alloc(), seqid, front.busyPushbackMs()));
+        Call call = new Call(this, sequenceNumber, fields, invocation.statement());
+        if (!calls.admit(call)) {
+            send(ThriftWriter.overloaded(channel.alloc(), sequenceNumber, RETRY_AFTER_MS));
             return;
         }
-        open.put(seqid, call);
-        front.waits(this);
+        openCalls.put(sequenceNumber, call);
+        clients.markWaiting(this);
     }
 
-    private void rest() {
-        if (open.isEmpty()) {
-            front.rests(this);
+    private void requireWithinLimits(int sequenceNumber) {
+        // Two calls of one number can't be told apart, so the client does not keep to the protocol.
+        if (sequenceNumber <= lastSequenceNumber) {
+            throw new DecoderException("sequence number " + sequenceNumber + " does not rise");
+        }
+        lastSequenceNumber = sequenceNumber;
+        if (openCalls.size() + unsentResponses >= MAX_OPEN_CALLS) {
+            throw new DecoderException("more than " + MAX_OPEN_CALLS + " open requests");
         }
     }
 
-    /** Every answer to a request passes here once; the request is over for this connection with it. */
-    void answer(Call call, ByteBuf frame) {
-        if (open.remove(call.seqid, call)) {
-            send(frame);
-            rest();
+    private void markIdleUnlessWaiting() {
+        if (openCalls.isEmpty()) {
+            clients.markIdle(this);
+        }
+    }
+
+    /** Sends a call's only response, which is released unless the client still waits for it. */
+    void respond(Call call, ByteBuf response) {
+        if (openCalls.remove(call.sequenceNumber(), call)) {
+            send(response);
+            markIdleUnlessWaiting();
         } else {
-            frame.release();
+            response.release();
         }
     }
 
     private void send(ByteBuf frame) {
-        front.write(this, frame);
+        responses.send(this, frame);
     }
 
-    /** Returns whether it has sent half a frame and, for that long, not the rest. */
-    boolean isStuck(long nanos) {
-        return decoder.isStuck(nanos);
+    /** Returns whether part of a frame has been waiting for its rest for more than that many nanoseconds. */
+    boolean isStalled(long nanos) {
+        return frameDecoder.isStalled(nanos);
     }
 
-    /** Returns whether nothing is open or on its way here and all that was answered has been sent. */
+    /** Returns whether no call is open or on its way here, and every response has been sent. */
     boolean isIdle() {
-        return open.isEmpty() && unsent == 0 && !decoder.holdsPart();
+        return openCalls.isEmpty() && unsentResponses == 0 && !frameDecoder.hasPartialFrame();
     }
 
-    /** Ends the connection in order, unless a request comes first. */
-    void leave() {
-        if (spoke) {
-            LingeringClose.begin(channel, this::isIdle, this::rest);
+    /** Closes the connection after what is on its way, unless a call comes first. */
+    void closeGracefully() {
+        if (receivedMessage) {
+            LingeringClose.begin(channel, this::isIdle, this::markIdleUnlessWaiting);
         } else {
-            LingeringClose.closeSilent(channel, this::isIdle, this::rest);
+            LingeringClose.closeSilent(channel, this::isIdle, this::markIdleUnlessWaiting);
         }
     }
 
-    /** An answer goes out. */
-    void sending(long bytes) {
-        unread += bytes;
-        unsent++;
+    /** Closes the connection at once. */
+    void close() {
+        ChannelFuture unused = channel.close();
+    }
+
+    /** A response of that many bytes goes out. */
+    void responseStarted(long bytes) {
+        unreadBytes += bytes;
+        unsentResponses++;
     }
 
-    /** The socket has taken an answer whole, or never will. */
-    void sent(long bytes) {
-        unread -= bytes;
-        unsent--;
+    /** The socket has taken all of a response, or never will. */
+    void responseEnded(long bytes) {
+        unreadBytes -= bytes;
+        unsentResponses--;
     }
 
-    /** Returns bytes of answers that have not gone out yet. */
-    long unread() {
-        return unread;
+    /** Returns the bytes of responses that the socket has not taken yet. */
+    long unreadBytes() {
+        return unreadBytes;
     }
 
     Channel channel() {
@@ -175,14 +203,14 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOG.info("closed the connection of client", ctx.channel().remoteAddress(), cause);
-        ctx.close();
+        ChannelFuture unused = ctx.close();
     }
 
-    /** Who has hung up waits for nothing. */
+    /** A client that has hung up waits for no response. */
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        front.disconnected(this);
-        new ArrayList<>(open.values()).forEach(front::abort);
-        open.clear();
+        clients.disconnected(this);
+        new ArrayList<>(openCalls.values()).forEach(calls::cancel);
+        openCalls.clear();
     }
 }
--- a/src/main/java/lineward/thrift/FrameDecoder.java
+++ b/src/main/java/lineward/thrift/FrameDecoder.java
@@ -4,44 +4,47 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 
-/** Cuts what a client sends into frames, and knows since when half a frame has been there. */
+/** Splits a client's bytes into frames, and knows since when a partial frame waits for its rest. */
 final class FrameDecoder extends LengthFieldBasedFrameDecoder {
     /** Largest frame of a client: a statement and its fields. */
-    private static final int LARGEST_FRAME = 64 * 1024;
+    private static final int MAX_FRAME_BYTES = 64 * 1024;
 
-    private static final int LENGTH = 4;
-    private long begunAt;
-    private boolean begun;
+    private static final int LENGTH_OFFSET = 0;
+    private static final int LENGTH_BYTES = 4;
+    private static final int LENGTH_ADJUSTMENT = 0;
+
+    private long partialSinceNanos;
+    private boolean partial;
 
     FrameDecoder() {
-        super(LARGEST_FRAME, 0, LENGTH, 0, LENGTH);
+        super(MAX_FRAME_BYTES, LENGTH_OFFSET, LENGTH_BYTES, LENGTH_ADJUSTMENT, LENGTH_BYTES);
     }
 
     @Override
     protected Object decode(ChannelHandlerContext ctx, ByteBuf in) throws Exception {
         Object frame = super.decode(ctx, in);
-        begun &= frame == null;
+        partial &= frame == null;
         return frame;
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         if (actualReadableBytes() == 0) {
-            begun = false;
-        } else if (!begun) {
-            begun = true;
-            begunAt = System.nanoTime();
+            partial = false;
+        } else if (!partial) {
+            partial = true;
+            partialSinceNanos = System.nanoTime();
         }
         super.channelReadComplete(ctx);
     }
 
-    /** Returns whether a part of a frame is here. */
-    boolean holdsPart() {
+    /** Returns whether part of a frame has arrived. */
+    boolean hasPartialFrame() {
         return actualReadableBytes() > 0;
     }
 
-    /** Returns whether the frame that is on its way has been for longer than that. */
-    boolean isStuck(long nanos) {
-        return begun && System.nanoTime() - begunAt > nanos;
+    /** Returns whether part of a frame has been waiting for its rest for more than that many nanoseconds. */
+    boolean isStalled(long nanos) {
+        return partial && System.nanoTime() - partialSinceNanos > nanos;
     }
 }
--- a/src/main/java/lineward/thrift/ProtocolWarmup.java
+++ b/src/main/java/lineward/thrift/ProtocolWarmup.java
@@ -1,6 +1,7 @@
 package lineward.thrift;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
 import java.util.Map;
@@ -10,59 +11,76 @@
 import lineward.engine.EngineCluster;
 import lineward.operations.Metrics;
 import lineward.scheduling.EndpointState;
+import lineward.thrift.ThriftServer.Services;
 
 /**
- * Plays requests through a front of its own, with no socket and no engine, before the program listens. A cold
- * virtual machine took some 80 ms for its first request: enough to answer a short one too late.
+ * Plays requests through a server of its own, with no socket and no engine, before the program listens. A
+ * cold virtual machine took some 80 ms for its first request: enough to answer a short one too late.
  */
 public final class ProtocolWarmup {
-    private static final int ROUNDS = 60;
-    private static final int CALLS = 25;
-    private static final int TTL_MS = 2_000;
+    private static final int REQUESTS = 60;
+    /** Requests that the coordinator queues stay open, and a connection carries only so many. */
+    private static final int REQUESTS_PER_CONNECTION = 25;
+
+    private static final int TIME_LEFT_MS = 2_000;
+    private static final String STATEMENT = "select a from rehearsal_1.t where b = 'c'";
 
     private ProtocolWarmup() {}
 
     /**
-     * @param planner of the rehearsal alone
-     * @param fleet with no engine in it: attempts end at once
+     * Plays the requests; returns when the last one is through.
+     *
+     * @param coordinator of the warmup alone
+     * @param engines with no engine in it: attempts end at once
+     * @param clock milliseconds
      */
     public static void run(
             ThriftServer.Names names,
             ThriftServer.Bounds bounds,
-            Coordinator<Call> planner,
-            EngineCluster fleet,
+            Coordinator<Call> coordinator,
+            EngineCluster engines,
             DoubleSupplier clock) {
-        planner.endpointsChanged(
+        coordinator.endpointsChanged(
                 true, List.of(new EngineEndpoint("rehearsal", "", 0, 1, 0, EndpointState.READY, 0, 0)));
-        ThriftServer front =
-                new ThriftServer(names, bounds, null, planner, fleet, clock, () -> {}, new Metrics(), octets -> {});
-        EmbeddedChannel channel = new EmbeddedChannel(front.handlers());
-        for (int i = 1; i <= ROUNDS; i++) {
-            // What the planner holds back stays open, and a connection carries only so many.
-            if (i % CALLS == 0) {
-                channel.close();
-                channel = new EmbeddedChannel(front.handlers());
-            }
-            channel.writeInbound(ThriftWriter.invocation(
-                    channel.alloc(),
-                    i,
-                    Map.of(
-                            "op",
-                            names.classes().get(i % names.classes().size()),
-                            "call",
-                            String.format("%016x", i),
-                            "ttl",
-                            Integer.toString(TTL_MS),
-                            "org",
-                            names.tenants().isEmpty() ? "" : names.tenants().get(0)),
-                    "select a from rehearsal_1.t where b = 'c'"));
-            front.tick();
-            front.tick();
-            for (ByteBuf answer = channel.readOutbound(); answer != null; answer = channel.readOutbound()) {
-                answer.release();
+        Services services = new Services(clock, () -> {}, new Metrics(), datagram -> {});
+        ThriftServer server = new ThriftServer(names, bounds, null, coordinator, engines, services);
+        EmbeddedChannel channel = new EmbeddedChannel(server.clientHandlers());
+        for (int number = 1; number <= REQUESTS; number++) {
+            if (number % REQUESTS_PER_CONNECTION == 0) {
+                close(channel);
+                channel = new EmbeddedChannel(server.clientHandlers());
             }
+            Map<String, String> fields = fields(names, number);
+            channel.writeInbound(ThriftWriter.invocation(channel.alloc(), number, fields, STATEMENT));
+            server.tick();
+            server.tick();
+            releaseResponses(channel);
         }
-        channel.close();
-        front.tick();
+        close(channel);
+        server.tick();
+    }
+
+    private static Map<String, String> fields(ThriftServer.Names names, int number) {
+        String requestClass = names.classes().get(number % names.classes().size());
+        String tenant = names.tenants().isEmpty() ? "" : names.tenants().get(0);
+        return Map.of(
+                CallField.REQUEST_CLASS.wireName,
+                requestClass,
+                CallField.ID.wireName,
+                String.format("%016x", number),
+                CallField.TIME_LEFT_MS.wireName,
+                Integer.toString(TIME_LEFT_MS),
+                CallField.TENANT.wireName,
+                tenant);
+    }
+
+    private static void releaseResponses(EmbeddedChannel channel) {
+        for (ByteBuf response = channel.readOutbound(); response != null; response = channel.readOutbound()) {
+            response.release();
+        }
+    }
+
+    private static void close(EmbeddedChannel channel) {
+        ChannelFuture unused = channel.close();
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/thrift/ResponseSender.java
@@ -0,0 +1,53 @@
+package lineward.thrift;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import java.util.Comparator;
+import lineward.core.ByteBudget;
+import lineward.frontend.ClientRegistry;
+
+/** Sends responses within a bound on the bytes that clients have not read yet. */
+final class ResponseSender {
+    private final ClientRegistry<ClientHandler> clients;
+    private final ByteBudget unreadBytes;
+
+    /** @param maxUnreadBytes of all clients; beyond it the one with most unread bytes is closed */
+    ResponseSender(ClientRegistry<ClientHandler> clients, long maxUnreadBytes) {
+        this.clients = clients;
+        this.unreadBytes = new ByteBudget(maxUnreadBytes);
+    }
+
+    /** Returns the bytes of responses that clients have not read yet. */
+    long unreadBytes() {
+        return unreadBytes.used();
+    }
+
+    /** Sends the frame, which is released here in any case; closes the client if there is no room for it. */
+    void send(ClientHandler client, ByteBuf frame) {
+        int bytes = frame.readableBytes();
+        if (!reserve(client.channel(), bytes)) {
+            frame.release();
+            client.close();
+            return;
+        }
+        client.responseStarted(bytes);
+        client.channel().writeAndFlush(frame).addListener(done -> {
+            unreadBytes.release(bytes);
+            client.responseEnded(bytes);
+        });
+    }
+
+    private boolean reserve(Channel channel, int bytes) {
+        if (unreadBytes.reserve(bytes)) {
+            return true;
+        }
+        closeSlowestReader();
+        return channel.isActive() && unreadBytes.reserve(bytes);
+    }
+
+    private void closeSlowestReader() {
+        clients.all().stream()
+                .max(Comparator.comparingLong(ClientHandler::unreadBytes))
+                .ifPresent(ClientHandler::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/thrift/ThriftProtocol.java
@@ -0,0 +1,74 @@
+package lineward.thrift;
+
+/** The words of the platform's Thrift service on the wire: kinds of message and value, methods, field ids. */
+final class ThriftProtocol {
+    /** Version of the strict binary protocol, in the upper half of a message's first word. */
+    static final int VERSION = 0x80010000;
+
+    static final int VERSION_MASK = 0xffff0000;
+    static final int MESSAGE_KIND_MASK = 0xff;
+
+    /** Kinds of message. */
+    static final int CALL = 1;
+
+    static final int REPLY = 2;
+    static final int EXCEPTION = 3;
+    static final int ONEWAY = 4;
+
+    /** Kinds of value. */
+    static final byte STOP = 0;
+
+    static final byte BOOL = 2;
+    static final byte BYTE = 3;
+    static final byte DOUBLE = 4;
+    static final byte I16 = 6;
+    static final byte I32 = 8;
+    static final byte I64 = 10;
+    static final byte STRING = 11;
+    static final byte STRUCT = 12;
+    static final byte MAP = 13;
+    static final byte SET = 14;
+    static final byte LIST = 15;
+
+    /** The service's methods. */
+    static final String INVOKE = "invoke";
+
+    static final String PING = "ping";
+    static final String ABORT = "abort";
+
+    /** Field ids of the arguments of {@link #INVOKE}. */
+    static final int ARGUMENT_FIELDS = 1;
+
+    static final int ARGUMENT_STATEMENT = 2;
+    /** Field id of the argument of {@link #ABORT}. */
+    static final int ARGUMENT_SEQUENCE_NUMBER = 1;
+
+    /** Field ids of a reply: its success, or one of the declared exceptions. */
+    static final int REPLY_SUCCESS = 0;
+
+    static final int REPLY_OVERLOADED = 1;
+    static final int REPLY_INTERNAL = 2;
+
+    /** Field ids of a successful reply's struct. */
+    static final int RESULT_BODY = 1;
+
+    static final int RESULT_FIELDS = 2;
+    static final int RESULT_OK = 3;
+
+    /** Field id of a declared exception's struct. */
+    static final int DECLARED_FIELDS = 1;
+    /** The declared exception's field with the time in milliseconds after which a retry is welcome. */
+    static final String RETRY_AFTER_FIELD = "pushback";
+
+    /** Field ids of an application exception. */
+    static final int EXCEPTION_MESSAGE = 1;
+
+    static final int EXCEPTION_CODE = 2;
+
+    /** Codes of an application exception. */
+    static final int UNKNOWN_METHOD = 1;
+
+    static final int PROTOCOL_ERROR = 7;
+
+    private ThriftProtocol() {}
+}
--- a/src/main/java/lineward/thrift/ThriftReader.java
+++ b/src/main/java/lineward/thrift/ThriftReader.java
@@ -5,165 +5,123 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 
-/** Reads the strict binary protocol of Thrift, as far as the platform's service needs it. */
+/** Reads the messages of the platform's service. Malformed ones raise a {@link CorruptedFrameException}. */
 final class ThriftReader {
-    /** Kinds of message. */
-    static final int CALL = 1;
-
-    static final int ONEWAY = 4;
-    /** Kinds of value on the wire. */
-    static final byte STOP = 0;
-
-    static final byte BOOL = 2;
-    static final byte I32 = 8;
-    static final byte STRING = 11;
-    static final byte STRUCT = 12;
-    static final byte MAP = 13;
-    static final int VERSION = 0x80010000;
-
-    private static final int VERSION_MASK = 0xffff0000;
-    private static final int DEEPEST = 32;
-    private static final int MOST_FIELDS = 64;
-    private static final int LONGEST_NAME = 128;
+    private static final int MAX_CALL_FIELDS = 64;
+    private static final int MAX_METHOD_NAME_BYTES = 128;
+
+    /**
+     * The header of a message.
+     *
+     * @param kind one of the kinds of message in {@link ThriftProtocol}
+     */
+    record Header(int kind, String method, int sequenceNumber) {
+        boolean isCall() {
+            return kind == ThriftProtocol.CALL;
+        }
 
-    /** The head of a message. */
-    record Head(int kind, String method, int seqid) {}
+        boolean isAbort() {
+            return kind == ThriftProtocol.ONEWAY && method.equals(ThriftProtocol.ABORT);
+        }
+    }
 
-    /** The arguments of an invocation; the body is a slice of the frame. */
-    record Invocation(Map<String, String> fields, ByteBuf body) {}
+    /**
+     * The arguments of an invocation.
+     *
+     * @param fields by their names on the wire
+     * @param statement a slice of the frame, or null if there is none
+     */
+    record Invocation(Map<String, String> fields, ByteBuf statement) {}
 
     private ThriftReader() {}
 
-    static Head head(ByteBuf in) {
+    /** Returns the header of the message; its arguments follow. */
+    static Header readHeader(ByteBuf in) {
         try {
-            int first = in.readInt();
-            if ((first & VERSION_MASK) != VERSION) {
+            int versionAndKind = in.readInt();
+            if ((versionAndKind & ThriftProtocol.VERSION_MASK) != ThriftProtocol.VERSION) {
                 throw new CorruptedFrameException("not the strict binary protocol");
             }
             int length = in.readInt();
-            if (length < 0 || length > LONGEST_NAME) {
+            if (length < 0 || length > MAX_METHOD_NAME_BYTES) {
                 throw new CorruptedFrameException("name of " + length + " bytes");
             }
             String method = in.readCharSequence(length, StandardCharsets.UTF_8).toString();
-            return new Head(first & 0xff, method, in.readInt());
+            return new Header(versionAndKind & ThriftProtocol.MESSAGE_KIND_MASK, method, in.readInt());
         } catch (IndexOutOfBoundsException e) {
             throw new CorruptedFrameException("message ends early");
         }
     }
 
-    static Invocation invocation(ByteBuf in) {
+    /** Returns the arguments of an invocation; unknown ones are skipped. */
+    static Invocation readInvocation(ByteBuf in) {
         Map<String, String> fields = Map.of();
-        ByteBuf body = null;
+        ByteBuf statement = null;
         try {
-            for (byte type = in.readByte(); type != STOP; type = in.readByte()) {
+            for (byte type = in.readByte(); type != ThriftProtocol.STOP; type = in.readByte()) {
                 short id = in.readShort();
-                if (id == 1 && type == MAP) {
-                    fields = map(in);
-                } else if (id == 2 && type == STRING) {
-                    body = in.readSlice(length(in));
+                if (id == ThriftProtocol.ARGUMENT_FIELDS && type == ThriftProtocol.MAP) {
+                    fields = readStringMap(in);
+                } else if (id == ThriftProtocol.ARGUMENT_STATEMENT && type == ThriftProtocol.STRING) {
+                    statement = in.readSlice(ThriftValues.readLength(in));
                 } else {
-                    skip(in, type, 0);
+                    ThriftValues.skip(in, type);
                 }
             }
-            end(in);
+            requireEnd(in);
         } catch (IndexOutOfBoundsException e) {
             throw new CorruptedFrameException("arguments end early");
         }
-        return new Invocation(fields, body);
+        return new Invocation(fields, statement);
     }
 
-    /** Returns the one i32 argument, or null if it is missing. */
-    static Integer number(ByteBuf in) {
-        Integer found = null;
+    /** Returns the sequence number that an abort names, if it names one. */
+    static OptionalInt readAbortedSequenceNumber(ByteBuf in) {
+        OptionalInt found = OptionalInt.empty();
         try {
-            for (byte type = in.readByte(); type != STOP; type = in.readByte()) {
+            for (byte type = in.readByte(); type != ThriftProtocol.STOP; type = in.readByte()) {
                 short id = in.readShort();
-                if (id == 1 && type == I32) {
-                    found = in.readInt();
+                if (id == ThriftProtocol.ARGUMENT_SEQUENCE_NUMBER && type == ThriftProtocol.I32) {
+                    found = OptionalInt.of(in.readInt());
                 } else {
-                    skip(in, type, 0);
+                    ThriftValues.skip(in, type);
                 }
             }
-            end(in);
+            requireEnd(in);
         } catch (IndexOutOfBoundsException e) {
             throw new CorruptedFrameException("arguments end early");
         }
         return found;
     }
 
-    /** A length that is wrong somewhere may still leave what reads well: only the end then shows it. */
-    private static void end(ByteBuf in) {
+    /** A wrong length may leave arguments that read well: only the end of the message then shows it. */
+    private static void requireEnd(ByteBuf in) {
         if (in.isReadable()) {
             throw new CorruptedFrameException(in.readableBytes() + " bytes behind the arguments");
         }
     }
 
-    private static Map<String, String> map(ByteBuf in) {
-        byte key = in.readByte();
-        byte value = in.readByte();
+    private static Map<String, String> readStringMap(ByteBuf in) {
+        byte keyType = in.readByte();
+        byte valueType = in.readByte();
         int size = in.readInt();
-        if (size < 0 || size > MOST_FIELDS || size > 0 && (key != STRING || value != STRING)) {
+        boolean ofStrings = keyType == ThriftProtocol.STRING && valueType == ThriftProtocol.STRING;
+        boolean sizeInRange = size >= 0 && size <= MAX_CALL_FIELDS;
+        if (!sizeInRange || (size > 0 && !ofStrings)) {
             throw new CorruptedFrameException("not a small map of strings");
         }
         Map<String, String> fields = new HashMap<>();
         for (int i = 0; i < size; i++) {
-            String name = text(in);
-            fields.put(name, text(in));
+            String name = readString(in);
+            fields.put(name, readString(in));
         }
         return fields;
     }
 
-    private static String text(ByteBuf in) {
-        return in.readCharSequence(length(in), StandardCharsets.UTF_8).toString();
-    }
-
-    private static int length(ByteBuf in) {
-        int length = in.readInt();
-        if (length < 0 || length > in.readableBytes()) {
-            throw new CorruptedFrameException("value of " + length + " bytes");
-        }
-        return length;
-    }
-
-    /** Passes over a value of any kind; deep nesting is no request of ours. */
-    private static void skip(ByteBuf in, byte type, int depth) {
-        if (depth > DEEPEST) {
-            throw new CorruptedFrameException("nested too deep");
-        }
-        switch (type) {
-            case BOOL, 3 -> in.skipBytes(1);
-            case 6 -> in.skipBytes(2);
-            case I32 -> in.skipBytes(4);
-            case 4, 10 -> in.skipBytes(8);
-            case STRING -> in.skipBytes(length(in));
-            case STRUCT -> {
-                for (byte field = in.readByte(); field != STOP; field = in.readByte()) {
-                    in.skipBytes(2);
-                    skip(in, field, depth + 1);
-                }
-            }
-            case MAP -> {
-                byte key = in.readByte();
-                byte value = in.readByte();
-                skipMany(in, key, value, depth);
-            }
-            case 14, 15 -> skipMany(in, in.readByte(), STOP, depth);
-            default -> throw new CorruptedFrameException("unknown kind of value " + type);
-        }
-    }
-
-    /** Every element takes a byte at least, so the count is bounded by what is there. */
-    private static void skipMany(ByteBuf in, byte first, byte second, int depth) {
-        int count = in.readInt();
-        if (count < 0 || count > in.readableBytes()) {
-            throw new CorruptedFrameException("collection of " + count);
-        }
-        for (int i = 0; i < count; i++) {
-            skip(in, first, depth + 1);
-            if (second != STOP) {
-                skip(in, second, depth + 1);
-            }
-        }
+    private static String readString(ByteBuf in) {
+        int length = ThriftValues.readLength(in);
+        return in.readCharSequence(length, StandardCharsets.UTF_8).toString();
     }
 }
--- a/src/test/java/lineward/thrift/FrameDecoderTest.java
+++ b/src/test/java/lineward/thrift/FrameDecoderTest.java
@@ -45,11 +45,11 @@
         EmbeddedChannel channel = new EmbeddedChannel(decoder);
         for (int i = 0; i < TWO.length; i++) {
             boolean between = i == 0 || i == 6;
-            assertEquals(decoder.isStuck(-1), !between, "after " + i + " bytes");
-            assertFalse(decoder.isStuck(Long.MAX_VALUE));
+            assertEquals(decoder.isStalled(-1), !between, "after " + i + " bytes");
+            assertFalse(decoder.isStalled(Long.MAX_VALUE));
             channel.writeInbound(Unpooled.copiedBuffer(TWO, i, 1));
         }
-        assertFalse(decoder.isStuck(-1));
+        assertFalse(decoder.isStalled(-1));
         assertTrue(channel.finishAndReleaseAll());
     }
 }
--- a/src/test/java/lineward/thrift/ThriftReaderTest.java
+++ b/src/test/java/lineward/thrift/ThriftReaderTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.CorruptedFrameException;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalInt;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -19,14 +20,14 @@
 
     @Test
     public void fieldsAndBodyAreTakenOutAndTheRestIsPassedOver() {
-        ThriftReader.Invocation read = ThriftReader.invocation(hex("0c 0009 08 0001 00000007 00"
+        ThriftReader.Invocation invocation = ThriftReader.readInvocation(hex("0c 0009 08 0001 00000007 00"
                 + "0f 0005 0b 00000002 00000001 41 00000000"
                 + "0d 0001 0b 0b 00000001 00000002 6f70 00000001 78"
                 + "0a 0006 0000000000000000 0b 0002 00000003 616263 00"));
-        assertEquals(read.fields().get("op"), "x");
-        assertEquals(read.body().toString(StandardCharsets.UTF_8), "abc");
-        assertEquals(ThriftReader.number(hex("08 0001 0000002a 00")), Integer.valueOf(42));
-        assertEquals(ThriftReader.head(hex("80010001 00000001 61 00000005")), new ThriftReader.Head(1, "a", 5));
+        assertEquals(invocation.fields().get("op"), "x");
+        assertEquals(invocation.statement().toString(StandardCharsets.UTF_8), "abc");
+        assertEquals(ThriftReader.readAbortedSequenceNumber(hex("08 0001 0000002a 00")), OptionalInt.of(42));
+        assertEquals(ThriftReader.readHeader(hex("80010001 00000001 61 00000005")), new ThriftReader.Header(1, "a", 5));
     }
 
     @DataProvider
@@ -43,7 +44,7 @@
 
     @Test(dataProvider = "heads")
     public void brokenHeadsAreTold(String bytes) {
-        assertThrows(CorruptedFrameException.class, () -> ThriftReader.head(hex(bytes)));
+        assertThrows(CorruptedFrameException.class, () -> ThriftReader.readHeader(hex(bytes)));
     }
 
     @DataProvider
@@ -65,6 +66,6 @@
 
     @Test(dataProvider = "arguments")
     public void brokenArgumentsAreTold(String bytes) {
-        assertThrows(CorruptedFrameException.class, () -> ThriftReader.invocation(hex(bytes)));
+        assertThrows(CorruptedFrameException.class, () -> ThriftReader.readInvocation(hex(bytes)));
     }
 }
