--- a/src/main/java/lineward/thrift/CallFields.java
+++ b/src/main/java/lineward/thrift/CallFields.java
@@ -1,8 +1,10 @@
 package lineward.thrift;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.regex.Pattern;
 import lineward.core.RequestAttributes;
+import lineward.core.TableGroups;
 import lineward.thrift.ThriftServer.Names;
 
 /**
@@ -26,13 +28,15 @@
     private static final double MAX_ESTIMATED_MEMORY_MB = 1 << 20;
 
     /**
-     * Validates the fields of a request.
+     * Validates an invocation.
      *
-     * @param fields by their names on the wire
-     * @param tableGroup of the tables that the statement names
-     * @throws UnusableCallException if a field can't be used
+     * @throws InvalidCallException if there is no statement, or a field can't be used
      */
-    static CallFields parse(Map<String, String> fields, Names names, int tableGroup) throws UnusableCallException {
+    static CallFields parse(ThriftReader.Invocation invocation, Names names) throws InvalidCallException {
+        if (invocation.statement() == null) {
+            throw InvalidCallException.noStatement();
+        }
+        Map<String, String> fields = invocation.fields();
         String id = matching(fields, CallField.ID, ID);
         String requestClass = fields.getOrDefault(CallField.REQUEST_CLASS.wireName, "");
         int classIndex = names.classes().indexOf(requestClass);
@@ -41,16 +45,17 @@
         // The client is told of the first field that can't be used: their order is part of the protocol.
         int tenant = tenant(fields, names);
         int timeLeftMs = timeLeftMs(fields, deadlineMs);
-        boolean clientRetry = isClientRetry(fields);
+        boolean retry = isClientRetry(fields);
         double maxWorkMs = deadlineMs * MAX_WORK_PER_DEADLINE;
         double workMs = optionalDecimal(fields, CallField.ESTIMATED_WORK_MS, maxWorkMs);
         double memoryMb = optionalDecimal(fields, CallField.ESTIMATED_MEMORY_MB, MAX_ESTIMATED_MEMORY_MB);
+        int tableGroup = TableGroups.of(invocation.statement().toString(StandardCharsets.UTF_8));
         RequestAttributes attributes =
-                new RequestAttributes(classIndex, tenant, timeLeftMs, workMs, memoryMb, tableGroup, clientRetry);
+                new RequestAttributes(classIndex, tenant, timeLeftMs, workMs, memoryMb, tableGroup, retry);
         return new CallFields(id, requestClass, attributes);
     }
 
-    private static int tenant(Map<String, String> fields, Names names) throws UnusableCallException {
+    private static int tenant(Map<String, String> fields, Names names) throws InvalidCallException {
         if (names.tenants().isEmpty()) {
             return 0;
         }
@@ -59,14 +64,14 @@
         return tenant;
     }
 
-    private static int timeLeftMs(Map<String, String> fields, double deadlineMs) throws UnusableCallException {
+    private static int timeLeftMs(Map<String, String> fields, double deadlineMs) throws InvalidCallException {
         int timeLeftMs = Integer.parseInt(matching(fields, CallField.TIME_LEFT_MS, INTEGER));
         boolean inRange = timeLeftMs > 0 && timeLeftMs <= deadlineMs * MAX_TIME_LEFT_PER_DEADLINE;
         require(inRange, CallField.TIME_LEFT_MS);
         return timeLeftMs;
     }
 
-    private static boolean isClientRetry(Map<String, String> fields) throws UnusableCallException {
+    private static boolean isClientRetry(Map<String, String> fields) throws InvalidCallException {
         String value = fields.getOrDefault(CallField.CLIENT_RETRY.wireName, NO);
         require(value.equals(YES) || value.equals(NO), CallField.CLIENT_RETRY);
         return value.equals(YES);
@@ -74,7 +79,7 @@
 
     /** Returns the field's value, from 0 to the maximum; 0 if it is absent. */
     private static double optionalDecimal(Map<String, String> fields, CallField field, double maximum)
-            throws UnusableCallException {
+            throws InvalidCallException {
         if (!fields.containsKey(field.wireName)) {
             return 0;
         }
@@ -84,15 +89,15 @@
     }
 
     private static String matching(Map<String, String> fields, CallField field, Pattern form)
-            throws UnusableCallException {
+            throws InvalidCallException {
         String value = fields.getOrDefault(field.wireName, "");
         require(form.matcher(value).matches(), field);
         return value;
     }
 
-    private static void require(boolean usable, CallField field) throws UnusableCallException {
+    private static void require(boolean usable, CallField field) throws InvalidCallException {
         if (!usable) {
-            throw UnusableCallException.invalid(field);
+            throw InvalidCallException.invalid(field);
         }
     }
 }
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -110,7 +110,7 @@
         CallFields fields;
         try {
             fields = calls.validate(invocation);
-        } catch (UnusableCallException e) {
+        } catch (InvalidCallException e) {
             calls.recordUnusable(invocation);
             send(ThriftWriter.protocolError(channel.alloc(), sequenceNumber, e.getMessage()));
             return;
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -1,11 +1,9 @@
 package lineward.thrift;
 
-import java.nio.charset.StandardCharsets;
 import java.util.function.DoubleSupplier;
 import lineward.core.ByteBudget;
 import lineward.core.Coordinator;
 import lineward.core.GenerationalTable;
-import lineward.core.TableGroups;
 import lineward.frontend.ProtocolServer.Admission;
 import lineward.operations.Metrics;
 
@@ -51,14 +49,10 @@
     }
 
     /** Returns the fields of an invocation that can be served. */
-    CallFields validate(ThriftReader.Invocation invocation) throws UnusableCallException {
-        if (invocation.statement() == null) {
-            throw UnusableCallException.noStatement();
-        }
-        String statement = invocation.statement().toString(StandardCharsets.UTF_8);
-        CallFields fields = CallFields.parse(invocation.fields(), names, TableGroups.of(statement));
+    CallFields validate(ThriftReader.Invocation invocation) throws InvalidCallException {
+        CallFields fields = CallFields.parse(invocation, names);
         if (ids.isInUse(fields.id())) {
-            throw UnusableCallException.idInUse();
+            throw InvalidCallException.idInUse();
         }
         return fields;
     }
--- a/src/test/java/lineward/thrift/EngineConnectionTest.java
+++ b/src/test/java/lineward/thrift/EngineConnectionTest.java
@@ -16,7 +16,6 @@
 
 /** What crosses on connections to engines, on real sockets. */
 public class EngineConnectionTest {
-    private static final int SERVED = 0;
     private static final int REFUSED = 1;
     private static final int FAILED = 2;
     private static final String ROWS = String.join("", StandInLines.PAGES);
@@ -137,11 +136,12 @@
             platform.awaitTold();
             caller.send(StandInCaller.fields(9000), "select 1");
             late.awaitConnecting();
-            platform.journal.tell(false, "s-9", "" + late.port(), state, "s-2", "" + platform.two.port(), "ready");
+            String portOfTwo = "" + platform.two.port();
+            platform.journal.tell(false, "s-9", "" + late.port(), state, "s-2", portOfTwo, "ready");
             assertEquals(caller.read().body(), ROWS, "served by the other");
             assertEquals(platform.two.count("want"), 1);
             StandInLines engine = late.open();
-            platform.journal.tell(false, "s-2", "" + platform.two.port(), "gone", "s-10", "" + late.port(), "ready");
+            platform.journal.tell(false, "s-2", portOfTwo, "gone", "s-10", "" + late.port(), "ready");
             platform.awaitTold();
             Map<String, String> fields = StandInCaller.fields(9000);
             assertEquals(caller.call(fields, "select 2").body(), ROWS);
@@ -155,7 +155,8 @@
         platform = new Platform(Map.of());
         try (LateListener late = new LateListener();
                 StandInCaller caller = platform.caller()) {
-            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", "" + platform.two.port(), "ready");
+            String portOfTwo = "" + platform.two.port();
+            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", portOfTwo, "ready");
             platform.awaitTold();
             Program.await("a connection is tried", () -> {
                 try {
@@ -188,7 +189,8 @@
         platform = new Platform(Map.of());
         try (LateListener late = new LateListener();
                 StandInCaller caller = platform.caller()) {
-            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", "" + platform.two.port(), "ready");
+            String portOfTwo = "" + platform.two.port();
+            platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", portOfTwo, "ready");
             platform.awaitTold();
             Program.await("it is suspected", () -> {
                 try {
--- a/src/test/java/lineward/thrift/FiguresTest.java
+++ b/src/test/java/lineward/thrift/FiguresTest.java
@@ -81,7 +81,8 @@
             Program.await("it has left the list", () -> {
                 try {
                     Map<String, Integer> seen = figures(platform.program);
-                    return seen.get("edge_relay_registry_entries") == 1 && seen.get("edge_relay_out_of_rotation") == 0;
+                    int outOfRotation = seen.get("edge_relay_out_of_rotation");
+                    return seen.get("edge_relay_registry_entries") == 1 && outOfRotation == 0;
                 } catch (IOException e) {
                     throw new AssertionError(e);
                 }
--- a/src/test/java/lineward/thrift/FloodTest.java
+++ b/src/test/java/lineward/thrift/FloodTest.java
@@ -5,6 +5,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.util.ArrayList;
@@ -63,7 +64,7 @@
             platform.journal.broken = true;
             int most = platform.program.descriptors() + SOCKETS * MOST_PERCENT / 100;
             for (int i = 0; i < 2 * SOCKETS; i++) {
-                crowd.add(new Socket("127.0.0.1", platform.program.port()));
+                crowd.add(new Socket(InetAddress.getLoopbackAddress(), platform.program.port()));
                 int now = platform.program.descriptors();
                 assertTrue(now <= most, now + " descriptors");
             }
--- a/src/test/java/lineward/thrift/LargeFleetTest.java
+++ b/src/test/java/lineward/thrift/LargeFleetTest.java
@@ -23,7 +23,8 @@
     /** Far more engines than connections allowed: those that rest make room for those that are wanted. */
     @Test(dataProvider = "fleets")
     public void aLongListIsTakenServedAndFollowed(int fronts, int engines) throws Exception {
-        try (Platform platform = new Platform(Map.of("JAVA_TOOL_OPTIONS", LIMITS), null, fronts, engines, SOCKETS);
+        Map<String, String> variables = Map.of("JAVA_TOOL_OPTIONS", LIMITS);
+        try (Platform platform = new Platform(variables, null, fronts, engines, SOCKETS);
                 StandInCaller caller = platform.caller();
                 StandInJournal next = new StandInJournal()) {
             Program program = platform.program;
@@ -43,7 +44,8 @@
                                 .status(),
                         200);
             }
-            assertEquals((int) FiguresTest.figures(program).get("edge_relay_out_of_rotation"), engines - engines / 2);
+            int outOfRotation = FiguresTest.figures(program).get("edge_relay_out_of_rotation");
+            assertEquals(outOfRotation, engines - engines / 2);
             next.tell(true);
             next.tell(true);
             next.tell(true, platform.engines(engines + 1, 2 * engines, "ready"));
--- a/src/test/java/lineward/thrift/LateListener.java
+++ b/src/test/java/lineward/thrift/LateListener.java
@@ -17,7 +17,7 @@
     private static final int CONNECTS_MS = 200;
     private static final String SYN_SENT = "02";
 
-    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     private final List<Socket> fillers = new ArrayList<>();
     private StandInLines engine;
 
@@ -25,7 +25,7 @@
         while (fillers.size() < 8) {
             Socket filler = new Socket();
             try {
-                filler.connect(new InetSocketAddress("127.0.0.1", port()), CONNECTS_MS);
+                filler.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port()), CONNECTS_MS);
                 fillers.add(filler);
             } catch (IOException e) {
                 filler.close();
--- a/src/test/java/lineward/thrift/PlatformRulesTest.java
+++ b/src/test/java/lineward/thrift/PlatformRulesTest.java
@@ -129,11 +129,19 @@
         }
     }
 
+    private long cancels() {
+        return platform.one.count("never_mind") + platform.two.count("never_mind");
+    }
+
+    private boolean oneRunsAtEach() {
+        return platform.one.count("want") == 1 && platform.two.count("want") == 1;
+    }
+
     private void holdOneAtEach(StandInCaller caller) throws IOException {
         platform.both(Mode.SILENT);
         caller.send(StandInCaller.fields(2400), "select 1");
         caller.send(StandInCaller.fields(2400), "select 1");
-        Program.await("one runs at each", () -> platform.one.count("want") == 1 && platform.two.count("want") == 1);
+        Program.await("one runs at each", this::oneRunsAtEach);
     }
 
     private static void serveAtOnce(StandInCaller caller, int many) throws IOException {
@@ -154,7 +162,7 @@
             platform.one.mode = Mode.GARBAGE_ONCE;
             serveAtOnce(caller, 6);
             assertEquals(platform.one.mode, Mode.SERVE, "one met the unreadable reply");
-            String first = platform.one.heard.get(0).split(" ")[1];
+            String first = platform.one.heard.get(0).split(" ", -1)[1];
             assertEquals(platform.two.count("want " + first) + platform.one.count("never_mind"), 0);
         }
     }
@@ -218,8 +226,7 @@
             int seqid = caller.send(StandInCaller.fields(2000), "select 1");
             Program.await("it runs", () -> wants() == 1);
             caller.abort(seqid);
-            Program.await(
-                    "the engine hears", () -> platform.one.count("never_mind") + platform.two.count("never_mind") == 1);
+            Program.await("the engine hears", () -> cancels() == 1);
             assertEquals(caller.simple("ping").seqid(), seqid + 2, "nothing came but the ping's answer");
         }
     }
@@ -231,8 +238,7 @@
             caller.send(StandInCaller.fields(2000), "select 1");
             Program.await("it runs", () -> wants() == 1);
         }
-        Program.await(
-                "the engine hears", () -> platform.one.count("never_mind") + platform.two.count("never_mind") == 1);
+        Program.await("the engine hears", () -> cancels() == 1);
     }
 
     @Test
@@ -286,13 +292,14 @@
     }
 
     @Test
-    public void sighupMovesTheJournalAndAnUnusableFileChangesNothing() throws IOException, InterruptedException {
+    public void sighupMovesTheJournalAndAnUnusableFileChangesNothing() throws Exception {
         platform.configure("{");
         platform.program.hangUp();
         Program.await("its line", () -> platform.program.log().contains("stays as it was"));
         try (StandInJournal next = new StandInJournal();
                 StandInCaller caller = platform.caller()) {
-            next.tell(true, "s-1", "" + platform.one.port(), "ready", "s-2", "" + platform.two.port(), "ready");
+            String portOfTwo = "" + platform.two.port();
+            next.tell(true, "s-1", "" + platform.one.port(), "ready", "s-2", portOfTwo, "ready");
             platform.configure(next);
             platform.program.hangUp();
             platform.program.hangUp();
@@ -425,7 +432,7 @@
     }
 
     @Test
-    public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell() throws IOException, InterruptedException {
+    public void afterSigtermNewRequestsAreServedAndTheProgramEndsWell() throws Exception {
         try (StandInCaller open = platform.caller()) {
             assertTrue(open.simple("ping").good());
             platform.program.terminate();
--- a/src/test/java/lineward/thrift/ShutdownTest.java
+++ b/src/test/java/lineward/thrift/ShutdownTest.java
@@ -9,7 +9,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -39,7 +41,7 @@
     }
 
     private boolean isListening() {
-        try (Socket socket = new Socket("127.0.0.1", platform.program.port())) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), platform.program.port())) {
             return socket.isConnected();
         } catch (ConnectException e) {
             return false;
@@ -112,7 +114,8 @@
             long drains = System.nanoTime();
             platform.program.signal("STOP");
             caller.send(StandInCaller.fields(5000), "select 1");
-            Program.await("its close is due", () -> System.nanoTime() - drains > TimeUnit.MILLISECONDS.toNanos(1550));
+            long closeDueNanos = TimeUnit.MILLISECONDS.toNanos(1550);
+            Program.await("its close is due", () -> System.nanoTime() - drains > closeDueNanos);
             platform.program.signal("CONT");
             assertEquals(caller.read().field(), SERVED);
         }
@@ -147,7 +150,7 @@
             // Opening the pipe returns once the program has come to reading it.
             try (OutputStream out = Files.newOutputStream(pipe)) {
                 program.hangUp();
-                out.write(config.getBytes());
+                out.write(config.getBytes(StandardCharsets.UTF_8));
             }
             // SIGHUP has it read anew: that is served as well.
             Files.writeString(pipe, config);
--- a/src/test/java/lineward/thrift/StandInCaller.java
+++ b/src/test/java/lineward/thrift/StandInCaller.java
@@ -4,6 +4,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -35,7 +36,7 @@
         if (receiveBuffer > 0) {
             socket.setReceiveBufferSize(receiveBuffer);
         }
-        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         socket.setSoTimeout(20_000);
         socket.setTcpNoDelay(true);
         in = new DataInputStream(socket.getInputStream());
@@ -48,7 +49,8 @@
 
     /** The fields of a request that can be used. */
     static Map<String, String> fields(int ttl) {
-        return new LinkedHashMap<>(Map.of("op", "look", "call", newId(), "ttl", Integer.toString(ttl), "org", "west"));
+        String timeLeftMs = Integer.toString(ttl);
+        return new LinkedHashMap<>(Map.of("op", "look", "call", newId(), "ttl", timeLeftMs, "org", "west"));
     }
 
     /** The next request gets this number. */
--- a/src/test/java/lineward/thrift/StandInJournal.java
+++ b/src/test/java/lineward/thrift/StandInJournal.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small journal service: events by number, a long poll that waits for later ones. */
 final class StandInJournal implements AutoCloseable {
@@ -19,11 +20,11 @@
     /** Polls that come are never answered, nor is their connection closed. */
     volatile boolean silent;
 
-    private volatile int polls;
+    private final AtomicInteger polls = new AtomicInteger();
     private volatile int told;
 
     StandInJournal() throws IOException {
-        server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.setExecutor(Executors.newCachedThreadPool(task -> {
             Thread thread = new Thread(task, "journal");
             thread.setDaemon(true);
@@ -39,7 +40,7 @@
 
     /** Returns the polls that have come. */
     int polls() {
-        return polls;
+        return polls.get();
     }
 
     /** Returns the number of the last event that the program knows. */
@@ -84,8 +85,8 @@
     }
 
     private void poll(HttpExchange exchange) throws IOException {
-        String[] query = exchange.getRequestURI().getQuery().split("[=&]");
-        polls++;
+        String[] query = exchange.getRequestURI().getQuery().split("[=&]", -1);
+        polls.incrementAndGet();
         told = Integer.parseInt(query[1]);
         if (silent) {
             return;
--- a/src/test/java/lineward/thrift/StandInLines.java
+++ b/src/test/java/lineward/thrift/StandInLines.java
@@ -84,7 +84,7 @@
     private static ServerSocket bound(int port) throws IOException {
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
-        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         return server;
     }
 
@@ -116,7 +116,7 @@
     List<String> ids() {
         return heard.stream()
                 .filter(line -> line.startsWith("want "))
-                .map(line -> line.split(" ")[1])
+                .map(line -> line.split(" ", -1)[1])
                 .toList();
     }
 
@@ -147,11 +147,12 @@
             while (true) {
                 String line = line(in);
                 heard.add(line);
-                String[] words = line.split(" ");
+                String[] words = line.split(" ", -1);
                 if (words[0].equals("want") && mode == Mode.RESET_AMID) {
                     reset(socket);
                 } else if (words[0].equals("want")) {
-                    String body = new String(in.readNBytes(Integer.parseInt(words[3])), StandardCharsets.UTF_8);
+                    byte[] bytes = in.readNBytes(Integer.parseInt(words[3]));
+                    String body = new String(bytes, StandardCharsets.UTF_8);
                     line(in);
                     heard.add("body " + body);
                     if (!RUNNING.add(words[1])) {
@@ -215,7 +216,8 @@
                 say(socket, id + " HIT total=" + PAGES.size(), PAGES.get(0));
             }
             case NOTES -> {
-                for (String note : new String[] {"n=done,datum=0.5", "n=mood,datum=9", "n=done,datum=7", "-"}) {
+                String[] notes = {"n=done,datum=0.5", "n=mood,datum=9", "n=done,datum=7", "-"};
+                for (String note : notes) {
                     say(socket, id + " INFO " + note, "");
                 }
                 say(socket, "t0 SICK -", "");
@@ -224,8 +226,10 @@
             }
             case NOISE -> say(socket, id + " HIT total=1", "a\tb\u0001\tc\n");
             case NO_TOTAL -> say(socket, id + " HIT -", PAGES.get(0));
-            case SHORT ->
-                socket.getOutputStream().write((id + " HIT total=1 900\r\na\tb").getBytes(StandardCharsets.US_ASCII));
+            case SHORT -> {
+                String reply = id + " HIT total=1 900\r\na\tb";
+                socket.getOutputStream().write(reply.getBytes(StandardCharsets.US_ASCII));
+            }
             case LARGE -> say(socket, id + " HIT total=" + LARGE_PAGES, LARGE_PAGE);
             case LATE -> say(socket, id + " LATE -", "");
             case CLOSE -> socket.close();
--- a/src/test/java/lineward/thrift/ThriftReaderTest.java
+++ b/src/test/java/lineward/thrift/ThriftReaderTest.java
@@ -27,7 +27,8 @@
         assertEquals(invocation.fields().get("op"), "x");
         assertEquals(invocation.statement().toString(StandardCharsets.UTF_8), "abc");
         assertEquals(ThriftReader.readAbortedSequenceNumber(hex("08 0001 0000002a 00")), OptionalInt.of(42));
-        assertEquals(ThriftReader.readHeader(hex("80010001 00000001 61 00000005")), new ThriftReader.Header(1, "a", 5));
+        ThriftReader.Header header = ThriftReader.readHeader(hex("80010001 00000001 61 00000005"));
+        assertEquals(header, new ThriftReader.Header(1, "a", 5));
     }
 
     @DataProvider
--- a/src/test/java/lineward/thrift/UpgradeTest.java
+++ b/src/test/java/lineward/thrift/UpgradeTest.java
@@ -86,7 +86,8 @@
             open.add(caller.send(StandInCaller.fields(9000), "select 1"));
         }
         Program.await("they run", () -> platform.one.count("want") + platform.two.count("want") >= 5);
-        Program first = FiguresTest.figures(next).get("edge_relay_open_requests") > 0 ? next : platform.program;
+        boolean nextHasRequests = FiguresTest.figures(next).get("edge_relay_open_requests") > 0;
+        Program first = nextHasRequests ? next : platform.program;
         first.terminate();
         int answered = 0;
         try {
