Wire each subsystem in a class of its own and type configuration errors

Each subsystem (Thrift, MySQL, discovery, gossip, lifecycle, admin endpoint, spool, telemetry, the clients' listener) now has a wiring class; FrontEnd starts and ends them in the order as before. ConfigNode reads a value and knows where it stands, so ConfigException names file, key, value found and value allowed. LayersTest takes the layers' names and also requires every class to stand in one of them.

Start time and memory not measured.

--- a/src/main/java/lineward/app/Config.java
+++ b/src/main/java/lineward/app/Config.java
@@ -1,146 +1,66 @@
 package lineward.app;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
-import java.math.BigInteger;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import lineward.scheduling.SchedulerSettings;
-import lineward.scheduling.simulator.SettingsReader;
-import lineward.scheduling.simulator.WireException;
 
 /**
- * What a front end is told at its start.
+ * The configuration of a front end of the platform.
  *
- * @param journal address of the journal service
- * @param known the journal's events so far
- * @param management where operators call; null: nowhere
- * @param peers where front ends talk; null: nowhere
- * @param raw the settings as they came, for what the module does not need
+ * @param name of this front end
+ * @param seed of the scheduler's random draws
+ * @param settings of the scheduler
+ * @param initialEndpoints the discovery events up to the start, in the form of the discovery service
  */
 record Config(
         String name,
-        InetSocketAddress listen,
+        Addresses addresses,
         long seed,
-        int memoryMb,
-        int sockets,
-        String journal,
-        InetSocketAddress management,
-        Peers peers,
-        JsonNode known,
+        Resources resources,
+        EngineConnections engineConnections,
+        Names names,
         SchedulerSettings settings,
-        JsonNode raw) {
-    private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
-    private static final int HIGHEST_PORT = 65535;
-    private static final int HEX = 16;
-
-    /** @throws ConfigException with one plain line if the file can't be used */
-    static Config read(String path) {
-        if (path == null || path.isBlank()) {
-            throw new ConfigException("RELAY_CONFIG names no file");
-        }
-        JsonNode root;
-        try {
-            root = new ObjectMapper().readTree(Files.readString(Path.of(path)));
-        } catch (JsonProcessingException e) {
-            throw new ConfigException(path + " is not JSON");
-        } catch (IOException e) {
-            throw new ConfigException(path + " can't be read");
-        }
-        if (!root.path("settings").isObject()) {
-            throw new ConfigException(path + " holds no settings");
-        }
-        try {
-            return new Config(
-                    root.path("name").asText("lineward"),
-                    address("listen", root.path("listen").asText("")),
-                    seed(root.path("seed").asText("0")),
-                    limit(root, "memory_mb", 192),
-                    limit(root, "sockets", 1024),
-                    journal(root),
-                    root.hasNonNull("management")
-                            ? address("management", root.get("management").asText())
-                            : null,
-                    peers(root),
-                    root.path("known"),
-                    SettingsReader.read(root.path("settings").toString()),
-                    root.path("settings"));
-        } catch (WireException e) {
-            throw new ConfigException("settings: " + e.getMessage());
-        }
-    }
+        ConfigNode initialEndpoints) {
 
     /**
-     * @param listen where the others' words arrive
-     * @param numbers of the front ends of the tier, by the address from which each sends
-     * @param all where a word to all others goes
+     * Where the process listens and connects.
+     *
+     * @param listen where clients connect
+     * @param discovery HOST:PORT of the discovery service
+     * @param admin where the admin endpoint listens; null: there is none
+     * @param gossip how the front ends of the tier talk; null: they do not
      */
-    record Peers(InetSocketAddress listen, Map<InetSocketAddress, Integer> numbers, InetSocketAddress all) {}
-
-    private static Peers peers(JsonNode root) {
-        if (!root.path("settings").path("limits").path("peer-messages").asBoolean(false)
-                || !root.hasNonNull("peer_listen")) {
-            return null;
-        }
-        Map<InetSocketAddress, Integer> numbers = new HashMap<>();
-        for (JsonNode peer : root.path("peers")) {
-            numbers.put(address("peers", peer.asText()), numbers.size());
-        }
-        return new Peers(
-                address("peer_listen", root.get("peer_listen").asText()),
-                numbers,
-                address("peers_all", root.path("peers_all").asText("")));
-    }
+    record Addresses(InetSocketAddress listen, String discovery, InetSocketAddress admin, Gossip gossip) {}
 
-    private static int limit(JsonNode root, String name, int fallback) {
-        int limit = root.path("limits").path(name).asInt(fallback);
-        if (limit <= 0) {
-            throw new ConfigException("limits: " + name + " is no positive number");
-        }
-        return limit;
-    }
-
-    private static String journal(JsonNode root) {
-        String text = root.path("journal").asText("");
-        address("journal", text);
-        return text;
-    }
+    /**
+     * The datagrams between the front ends of a tier.
+     *
+     * @param listen where datagrams of the others arrive
+     * @param peers the number of each front end of the tier, by the address it sends from
+     * @param all where a datagram for all others goes
+     */
+    record Gossip(InetSocketAddress listen, Map<InetSocketAddress, Integer> peers, InetSocketAddress all) {}
 
-    private static long seed(String text) {
-        try {
-            return new BigInteger(text, HEX).longValue();
-        } catch (NumberFormatException e) {
-            throw new ConfigException("seed is no hexadecimal number");
-        }
-    }
+    /** What the process may use of the machine: memory in megabytes and open file descriptors. */
+    record Resources(int memoryMb, int descriptors) {}
 
-    static InetSocketAddress address(String what, String text) {
-        Matcher parts = ADDRESS.matcher(text);
-        if (!parts.matches() || Integer.parseInt(parts.group(2)) > HIGHEST_PORT) {
-            throw new ConfigException(what + " is no address with a port");
-        }
-        return new InetSocketAddress(parts.group(1), Integer.parseInt(parts.group(2)));
-    }
+    /**
+     * The rules of connections to engines.
+     *
+     * @param connectTimeoutMs a connection that is not up by then is late
+     * @param idleMs an engine closes a connection that has been idle for so long
+     * @param streams attempts that one connection carries
+     */
+    record EngineConnections(int connectTimeoutMs, double idleMs, int streams) {}
 
-    /** Returns the names in a list of the settings, whose members are texts or objects with a name. */
-    List<String> names(String list) {
-        List<String> names = new ArrayList<>();
-        raw.path(list)
-                .forEach(n ->
-                        names.add(n.isTextual() ? n.asText() : n.path("name").asText()));
-        return names;
-    }
+    /** Names that requests and discovery events use, each list in the order of the settings. */
+    record Names(List<String> classes, List<String> tenants, List<String> engineKinds, List<String> zones) {}
 
-    JsonNode limit(String name) {
-        return raw.path("limits").path(name);
+    /** Returns the deadlines of the classes in milliseconds, in the order of the settings. */
+    List<Double> deadlinesMs() {
+        return settings.classes().stream()
+                .map(requestClass -> requestClass.objective().deadlineMs())
+                .toList();
     }
 }
--- a/src/main/java/lineward/app/ConfigException.java
+++ b/src/main/java/lineward/app/ConfigException.java
@@ -1,10 +1,81 @@
 package lineward.app;
 
-/** The configuration can't be used; the message is one plain line. */
+/**
+ * A configuration can't be used.
+ *
+ * <p>The message is one line without the program's name: file, key, reason, value found, value allowed.
+ */
 final class ConfigException extends RuntimeException {
     private static final long serialVersionUID = 1L;
+    /** Longer values are cut in the message, so that it stays one readable line. */
+    private static final int MAX_FOUND_CHARS = 80;
 
-    ConfigException(String message) {
-        super(message);
+    private final String file;
+    private final String key;
+    private final String found;
+    private final String allowed;
+
+    /** For the factories below alone. */
+    ConfigException(String message, String file, String key, String found, String allowed, Throwable cause) {
+        super(message, cause);
+        this.file = file;
+        this.key = key;
+        this.found = found;
+        this.allowed = allowed;
+    }
+
+    /** Creates an exception for a file, variable or address that can't be used at all. */
+    static ConfigException unusable(String message, Throwable cause) {
+        return new ConfigException(printable(message), "", "", "", "", cause);
+    }
+
+    /** Creates an exception for a file, variable or address that can't be used at all. */
+    static ConfigException unusable(String message) {
+        return unusable(message, null);
+    }
+
+    /**
+     * Creates an exception for one value.
+     *
+     * @param reason what is wrong, as the predicate of a sentence whose subject is the key
+     * @param found the value as it stands in the file; never a password
+     * @param allowed what may stand there
+     */
+    static ConfigException invalid(String file, String key, String reason, String found, String allowed) {
+        return invalid(file, key, reason, found, allowed, null);
+    }
+
+    /** Creates an exception for one value, with what it follows from. */
+    static ConfigException invalid(
+            String file, String key, String reason, String found, String allowed, Throwable cause) {
+        int shownChars = Math.min(MAX_FOUND_CHARS, found.length());
+        String shown = printable(found.substring(0, shownChars));
+        String message = file + ": " + key + ' ' + reason + "; found " + shown + ", allowed " + allowed;
+        return new ConfigException(printable(message), file, key, shown, allowed, cause);
+    }
+
+    /** Returns the text on one line: configuration texts may hold line ends. */
+    private static String printable(String text) {
+        return text.replaceAll("\\p{Cntrl}", "?");
+    }
+
+    /** Returns the file at fault; empty if no single value is at fault. */
+    String file() {
+        return file;
+    }
+
+    /** Returns the path of the key at fault, its parts separated by dots; empty if no single value is. */
+    String key() {
+        return key;
+    }
+
+    /** Returns the value found, as far as it can be shown on one line. */
+    String found() {
+        return found;
+    }
+
+    /** Returns what is allowed in its place. */
+    String allowed() {
+        return allowed;
     }
 }
--- /dev/null
+++ b/src/main/java/lineward/app/ConfigFile.java
@@ -0,0 +1,147 @@
+package lineward.app;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.math.BigInteger;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lineward.scheduling.SchedulerSettings;
+import lineward.scheduling.simulator.SettingsReader;
+import lineward.scheduling.simulator.WireException;
+
+/** The platform's configuration file, in JSON; its keys are the platform's and are named here only. */
+final class ConfigFile {
+    private static final int SEED_RADIX = 16;
+    private static final int DEFAULT_MEMORY_MB = 192;
+    private static final int DEFAULT_DESCRIPTORS = 1024;
+    private static final int DEFAULT_CONNECT_TIMEOUT_MS = 250;
+    private static final double DEFAULT_CONNECTION_IDLE_MS = 30_000;
+    private static final int DEFAULT_STREAMS = 100;
+
+    private final String path;
+
+    /** Creates the file of that path; null or blank: the environment names none, and reading fails. */
+    ConfigFile(String path) {
+        this.path = path;
+    }
+
+    /**
+     * Reads the file as it now stands; may be called on any thread.
+     *
+     * @throws ConfigException with one line if the file can't be used
+     */
+    Config read() {
+        ConfigNode root = ConfigNode.root(path, parse());
+        ConfigNode settings = root.member("settings");
+        if (!settings.value().isObject()) {
+            throw ConfigException.unusable(path + " holds no settings");
+        }
+        InetSocketAddress listen = root.member("listen").address();
+        long seed = seed(root.member("seed"));
+        Config.Resources resources = resources(root.member("limits"));
+        String discovery = discovery(root.member("journal"));
+        ConfigNode admin = root.member("management");
+        InetSocketAddress adminAddress = admin.isPresent() ? admin.address() : null;
+        Config.Gossip gossip = gossip(root);
+        SchedulerSettings schedulerSettings = schedulerSettings(settings);
+        return new Config(
+                root.member("name").text("lineward"),
+                new Config.Addresses(listen, discovery, adminAddress, gossip),
+                seed,
+                resources,
+                engineConnections(settings.member("limits").value()),
+                names(settings),
+                schedulerSettings,
+                root.member("known"));
+    }
+
+    private JsonNode parse() {
+        if (path == null || path.isBlank()) {
+            throw ConfigException.unusable("RELAY_CONFIG names no file");
+        }
+        try {
+            return new ObjectMapper().readTree(Files.readString(Path.of(path)));
+        } catch (JsonProcessingException e) {
+            throw ConfigException.unusable(path + " is not JSON", e);
+        } catch (IOException e) {
+            throw ConfigException.unusable(path + " can't be read", e);
+        }
+    }
+
+    private static Config.Resources resources(ConfigNode limits) {
+        return new Config.Resources(
+                limits.member("memory_mb").lenientPositiveInt(DEFAULT_MEMORY_MB),
+                limits.member("sockets").lenientPositiveInt(DEFAULT_DESCRIPTORS));
+    }
+
+    private static Config.EngineConnections engineConnections(JsonNode limits) {
+        return new Config.EngineConnections(
+                limits.path("connect-timeout").asInt(DEFAULT_CONNECT_TIMEOUT_MS),
+                limits.path("conn-idle").asDouble(DEFAULT_CONNECTION_IDLE_MS),
+                limits.path("streams-per-conn").asInt(DEFAULT_STREAMS));
+    }
+
+    /** Returns null where the settings forbid gossip or the file names no address for it. */
+    private static Config.Gossip gossip(ConfigNode root) {
+        ConfigNode limits = root.member("settings").member("limits");
+        boolean isAllowed = limits.member("peer-messages").value().asBoolean(false);
+        ConfigNode listen = root.member("peer_listen");
+        if (!isAllowed || !listen.isPresent()) {
+            return null;
+        }
+        Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+        for (ConfigNode peer : root.member("peers").elements()) {
+            numbers.put(peer.address(), numbers.size());
+        }
+        return new Config.Gossip(
+                listen.address(), numbers, root.member("peers_all").address());
+    }
+
+    /** Returns the text itself: the client of the service resolves it at each connection. */
+    private static String discovery(ConfigNode address) {
+        address.address();
+        return address.text("");
+    }
+
+    private static long seed(ConfigNode seed) {
+        try {
+            return new BigInteger(seed.text("0"), SEED_RADIX).longValue();
+        } catch (NumberFormatException e) {
+            throw seed.invalid("is no hexadecimal number", "hexadecimal digits", e);
+        }
+    }
+
+    private static SchedulerSettings schedulerSettings(ConfigNode settings) {
+        try {
+            return SettingsReader.read(settings.value().toString());
+        } catch (WireException e) {
+            // Its message names the setting, the value found and what is allowed.
+            throw ConfigException.unusable(settings.file() + ": settings: " + e.getMessage(), e);
+        }
+    }
+
+    private static Config.Names names(ConfigNode settings) {
+        return new Config.Names(
+                names(settings.value().path("classes")),
+                names(settings.value().path("tenants")),
+                names(settings.value().path("skus")),
+                names(settings.value().path("zones")));
+    }
+
+    /** Returns the names in a list whose elements are texts or objects with a name. */
+    private static List<String> names(JsonNode list) {
+        List<String> names = new ArrayList<>();
+        for (JsonNode element : list) {
+            JsonNode name = element.isTextual() ? element : element.path("name");
+            names.add(name.asText());
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/app/ConfigNode.java
@@ -0,0 +1,110 @@
+package lineward.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A value of a configuration file that knows where it stands, so that errors can name file and key.
+ *
+ * @param file the file it was read from
+ * @param key the path of the value, its parts separated by dots; empty for the whole file
+ * @param value the value; a missing node where the file does not have it
+ */
+record ConfigNode(String file, String key, JsonNode value) {
+    private static final Pattern ADDRESS = Pattern.compile("([^\\s:]+):([0-9]{1,5})");
+    private static final int HIGHEST_PORT = 65535;
+
+    /** Returns the root of a file. */
+    static ConfigNode root(String file, JsonNode value) {
+        return new ConfigNode(file, "", value);
+    }
+
+    /** Returns the member of that name, whether the file has it or not. */
+    ConfigNode member(String name) {
+        return new ConfigNode(file, key.isEmpty() ? name : key + '.' + name, value.path(name));
+    }
+
+    /** Returns the elements of a list; none where the file does not have it. */
+    List<ConfigNode> elements() {
+        List<ConfigNode> elements = new ArrayList<>();
+        for (JsonNode element : value) {
+            elements.add(new ConfigNode(file, key + '[' + elements.size() + ']', element));
+        }
+        return elements;
+    }
+
+    /** Returns whether the file has a value here that is not null. */
+    boolean isPresent() {
+        return !value.isMissingNode() && !value.isNull();
+    }
+
+    /** Returns the value as text. */
+    String text(String fallback) {
+        return value.asText(fallback);
+    }
+
+    /** Returns the value as text; throws a {@link ConfigException} if it is missing or empty. */
+    String requiredText() {
+        String text = text("");
+        if (text.isEmpty()) {
+            throw invalid("is missing", "a text that is not empty");
+        }
+        return text;
+    }
+
+    /** Returns a number above 0; throws a {@link ConfigException} if there is something else. */
+    int positiveInt(int fallback) {
+        boolean isPositive = value.isInt() && value.asInt() > 0;
+        if (!value.isMissingNode() && !isPositive) {
+            throw notPositive();
+        }
+        return value.asInt(fallback);
+    }
+
+    /**
+     * Returns a number above 0, where a text that holds a number counts as well and any other text is read
+     * as the fallback; throws a {@link ConfigException} if it is 0 or less.
+     */
+    int lenientPositiveInt(int fallback) {
+        int number = value.asInt(fallback);
+        if (number <= 0) {
+            throw notPositive();
+        }
+        return number;
+    }
+
+    private ConfigException notPositive() {
+        return invalid("is no positive number", "an integer above 0");
+    }
+
+    /** Returns a resolved address; throws a {@link ConfigException} if the value has another form. */
+    InetSocketAddress address() {
+        Matcher parts = ADDRESS.matcher(text(""));
+        if (!parts.matches() || Integer.parseInt(parts.group(2)) > HIGHEST_PORT) {
+            throw invalid("is no address with a port", "HOST:PORT with a port up to " + HIGHEST_PORT);
+        }
+        return new InetSocketAddress(parts.group(1), Integer.parseInt(parts.group(2)));
+    }
+
+    /** Returns an exception that names this value. */
+    ConfigException invalid(String reason, String allowed) {
+        return invalid(reason, allowed, null);
+    }
+
+    /** Returns an exception that names this value, with what it follows from. */
+    ConfigException invalid(String reason, String allowed, Throwable cause) {
+        return ConfigException.invalid(file, key, reason, shown(), allowed, cause);
+    }
+
+    /** Lists and tables are not shown: they are long, and may hold passwords. */
+    private String shown() {
+        if (value.isMissingNode()) {
+            return "nothing";
+        }
+        return value.isContainerNode() ? "a list or table" : value.toString();
+    }
+}
--- a/src/main/java/lineward/app/FileSchema.java
+++ b/src/main/java/lineward/app/FileSchema.java
@@ -12,23 +12,46 @@
 
 /** Checks a configuration file against its schema; the library is loaded only where a file says something. */
 final class FileSchema {
+    private static final String SECRET = "password";
+
     private FileSchema() {}
 
-    /** @throws IllegalArgumentException with one plain line that names the first key at fault */
-    static void check(String schema, JsonNode root) {
-        if (root.isEmpty()) {
+    /**
+     * Checks the whole file.
+     *
+     * @param schema the name of the schema among this package's resources
+     * @throws ConfigException that names the first key at fault
+     */
+    static void check(String schema, ConfigNode root) {
+        if (root.value().isEmpty()) {
             return;
         }
         try (InputStream in = FileSchema.class.getResourceAsStream(schema)) {
             JsonSchema rules = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
                     .getSchema(in);
-            rules.validate(root).stream()
+            rules.validate(root.value()).stream()
                     .min(Comparator.comparing(ValidationMessage::getMessage))
-                    .ifPresent(message -> {
-                        throw new IllegalArgumentException(message.getMessage());
+                    .ifPresent(violation -> {
+                        throw invalid(root.file(), violation);
                     });
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
+
+    private static ConfigException invalid(String file, ValidationMessage violation) {
+        String key = violation.getInstanceLocation().toString();
+        String message = violation.getMessage();
+        String prefix = key + ": ";
+        String rule = message.startsWith(prefix) ? message.substring(prefix.length()) : message;
+        String reason = "breaks a rule of the file's schema";
+        return ConfigException.invalid(file, key, reason, shown(key, violation.getInstanceNode()), rule);
+    }
+
+    private static String shown(String key, JsonNode found) {
+        if (found == null || found.isContainerNode() || key.endsWith(SECRET)) {
+            return "a value not shown";
+        }
+        return found.toString();
+    }
 }
--- /dev/null
+++ b/src/main/java/lineward/app/GossipWiring.java
@@ -0,0 +1,43 @@
+package lineward.app;
+
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import lineward.core.Coordinator;
+import lineward.gossip.GossipSocket;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Wires the gossip between the front ends of a tier; one whose socket can't be opened serves without. */
+final class GossipWiring {
+    private static final Logger LOG = LoggerFactory.getLogger(GossipWiring.class);
+
+    private GossipWiring() {}
+
+    /**
+     * Opens the socket when the front end starts.
+     *
+     * @param gossip null: there is no socket, and what is broadcast goes nowhere
+     * @param received is run on the event loop after each datagram
+     * @return what broadcasts a datagram
+     */
+    static Consumer<byte[]> connect(
+            FrontEndContext context, Config.Gossip gossip, Coordinator<?> coordinator, Runnable received) {
+        if (gossip == null) {
+            return payload -> {};
+        }
+        GossipSocket socket = new GossipSocket(gossip.peers(), gossip.all(), (from, payload) -> {
+            coordinator.gossipReceived(from, payload);
+            received.run();
+        });
+        context.startActions().add(() -> open(context, socket, gossip.listen()));
+        return socket::broadcast;
+    }
+
+    private static void open(FrontEndContext context, GossipSocket socket, InetSocketAddress address) {
+        ChannelFuture opening = socket.open(context.eventLoopGroup(), address).awaitUninterruptibly();
+        if (!opening.isSuccess()) {
+            LOG.warn("serving without gossip: address={} cause={}", address, String.valueOf(opening.cause()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/app/ListenerWiring.java
@@ -0,0 +1,32 @@
+package lineward.app;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import lineward.frontend.Listener;
+import lineward.lifecycle.InheritedListener;
+
+/**
+ * Wires the socket on which clients of the platform connect.
+ *
+ * @param isInherited whether other processes accept on the same socket
+ */
+record ListenerWiring(Listener listener, boolean isInherited) {
+    private static final String INHERITED_DESCRIPTOR_VARIABLE = "RELAY_ACCEPT_FD";
+
+    /**
+     * Returns the socket that the environment names, or one of this process's own at that address.
+     *
+     * @throws ConfigException if the descriptor that the environment names can't be used
+     */
+    static ListenerWiring open(InetSocketAddress address, Map<String, String> environment) {
+        String descriptor = environment.getOrDefault(INHERITED_DESCRIPTOR_VARIABLE, "");
+        if (descriptor.isBlank()) {
+            return new ListenerWiring(Listener.at(address), false);
+        }
+        try {
+            return new ListenerWiring(InheritedListener.fromDescriptor(descriptor), true);
+        } catch (IllegalArgumentException e) {
+            throw ConfigException.unusable(INHERITED_DESCRIPTOR_VARIABLE + ": " + e.getMessage(), e);
+        }
+    }
+}
--- a/src/main/java/lineward/app/Main.java
+++ b/src/main/java/lineward/app/Main.java
@@ -10,99 +10,127 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** The command line; {@code --help} tells its commands. Bad use ends with status 2. */
+/** The command line; {@code --help} lists its commands. Bad use ends with status 2. */
 @Command(
         name = "lineward",
         mixinStandardHelpOptions = true,
         version = "lineward 0.1.0",
         description = "A front end for query engines.",
-        subcommands = {Main.Serve.class, Main.Mysql.class, Main.Adapter.class, Main.Rehearse.class, SpoolCommand.class})
+        subcommands = {
+            Main.Serve.class,
+            Main.Mysql.class,
+            Main.Adapter.class,
+            Main.Rehearse.class,
+            // Its commands are methods of the class.
+            SpoolCommand.class
+        })
 public final class Main implements Runnable {
-    private static final Path MYSQL_FILE = Path.of("deploy", "mysql.toml");
-    private static final int BAD_USE = 2;
+    private static final String SERVE = "serve";
+    private static final String REHEARSE = "rehearse";
+    private static final String CONFIG_VARIABLE = "RELAY_CONFIG";
+    private static final Path DEFAULT_MYSQL_FILE = Path.of("deploy", "mysql.toml");
+
+    private static final int STATUS_OK = 0;
+    private static final int STATUS_FAILED = 1;
+    private static final int STATUS_USAGE = 2;
+    /** Returned by commands whose front end goes on in threads of its own. */
+    private static final int STILL_RUNNING = -1;
 
     @Spec
     private CommandSpec spec;
 
     private Main() {}
 
-    /** @param args a command and its arguments */
+    /**
+     * Runs one command.
+     *
+     * @param args a command and its arguments
+     */
     public static void main(String[] args) {
-        int status = isPlatforms(args) ? platform(args) : commandLine().execute(args);
-        if (status != RUNS) {
+        int status = isPlatformCommand(args)
+                ? runPlatformCommand(args)
+                : commandLine().execute(args);
+        if (status != STILL_RUNNING) {
             System.exit(status);
         }
     }
 
     /**
-     * The platform starts front ends under load, on a part of a core, where the parser costs time and 9 MB:
-     * its own commands, which have no options, are spared it.
+     * Returns whether the platform runs this command. It starts front ends under load, on a fraction of a
+     * core, where picocli costs time and 9 MB: its own commands, which have no options, do without.
      */
-    private static boolean isPlatforms(String[] args) {
-        return args.length == 1 && args[0].equals("serve") || args.length == 2 && args[0].equals("rehearse");
+    private static boolean isPlatformCommand(String[] args) {
+        return switch (args.length) {
+            case 1 -> args[0].equals(SERVE);
+            case 2 -> args[0].equals(REHEARSE);
+            default -> false;
+        };
     }
 
-    private static int platform(String[] args) {
+    private static int runPlatformCommand(String[] args) {
         try {
-            start(true, args.length == 1 ? System.getenv("RELAY_CONFIG") : args[1], MYSQL_FILE, false);
-            return args.length == 1 ? RUNS : 0;
+            boolean isRehearsal = args.length == 2;
+            String config = isRehearsal ? args[1] : System.getenv(CONFIG_VARIABLE);
+            startPlatform(config, DEFAULT_MYSQL_FILE, false);
+            return isRehearsal ? STATUS_OK : STILL_RUNNING;
         } catch (RuntimeException e) {
-            return failed(e);
+            return statusOf(e);
         }
     }
 
     private static CommandLine commandLine() {
         return new CommandLine(new Main())
-                .setExecutionExceptionHandler((e, line, parsed) -> failed(e))
-                .setParameterExceptionHandler((e, words) -> {
-                    System.err.println("lineward: "
-                            + e.getMessage().lines().findFirst().orElse("bad use") + "; --help tells the usage");
-                    return BAD_USE;
+                .setExecutionExceptionHandler((e, line, parsed) -> statusOf(e))
+                .setParameterExceptionHandler((e, args) -> {
+                    String reason = e.getMessage().lines().findFirst().orElse("bad use");
+                    System.err.println("lineward: " + reason + "; --help tells the usage");
+                    return STATUS_USAGE;
                 });
     }
 
-    private static int failed(Exception e) {
+    /** Prints what went wrong and returns the status that says so. */
+    private static int statusOf(Exception e) {
         if (e instanceof ConfigException) {
             System.err.println("lineward: " + e.getMessage());
-            return BAD_USE;
+            return STATUS_USAGE;
         }
-        // The event loop would keep a process alive that serves nobody.
+        // The caller exits: the event loop would keep a process alive that serves nobody.
         e.printStackTrace();
-        return 1;
+        return STATUS_FAILED;
     }
 
-    /** What a command returns whose fronts go on in threads of their own. */
-    static final int RUNS = -1;
-
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
     }
 
     @Command(
-            name = "serve",
+            name = SERVE,
             description = "Runs a front end for the platform; RELAY_CONFIG names its"
                     + " configuration. The MySQL front runs with it where its file says so.")
     static final class Serve implements Callable<Integer> {
         @Parameters(index = "0", arity = "0..1", paramLabel = "MYSQL-FILE")
-        private Path mysql;
+        private Path mysqlFile;
 
         @Override
         public Integer call() {
-            start(true, System.getenv("RELAY_CONFIG"), mysql == null ? MYSQL_FILE : mysql, mysql != null);
-            return RUNS;
+            boolean isNamed = mysqlFile != null;
+            startPlatform(System.getenv(CONFIG_VARIABLE), isNamed ? mysqlFile : DEFAULT_MYSQL_FILE, isNamed);
+            return STILL_RUNNING;
         }
     }
 
     @Command(name = "mysql", description = "Runs the MySQL front alone.")
     static final class Mysql implements Callable<Integer> {
         @Parameters(index = "0", paramLabel = "MYSQL-FILE")
-        private Path mysql;
+        private Path mysqlFile;
 
         @Override
         public Integer call() {
-            start(false, null, mysql, true);
-            return RUNS;
+            FrontEnd frontEnd = new FrontEnd();
+            frontEnd.addMysql(new MysqlFile(mysqlFile));
+            frontEnd.run();
+            return STILL_RUNNING;
         }
     }
 
@@ -111,12 +139,12 @@
         @Override
         public Integer call() {
             lineward.scheduling.simulator.Main.main(new String[] {"adapter"});
-            return 0;
+            return STATUS_OK;
         }
     }
 
     @Command(
-            name = "rehearse",
+            name = REHEARSE,
             description = "Starts as a front end with that configuration and ends at once,"
                     + " so that the build can keep the classes of a start in an archive.")
     static final class Rehearse implements Callable<Integer> {
@@ -125,20 +153,18 @@
 
         @Override
         public Integer call() {
-            start(true, config, MYSQL_FILE, false);
-            return 0;
+            startPlatform(config, DEFAULT_MYSQL_FILE, false);
+            return STATUS_OK;
         }
     }
 
-    private static void start(boolean platform, String path, Path mysql, boolean required) {
+    private static void startPlatform(String config, Path mysqlFile, boolean isMysqlRequired) {
         FrontEnd frontEnd = new FrontEnd();
-        if (platform) {
-            // Danger: without a handler the virtual machine ends on SIGHUP; it may come amid the start.
-            Signals.register("HUP", frontEnd::hangUp);
-            frontEnd.addPlatform(Config.read(path), path);
-        }
-        if (required || Files.exists(mysql)) {
-            frontEnd.addMysql(new MysqlFile(mysql));
+        // Without a handler the virtual machine ends on SIGHUP, which may come while the front end starts.
+        Signals.register("HUP", frontEnd::reload);
+        frontEnd.addPlatform(new ConfigFile(config));
+        if (isMysqlRequired || Files.exists(mysqlFile)) {
+            frontEnd.addMysql(new MysqlFile(mysqlFile));
         }
         frontEnd.run();
     }
--- /dev/null
+++ b/src/main/java/lineward/app/MysqlWiring.java
@@ -0,0 +1,67 @@
+package lineward.app;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import lineward.core.Coordinator;
+import lineward.mysql.MysqlConfig;
+import lineward.mysql.MysqlServer;
+import lineward.mysql.Query;
+import lineward.operations.Metrics;
+import lineward.scheduling.SpeculativeScheduler;
+import lineward.spool.Spool;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Wires the MySQL protocol: a server, a coordinator of its own, a spool and the reload of the engines. */
+final class MysqlWiring {
+    private static final Logger LOG = LoggerFactory.getLogger(MysqlWiring.class);
+    /** How often the file is looked at: a drained engine must be known well within a second. */
+    private static final int RELOAD_INTERVAL_MS = 200;
+
+    private final FrontEndContext context;
+    private final MysqlFile file;
+
+    MysqlWiring(FrontEndContext context, MysqlFile file) {
+        this.context = context;
+        this.file = file;
+    }
+
+    /** Adds the server to the front end, unless the file names no address to listen on. */
+    void connect(TelemetryWiring telemetry) {
+        MysqlConfig config = file.read();
+        if (config.listen() == null) {
+            return;
+        }
+        List<String> classNames =
+                config.classes().stream().map(MysqlConfig.QueryClass::name).toList();
+        Coordinator<Query> coordinator = new Coordinator<>(
+                new SpeculativeScheduler(MysqlSettings.of(config), System.nanoTime()),
+                FrontEndContext.MAX_OPEN_REQUESTS,
+                MysqlServer.STOP_TAKES_MS,
+                telemetry.tracer(query -> classNames.get(query.place())));
+        Spool spool = SpoolWiring.open(context, config.spool());
+        DoubleSupplier clock = context.clock();
+        Metrics metrics = context.metrics();
+        CoalescedTick tick = new CoalescedTick(context.eventLoop());
+        MysqlServer server =
+                new MysqlServer(context.eventLoopGroup(), config, coordinator, clock, tick, metrics, spool);
+        metrics.announce(classNames);
+        tick.attach(server);
+        context.runOnEventLoop(() -> server.engines(config.engines()));
+        context.protocolServers().add(server);
+        Runnable reload = () -> reload(server::engines);
+        context.startActions().add(() -> context.ticker().every(RELOAD_INTERVAL_MS, reload));
+    }
+
+    private void reload(Consumer<List<MysqlConfig.Engine>> engines) {
+        if (!file.hasChanged()) {
+            return;
+        }
+        try {
+            engines.accept(file.read().engines());
+        } catch (ConfigException e) {
+            LOG.warn("engines not reloaded, the last good list stays in use: cause={}", e.getMessage());
+        }
+    }
+}
--- a/src/main/java/lineward/app/SpoolCommand.java
+++ b/src/main/java/lineward/app/SpoolCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import lineward.spool.store.Manifest;
 import lineward.spool.store.Segment;
 import lineward.spool.store.SpoolFolder;
@@ -16,72 +17,45 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Looks into a spool folder, while a process uses it or not, and drops results from one that none uses. */
-@Command(name = "spool", description = "Works on a folder of spooled results.", mixinStandardHelpOptions = true)
+/** Reads a spool folder, whether a process uses it or not, and deletes results from one that none uses. */
+@Command(name = SpoolCommand.NAME, description = SpoolCommand.DESCRIPTION, mixinStandardHelpOptions = true)
 final class SpoolCommand implements Runnable {
+    static final String NAME = "spool";
+    static final String DESCRIPTION = "Works on a folder of spooled results.";
+    private static final int STATUS_OK = 0;
+    private static final int STATUS_CORRUPT = 1;
+
     @Spec
     private CommandSpec spec;
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: ls, verify or drop");
-    }
-
-    private PrintWriter out() {
-        return spec.commandLine().getOut();
-    }
-
-    private static SpoolFolder.Recovered look(Path folder) {
-        try {
-            return SpoolFolder.look(folder);
-        } catch (IOException e) {
-            throw new ConfigException(folder + " can't be read");
-        }
+        String reason = "a command is missing: ls, verify or drop";
+        throw new CommandLine.ParameterException(spec.commandLine(), reason);
     }
 
     @Command(name = "ls", description = "Lists the results that are whole, and what can't be used.")
     int list(@Parameters(paramLabel = "FOLDER") Path folder) {
-        SpoolFolder.Recovered seen = look(folder);
-        for (Segment.Found f : seen.whole()) {
-            Manifest m = f.manifest();
-            out().printf(
-                            "%s user=%s key=%s rows=%d bytes=%d stored=%d blocks=%d created=%s%n",
-                            f.segment().path().getFileName(),
-                            m.user(),
-                            m.key(),
-                            m.rows(),
-                            m.rawBytes(),
-                            f.bytes(),
-                            f.blocks().size(),
-                            Instant.ofEpochMilli(m.createdMs()));
-        }
-        seen.dropped().forEach(d -> out().printf("%s unusable: %s%n", d.path().getFileName(), d.why()));
-        return 0;
+        SpoolFolder.Recovered contents = read(folder);
+        contents.whole().forEach(this::printResult);
+        printUnusable(contents);
+        return STATUS_OK;
     }
 
     @Command(name = "verify", description = "Reads every block and checks it; status 1 if one is spoilt.")
     int verify(@Parameters(paramLabel = "FOLDER") Path folder) {
-        SpoolFolder.Recovered seen = look(folder);
-        int spoilt = seen.dropped().size();
-        seen.dropped().forEach(d -> out().printf("%s unusable: %s%n", d.path().getFileName(), d.why()));
-        for (Segment.Found f : seen.whole()) {
-            String fault = fault(f);
-            spoilt += fault == null ? 0 : 1;
-            out().printf("%s %s%n", f.segment().path().getFileName(), fault == null ? "good" : "spoilt: " + fault);
+        SpoolFolder.Recovered contents = read(folder);
+        printUnusable(contents);
+        int intact = 0;
+        for (Segment.Found result : contents.whole()) {
+            Optional<String> fault = findFault(result);
+            String state = fault.map(reason -> "spoilt: " + reason).orElse("good");
+            print("%s %s%n", fileName(result.segment().path()), state);
+            intact += fault.isEmpty() ? 1 : 0;
         }
-        out().printf("%d good, %d not%n", seen.whole().size() + seen.dropped().size() - spoilt, spoilt);
-        return spoilt == 0 ? 0 : 1;
-    }
-
-    private static String fault(Segment.Found found) {
-        for (Segment.Place place : found.blocks()) {
-            try {
-                found.segment().read(place);
-            } catch (IOException e) {
-                return "row " + place.firstRow() + ": " + e.getMessage();
-            }
-        }
-        return null;
+        int corrupt = contents.whole().size() + contents.dropped().size() - intact;
+        print("%d good, %d not%n", intact, corrupt);
+        return corrupt == 0 ? STATUS_OK : STATUS_CORRUPT;
     }
 
     @Command(name = "drop", description = "Deletes results from a folder that no process holds.")
@@ -90,20 +64,73 @@
             @Option(names = "--user", description = "only this user's") String user,
             @Option(names = "--key", description = "only under this key") String key) {
         if (!Files.isDirectory(folder)) {
-            throw new ConfigException(folder + " is no folder");
+            throw ConfigException.unusable(folder + " is no folder");
         }
-        try (SpoolFolder held = SpoolFolder.take(folder)) {
-            List<Segment.Found> some = SpoolFolder.look(folder).whole().stream()
-                    .filter(f -> user == null || f.manifest().user().equals(user))
-                    .filter(f -> key == null || f.manifest().key().equals(key))
+        try (SpoolFolder locked = SpoolFolder.take(folder)) {
+            List<Segment.Found> selected = SpoolFolder.look(folder).whole().stream()
+                    .filter(result -> matches(result.manifest(), user, key))
                     .toList();
-            for (Segment.Found f : some) {
-                Files.deleteIfExists(f.segment().path());
+            for (Segment.Found result : selected) {
+                Files.deleteIfExists(result.segment().path());
             }
-            out().printf("%d dropped from %s%n", some.size(), held);
-            return 0;
+            print("%d dropped from %s%n", selected.size(), locked);
+            return STATUS_OK;
+        } catch (IOException e) {
+            throw ConfigException.unusable(e.getMessage(), e);
+        }
+    }
+
+    private static SpoolFolder.Recovered read(Path folder) {
+        try {
+            return SpoolFolder.look(folder);
         } catch (IOException e) {
-            throw new ConfigException(e.getMessage());
+            throw ConfigException.unusable(folder + " can't be read", e);
         }
     }
+
+    /** Returns whether a result has that user and that key; null stands for any. */
+    private static boolean matches(Manifest manifest, String user, String key) {
+        boolean isOfUser = user == null || manifest.user().equals(user);
+        boolean isUnderKey = key == null || manifest.key().equals(key);
+        return isOfUser && isUnderKey;
+    }
+
+    /** Returns what is wrong with the first block that can't be read, if there is one. */
+    private static Optional<String> findFault(Segment.Found result) {
+        for (Segment.Place block : result.blocks()) {
+            try {
+                result.segment().read(block);
+            } catch (IOException e) {
+                return Optional.of("row " + block.firstRow() + ": " + e.getMessage());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void printResult(Segment.Found result) {
+        Manifest manifest = result.manifest();
+        print(
+                "%s user=%s key=%s rows=%d bytes=%d stored=%d blocks=%d created=%s%n",
+                fileName(result.segment().path()),
+                manifest.user(),
+                manifest.key(),
+                manifest.rows(),
+                manifest.rawBytes(),
+                result.bytes(),
+                result.blocks().size(),
+                Instant.ofEpochMilli(manifest.createdMs()));
+    }
+
+    private void printUnusable(SpoolFolder.Recovered contents) {
+        contents.dropped().forEach(file -> print("%s unusable: %s%n", fileName(file.path()), file.why()));
+    }
+
+    private static Path fileName(Path path) {
+        return path.getFileName();
+    }
+
+    private void print(String format, Object... values) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf(format, values);
+    }
 }
--- /dev/null
+++ b/src/main/java/lineward/app/SpoolWiring.java
@@ -0,0 +1,51 @@
+package lineward.app;
+
+import java.io.IOException;
+import lineward.mysql.MysqlConfig;
+import lineward.spool.Spool;
+import lineward.spool.store.SegmentStore;
+import lineward.spool.store.SpoolFolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Wires a spool: its folder, the workers on its files, the results that an earlier process left there. */
+final class SpoolWiring {
+    private static final Logger LOG = LoggerFactory.getLogger(SpoolWiring.class);
+
+    private SpoolWiring() {}
+
+    /**
+     * Opens a spool that is used on the event loop and closed at the end. Without a usable folder, results
+     * stay in memory.
+     *
+     * @throws ConfigException if another process uses the folder
+     */
+    static Spool open(FrontEndContext context, MysqlConfig.Spooling config) {
+        Spool spool = config.folder() == null ? inMemory(context, config) : onFiles(context, config);
+        context.closeables().add(spool);
+        context.metrics().spool(spool::figures);
+        return spool;
+    }
+
+    private static Spool inMemory(FrontEndContext context, MysqlConfig.Spooling config) {
+        return new Spool(config.limits(), null, context.clock());
+    }
+
+    private static Spool onFiles(FrontEndContext context, MysqlConfig.Spooling config) {
+        SpoolFolder folder;
+        SpoolFolder.Recovered recovered;
+        try {
+            folder = SpoolFolder.take(config.folder());
+            recovered = folder.recover();
+        } catch (SpoolFolder.HeldException e) {
+            throw ConfigException.unusable(e.getMessage(), e);
+        } catch (IOException e) {
+            LOG.warn("{}: results stay in memory", e.getMessage());
+            return inMemory(context, config);
+        }
+        SegmentStore store = new SegmentStore(folder, context.eventLoop());
+        Spool spool = new Spool(config.limits(), store, context.clock());
+        spool.restore(recovered);
+        return spool;
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/app/TelemetryWiring.java
@@ -0,0 +1,46 @@
+package lineward.app;
+
+import java.util.Map;
+import java.util.function.Function;
+import lineward.core.Tracer;
+import lineward.operations.Metrics;
+import lineward.operations.MetricsTracer;
+import lineward.telemetry.Telemetry;
+
+/** Wires what observes requests: the log, the metrics and, where a collector is named, the OTLP export. */
+final class TelemetryWiring implements AutoCloseable {
+    private static final String INSTANCE_VARIABLE = "RELAY_NAME";
+    private static final String DEFAULT_INSTANCE = "lineward";
+
+    private final Metrics metrics;
+    /** Null where the environment names no collector. */
+    private final Telemetry export;
+
+    /** Starts the export; throws a {@link ConfigException} if its variables can't be used. */
+    TelemetryWiring(Metrics metrics, Map<String, String> environment) {
+        this.metrics = metrics;
+        this.export = Telemetry.isOn(environment) ? start(environment) : null;
+    }
+
+    private static Telemetry start(Map<String, String> environment) {
+        String instance = environment.getOrDefault(INSTANCE_VARIABLE, DEFAULT_INSTANCE);
+        try {
+            return Telemetry.start(environment, instance);
+        } catch (IllegalArgumentException e) {
+            throw ConfigException.unusable(e.getMessage(), e);
+        }
+    }
+
+    /** Returns the observer of one protocol server's requests. */
+    <X> Tracer<X> tracer(Function<X, String> classOf) {
+        Tracer<X> counter = new MetricsTracer<>(metrics, classOf, new LogTracer<>());
+        return export == null ? counter : export.tracer(classOf, Object::toString, counter);
+    }
+
+    @Override
+    public void close() {
+        if (export != null) {
+            export.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lineward/app/ThriftWiring.java
@@ -0,0 +1,131 @@
+package lineward.app;
+
+import lineward.core.Coordinator;
+import lineward.core.Tracer;
+import lineward.discovery.EndpointList;
+import lineward.engine.EngineCluster;
+import lineward.engine.EngineWarmup;
+import lineward.scheduling.SpeculativeScheduler;
+import lineward.thrift.Call;
+import lineward.thrift.ProtocolWarmup;
+import lineward.thrift.ThriftServer;
+
+/** Wires the platform's protocol: clients that speak Thrift, the engines' connections, one coordinator. */
+final class ThriftWiring {
+    /** An attempt is cancelled on an engine well within this, over the network. */
+    private static final double CANCEL_LATENCY_MS = 6;
+    /** One open request is reckoned with 16 KB of memory. */
+    private static final int OPEN_REQUESTS_PER_MB = 64;
+    /** Statements of open requests may take this fraction of the memory. */
+    private static final int STATEMENT_MEMORY_DIVISOR = 16;
+    /** Responses that clients have not read yet may take this fraction of the memory. */
+    private static final int RESPONSE_MEMORY_DIVISOR = 12;
+
+    private static final long BYTES_PER_MB = 1 << 20;
+    /** Clients may take half of the descriptors; those left by them and engines serve everything else. */
+    private static final double CLIENT_DESCRIPTOR_RATIO = 0.5;
+    /** Connections to engines may take about a third of the descriptors. */
+    private static final double ENGINE_DESCRIPTOR_RATIO = 0.35;
+
+    private final FrontEndContext context;
+    private final Config config;
+    private final ThriftServer.Names names;
+    private final ThriftServer.Bounds bounds;
+
+    ThriftWiring(FrontEndContext context, Config config) {
+        this.context = context;
+        this.config = config;
+        Config.Names configured = config.names();
+        this.names = new ThriftServer.Names(configured.classes(), configured.tenants(), config.deadlinesMs());
+        this.bounds = bounds(config.resources());
+    }
+
+    private static ThriftServer.Bounds bounds(Config.Resources resources) {
+        long memoryBytes = resources.memoryMb() * BYTES_PER_MB;
+        return new ThriftServer.Bounds(
+                (int) (resources.descriptors() * CLIENT_DESCRIPTOR_RATIO),
+                memoryBytes / STATEMENT_MEMORY_DIVISOR,
+                memoryBytes / RESPONSE_MEMORY_DIVISOR);
+    }
+
+    /**
+     * Adds the server to the front end, warmed up and with the endpoints that the configuration names.
+     *
+     * @param file from which a reload reads
+     * @return how this process ends and is told from others
+     */
+    LifecycleWiring.Instance connect(TelemetryWiring telemetry, DiscoveryWiring discovery, ConfigFile file) {
+        Coordinator<Call> coordinator = coordinator(config.seed(), telemetry.tracer(Call::op));
+        EngineCluster cluster = cluster();
+        context.metrics().announce(names.classes());
+        context.runOnEventLoop(() -> warmUp(cluster));
+        ListenerWiring clients = ListenerWiring.open(config.addresses().listen(), context.environment());
+        CoalescedTick tick = new CoalescedTick(context.eventLoop());
+        ThriftServer server = new ThriftServer(
+                names,
+                bounds,
+                clients.listener(),
+                coordinator,
+                cluster,
+                context.clock(),
+                tick,
+                context.metrics(),
+                GossipWiring.connect(context, config.addresses().gossip(), coordinator, tick));
+        tick.attach(server);
+        EndpointList endpoints = endpoints((isComplete, entries) -> {
+            cluster.updateEndpoints(isComplete, entries);
+            coordinator.endpointsChanged(isComplete, entries);
+            tick.run();
+        });
+        context.runOnEventLoop(() -> applyInitial(endpoints));
+        context.protocolServers().add(server);
+        discovery.follow(config.addresses().discovery(), file, endpoints);
+        return instance(clients.isInherited());
+    }
+
+    private Coordinator<Call> coordinator(long seed, Tracer<Call> tracer) {
+        int fittingRequests = config.resources().memoryMb() * OPEN_REQUESTS_PER_MB;
+        int maxOpenRequests = Math.min(FrontEndContext.MAX_OPEN_REQUESTS, fittingRequests);
+        SpeculativeScheduler scheduler = new SpeculativeScheduler(config.settings(), seed);
+        return new Coordinator<>(scheduler, maxOpenRequests, CANCEL_LATENCY_MS, tracer);
+    }
+
+    private EngineCluster cluster() {
+        Config.EngineConnections connections = config.engineConnections();
+        EngineCluster.Limits limits = new EngineCluster.Limits(
+                connections.connectTimeoutMs(),
+                connections.idleMs(),
+                connections.streams(),
+                (int) (config.resources().descriptors() * ENGINE_DESCRIPTOR_RATIO),
+                !config.settings().reporting().fields().isEmpty());
+        return new EngineCluster(context.eventLoopGroup(), limits, context.metrics()::relayed);
+    }
+
+    /** Loads and compiles what the first requests need, with a coordinator of its own. */
+    private void warmUp(EngineCluster cluster) {
+        EngineWarmup.run();
+        ProtocolWarmup.run(names, bounds, coordinator(0, new LogTracer<>()), cluster, context.clock());
+    }
+
+    private EndpointList endpoints(EndpointList.Listener listener) {
+        return new EndpointList(config.names().engineKinds(), config.names().zones(), listener);
+    }
+
+    private void applyInitial(EndpointList endpoints) {
+        ConfigNode initial = config.initialEndpoints();
+        try {
+            endpoints.apply(initial.value());
+        } catch (IllegalArgumentException e) {
+            throw initial.invalid("can't be used: " + e.getMessage(), "events of the discovery service", e);
+        }
+    }
+
+    private LifecycleWiring.Instance instance(boolean isInherited) {
+        String name = config.name() + '-' + config.addresses().listen().getPort();
+        double longestDeadlineMs = names.deadlines().stream()
+                .mapToDouble(Double::doubleValue)
+                .max()
+                .orElse(LifecycleWiring.MAX_RESTART_MS);
+        return new LifecycleWiring.Instance(name, isInherited, longestDeadlineMs);
+    }
+}
--- a/src/test/java/lineward/LayersTest.java
+++ b/src/test/java/lineward/LayersTest.java
@@ -5,45 +5,54 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.library.Architectures;
 import com.tngtech.archunit.library.Architectures.LayeredArchitecture;
+import java.util.List;
 import org.testng.annotations.Test;
 
-/** A floor may use those below it and itself, never one above. */
+/** A layer may use itself and the layers below it, never one above. */
 public class LayersTest {
-    private static final String[][] FLOORS = {
-        {"module", "lineward.scheduling.."},
-        {"core", "lineward.core..", "lineward.frontend.."},
-        {"subsystems", "lineward.spool.."},
-        {"wires", "lineward.engine..", "lineward.discovery..", "lineward.gossip.."},
-        {"process", "lineward.lifecycle..", "lineward.operations..", "lineward.telemetry.."},
-        {"protocols", "lineward.thrift..", "lineward.mysql.."},
-        {"app", "lineward.app.."}
-    };
+    private record Layer(String name, List<String> packages) {
+        Layer(String name, String... packages) {
+            this(name, List.of(packages));
+        }
+    }
+
+    /** From the top down. */
+    private static final List<Layer> LAYERS = List.of(
+            new Layer("app", "lineward.app.."),
+            new Layer("protocols", "lineward.thrift..", "lineward.mysql.."),
+            new Layer("process", "lineward.lifecycle..", "lineward.operations..", "lineward.telemetry.."),
+            new Layer("backends", "lineward.engine..", "lineward.discovery..", "lineward.gossip.."),
+            new Layer("subsystems", "lineward.spool.."),
+            new Layer("core", "lineward.core..", "lineward.frontend.."),
+            new Layer("scheduling", "lineward.scheduling.."));
 
     @Test
-    public void noFloorUsesOneAboveIt() {
+    public void noLayerUsesOneAboveIt() {
         JavaClasses classes = new ClassFileImporter()
                 .withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("lineward");
-        LayeredArchitecture floors = Architectures.layeredArchitecture().consideringOnlyDependenciesInLayers();
-        for (String[] floor : FLOORS) {
-            String[] packages = new String[floor.length - 1];
-            System.arraycopy(floor, 1, packages, 0, packages.length);
-            floors = floors.layer(floor[0]).definedBy(packages);
+        LayeredArchitecture architecture = Architectures.layeredArchitecture()
+                .consideringOnlyDependenciesInLayers()
+                .ensureAllClassesAreContainedInArchitecture();
+        for (Layer layer : LAYERS) {
+            architecture =
+                    architecture.layer(layer.name()).definedBy(layer.packages().toArray(String[]::new));
         }
-        for (int i = 0; i < FLOORS.length; i++) {
-            String[] above = new String[FLOORS.length - 1 - i];
-            for (int j = 0; j < above.length; j++) {
-                above[j] = FLOORS[i + 1 + j][0];
+        for (int i = 0; i < LAYERS.size(); i++) {
+            String[] above = LAYERS.subList(0, i).stream().map(Layer::name).toArray(String[]::new);
+            LayeredArchitecture.LayerDependencySpecification layer =
+                    architecture.whereLayer(LAYERS.get(i).name());
+            if (above.length == 0) {
+                architecture = layer.mayNotBeAccessedByAnyLayer();
+            } else {
+                architecture = layer.mayOnlyBeAccessedByLayers(above);
             }
-            floors = above.length == 0
-                    ? floors.whereLayer(FLOORS[i][0]).mayNotBeAccessedByAnyLayer()
-                    : floors.whereLayer(FLOORS[i][0]).mayOnlyBeAccessedByLayers(above);
         }
-        floors.check(classes);
+        architecture.check(classes);
     }
 
     @Test(expectedExceptions = AssertionError.class)
-    public void theCheckFindsOneThatDoes() {
+    public void aLayerThatUsesOneAboveItIsFound() {
         JavaClasses classes = new ClassFileImporter().importPackages("lineward");
         Architectures.layeredArchitecture()
                 .consideringOnlyDependenciesInLayers()
