--- a/src/test/java/lineward/app/ConfigExceptionTest.java
+++ b/src/test/java/lineward/app/ConfigExceptionTest.java
@@ -71,8 +71,7 @@
     }
 
     @Test(dataProvider = "invalidPlatformValues")
-    public void platformValueIsNamed(String members, String key, String found, String allowed)
-            throws IOException {
+    public void platformValueIsNamed(String members, String key, String found, String allowed) throws IOException {
         Files.writeString(file, "{\"settings\":{}," + members + "}");
         ConfigFile platformFile = new ConfigFile(file.toString());
         ConfigException error = expectThrows(ConfigException.class, platformFile::read);
--- a/src/test/java/lineward/mysql/StandInEngine.java
+++ b/src/test/java/lineward/mysql/StandInEngine.java
@@ -74,6 +74,7 @@
     volatile Trouble trouble = Trouble.NONE;
     /** Runs before it dies or sends what breaks the protocol. */
     volatile Runnable beforeFault = () -> {};
+
     private volatile long lastByteAt;
     private volatile long nextCommandAt;
 
