--- a/src/main/java/lineward/app/AdminWiring.java
+++ b/src/main/java/lineward/app/AdminWiring.java
@@ -28,6 +28,6 @@
         AdminServer server = new AdminServer(lifecycle);
         ChannelFuture binding = server.listen(context.eventLoopGroup(), address);
         LOG.info("operators call at {}", FrontEndContext.awaitBound(binding));
-        context.ticker().every(UNRESPONSIVE_INTERVAL_MS, server::closeSilent);
+        context.ticker().every(UNRESPONSIVE_INTERVAL_MS, server::closeUnresponsive);
     }
 }
--- a/src/main/java/lineward/app/DiscoveryWiring.java
+++ b/src/main/java/lineward/app/DiscoveryWiring.java
@@ -31,7 +31,7 @@
                 client.reloadAddress();
             }
         });
-        context.metrics().listAge(client::ageMs);
+        context.metrics().setListAge(client::ageMs);
         context.startActions().add(this::startPolling);
     }
 
--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -62,7 +62,7 @@
     private void start() {
         List<ProtocolServer> servers = context.protocolServers();
         Ticker ticker = context.ticker();
-        context.runOnEventLoop(lifecycle::begin);
+        context.runOnEventLoop(lifecycle::joinHotRestart);
         ticker.every(Ticker.TICK_MS, () -> servers.forEach(ProtocolServer::tick));
         ticker.every(UNRESPONSIVE_INTERVAL_MS, () -> servers.forEach(ProtocolServer::closeUnresponsive));
         ticker.every(IDLE_INTERVAL_MS, () -> servers.forEach(ProtocolServer::closeIdleEngineConnections));
@@ -79,7 +79,7 @@
 
     /** Ends the process with status 0 once all requests have been answered. */
     private void terminate() {
-        lifecycle.end();
+        lifecycle.shutdownGracefully();
         context.closeables().forEach(FrontEnd::close);
         telemetry.close();
         Runtime.getRuntime().halt(0);
--- a/src/main/java/lineward/app/LifecycleWiring.java
+++ b/src/main/java/lineward/app/LifecycleWiring.java
@@ -54,18 +54,18 @@
                 servers,
                 context.metrics(),
                 hotRestart,
-                new Lifecycle.Ending(instance.isListenerInherited(), instance.shutdownDeadlineMs()));
+                new Lifecycle.ShutdownOptions(instance.isListenerInherited(), instance.shutdownDeadlineMs()));
     }
 
     /** Applies to all protocol servers what other processes of this front end have published. */
     private record RestartListener(List<ProtocolServer> servers) implements HotRestart.Listener {
         @Override
-        public void heldOut(String engine, boolean out, double since) {
+        public void maintenanceChanged(String engine, boolean out, double since) {
             servers.forEach(server -> server.setMaintenance(engine, out, since));
         }
 
         @Override
-        public void part(double quota) {
+        public void quotaChanged(double quota) {
             servers.forEach(server -> server.coordinator().setQuota(quota));
         }
     }
--- a/src/main/java/lineward/app/MysqlSettings.java
+++ b/src/main/java/lineward/app/MysqlSettings.java
@@ -60,10 +60,10 @@
     private static RequestClass requestClass(MysqlConfig.QueryClass queryClass, Idempotence idempotence) {
         return new RequestClass(
                 new RequestClass.Objective(
-                        queryClass.aimMs(),
+                        queryClass.latencyObjectiveMs(),
                         OBJECTIVE_STRETCH,
                         queryClass.deadlineMs(),
-                        queryClass.worth(),
+                        queryClass.priorityWeight(),
                         LATE_VALUE_RATIO),
                 new RequestClass.Repeatability(idempotence, DeduplicationScope.ALL, 0, false),
                 new RequestClass.Placement(null, null),
--- a/src/main/java/lineward/app/MysqlWiring.java
+++ b/src/main/java/lineward/app/MysqlWiring.java
@@ -38,19 +38,19 @@
         Coordinator<Query> coordinator = new Coordinator<>(
                 new SpeculativeScheduler(MysqlSettings.of(config), System.nanoTime()),
                 FrontEndContext.MAX_OPEN_REQUESTS,
-                MysqlServer.STOP_TAKES_MS,
-                telemetry.tracer(query -> classNames.get(query.place())));
+                MysqlServer.CANCEL_LIMIT_MS,
+                telemetry.tracer(query -> classNames.get(query.classIndex())));
         Spool spool = SpoolWiring.open(context, config.spool());
         DoubleSupplier clock = context.clock();
         Metrics metrics = context.metrics();
         CoalescedTick tick = new CoalescedTick(context.eventLoop());
         MysqlServer server =
                 new MysqlServer(context.eventLoopGroup(), config, coordinator, clock, tick, metrics, spool);
-        metrics.announce(classNames);
+        metrics.registerClasses(classNames);
         tick.attach(server);
-        context.runOnEventLoop(() -> server.engines(config.engines()));
+        context.runOnEventLoop(() -> server.updateEngines(config.engines()));
         context.protocolServers().add(server);
-        Runnable reload = () -> reload(server::engines);
+        Runnable reload = () -> reload(server::updateEngines);
         context.startActions().add(() -> context.ticker().every(RELOAD_INTERVAL_MS, reload));
     }
 
--- a/src/main/java/lineward/app/SpoolCommand.java
+++ b/src/main/java/lineward/app/SpoolCommand.java
@@ -37,7 +37,7 @@
     @Command(name = "ls", description = "Lists the results that are whole, and what can't be used.")
     int list(@Parameters(paramLabel = "FOLDER") Path folder) {
         SpoolFolder.Recovered contents = read(folder);
-        contents.whole().forEach(this::printResult);
+        contents.complete().forEach(this::printResult);
         printUnusable(contents);
         return STATUS_OK;
     }
@@ -47,13 +47,13 @@
         SpoolFolder.Recovered contents = read(folder);
         printUnusable(contents);
         int intact = 0;
-        for (Segment.Found result : contents.whole()) {
+        for (Segment.Found result : contents.complete()) {
             Optional<String> fault = findFault(result);
             String state = fault.map(reason -> "spoilt: " + reason).orElse("good");
             print("%s %s%n", fileName(result.segment().path()), state);
             intact += fault.isEmpty() ? 1 : 0;
         }
-        int corrupt = contents.whole().size() + contents.dropped().size() - intact;
+        int corrupt = contents.complete().size() + contents.unusable().size() - intact;
         print("%d good, %d not%n", intact, corrupt);
         return corrupt == 0 ? STATUS_OK : STATUS_CORRUPT;
     }
@@ -66,8 +66,8 @@
         if (!Files.isDirectory(folder)) {
             throw ConfigException.unusable(folder + " is no folder");
         }
-        try (SpoolFolder locked = SpoolFolder.take(folder)) {
-            List<Segment.Found> selected = SpoolFolder.look(folder).whole().stream()
+        try (SpoolFolder locked = SpoolFolder.acquire(folder)) {
+            List<Segment.Found> selected = SpoolFolder.inspect(folder).complete().stream()
                     .filter(result -> matches(result.manifest(), user, key))
                     .toList();
             for (Segment.Found result : selected) {
@@ -82,7 +82,7 @@
 
     private static SpoolFolder.Recovered read(Path folder) {
         try {
-            return SpoolFolder.look(folder);
+            return SpoolFolder.inspect(folder);
         } catch (IOException e) {
             throw ConfigException.unusable(folder + " can't be read", e);
         }
@@ -97,7 +97,7 @@
 
     /** Returns what is wrong with the first block that can't be read, if there is one. */
     private static Optional<String> findFault(Segment.Found result) {
-        for (Segment.Place block : result.blocks()) {
+        for (Segment.Extent block : result.blocks()) {
             try {
                 result.segment().read(block);
             } catch (IOException e) {
@@ -116,13 +116,13 @@
                 manifest.key(),
                 manifest.rows(),
                 manifest.rawBytes(),
-                result.bytes(),
+                result.fileBytes(),
                 result.blocks().size(),
                 Instant.ofEpochMilli(manifest.createdMs()));
     }
 
     private void printUnusable(SpoolFolder.Recovered contents) {
-        contents.dropped().forEach(file -> print("%s unusable: %s%n", fileName(file.path()), file.why()));
+        contents.unusable().forEach(file -> print("%s unusable: %s%n", fileName(file.path()), file.reason()));
     }
 
     private static Path fileName(Path path) {
--- a/src/main/java/lineward/app/SpoolWiring.java
+++ b/src/main/java/lineward/app/SpoolWiring.java
@@ -23,7 +23,7 @@
     static Spool open(FrontEndContext context, MysqlConfig.Spooling config) {
         Spool spool = config.folder() == null ? inMemory(context, config) : onFiles(context, config);
         context.closeables().add(spool);
-        context.metrics().spool(spool::figures);
+        context.metrics().setSpool(spool::statistics);
         return spool;
     }
 
@@ -35,9 +35,9 @@
         SpoolFolder folder;
         SpoolFolder.Recovered recovered;
         try {
-            folder = SpoolFolder.take(config.folder());
+            folder = SpoolFolder.acquire(config.folder());
             recovered = folder.recover();
-        } catch (SpoolFolder.HeldException e) {
+        } catch (SpoolFolder.LockedException e) {
             throw ConfigException.unusable(e.getMessage(), e);
         } catch (IOException e) {
             LOG.warn("{}: results stay in memory", e.getMessage());
--- a/src/main/java/lineward/app/ThriftWiring.java
+++ b/src/main/java/lineward/app/ThriftWiring.java
@@ -57,7 +57,7 @@
     LifecycleWiring.Instance connect(TelemetryWiring telemetry, DiscoveryWiring discovery, ConfigFile file) {
         Coordinator<Call> coordinator = coordinator(config.seed(), telemetry.tracer(Call::op));
         EngineCluster cluster = cluster();
-        context.metrics().announce(names.classes());
+        context.metrics().registerClasses(names.classes());
         context.runOnEventLoop(() -> warmUp(cluster));
         ListenerWiring clients = ListenerWiring.open(config.addresses().listen(), context.environment());
         CoalescedTick tick = new CoalescedTick(context.eventLoop());
@@ -98,7 +98,7 @@
                 connections.streams(),
                 (int) (config.resources().descriptors() * ENGINE_DESCRIPTOR_RATIO),
                 !config.settings().reporting().fields().isEmpty());
-        return new EngineCluster(context.eventLoopGroup(), limits, context.metrics()::relayed);
+        return new EngineCluster(context.eventLoopGroup(), limits, context.metrics()::countForwarded);
     }
 
     /** Loads and compiles what the first requests need, with a coordinator of its own. */
--- a/src/main/java/lineward/engine/EngineCluster.java
+++ b/src/main/java/lineward/engine/EngineCluster.java
@@ -167,7 +167,7 @@
     }
 
     /** Ends the attempts that wait for a connection to that engine, as not sent. */
-    public void recallUnsent(String engine) {
+    public void cancelWaiting(String engine) {
         Member member = members.get(engine);
         if (member != null) {
             member.pool.cancelWaiting();
--- a/src/main/java/lineward/frontend/ClientRegistry.java
+++ b/src/main/java/lineward/frontend/ClientRegistry.java
@@ -70,12 +70,12 @@
     }
 
     /** The connection has sent a request and awaits the response. */
-    public void markWaiting(C client) {
+    public void becameWaiting(C client) {
         changeState(client, awaitingResponse);
     }
 
     /** The connection has sent a request before and awaits no response. */
-    public void markIdle(C client) {
+    public void becameIdle(C client) {
         changeState(client, idle);
     }
 
--- a/src/main/java/lineward/lifecycle/HotRestart.java
+++ b/src/main/java/lineward/lifecycle/HotRestart.java
@@ -21,10 +21,10 @@
          * @param excluded true while the engine gets no requests
          * @param sinceMs when the operator gave the order, in Unix milliseconds
          */
-        void heldOut(String engine, boolean excluded, double sinceMs);
+        void maintenanceChanged(String engine, boolean excluded, double sinceMs);
 
         /** The part of this front end's work that falls to this process, in (0, 1]. */
-        void part(double quota);
+        void quotaChanged(double quota);
     }
 
     /** The interval at which a process that runs rewrites its file. */
@@ -70,7 +70,7 @@
         if (policy.apply(order)) {
             String change = order.excluded() ? "is held out" : "is used again";
             LOG.info("query engine {} {}", order.engine(), change);
-            listener.heldOut(order.engine(), order.excluded(), order.sinceMs());
+            listener.maintenanceChanged(order.engine(), order.excluded(), order.sinceMs());
         }
     }
 
@@ -102,7 +102,7 @@
         }
         if (policy.setRunningPeers(runningPeers)) {
             LOG.info("quota of this process changed: quota={}", policy.quota());
-            listener.part(policy.quota());
+            listener.quotaChanged(policy.quota());
         }
     }
 
--- a/src/main/java/lineward/lifecycle/Lifecycle.java
+++ b/src/main/java/lineward/lifecycle/Lifecycle.java
@@ -14,16 +14,16 @@
 
 /**
  * Carries out the transitions of this process: starting, serving, draining by an operator's order, and the
- * graceful shutdown after SIGTERM. All but {@link #end} runs on the event loop.
+ * graceful shutdown after SIGTERM. All but {@link #shutdownGracefully} runs on the event loop.
  */
 public final class Lifecycle implements AdminOperations {
     /**
      * How this process ends after SIGTERM.
      *
      * @param inherited whether other processes accept on the clients' socket: this one stops accepting then
-     * @param lastWordMs from SIGTERM until requests that are still open are failed
+     * @param shutdownDeadlineMs from SIGTERM until requests that are still open are failed
      */
-    public record Ending(boolean inherited, int lastWordMs) {}
+    public record ShutdownOptions(boolean inherited, int shutdownDeadlineMs) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(Lifecycle.class);
     /** After SIGTERM requests go on coming for 0.6 s, a little later on a slow network. */
@@ -38,7 +38,7 @@
     private final List<ProtocolServer> servers;
     private final Metrics metrics;
     private final HotRestart hotRestart;
-    private final Ending shutdown;
+    private final ShutdownOptions shutdown;
     private final CountDownLatch drained = new CountDownLatch(1);
     private ProcessState state = ProcessState.STARTING;
     private long drainStartNanos;
@@ -55,7 +55,7 @@
             List<ProtocolServer> servers,
             Metrics metrics,
             HotRestart hotRestart,
-            Ending shutdown) {
+            ShutdownOptions shutdown) {
         this.loop = loop;
         this.ticker = ticker;
         this.servers = servers;
@@ -65,7 +65,7 @@
     }
 
     /** Takes over the maintenance orders of the process before this one, and polls for more. */
-    public void begin() {
+    public void joinHotRestart() {
         hotRestart.readPeers();
         hotRestart.writeState();
         ticker.every(PEER_POLL_MS, hotRestart::readPeers);
@@ -148,8 +148,8 @@
      * Shuts down gracefully after SIGTERM: serves on while requests still come, completes all that are open,
      * and returns when every answer has been written. Called on a thread of its own.
      */
-    public void end() {
-        LOG.info("SIGTERM: graceful shutdown, deadlineMs={}", shutdown.lastWordMs());
+    public void shutdownGracefully() {
+        LOG.info("SIGTERM: graceful shutdown, deadlineMs={}", shutdown.shutdownDeadlineMs());
         loop.execute(this::beginShutdown);
         try {
             drained.await();
@@ -163,7 +163,7 @@
     private void beginShutdown() {
         state = state.afterTermination();
         drainStartNanos = System.nanoTime();
-        servers.forEach(server -> server.setShutdownDeadline(shutdown.lastWordMs()));
+        servers.forEach(server -> server.setShutdownDeadline(shutdown.shutdownDeadlineMs()));
         if (shutdown.inherited()) {
             servers.forEach(ProtocolServer::stopListening);
         } else {
@@ -172,7 +172,7 @@
         schedule(
                 () -> ticker.every(Ticker.TICK_MS, this::completeShutdown),
                 shutdown.inherited() ? 0 : REQUEST_ARRIVAL_GRACE_MS);
-        schedule(this::failOpenRequests, shutdown.lastWordMs());
+        schedule(this::failOpenRequests, shutdown.shutdownDeadlineMs());
     }
 
     private void schedule(Runnable task, int delayMs) {
--- a/src/main/java/lineward/mysql/AttemptReporter.java
+++ b/src/main/java/lineward/mysql/AttemptReporter.java
@@ -29,7 +29,7 @@
 
     @Override
     public void commandWritten() {
-        targets.metrics().relayed();
+        targets.metrics().countForwarded();
     }
 
     @Override
@@ -48,7 +48,7 @@
     public boolean responseStarted() {
         query.open = targets.coordinator().responseStarted(query.request, attempt);
         if (query.open) {
-            query.client.opened(query);
+            query.client.responseStarted(query);
         }
         return query.open;
     }
@@ -57,9 +57,9 @@
     public void ended(AttemptOutcome outcome, ByteBuf reply) {
         boolean served = targets.coordinator().attemptEnded(query.request, attempt, outcome);
         if (query.open) {
-            query.client.passed(query);
+            query.client.attemptEnded(query);
         } else if (served) {
-            query.client.served(query, reply);
+            query.client.replyReceived(query, reply);
         } else if (reply != null) {
             reply.release();
         }
--- a/src/main/java/lineward/mysql/Auth.java
+++ b/src/main/java/lineward/mysql/Auth.java
@@ -30,7 +30,7 @@
     }
 
     /** Returns whether the plugin is supported. */
-    static boolean known(String plugin) {
+    static boolean isSupported(String plugin) {
         return plugin.equals(NATIVE) || plugin.equals(SHA2);
     }
 
--- a/src/main/java/lineward/mysql/ClientLogin.java
+++ b/src/main/java/lineward/mysql/ClientLogin.java
@@ -56,7 +56,8 @@
             return verify(Auth.NATIVE, proof);
         }
         login = Handshake.readLogin(payload);
-        return Auth.known(login.plugin()) ? verify(login.plugin(), login.proof()) : Outcome.SWITCH_REQUIRED;
+        boolean supported = Auth.isSupported(login.plugin());
+        return supported ? verify(login.plugin(), login.proof()) : Outcome.SWITCH_REQUIRED;
     }
 
     private Outcome verify(String plugin, byte[] proof) {
--- a/src/main/java/lineward/mysql/ClientSession.java
+++ b/src/main/java/lineward/mysql/ClientSession.java
@@ -78,7 +78,7 @@
     }
 
     /** The process shuts down and cursors have had their time: a client between commands is disconnected. */
-    void endCursors() {
+    void closeForShutdown() {
         if (isBetweenCommands()) {
             replies.answerUnprompted();
             closeWith(Failure.goingDown());
@@ -86,13 +86,13 @@
     }
 
     /** Returns whether the client connected before that time and has not been authenticated. */
-    boolean isStrangerSince(long nanoTime) {
+    boolean isUnauthenticatedSince(long nanoTime) {
         return state.isUnauthenticated() && connectedAtNanos - nanoTime < 0;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        if (server.connected(this)) {
+        if (server.addClient(this)) {
             replies.send(Handshake.greeting(ctx.alloc(), MysqlServer.VERSION, number, login.nonce()));
         } else {
             replies.answerUnprompted();
@@ -176,7 +176,7 @@
     }
 
     /** The coordinator has rejected the query; see {@link QueryRunner#reject}. */
-    void refuse(Query query, long retryAfterMs) {
+    void reject(Query query, long retryAfterMs) {
         queries.reject(query, retryAfterMs);
     }
 
@@ -186,17 +186,17 @@
     }
 
     /** The complete reply has come; see {@link QueryRunner#replyReceived}. */
-    void served(Query query, ByteBuf reply) {
+    void replyReceived(Query query, ByteBuf reply) {
         queries.replyReceived(query, reply);
     }
 
     /** The response goes out from now on; see {@link QueryRunner#responseStarted}. */
-    void opened(Query query) {
+    void responseStarted(Query query) {
         queries.responseStarted(query);
     }
 
     /** The attempt whose response goes out has ended; see {@link QueryRunner#attemptEnded}. */
-    void passed(Query query) {
+    void attemptEnded(Query query) {
         queries.attemptEnded(query);
     }
 
@@ -223,7 +223,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         enter(SessionState.Event.DISCONNECTED);
-        server.disconnected(this);
+        server.removeClient(this);
         pendingPackets.forEach(ByteBuf::release);
         pendingPackets.clear();
         queries.abort();
--- a/src/main/java/lineward/mysql/ConnectedClients.java
+++ b/src/main/java/lineward/mysql/ConnectedClients.java
@@ -37,7 +37,7 @@
     /** Closes each idle client with that chance, and all cursors if the shutdown began long enough ago. */
     void closeIdle(double chance, long shutdownStartedNanos) {
         if (System.nanoTime() - shutdownStartedNanos > CURSOR_GRACE_NANOS) {
-            List.copyOf(clients).forEach(ClientSession::endCursors);
+            List.copyOf(clients).forEach(ClientSession::closeForShutdown);
         }
         List<ClientSession> idle =
                 clients.stream().filter(ClientSession::isIdle).toList();
@@ -49,7 +49,7 @@
     void closeNotLoggedIn() {
         long connectedBefore = System.nanoTime() - LOGIN_TIMEOUT_NANOS;
         clients.stream()
-                .filter(client -> client.isStrangerSince(connectedBefore))
+                .filter(client -> client.isUnauthenticatedSince(connectedBefore))
                 .toList()
                 .forEach(client -> ChannelOperations.close(client.channel()));
     }
--- a/src/main/java/lineward/mysql/Dialect.java
+++ b/src/main/java/lineward/mysql/Dialect.java
@@ -39,7 +39,7 @@
     }
 
     /** Returns a whole held reply as the client wants it; takes the reply over. */
-    ByteBuf whole(ByteBufAllocator alloc, ByteBuf reply, boolean prepared) {
+    ByteBuf reframe(ByteBufAllocator alloc, ByteBuf reply, boolean prepared) {
         int first = Packets.first(reply);
         if (this == PLAIN || first == Packets.ERR || (first == Packets.OK && !prepared)) {
             return reply;
--- a/src/main/java/lineward/mysql/EngineConnection.java
+++ b/src/main/java/lineward/mysql/EngineConnection.java
@@ -31,7 +31,7 @@
     private EngineCommands commands;
     private EngineSession session;
     /** Null while the connection is idle. */
-    private MysqlRun attempt;
+    private QueryAttempt attempt;
     /** Follows the reply to the last command. */
     private ReplyTracker tracker;
     /** Time of {@link System#nanoTime}. */
@@ -80,7 +80,7 @@
     }
 
     /** Starts the attempt, after the login where that is still under way. */
-    void start(MysqlRun next) {
+    void start(QueryAttempt next) {
         attempt = next;
         next.connection = this;
         if (state == ConnectionState.IDLE) {
@@ -116,7 +116,7 @@
             case SELECT_SCHEMA -> send(Commands.INIT_DB, work.schema());
             case PREPARE -> send(Commands.PREPARE, ((Work.Execute) work).text());
             default -> {
-                MysqlRun started = attempt;
+                QueryAttempt started = attempt;
                 sendOwnCommand(work);
                 commands.whenWritten(started::commandWritten);
             }
@@ -139,7 +139,7 @@
             commands.execute(statement.id(), work);
         } else {
             ByteBuf error = Packets.error(channel.alloc(), 1, PARAMETERS_CHANGED);
-            attempt.take(channel.alloc(), error, ReplyTracker.Place.LAST_ERROR);
+            attempt.take(channel.alloc(), error, ReplyTracker.PacketRole.LAST_ERROR);
             finish(AttemptOutcome.OK);
         }
     }
@@ -193,8 +193,8 @@
 
     /** Returns whether the frame's reference was handed over to the attempt. */
     private boolean readReply(ByteBuf frame) {
-        ReplyTracker.Place place = tracker.take(frame);
-        if (place == ReplyTracker.Place.LAST_ERROR) {
+        ReplyTracker.PacketRole place = tracker.classify(frame);
+        if (place == ReplyTracker.PacketRole.LAST_ERROR) {
             return readError(frame);
         }
         return switch (state) {
@@ -232,18 +232,18 @@
             fail(overloaded ? AttemptOutcome.REJECTED : state.outcomeOfFault());
             return false;
         }
-        attempt.take(channel.alloc(), frame, ReplyTracker.Place.LAST_ERROR);
+        attempt.take(channel.alloc(), frame, ReplyTracker.PacketRole.LAST_ERROR);
         finish(state == ConnectionState.KILLING ? AttemptOutcome.CANCELLED : AttemptOutcome.OK);
         return true;
     }
 
-    private void readOwnReply(ByteBuf frame, ReplyTracker.Place place) {
+    private void readOwnReply(ByteBuf frame, ReplyTracker.PacketRole place) {
         Work work = attempt.work;
         if (work instanceof Work.Prepare) {
             session.readPrepared(frame, place.isLast(), work);
         }
         attempt.take(channel.alloc(), frame, place);
-        if (place == ReplyTracker.Place.LAST_OK) {
+        if (place == ReplyTracker.PacketRole.LAST_OK) {
             session.completed(work);
             finish(AttemptOutcome.OK);
         }
@@ -251,7 +251,7 @@
 
     /** Ends the attempt, whose reply is complete. */
     private void finish(AttemptOutcome outcome) {
-        MysqlRun finished = attempt;
+        QueryAttempt finished = attempt;
         attempt = null;
         lastUsedNanos = System.nanoTime();
         // A transaction, or what a statement left in the session, must not reach the next client.
@@ -268,7 +268,7 @@
     }
 
     private void fail(AttemptOutcome outcome) {
-        MysqlRun failed = attempt;
+        QueryAttempt failed = attempt;
         attempt = null;
         close();
         if (failed != null) {
--- a/src/main/java/lineward/mysql/EngineConnectionPool.java
+++ b/src/main/java/lineward/mysql/EngineConnectionPool.java
@@ -44,7 +44,7 @@
     }
 
     /** Starts the attempt on an idle connection or a new one; at the bound of connections it is rejected. */
-    void start(MysqlRun attempt) {
+    void start(QueryAttempt attempt) {
         Optional<EngineConnection> suited = findIdle(attempt);
         if (suited.isPresent()) {
             idle.remove(suited.get());
@@ -62,7 +62,7 @@
     }
 
     /** Returns an idle connection on which the attempt can run, if possible one that has its settings. */
-    private Optional<EngineConnection> findIdle(MysqlRun attempt) {
+    private Optional<EngineConnection> findIdle(QueryAttempt attempt) {
         Predicate<EngineConnection> hasSchema =
                 connection -> connection.session().hasSchemaFor(attempt);
         Predicate<EngineConnection> hasSettings =
@@ -74,7 +74,7 @@
     }
 
     private boolean isFull() {
-        return connections.size() >= bounds.linksPerEngine();
+        return connections.size() >= bounds.connectionsPerEngine();
     }
 
     private void closeLeastRecentlyUsed() {
@@ -86,7 +86,7 @@
     /** Kills what runs under that thread of the engine, through another connection. */
     void kill(long threadId) {
         Work killQuery = new Work.Query("", "KILL QUERY " + threadId);
-        MysqlRun kill = new MysqlRun(killQuery, Map.of(), 0, AttemptListener.DISCARD_REPLY);
+        QueryAttempt kill = new QueryAttempt(killQuery, Map.of(), 0, AttemptListener.DISCARD_REPLY);
         EngineConnection free = idle.pollFirst();
         (free != null ? free : connect()).start(kill);
     }
--- a/src/main/java/lineward/mysql/EngineConnectionPools.java
+++ b/src/main/java/lineward/mysql/EngineConnectionPools.java
@@ -42,7 +42,7 @@
             pool = new EngineConnectionPool(bootstrap, engine, bounds);
             byName.put(engine.name(), pool);
         }
-        if (engine.condition() == EndpointState.READY) {
+        if (engine.state() == EndpointState.READY) {
             pool.reopen();
         } else {
             pool.drain();
@@ -50,7 +50,7 @@
     }
 
     /** Starts the attempt at that engine; it fails if the engine is gone and its connections are closed. */
-    void start(String engine, MysqlRun attempt) {
+    void start(String engine, QueryAttempt attempt) {
         EngineConnectionPool pool = byName.get(engine);
         if (pool == null) {
             attempt.end(AttemptOutcome.CONNECT_FAILED);
--- a/src/main/java/lineward/mysql/EngineLogin.java
+++ b/src/main/java/lineward/mysql/EngineLogin.java
@@ -67,7 +67,7 @@
     private void answerGreeting(Handshake.Greeting greeting, int sequence) {
         threadId = greeting.thread();
         nonce = greeting.nonce();
-        String plugin = Auth.known(greeting.plugin()) ? greeting.plugin() : Auth.SHA2;
+        String plugin = Auth.isSupported(greeting.plugin()) ? greeting.plugin() : Auth.SHA2;
         byte[] proof = Auth.proof(plugin, engine.password(), nonce);
         int capabilities = Handshake.CAPABILITIES & ~Handshake.WITH_DB;
         Handshake.Login login = new Handshake.Login(capabilities, engine.user(), proof, "", plugin);
@@ -77,7 +77,7 @@
     private void switchPlugin(ByteBuf payload, int sequence) {
         String plugin = Packets.zeroEnded(payload);
         payload.readBytes(nonce, 0, Math.min(nonce.length, payload.readableBytes()));
-        if (!Auth.known(plugin)) {
+        if (!Auth.isSupported(plugin)) {
             throw new DecoderException("engine asks for the plugin " + plugin);
         }
         send(sequence, Auth.proof(plugin, engine.password(), nonce));
--- a/src/main/java/lineward/mysql/EngineSession.java
+++ b/src/main/java/lineward/mysql/EngineSession.java
@@ -17,17 +17,17 @@
     }
 
     /** Returns whether the attempt can run here: a schema once selected can be changed but not given up. */
-    boolean hasSchemaFor(MysqlRun attempt) {
+    boolean hasSchemaFor(QueryAttempt attempt) {
         return schema.isEmpty() || !attempt.work.schema().isEmpty();
     }
 
     /** Returns whether the attempt finds its settings in place. */
-    boolean hasSettingsFor(MysqlRun attempt) {
+    boolean hasSettingsFor(QueryAttempt attempt) {
         return settings.equals(attempt.settings);
     }
 
     /** Returns the next step of the attempt: settings, schema and preparation go ahead of its own command. */
-    Transition nextStep(MysqlRun attempt) {
+    Transition nextStep(QueryAttempt attempt) {
         Work work = attempt.work;
         if (!hasSettingsFor(attempt)) {
             return Transition.APPLY_SETTINGS;
@@ -45,12 +45,12 @@
     }
 
     /** Returns the statement, in Latin-1, that brings the attempt's settings into place. */
-    String settingsChangeFor(MysqlRun attempt) {
+    String settingsChangeFor(QueryAttempt attempt) {
         return Texts.latin1(SessionSettings.change(settings, attempt.settings));
     }
 
     /** The attempt's settings are in place. */
-    void settingsApplied(MysqlRun attempt) {
+    void settingsApplied(QueryAttempt attempt) {
         settings = attempt.settings;
     }
 
--- a/src/main/java/lineward/mysql/Failure.java
+++ b/src/main/java/lineward/mysql/Failure.java
@@ -9,7 +9,7 @@
  */
 record Failure(int code, String state, String message) {
     /** The final answer to a statement that was rejected: nothing was changed, and a retry is safe. */
-    static Failure refused(long retryAfterMs) {
+    static Failure rejected(long retryAfterMs) {
         return new Failure(
                 1637,
                 "HY000",
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -36,7 +36,7 @@
      * @param maxClients client connections; one more is told that there are too many
      * @param maxPacket largest payload of a client's packet, in bytes
      * @param maxStatements prepared statements of one client
-     * @param linksPerEngine connections to one engine
+     * @param connectionsPerEngine connections to one engine
      * @param connectTimeoutMs how long a connection to an engine may take to open
      * @param idleMs how long a connection to an engine may stay unused before it is closed
      * @param maxAttempts attempts for one statement that may be retried
@@ -45,7 +45,7 @@
             int maxClients,
             int maxPacket,
             int maxStatements,
-            int linksPerEngine,
+            int connectionsPerEngine,
             int connectTimeoutMs,
             int idleMs,
             int maxAttempts) {}
@@ -55,7 +55,7 @@
      *
      * @param name unique among the engines
      * @param user that this server logs in as
-     * @param condition whether it takes new statements
+     * @param state whether it takes new statements
      */
     public record Engine(
             String name,
@@ -63,23 +63,23 @@
             String user,
             String password,
             int cores, // by which its concurrency limit is set
-            EndpointState condition) {}
+            EndpointState state) {}
 
     /**
      * A class of statements.
      *
      * @param match finds the statements of this class; the first class that matches counts
-     * @param aimMs latency objective
+     * @param latencyObjectiveMs latency objective
      * @param deadlineMs time behind which a statement is answered with an error
-     * @param worth priority weight against other classes
+     * @param priorityWeight priority weight against other classes
      * @param threads of an engine that a statement occupies
      */
     public record QueryClass(
             String name,
             Pattern match,
-            double aimMs, // the key in the deploy file has this name
+            double latencyObjectiveMs, // the key in the deploy file has this name
             double deadlineMs,
-            double worth,
+            double priorityWeight,
             int threads) {}
 
     /** Returns the index of the class of a statement; the last class takes what no other matches. */
--- a/src/main/java/lineward/mysql/MysqlServer.java
+++ b/src/main/java/lineward/mysql/MysqlServer.java
@@ -28,7 +28,7 @@
  */
 public final class MysqlServer implements Forwarder<Query>, ProtocolServer {
     /** Longest that a cancel takes: an engine may confirm the kill, then its connection is closed. */
-    public static final double STOP_TAKES_MS = 500;
+    public static final double CANCEL_LIMIT_MS = 500;
 
     private static final Logger LOG = LoggerFactory.getLogger(MysqlServer.class);
     /** The server version that clients are greeted with. */
@@ -95,7 +95,7 @@
     }
 
     /** Takes in the engines as the configuration now has them; the others are drained. */
-    public void engines(List<MysqlConfig.Engine> named) {
+    public void updateEngines(List<MysqlConfig.Engine> named) {
         pools.update(named);
         List<EngineEndpoint> endpoints =
                 named.stream().map(MysqlServer::endpoint).toList();
@@ -109,7 +109,7 @@
 
     private static EngineEndpoint endpoint(MysqlConfig.Engine engine) {
         String address = engine.address().toString();
-        return new EngineEndpoint(engine.name(), address, 0, 1, 0, engine.condition(), 0, 0);
+        return new EngineEndpoint(engine.name(), address, 0, 1, 0, engine.state(), 0, 0);
     }
 
     @Override
@@ -176,11 +176,11 @@
     }
 
     /** Registers the client; returns false if there are too many. */
-    boolean connected(ClientSession client) {
+    boolean addClient(ClientSession client) {
         return clients.add(client);
     }
 
-    void disconnected(ClientSession client) {
+    void removeClient(ClientSession client) {
         clients.remove(client);
     }
 
@@ -197,12 +197,12 @@
     }
 
     /** Reserves that many bytes for a prepared statement's text; returns false if the bound is reached. */
-    boolean keep(int bytes) {
+    boolean reserveStatementText(int bytes) {
         return statementTexts.reserve(bytes);
     }
 
-    /** Releases what was reserved by {@link #keep}. */
-    void forget(int bytes) {
+    /** Releases what was reserved by {@link #reserveStatementText}. */
+    void releaseStatementText(int bytes) {
         statementTexts.release(bytes);
     }
 
@@ -211,8 +211,8 @@
     }
 
     /** Counts a query that is rejected before admission, as the spool has no room for its result. */
-    void turnedAway(Query query) {
-        metrics.ended(className(query), Metrics.Ending.THROTTLED);
+    void countRejected(Query query) {
+        metrics.countEnded(className(query), Metrics.RequestStatus.REJECTED);
     }
 
     String statistics() {
@@ -226,20 +226,20 @@
     }
 
     /** Admits the query; returns false where there is no room for it, and it must be rejected. */
-    boolean take(Query query) {
+    boolean admit(Query query) {
         boolean admitted = admission != Admission.REJECTING && tryAdmit(query);
         if (!admitted) {
-            metrics.ended(className(query), Metrics.Ending.THROTTLED);
+            metrics.countEnded(className(query), Metrics.RequestStatus.REJECTED);
         }
         return admitted;
     }
 
     private String className(Query query) {
-        return config.classes().get(query.place()).name();
+        return config.classes().get(query.classIndex()).name();
     }
 
     private boolean tryAdmit(Query query) {
-        double deadlineMs = config.classes().get(query.place()).deadlineMs();
+        double deadlineMs = config.classes().get(query.classIndex()).deadlineMs();
         RequestAttributes attributes = new RequestAttributes(query.type, 0, deadlineMs, 0, 0, 0, false);
         query.request = coordinator.admit(clock.getAsDouble(), attributes, query);
         wakeUp.run();
@@ -247,7 +247,7 @@
     }
 
     /** Cancels the query, whose client has gone. */
-    void abort(Query query) {
+    void cancel(Query query) {
         coordinator.cancelRequest(query.request);
         wakeUp.run();
     }
@@ -256,7 +256,7 @@
     public void startAttempt(Command.StartAttempt<Query> command) {
         Query query = command.exchange();
         AttemptListener reporter = new AttemptReporter(reportTargets, query, command.attempt());
-        MysqlRun attempt = new MysqlRun(query.work, query.settings, command.timeoutMs(), reporter);
+        QueryAttempt attempt = new QueryAttempt(query.work, query.settings, command.timeoutMs(), reporter);
         query.runOf = command.attempt();
         query.spooled = null;
         query.run = attempt;
@@ -286,7 +286,7 @@
     @Override
     public void reject(Command.Reject<Query> command) {
         Query query = command.exchange();
-        query.client.refuse(query, command.retryAfterMs());
+        query.client.reject(query, command.retryAfterMs());
     }
 
     @Override
--- a/src/main/java/lineward/mysql/OpenCursor.java
+++ b/src/main/java/lineward/mysql/OpenCursor.java
@@ -49,7 +49,7 @@
         this.channel = channel;
         this.out = out;
         this.ending = ending;
-        this.reader = result.read(this::move);
+        this.reader = result.read(this::resume);
     }
 
     /** Returns whether the last row has gone out, which closes a cursor. */
@@ -62,11 +62,11 @@
         rowsWanted = count;
         fetching = true;
         sequence = 1;
-        move();
+        resume();
     }
 
     @Override
-    public void move() {
+    public void resume() {
         if (moving || over) {
             return;
         }
@@ -78,8 +78,8 @@
             if (fetching) {
                 sendFetched();
             }
-            if (reader.ahead() == SpooledResult.Ahead.LAPSED) {
-                end(SpooledResult.Ahead.LAPSED);
+            if (reader.readState() == SpooledResult.ReadState.EXPIRED) {
+                end(SpooledResult.ReadState.EXPIRED);
             }
         } finally {
             moving = false;
@@ -87,10 +87,10 @@
     }
 
     private void open() {
-        SpooledResult.Piece head = reader.poll();
+        SpooledResult.Chunk head = reader.poll();
         if (head == null) {
-            if (reader.ahead() != SpooledResult.Ahead.MORE) {
-                end(SpooledResult.Ahead.BROKEN);
+            if (reader.readState() != SpooledResult.ReadState.MORE) {
+                end(SpooledResult.ReadState.BROKEN);
             }
             return;
         }
@@ -107,7 +107,7 @@
             sequence = dialect.behindColumns(columns);
         } else {
             out.accept(dialect.cursor(channel.alloc(), columns));
-            ending.over(SpooledResult.Ahead.MORE, 0);
+            ending.ended(SpooledResult.ReadState.MORE, 0);
         }
     }
 
@@ -122,7 +122,7 @@
         }
         if (rowsWanted == 0 || done) {
             // The last row is announced as soon as it is known, which spares the client an empty fetch.
-            if (!done && offset == rows.length && reader.ahead() == SpooledResult.Ahead.MORE) {
+            if (!done && offset == rows.length && reader.readState() == SpooledResult.ReadState.MORE) {
                 nextBlock();
             }
             fetching = false;
@@ -131,7 +131,7 @@
             if (done) {
                 close();
             }
-            ending.over(done ? SpooledResult.Ahead.END : SpooledResult.Ahead.MORE, 0);
+            ending.ended(done ? SpooledResult.ReadState.END : SpooledResult.ReadState.MORE, 0);
         }
     }
 
@@ -145,7 +145,7 @@
 
     /** Returns whether there is something to go on with: rows, or the knowledge that there are none left. */
     private boolean nextBlock() {
-        SpooledResult.Piece piece = reader.poll();
+        SpooledResult.Chunk piece = reader.poll();
         if (piece != null && piece.rows() > 0) {
             // Other readers see the same bytes: the numbers of this reply go into a copy.
             rows = piece.bytes().clone();
@@ -153,12 +153,12 @@
             return true;
         }
         // Behind the rows stands the packet that ends them.
-        if (piece != null || reader.ahead() == SpooledResult.Ahead.END) {
+        if (piece != null || reader.readState() == SpooledResult.ReadState.END) {
             done = true;
             return true;
         }
-        if (reader.ahead() == SpooledResult.Ahead.BROKEN) {
-            end(SpooledResult.Ahead.BROKEN);
+        if (reader.readState() == SpooledResult.ReadState.BROKEN) {
+            end(SpooledResult.ReadState.BROKEN);
         }
         return false;
     }
@@ -188,14 +188,14 @@
         }
     }
 
-    private void end(SpooledResult.Ahead how) {
+    private void end(SpooledResult.ReadState how) {
         boolean waits = fetching || !columnsSent;
         close();
         done = true;
         fetching = false;
         // Between two fetches nobody waits: the next one finds no cursor.
         if (waits) {
-            ending.over(how, Math.max(1, sequence));
+            ending.ended(how, Math.max(1, sequence));
         }
     }
 
--- a/src/main/java/lineward/mysql/Outflow.java
+++ b/src/main/java/lineward/mysql/Outflow.java
@@ -13,11 +13,11 @@
          * @param how why it ended; MORE: a fetch may follow
          * @param sequence number that the next packet of this reply would have; 0: none may follow
          */
-        void over(SpooledResult.Ahead how, int sequence);
+        void ended(SpooledResult.ReadState how, int sequence);
     }
 
     /** Sends what the client can take; to be called when it may take more. */
-    void move();
+    void resume();
 
     /** Releases the spooled result; nothing more is sent. */
     void close();
--- a/src/main/java/lineward/mysql/PreparedStatements.java
+++ b/src/main/java/lineward/mysql/PreparedStatements.java
@@ -18,12 +18,12 @@
 
     /** Returns whether there is capacity for one more statement; its text is reserved then. */
     boolean reserve(int textBytes) {
-        return statementsById.size() < server.maxStatements() && server.keep(textBytes);
+        return statementsById.size() < server.maxStatements() && server.reserveStatementText(textBytes);
     }
 
     /** Gives up what was reserved for a statement that has not been prepared. */
     void release(Work.Prepare work) {
-        server.forget(work.text().length());
+        server.releaseStatementText(work.text().length());
     }
 
     /**
@@ -63,6 +63,6 @@
 
     private void close(ClientStatement statement) {
         statement.closeCursor();
-        server.forget(statement.reservedBytes);
+        server.releaseStatementText(statement.reservedBytes);
     }
 }
--- a/src/main/java/lineward/mysql/Query.java
+++ b/src/main/java/lineward/mysql/Query.java
@@ -11,7 +11,7 @@
     final Map<String, String> settings;
     final Spooling spooling;
     long request;
-    MysqlRun run;
+    QueryAttempt run;
     int runOf = -1;
     boolean open;
     /** The result of the present attempt, if it is spooled. */
@@ -45,7 +45,7 @@
     }
 
     /** Returns the index of its class in the configuration. */
-    public int place() {
+    public int classIndex() {
         return type / 2;
     }
 
--- a/src/main/java/lineward/mysql/MysqlRun.java
+++ b/src/main/java/lineward/mysql/QueryAttempt.java
@@ -11,7 +11,7 @@
  * One attempt at an engine: its work, the reply so far, and its listener. A short reply is buffered; a longer
  * one is spooled, so that the engine is free once its last byte has come. Used by one event loop only.
  */
-final class MysqlRun {
+final class QueryAttempt {
     /** What becomes of the reply. */
     private enum ReplyState {
         /** It is buffered, or has not begun. */
@@ -53,7 +53,7 @@
      *
      * @param timeoutMs how long the attempt may take, in milliseconds
      */
-    MysqlRun(Work work, Map<String, String> settings, long timeoutMs, AttemptListener listener) {
+    QueryAttempt(Work work, Map<String, String> settings, long timeoutMs, AttemptListener listener) {
         this.work = work;
         this.settings = settings;
         this.timeoutMs = timeoutMs;
@@ -72,7 +72,7 @@
     }
 
     /** Takes in a packet of the reply, of which it takes over the reference. */
-    void take(ByteBufAllocator alloc, ByteBuf frame, ReplyTracker.Place place) {
+    void take(ByteBufAllocator alloc, ByteBuf frame, ReplyTracker.PacketRole place) {
         try {
             switch (state) {
                 case BUFFERING -> buffer(alloc, frame, place);
@@ -87,23 +87,23 @@
         }
     }
 
-    private void buffer(ByteBufAllocator alloc, ByteBuf frame, ReplyTracker.Place place) {
+    private void buffer(ByteBufAllocator alloc, ByteBuf frame, ReplyTracker.PacketRole place) {
         if (buffered == null) {
             buffered = alloc.heapBuffer(frame.readableBytes());
         }
         buffered.writeBytes(frame);
-        if (place == ReplyTracker.Place.HEAD || place == ReplyTracker.Place.HEAD_END) {
+        if (place == ReplyTracker.PacketRole.HEAD || place == ReplyTracker.PacketRole.HEAD_END) {
             headBytes = buffered.readableBytes();
         }
         boolean tooLong = buffered.readableBytes() > MAX_BUFFERED_BYTES && place.mayBeBehindRows();
-        boolean rowsFollow = place == ReplyTracker.Place.HEAD_END;
+        boolean rowsFollow = place == ReplyTracker.PacketRole.HEAD_END;
         if (tooLong || (rowsFollow && listener.alwaysSpools())) {
             startSpooling(place);
         }
     }
 
     /** Moves what has been buffered to the spool. */
-    private void startSpooling(ReplyTracker.Place lastPlace) {
+    private void startSpooling(ReplyTracker.PacketRole lastPlace) {
         SpooledResult result = listener.openSpool();
         ByteBuf packets = buffered;
         buffered = null;
@@ -118,9 +118,9 @@
         } finally {
             packets.release();
         }
-        result.onFlow(() -> {
+        result.onFlowChange(() -> {
             if (state != ReplyState.ENDED && connection != null) {
-                connection.setReading(result.wantsMore());
+                connection.setReading(result.mayReadEngine());
             }
         });
         spooled();
@@ -128,13 +128,14 @@
 
     /** Lets the client read once it is time for that; a full spool stops the reading from the engine. */
     private void spooled() {
-        if (state == ReplyState.SPOOLING && spool.result().opens(elapsedMs(), (double) timeoutMs)) {
+        double limitMs = timeoutMs;
+        if (state == ReplyState.SPOOLING && spool.result().shouldStartResponse(elapsedMs(), limitMs)) {
             state = ReplyState.STREAMING;
             if (!listener.responseStarted()) {
                 discard();
             }
         }
-        if (!spool.result().wantsMore()) {
+        if (!spool.result().mayReadEngine()) {
             connection.setReading(false);
         }
     }
@@ -147,7 +148,7 @@
         if (state != ReplyState.ENDED) {
             state = ReplyState.DISCARDING;
         }
-        spool.result().breakOff();
+        spool.result().fail();
     }
 
     /** Ends the attempt; only the first end counts. */
@@ -157,7 +158,7 @@
         }
         // The end of a reply came, but the spool has not kept all of it.
         boolean incomplete = state == ReplyState.DISCARDING
-                || (spool != null && spool.result().isGone());
+                || (spool != null && spool.result().isReleased());
         AttemptOutcome outcome = incomplete ? AttemptOutcome.CANCELLED : reported;
         state = ReplyState.ENDED;
         ByteBuf reply = buffered;
@@ -176,7 +177,7 @@
         if (outcome == AttemptOutcome.OK) {
             spool.result().complete();
         } else {
-            spool.result().breakOff();
+            spool.result().fail();
         }
     }
 }
--- a/src/main/java/lineward/mysql/QueryRunner.java
+++ b/src/main/java/lineward/mysql/QueryRunner.java
@@ -61,17 +61,17 @@
         Query query = new Query(session, work, server.typeOf(text, writes), settings.forEngines(), spooling);
         running = query;
         session.enter(SessionState.Event.QUERY_STARTED);
-        if (!writes && server.spool().admit(session.user()) instanceof SpoolPolicy.Turned rejection) {
-            server.turnedAway(query);
+        if (!writes && server.spool().admit(session.user()) instanceof SpoolPolicy.Rejected rejection) {
+            server.countRejected(query);
             reject(query, rejection.retryAfterMs());
-        } else if (!server.take(query)) {
+        } else if (!server.admit(query)) {
             reject(query, MysqlServer.BUSY_RETRY_MS);
         }
     }
 
     /** Tells the client that its query was rejected and changed nothing. */
     void reject(Query query, long retryAfterMs) {
-        endWith(query, Failure.refused(retryAfterMs));
+        endWith(query, Failure.rejected(retryAfterMs));
     }
 
     /** Tells the client that its query may have run and has no complete answer. */
@@ -112,7 +112,7 @@
             schema = succeeded ? use.schema() : schema;
             reply.setByte(reply.readerIndex() + SEQUENCE_OFFSET, replies.nextSequence());
         }
-        replies.send(replies.dialect().whole(replies.alloc(), reply, prepared));
+        replies.send(replies.dialect().reframe(replies.alloc(), reply, prepared));
         complete();
     }
 
@@ -144,7 +144,7 @@
             Query aborted = running;
             running = null;
             releaseReservation(aborted);
-            server.abort(aborted);
+            server.cancel(aborted);
         }
     }
 
--- a/src/main/java/lineward/mysql/ReplyPump.java
+++ b/src/main/java/lineward/mysql/ReplyPump.java
@@ -30,11 +30,11 @@
         this.channel = channel;
         this.sink = sink;
         this.ending = ending;
-        this.reader = result.read(this::move);
+        this.reader = result.read(this::resume);
     }
 
     @Override
-    public void move() {
+    public void resume() {
         // Reading makes the result notify its readers, of which this is one.
         if (sending || closed) {
             return;
@@ -42,16 +42,16 @@
         sending = true;
         boolean noPieceLeft = sendWhileWritable();
         sending = false;
-        SpooledResult.Ahead ahead = reader.ahead();
+        SpooledResult.ReadState ahead = reader.readState();
         if (isEnd(ahead, noPieceLeft)) {
             close();
-            ending.over(ahead, lastPackets == null ? 1 : dialect.behindColumns(lastPackets));
+            ending.ended(ahead, lastPackets == null ? 1 : dialect.behindColumns(lastPackets));
         }
     }
 
     /** Returns whether the result had no further piece, or the channel was not writable to begin with. */
     private boolean sendWhileWritable() {
-        SpooledResult.Piece piece = null;
+        SpooledResult.Chunk piece = null;
         while (channel.isWritable()) {
             piece = reader.poll();
             if (piece == null) {
@@ -64,7 +64,7 @@
         return piece == null;
     }
 
-    private ByteBuf encode(SpooledResult.Piece piece) {
+    private ByteBuf encode(SpooledResult.Chunk piece) {
         if (piece.rows() > 0) {
             return dialect.rows(piece.bytes());
         }
@@ -72,9 +72,9 @@
     }
 
     /** Returns whether nothing more is sent. A broken result is reported once the error can be sent too. */
-    private boolean isEnd(SpooledResult.Ahead ahead, boolean noPieceLeft) {
+    private boolean isEnd(SpooledResult.ReadState ahead, boolean noPieceLeft) {
         return switch (ahead) {
-            case LAPSED -> true;
+            case EXPIRED -> true;
             case END -> noPieceLeft;
             case BROKEN -> noPieceLeft && channel.isWritable();
             default -> false;
--- a/src/main/java/lineward/mysql/ReplyTracker.java
+++ b/src/main/java/lineward/mysql/ReplyTracker.java
@@ -6,7 +6,7 @@
 /** Follows the packets of one reply of an engine and tells which is the last. */
 final class ReplyTracker {
     /** What a packet is to the reply. */
-    enum Place {
+    enum PacketRole {
         /** A packet before the rows. */
         HEAD,
         /** The last packet before the rows. */
@@ -76,7 +76,7 @@
      *
      * @throws DecoderException if the reply breaks the protocol or is of a kind that was not requested
      */
-    Place take(ByteBuf frame) {
+    PacketRole classify(ByteBuf frame) {
         if (rowContinues) {
             return row(frame);
         }
@@ -96,9 +96,9 @@
         }
     }
 
-    private Place firstPacket(ByteBuf frame, int type) {
+    private PacketRole firstPacket(ByteBuf frame, int type) {
         if (type == Packets.ERR) {
-            return Place.LAST_ERROR;
+            return PacketRole.LAST_ERROR;
         }
         if (type == Packets.OK) {
             ByteBuf payload = Packets.payload(frame).skipBytes(1);
@@ -108,59 +108,59 @@
             throw new DecoderException("reply begins with " + type);
         }
         state = State.COLUMNS;
-        return Place.HEAD;
+        return PacketRole.HEAD;
     }
 
-    private Place prepareOk(ByteBuf payload) {
+    private PacketRole prepareOk(ByteBuf payload) {
         int columnCount = payload.skipBytes(STATEMENT_ID_BYTES).readUnsignedShortLE();
         int parameterCount = payload.readUnsignedShortLE();
         definitionBlocks = (columnCount > 0 ? 1 : 0) + (parameterCount > 0 ? 1 : 0);
         state = State.PREPARED;
-        return definitionBlocks == 0 ? Place.LAST_OK : Place.HEAD;
+        return definitionBlocks == 0 ? PacketRole.LAST_OK : PacketRole.HEAD;
     }
 
-    private Place ok(ByteBuf payload) {
+    private PacketRole ok(ByteBuf payload) {
         // Affected rows, then the last inserted id.
         Packets.lengthEncoded(payload);
         Packets.lengthEncoded(payload);
         setStatus(payload.readUnsignedShortLE());
-        return Place.LAST_OK;
+        return PacketRole.LAST_OK;
     }
 
-    private Place prepared(ByteBuf frame) {
+    private PacketRole prepared(ByteBuf frame) {
         if (Packets.isEof(frame)) {
             definitionBlocks--;
-            return definitionBlocks == 0 ? Place.LAST_OK : Place.HEAD;
+            return definitionBlocks == 0 ? PacketRole.LAST_OK : PacketRole.HEAD;
         }
-        return Place.HEAD;
+        return PacketRole.HEAD;
     }
 
-    private Place columns(ByteBuf frame, int type) {
+    private PacketRole columns(ByteBuf frame, int type) {
         if (type == Packets.ERR) {
-            return Place.LAST_ERROR;
+            return PacketRole.LAST_ERROR;
         }
         if (Packets.isEof(frame)) {
             state = State.ROWS;
-            return Place.HEAD_END;
+            return PacketRole.HEAD_END;
         }
-        return Place.HEAD;
+        return PacketRole.HEAD;
     }
 
-    private Place rows(ByteBuf frame, int type) {
+    private PacketRole rows(ByteBuf frame, int type) {
         if (type == Packets.ERR) {
-            return Place.LAST_ERROR;
+            return PacketRole.LAST_ERROR;
         }
         if (!Packets.isEof(frame)) {
             return row(frame);
         }
         setStatus(Packets.payload(frame).skipBytes(EOF_STATUS_OFFSET).readUnsignedShortLE());
-        return Place.LAST_OK;
+        return PacketRole.LAST_OK;
     }
 
     /** A packet of the greatest length is continued in the next, which may be empty. */
-    private Place row(ByteBuf frame) {
+    private PacketRole row(ByteBuf frame) {
         rowContinues = Packets.size(frame) == Packets.LONGEST;
-        return rowContinues ? Place.ROW_PART : Place.ROW;
+        return rowContinues ? PacketRole.ROW_PART : PacketRole.ROW;
     }
 
     private void setStatus(int reported) {
--- a/src/main/java/lineward/mysql/SpoolStream.java
+++ b/src/main/java/lineward/mysql/SpoolStream.java
@@ -39,7 +39,7 @@
         }
         if (!result.statement().equals(digest)) {
             replies.sendError(Failure.otherResult());
-        } else if (hint.isPart() && !result.isWhole()) {
+        } else if (hint.isPart() && !result.isComplete()) {
             replies.sendError(Failure.noResult());
         } else {
             start(result, hint, cursor);
@@ -64,7 +64,7 @@
             active = new ReplyPump(replies.channel(), result, replies.dialect(), replies::send, this::ended);
         }
         session.enter(SessionState.Event.STREAM_STARTED);
-        active.move();
+        active.resume();
     }
 
     private OpenCursor openCursor(SpooledResult result, long firstRow, long pageRows) {
@@ -82,7 +82,7 @@
     /** Goes on if the client can take more. */
     void resume() {
         if (active != null && replies.channel().isWritable()) {
-            active.move();
+            active.resume();
         }
     }
 
@@ -94,12 +94,12 @@
     }
 
     /** The rows have come to an end, or to a pause between two fetches. */
-    private void ended(SpooledResult.Ahead ahead, int nextSequence) {
-        if (ahead == SpooledResult.Ahead.LAPSED && !replies.channel().isWritable()) {
+    private void ended(SpooledResult.ReadState ahead, int nextSequence) {
+        if (ahead == SpooledResult.ReadState.EXPIRED && !replies.channel().isWritable()) {
             replies.close();
-        } else if (nextSequence > 0 && ahead == SpooledResult.Ahead.BROKEN) {
+        } else if (nextSequence > 0 && ahead == SpooledResult.ReadState.BROKEN) {
             replies.sendError(nextSequence, Failure.brokenOff());
-        } else if (nextSequence > 0 && ahead == SpooledResult.Ahead.LAPSED) {
+        } else if (nextSequence > 0 && ahead == SpooledResult.ReadState.EXPIRED) {
             replies.sendError(nextSequence, Failure.lapsed());
         }
         active = null;
--- a/src/main/java/lineward/mysql/SpoolWriter.java
+++ b/src/main/java/lineward/mysql/SpoolWriter.java
@@ -16,21 +16,22 @@
     }
 
     /** Writes the next bytes of the source, which are a packet, or all packets that come before the rows. */
-    void write(ByteBuf source, int length, ReplyTracker.Place place) {
+    void write(ByteBuf source, int length, ReplyTracker.PacketRole place) {
         if (place.isLast()) {
             result.seal();
         }
         int offset = result.reserve(length);
         source.readBytes(result.buffer(), offset, length);
-        result.took(length, place == ReplyTracker.Place.ROW, place == ReplyTracker.Place.ROW_PART);
-        if (place == ReplyTracker.Place.HEAD_END) {
+        boolean row = place == ReplyTracker.PacketRole.ROW;
+        result.commit(length, row, place == ReplyTracker.PacketRole.ROW_PART);
+        if (place == ReplyTracker.PacketRole.HEAD_END) {
             result.seal();
         }
     }
 
     /** Writes packets that were buffered, in the blocks in which they would have come one by one. */
-    void writeBuffered(ByteBuf packets, int headBytes, ReplyTracker.Place lastPlace) {
-        write(packets, headBytes, ReplyTracker.Place.HEAD_END);
+    void writeBuffered(ByteBuf packets, int headBytes, ReplyTracker.PacketRole lastPlace) {
+        write(packets, headBytes, ReplyTracker.PacketRole.HEAD_END);
         while (packets.isReadable()) {
             int length = Packets.HEAD + packets.getUnsignedMediumLE(packets.readerIndex());
             boolean isLast = length == packets.readableBytes();
@@ -38,8 +39,8 @@
         }
     }
 
-    private static ReplyTracker.Place placeOfRow(int length) {
+    private static ReplyTracker.PacketRole placeOfRow(int length) {
         boolean continued = length == Packets.HEAD + Packets.LONGEST;
-        return continued ? ReplyTracker.Place.ROW_PART : ReplyTracker.Place.ROW;
+        return continued ? ReplyTracker.PacketRole.ROW_PART : ReplyTracker.PacketRole.ROW;
     }
 }
--- a/src/main/java/lineward/operations/AdminServer.java
+++ b/src/main/java/lineward/operations/AdminServer.java
@@ -65,7 +65,7 @@
     }
 
     /** Closes the connections of clients that have not sent their request, or read its response, in time. */
-    public void closeSilent() {
+    public void closeUnresponsive() {
         clients.closeSilent(REQUEST_TIMEOUT_NANOS);
     }
 }
--- a/src/main/java/lineward/operations/Metrics.java
+++ b/src/main/java/lineward/operations/Metrics.java
@@ -15,17 +15,17 @@
 /** What this process has done since its start, and what it holds now. Used on the event loop alone. */
 public final class Metrics {
     /** How a request ended, as operators count it. */
-    public enum Ending {
+    public enum RequestStatus {
         /** Its client got the engine's response. */
-        FULFILLED("fulfilled"),
+        SERVED("fulfilled"),
         /** It was rejected. */
-        THROTTLED("throttled"),
+        REJECTED("throttled"),
         /** It failed. */
-        FAULTED("faulted");
+        FAILED("faulted");
 
         private final String label;
 
-        Ending(String label) {
+        RequestStatus(String label) {
             this.label = label;
         }
 
@@ -40,40 +40,40 @@
     private static final String ENDING_LABEL = "status";
 
     /** A row for each class announced, which are those of the configuration. */
-    private final Map<String, Map<Ending, Long>> endedRequests = new TreeMap<>();
+    private final Map<String, Map<RequestStatus, Long>> endedRequests = new TreeMap<>();
 
     private long forwardedAttempts;
     /** Null, like the next two, where there is nothing to measure. */
     private LongSupplier listAgeMs;
 
     private LongSupplier unreadBytes;
-    private Supplier<SpoolPolicy.Figures> spool;
+    private Supplier<SpoolPolicy.Statistics> setSpool;
 
     /** Adds classes whose counters are shown from the start, at 0. */
-    public void announce(Collection<String> classes) {
+    public void registerClasses(Collection<String> classes) {
         for (String className : classes) {
             endedRequests.computeIfAbsent(className, name -> emptyRow());
         }
     }
 
-    private static Map<Ending, Long> emptyRow() {
-        Map<Ending, Long> row = new EnumMap<>(Ending.class);
-        for (Ending ending : Ending.values()) {
+    private static Map<RequestStatus, Long> emptyRow() {
+        Map<RequestStatus, Long> row = new EnumMap<>(RequestStatus.class);
+        for (RequestStatus ending : RequestStatus.values()) {
             row.put(ending, 0L);
         }
         return row;
     }
 
     /** Counts a request of that class that has ended; a class never announced is ignored. */
-    public void ended(String className, Ending ending) {
-        Map<Ending, Long> row = endedRequests.get(className);
+    public void countEnded(String className, RequestStatus ending) {
+        Map<RequestStatus, Long> row = endedRequests.get(className);
         if (row != null) {
             row.merge(ending, 1L, Long::sum);
         }
     }
 
     /** Counts an attempt that has been written completely to an engine. */
-    public void relayed() {
+    public void countForwarded() {
         forwardedAttempts++;
     }
 
@@ -82,7 +82,7 @@
      *
      * @param ageMs milliseconds since discovery's last usable response
      */
-    public void listAge(LongSupplier ageMs) {
+    public void setListAge(LongSupplier ageMs) {
         listAgeMs = ageMs;
     }
 
@@ -91,7 +91,7 @@
      *
      * @param bytes of responses that clients have not read yet
      */
-    public void unread(LongSupplier bytes) {
+    public void setUnreadBytes(LongSupplier bytes) {
         unreadBytes = bytes;
     }
 
@@ -100,8 +100,8 @@
      *
      * @param figures what the spool holds now
      */
-    public void spool(Supplier<SpoolPolicy.Figures> figures) {
-        spool = figures;
+    public void setSpool(Supplier<SpoolPolicy.Statistics> figures) {
+        setSpool = figures;
     }
 
     /** Returns all figures in the text format of Prometheus; gauges are read from these servers. */
@@ -113,8 +113,8 @@
             String help = "Bytes of answers that clients have not taken yet.";
             text.gauge("unread_answer_bytes", help, unreadBytes.getAsLong());
         }
-        if (spool != null) {
-            writeSpool(text, spool.get());
+        if (setSpool != null) {
+            writeSpool(text, setSpool.get());
         }
         return text.toString();
     }
@@ -143,15 +143,16 @@
         }
     }
 
-    private static void writeSpool(PrometheusText text, SpoolPolicy.Figures now) {
-        text.gauge("spool_held_bytes", "Bytes of results held in memory.", now.heldBytes());
-        text.gauge("spool_filed_bytes", "Bytes of results on files.", now.filedBytes());
+    private static void writeSpool(PrometheusText text, SpoolPolicy.Statistics now) {
+        text.gauge("spool_held_bytes", "Bytes of results held in memory.", now.memoryBytes());
+        text.gauge("spool_filed_bytes", "Bytes of results on files.", now.fileBytes());
         text.gauge("spool_results", "Results held.", now.results());
         text.gauge("spool_readers", "Clients and cursors that read results.", now.readers());
-        text.counter("spool_returned_total", "Results given back.", now.returned());
-        text.counter("spool_lapsed_total", "Results given back because nobody read.", now.lapsed());
-        text.counter("spool_refused_total", "Statements refused because the spool was full.", now.refused());
-        text.counter("spool_slowed_total", "Results whose engine had to wait for the reader.", now.slowed());
+        text.counter("spool_returned_total", "Results given back.", now.released());
+        text.counter("spool_lapsed_total", "Results given back because nobody read.", now.expired());
+        text.counter("spool_refused_total", "Statements refused because the spool was full.", now.rejected());
+        String slowed = "Results whose engine had to wait for the reader.";
+        text.counter("spool_slowed_total", slowed, now.backpressured());
     }
 
     private static int sum(Collection<ProtocolServer> servers, ToIntFunction<Coordinator<?>> figure) {
--- a/src/main/java/lineward/operations/MetricsTracer.java
+++ b/src/main/java/lineward/operations/MetricsTracer.java
@@ -44,15 +44,15 @@
 
     @Override
     public void requestEnded(X exchange, Ending ending) {
-        countedAs(ending).ifPresent(counted -> metrics.ended(classOf.apply(exchange), counted));
+        countedAs(ending).ifPresent(counted -> metrics.countEnded(classOf.apply(exchange), counted));
         next.requestEnded(exchange, ending);
     }
 
-    private static Optional<Metrics.Ending> countedAs(Ending ending) {
+    private static Optional<Metrics.RequestStatus> countedAs(Ending ending) {
         return switch (ending) {
-            case SERVED -> Optional.of(Metrics.Ending.FULFILLED);
-            case REJECTED -> Optional.of(Metrics.Ending.THROTTLED);
-            case FAILED -> Optional.of(Metrics.Ending.FAULTED);
+            case SERVED -> Optional.of(Metrics.RequestStatus.SERVED);
+            case REJECTED -> Optional.of(Metrics.RequestStatus.REJECTED);
+            case FAILED -> Optional.of(Metrics.RequestStatus.FAILED);
             case CANCELLED -> Optional.empty();
         };
     }
--- a/src/main/java/lineward/spool/Block.java
+++ b/src/main/java/lineward/spool/Block.java
@@ -18,7 +18,7 @@
     /** Null once it is on file. */
     private byte[] data;
     /** Null until it is on file. */
-    private Segment.Place location;
+    private Segment.Extent location;
 
     private Block(long firstRow, int rows, int rawBytes) {
         this.firstRow = firstRow;
@@ -33,8 +33,8 @@
         return block;
     }
 
-    static Block onFile(Segment.Place location) {
-        Block block = new Block(location.firstRow(), location.rows(), location.raw());
+    static Block onFile(Segment.Extent location) {
+        Block block = new Block(location.firstRow(), location.rows(), location.rawBytes());
         block.written(location);
         return block;
     }
@@ -43,7 +43,7 @@
         storage = Storage.BEING_WRITTEN;
     }
 
-    void written(Segment.Place newLocation) {
+    void written(Segment.Extent newLocation) {
         storage = Storage.FILE;
         location = newLocation;
         data = null;
@@ -87,7 +87,7 @@
     }
 
     /** Returns where it is on file, or null before. */
-    Segment.Place location() {
+    Segment.Extent location() {
         return location;
     }
 }
--- a/src/main/java/lineward/spool/BlockSequence.java
+++ b/src/main/java/lineward/spool/BlockSequence.java
@@ -54,7 +54,7 @@
         return !blocks.isEmpty() && blocks.stream().allMatch(Block::isOnFile);
     }
 
-    List<Segment.Place> locations() {
+    List<Segment.Extent> locations() {
         return blocks.stream().map(Block::location).toList();
     }
 }
--- a/src/main/java/lineward/spool/ResultFile.java
+++ b/src/main/java/lineward/spool/ResultFile.java
@@ -43,7 +43,7 @@
             spool.logWriteFailure(failure);
             if (failure == null) {
                 block.written(location);
-                spool.policy().blockStored(resultId, block.rawBytes(), location.bytes());
+                spool.policy().blockStored(resultId, block.rawBytes(), location.storedBytes());
             } else {
                 block.writeFailed();
                 spool.policy().writeFailed(resultId, block.rawBytes(), spool.now());
@@ -58,13 +58,14 @@
     }
 
     /** Writes manifest and index; from then on the result outlives this process. */
-    void complete(Manifest manifest, List<Segment.Place> locations) {
+    void complete(Manifest manifest, List<Segment.Extent> locations) {
         manifestRequested = true;
         spool.store().complete(handle, manifest, locations, (fileBytes, failure) -> {
             spool.logWriteFailure(failure);
             if (failure == null) {
-                long blockBytes =
-                        locations.stream().mapToLong(Segment.Place::bytes).sum();
+                long blockBytes = locations.stream()
+                        .mapToLong(Segment.Extent::storedBytes)
+                        .sum();
                 spool.policy().blockStored(resultId, blockBytes, fileBytes);
             }
         });
--- a/src/main/java/lineward/spool/ResultReader.java
+++ b/src/main/java/lineward/spool/ResultReader.java
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public SpooledResult.Piece poll() {
+    public SpooledResult.Chunk poll() {
         if (!isReadable()) {
             return null;
         }
@@ -46,7 +46,7 @@
         loaded = null;
         nextBlock++;
         result.blockRead();
-        return new SpooledResult.Piece(data, block.rows());
+        return new SpooledResult.Chunk(data, block.rows());
     }
 
     private boolean isReadable() {
@@ -69,11 +69,11 @@
     }
 
     @Override
-    public SpooledResult.Ahead ahead() {
+    public SpooledResult.ReadState readState() {
         if (loadFailure != null && !result.isExpired()) {
-            return SpooledResult.Ahead.BROKEN;
+            return SpooledResult.ReadState.BROKEN;
         }
-        return result.ahead(nextBlock);
+        return result.readState(nextBlock);
     }
 
     @Override
--- a/src/main/java/lineward/spool/Spool.java
+++ b/src/main/java/lineward/spool/Spool.java
@@ -52,25 +52,25 @@
 
     /** Takes over the complete results of an earlier process; of two with one key the later one remains. */
     public void restore(SpoolFolder.Recovered recovered) {
-        recovered.whole().stream()
+        recovered.complete().stream()
                 .sorted(Comparator.comparingLong(found -> found.manifest().createdMs()))
                 .forEach(this::restore);
         LOG.info(
                 "spool recovered results={} dropped={}",
                 resultsByKey.size(),
-                recovered.dropped().size());
+                recovered.unusable().size());
         recovered
-                .dropped()
+                .unusable()
                 .forEach(segment -> LOG.info(
                         "spool segment dropped file={} cause=\"{}\"",
                         segment.path().getFileName(),
-                        segment.why()));
+                        segment.reason()));
     }
 
     private void restore(Segment.Found found) {
         Manifest manifest = found.manifest();
         forget(manifest.user(), manifest.key());
-        long id = policy.restore(manifest.user(), found.bytes(), now());
+        long id = policy.restore(manifest.user(), found.fileBytes(), now());
         String statement = manifest.statement();
         ResultDescription description = new ResultDescription(manifest.user(), manifest.key(), statement);
         SpooledResult result = SpooledResult.restore(this, id, description, found);
@@ -126,8 +126,8 @@
     }
 
     /** Returns the gauges and counters as they stand. */
-    public SpoolPolicy.Figures figures() {
-        return policy.figures();
+    public SpoolPolicy.Statistics statistics() {
+        return policy.statistics();
     }
 
     private void reclaimFor(String user) {
--- a/src/main/java/lineward/spool/SpoolAdmission.java
+++ b/src/main/java/lineward/spool/SpoolAdmission.java
@@ -41,7 +41,7 @@
             return new SpoolPolicy.Admitted();
         }
         rejected++;
-        return new SpoolPolicy.Turned(retryAfterMs());
+        return new SpoolPolicy.Rejected(retryAfterMs());
     }
 
     private boolean isAboveHighWater(double nowMs) {
--- a/src/main/java/lineward/spool/SpoolPolicy.java
+++ b/src/main/java/lineward/spool/SpoolPolicy.java
@@ -31,29 +31,29 @@
      *
      * @param retryAfterMs when there should be capacity again, in milliseconds from now
      */
-    public record Turned(long retryAfterMs) implements Admission {}
+    public record Rejected(long retryAfterMs) implements Admission {}
 
     /**
      * The gauges and counters of a spool.
      *
-     * @param heldBytes in memory now
-     * @param filedBytes on files now, as stored
+     * @param memoryBytes in memory now
+     * @param fileBytes on files now, as stored
      * @param results now
      * @param readers now
-     * @param returned results released so far
-     * @param lapsed results that expired so far
-     * @param refused statements rejected so far
-     * @param slowed times so far that an engine had to wait for a reader
+     * @param released results released so far
+     * @param expired results that expired so far
+     * @param rejected statements rejected so far
+     * @param backpressured times so far that an engine had to wait for a reader
      */
-    public record Figures(
-            long heldBytes,
-            long filedBytes,
+    public record Statistics(
+            long memoryBytes,
+            long fileBytes,
             int results,
             int readers,
-            long returned,
-            long lapsed,
-            long refused,
-            long slowed) {}
+            long released,
+            long expired,
+            long rejected,
+            long backpressured) {}
 
     private final SpoolLimits limits;
     private final SpoolLedger ledger = new SpoolLedger();
@@ -215,8 +215,8 @@
     }
 
     /** Returns the gauges and counters as they stand. */
-    public Figures figures() {
-        return new Figures(
+    public Statistics statistics() {
+        return new Statistics(
                 ledger.memoryBytes(),
                 ledger.fileBytes(),
                 ledger.results(),
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -13,7 +13,7 @@
  */
 public final class SpooledResult {
     /** What a reader finds at its position. */
-    public enum Ahead {
+    public enum ReadState {
         /** There is more, now or later. */
         MORE,
         /** All has been read. */
@@ -21,7 +21,7 @@
         /** What is missing will never come: the attempt failed or a file can't be read. */
         BROKEN,
         /** The reader's lease has expired. */
-        LAPSED
+        EXPIRED
     }
 
     /**
@@ -31,7 +31,7 @@
      * @param rows in it
      */
     @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
-    public record Piece(byte[] bytes, int rows) {}
+    public record Chunk(byte[] bytes, int rows) {}
 
     /** Reads a result from its first block on, in order. */
     public interface Reader {
@@ -39,10 +39,10 @@
         int ROW_NOT_FOUND = -1;
 
         /** Returns the next part; null: none is at hand, and the listener is notified when that changes. */
-        Piece poll();
+        Chunk poll();
 
         /** Returns what lies ahead of the parts read so far. */
-        Ahead ahead();
+        ReadState readState();
 
         /**
          * Goes to the block with a row; only in a result with a key, and before the first poll.
@@ -86,10 +86,10 @@
     static SpooledResult restore(Spool spool, long id, ResultDescription description, Segment.Found found) {
         ResultFile file = ResultFile.ofRestoredResult(spool, id, found.segment());
         SpooledResult result = new SpooledResult(spool, id, description, file);
-        for (Segment.Place location : found.blocks()) {
+        for (Segment.Extent location : found.blocks()) {
             result.blocks.add(Block.onFile(location));
             result.rows += location.rows();
-            result.bytes += location.raw();
+            result.bytes += location.rawBytes();
         }
         result.state = result.state.complete();
         return result;
@@ -109,12 +109,12 @@
     }
 
     /** Returns whether it has been released. */
-    public boolean isGone() {
+    public boolean isReleased() {
         return state.isReleased();
     }
 
     /** Returns whether all of it is here. */
-    public boolean isWhole() {
+    public boolean isComplete() {
         return state.isComplete();
     }
 
@@ -122,8 +122,8 @@
         return state.isExpired();
     }
 
-    /** Sets who is notified when {@link #wantsMore} may have changed. */
-    public void onFlow(Runnable onChange) {
+    /** Sets who is notified when {@link #mayReadEngine} may have changed. */
+    public void onFlowChange(Runnable onChange) {
         flowListener = onChange;
     }
 
@@ -132,7 +132,7 @@
     }
 
     /** Returns whether the engine is to be read on. */
-    public boolean wantsMore() {
+    public boolean mayReadEngine() {
         boolean hasCapacity = spool.policy().mayReadEngine(id) && spool.diskKeepsUp();
         return state.isReleased() || hasCapacity;
     }
@@ -143,14 +143,14 @@
      * @param ageMs of the attempt
      * @param timeoutMs of the attempt
      */
-    public boolean opens(double ageMs, double timeoutMs) {
+    public boolean shouldStartResponse(double ageMs, double timeoutMs) {
         return !state.isReleased() && spool.policy().shouldStartResponse(id, bytes, ageMs, timeoutMs);
     }
 
     /**
      * Makes space for bytes that are to come.
      *
-     * @return their offset in {@link #buffer}; {@link #took} is to follow
+     * @return their offset in {@link #buffer}; {@link #commit} is to follow
      */
     public int reserve(int length) {
         return buffer.reserve(length);
@@ -167,7 +167,7 @@
      * @param endsRow whether a row ends with them
      * @param rowContinues whether what follows belongs to the same row, and must be in the same block
      */
-    public void took(int length, boolean endsRow, boolean rowContinues) {
+    public void commit(int length, boolean endsRow, boolean rowContinues) {
         if (state.isReleased()) {
             buffer.clear();
             return;
@@ -235,7 +235,7 @@
     }
 
     /** The attempt failed: what is missing will never come. */
-    public void breakOff() {
+    public void fail() {
         if (state.isReleased() || state.isComplete()) {
             return;
         }
@@ -284,7 +284,7 @@
     /**
      * Returns a new reader.
      *
-     * @param onProgress is run when {@link Reader#poll} or {@link Reader#ahead} may return something else
+     * @param onProgress is run when {@link Reader#poll} or {@link Reader#readState} may return something else
      */
     public Reader read(Runnable onProgress) {
         ResultReader reader = new ResultReader(this, onProgress);
@@ -325,20 +325,20 @@
     }
 
     /** Returns what lies ahead of a reader whose next block has that number. */
-    Ahead ahead(int nextBlock) {
+    ReadState readState(int nextBlock) {
         if (state.isExpired()) {
-            return Ahead.LAPSED;
+            return ReadState.EXPIRED;
         }
         if (state.isReleased()) {
-            return Ahead.BROKEN;
+            return ReadState.BROKEN;
         }
         if (nextBlock < blocks.end() || !buffer.isEmpty()) {
-            return Ahead.MORE;
+            return ReadState.MORE;
         }
         if (state.isBroken()) {
-            return Ahead.BROKEN;
+            return ReadState.BROKEN;
         }
-        return state.isComplete() ? Ahead.END : Ahead.MORE;
+        return state.isComplete() ? ReadState.END : ReadState.MORE;
     }
 
     void readerClosed(ResultReader reader) {
--- a/src/main/java/lineward/spool/store/Segment.java
+++ b/src/main/java/lineward/spool/store/Segment.java
@@ -18,20 +18,20 @@
     /**
      * Where a block is stored.
      *
-     * @param at offset of its first byte in the file
-     * @param bytes in the file, header included
+     * @param offset offset of its first byte in the file
+     * @param storedBytes in the file, header included
      * @param firstRow number of its first row in the result, from 0
-     * @param raw bytes once it is decompressed, without its header
+     * @param rawBytes bytes once it is decompressed, without its header
      */
-    public record Place(long at, int bytes, long firstRow, int rows, int raw) {}
+    public record Extent(long offset, int storedBytes, long firstRow, int rows, int rawBytes) {}
 
     /**
      * A complete result as it was found on file.
      *
      * @param blocks in their order
-     * @param bytes of the file
+     * @param fileBytes of the file
      */
-    public record Found(Segment segment, Manifest manifest, List<Place> blocks, long bytes) {}
+    public record Found(Segment segment, Manifest manifest, List<Extent> blocks, long fileBytes) {}
 
     private final Path path;
     /** Length of the file, where the next block goes. */
@@ -61,19 +61,19 @@
     }
 
     /** Appends a block of rows, compressed where that helps, and returns where it is stored. */
-    Place append(byte[] raw, long firstRow, int rows) throws IOException {
+    Extent append(byte[] raw, long firstRow, int rows) throws IOException {
         BlockCodec.Encoded encoded = BlockCodec.encode(raw);
         ByteBuffer block = SegmentFormat.block(encoded.kind(), encoded.payload(), raw.length, firstRow, rows);
-        Place location = new Place(end, block.remaining(), firstRow, rows, raw.length);
+        Extent location = new Extent(end, block.remaining(), firstRow, rows, raw.length);
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
             writeFully(channel, block, end);
         }
-        end += location.bytes();
+        end += location.storedBytes();
         return location;
     }
 
     /** Writes manifest and index behind the blocks: from then on the result is complete. */
-    void complete(Manifest manifest, List<Place> blocks) throws IOException {
+    void complete(Manifest manifest, List<Extent> blocks) throws IOException {
         ByteBuffer footer = new SegmentFooter(manifest, blocks).encode();
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
             int footerBytes = footer.remaining();
@@ -94,15 +94,15 @@
      *
      * @throws CorruptSegmentException if they are not what was written, to the bit
      */
-    public byte[] read(Place location) throws IOException {
-        ByteBuffer block = ByteBuffer.allocate(location.bytes());
+    public byte[] read(Extent location) throws IOException {
+        ByteBuffer block = ByteBuffer.allocate(location.storedBytes());
         try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
-            readFully(channel, block, location.at());
+            readFully(channel, block, location.offset());
         }
         return decode(block.flip(), location);
     }
 
-    private static byte[] decode(ByteBuffer block, Place location) throws CorruptSegmentException {
+    private static byte[] decode(ByteBuffer block, Extent location) throws CorruptSegmentException {
         SegmentFormat.BlockHeader header = SegmentFormat.readBlockHeader(block);
         SegmentFormat.verify(block, header);
         check(isBlockAt(location, header), "a block stands at another's place");
@@ -110,11 +110,11 @@
         return BlockCodec.decode(header.kind(), payload, header.rawBytes());
     }
 
-    private static boolean isBlockAt(Place location, SegmentFormat.BlockHeader header) {
+    private static boolean isBlockAt(Extent location, SegmentFormat.BlockHeader header) {
         return header.kind() != SegmentFormat.Kind.MANIFEST
                 && header.firstRow() == location.firstRow()
                 && header.rows() == location.rows()
-                && header.rawBytes() == location.raw();
+                && header.rawBytes() == location.rawBytes();
     }
 
     /**
--- a/src/main/java/lineward/spool/store/SegmentFooter.java
+++ b/src/main/java/lineward/spool/store/SegmentFooter.java
@@ -13,7 +13,7 @@
  *
  * @param blocks in their order, without gaps from the header to this block
  */
-record SegmentFooter(Manifest manifest, List<Segment.Place> blocks) {
+record SegmentFooter(Manifest manifest, List<Segment.Extent> blocks) {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LENGTH_BYTES = 4;
     private static final int INDEX_ENTRY_BYTES = 28;
@@ -24,11 +24,11 @@
         int indexBytes = LENGTH_BYTES + blocks.size() * INDEX_ENTRY_BYTES;
         ByteBuffer footer = ByteBuffer.allocate(LENGTH_BYTES + json.length + indexBytes);
         footer.putInt(json.length).put(json).putInt(blocks.size());
-        blocks.forEach(block -> footer.putLong(block.at())
-                .putInt(block.bytes())
+        blocks.forEach(block -> footer.putLong(block.offset())
+                .putInt(block.storedBytes())
                 .putLong(block.firstRow())
                 .putInt(block.rows())
-                .putInt(block.raw()));
+                .putInt(block.rawBytes()));
         return footer.flip();
     }
 
@@ -43,13 +43,13 @@
         footer.get(json);
         Manifest manifest = JSON.readValue(json, Manifest.class);
         int count = footer.getInt();
-        List<Segment.Place> blocks = new ArrayList<>(count);
+        List<Segment.Extent> blocks = new ArrayList<>(count);
         long offset = SegmentFormat.HEADER_BYTES;
         long row = 0;
         for (int i = 0; i < count; i++) {
-            Segment.Place block = readEntry(footer);
-            check(block.at() == offset && block.firstRow() == row, "its index has a gap");
-            offset += block.bytes();
+            Segment.Extent block = readEntry(footer);
+            check(block.offset() == offset && block.firstRow() == row, "its index has a gap");
+            offset += block.storedBytes();
             row += block.rows();
             blocks.add(block);
         }
@@ -57,12 +57,12 @@
         return new SegmentFooter(manifest, blocks);
     }
 
-    private static Segment.Place readEntry(ByteBuffer footer) {
+    private static Segment.Extent readEntry(ByteBuffer footer) {
         long offset = footer.getLong();
         int storedBytes = footer.getInt();
         long firstRow = footer.getLong();
         int rows = footer.getInt();
         int rawBytes = footer.getInt();
-        return new Segment.Place(offset, storedBytes, firstRow, rows, rawBytes);
+        return new Segment.Extent(offset, storedBytes, firstRow, rows, rawBytes);
     }
 }
--- a/src/main/java/lineward/spool/store/SegmentStore.java
+++ b/src/main/java/lineward/spool/store/SegmentStore.java
@@ -102,7 +102,7 @@
     }
 
     /** Appends a block to a result's file, which its first block creates. */
-    public void append(Handle file, byte[] raw, long firstRow, int rows, Completion<Segment.Place> onEnd) {
+    public void append(Handle file, byte[] raw, long firstRow, int rows, Completion<Segment.Extent> onEnd) {
         submit(
                 writer,
                 () -> {
@@ -118,7 +118,7 @@
     }
 
     /** Completes a result on file; the completion receives the length of its file in bytes. */
-    public void complete(Handle file, Manifest manifest, List<Segment.Place> index, Completion<Long> onEnd) {
+    public void complete(Handle file, Manifest manifest, List<Segment.Extent> index, Completion<Long> onEnd) {
         submit(
                 writer,
                 () -> {
@@ -132,7 +132,7 @@
     }
 
     /** Reads a block; the completion receives its bytes, decompressed and checked. */
-    public void read(Handle file, Segment.Place location, Completion<byte[]> onEnd) {
+    public void read(Handle file, Segment.Extent location, Completion<byte[]> onEnd) {
         submit(readers, () -> file.segment.read(location), onEnd);
     }
 
--- a/src/main/java/lineward/spool/store/SpoolFolder.java
+++ b/src/main/java/lineward/spool/store/SpoolFolder.java
@@ -26,23 +26,23 @@
     /**
      * What the folder contains.
      *
-     * @param whole complete results, in no order
-     * @param dropped segments that can't be used
+     * @param complete complete results, in no order
+     * @param unusable segments that can't be used
      */
-    public record Recovered(List<Segment.Found> whole, List<Spoilt> dropped) {}
+    public record Recovered(List<Segment.Found> complete, List<UnusableSegment> unusable) {}
 
     /**
      * A segment that can't be used.
      *
-     * @param why in words, for logs and operators
+     * @param reason in words, for logs and operators
      */
-    public record Spoilt(Path path, SegmentFault fault, String why) {}
+    public record UnusableSegment(Path path, SegmentFault fault, String reason) {}
 
     /** Another process has locked the folder. */
-    public static final class HeldException extends IOException {
+    public static final class LockedException extends IOException {
         private static final long serialVersionUID = 1L;
 
-        HeldException(String message) {
+        LockedException(String message) {
             super(message);
         }
     }
@@ -62,12 +62,12 @@
      * @throws HeldException if another process, or this one, has locked it
      * @throws IOException with one plain line if it can't be used
      */
-    public static SpoolFolder take(Path folder) throws IOException {
+    public static SpoolFolder acquire(Path folder) throws IOException {
         createFolder(folder);
         FileChannel lockFile = openLockFile(folder);
         if (!acquireLock(lockFile)) {
             lockFile.close();
-            throw new HeldException("spool folder " + folder + " is held by another process");
+            throw new LockedException("spool folder " + folder + " is held by another process");
         }
         return new SpoolFolder(folder, lockFile);
     }
@@ -101,8 +101,8 @@
 
     /** Returns the complete results and deletes segments that are not; other files stay as they are. */
     public Recovered recover() throws IOException {
-        Recovered recovered = look(folder);
-        for (Spoilt segment : recovered.dropped()) {
+        Recovered recovered = inspect(folder);
+        for (UnusableSegment segment : recovered.unusable()) {
             if (segment.fault().isDeletedByRecovery()) {
                 Files.deleteIfExists(segment.path());
             }
@@ -111,19 +111,19 @@
     }
 
     /** Returns what a folder contains and changes nothing, whether it is locked or not. */
-    public static Recovered look(Path folder) throws IOException {
+    public static Recovered inspect(Path folder) throws IOException {
         List<Segment.Found> complete = new ArrayList<>();
-        List<Spoilt> unusable = new ArrayList<>();
+        List<UnusableSegment> unusable = new ArrayList<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SEGMENT_SUFFIX)) {
             for (Path file : files) {
                 try {
                     complete.add(Segment.open(file));
                 } catch (CorruptSegmentException e) {
-                    unusable.add(new Spoilt(file, e.fault(), e.getMessage()));
+                    unusable.add(new UnusableSegment(file, e.fault(), e.getMessage()));
                 } catch (IOException | RuntimeException e) {
                     // Whatever the bytes are, they end neither the start nor another result.
                     String reason = "it can't be read: " + e;
-                    unusable.add(new Spoilt(file, SegmentFault.UNREADABLE, reason));
+                    unusable.add(new UnusableSegment(file, SegmentFault.UNREADABLE, reason));
                 }
             }
         } catch (NotDirectoryException e) {
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -121,7 +121,7 @@
             return;
         }
         openCalls.put(sequenceNumber, call);
-        clients.markWaiting(this);
+        clients.becameWaiting(this);
     }
 
     private void requireWithinLimits(int sequenceNumber) {
@@ -137,7 +137,7 @@
 
     private void markIdleUnlessWaiting() {
         if (openCalls.isEmpty()) {
-            clients.markIdle(this);
+            clients.becameIdle(this);
         }
     }
 
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -60,13 +60,13 @@
     /** Counts a call that can't be served, as a failure of the class that it names. */
     void recordUnusable(ThriftReader.Invocation invocation) {
         String requestClass = invocation.fields().get(CallField.REQUEST_CLASS.wireName);
-        metrics.ended(requestClass, Metrics.Ending.FAULTED);
+        metrics.countEnded(requestClass, Metrics.RequestStatus.FAILED);
     }
 
     /** Returns whether the call is admitted; if not, there is no capacity for it and it must be rejected. */
     boolean admit(Call call) {
         if (!tryAdmit(call)) {
-            metrics.ended(call.op(), Metrics.Ending.THROTTLED);
+            metrics.countEnded(call.op(), Metrics.RequestStatus.REJECTED);
             return false;
         }
         call.statement().retain();
--- a/src/main/java/lineward/thrift/ThriftServer.java
+++ b/src/main/java/lineward/thrift/ThriftServer.java
@@ -110,7 +110,7 @@
         this.calls = new OpenCalls(names, bounds.statements(), coordinator, clock, wakeUp, metrics);
         this.responses = new ResponseSender(clients, bounds.answers());
         this.forwarder = new CallForwarder(coordinator, engines, calls, clock, wakeUp, services.gossip());
-        metrics.unread(responses::unreadBytes);
+        metrics.setUnreadBytes(responses::unreadBytes);
     }
 
     @Override
@@ -202,7 +202,7 @@
     public void setMaintenance(String engine, boolean out, double at) {
         coordinator.setMaintenance(engine, out, at);
         if (out) {
-            engines.recallUnsent(engine);
+            engines.cancelWaiting(engine);
         }
         wakeUp.run();
     }
--- a/src/measure/java/lineward/mysql/MeasureSpool.java
+++ b/src/measure/java/lineward/mysql/MeasureSpool.java
@@ -231,8 +231,8 @@
         int megabytes = 512;
         SpoolFixture.fill(folder, megabytes / 16, 16);
         long start = System.nanoTime();
-        try (SpoolFolder held = SpoolFolder.take(folder)) {
-            int whole = held.recover().whole().size();
+        try (SpoolFolder held = SpoolFolder.acquire(folder)) {
+            int whole = held.recover().complete().size();
             figure(
                     "recover-ms",
                     (System.nanoTime() - start) / MS,
--- a/src/measure/java/lineward/spool/store/SpoolFixture.java
+++ b/src/measure/java/lineward/spool/store/SpoolFixture.java
@@ -26,7 +26,7 @@
         for (int r = 0; r < results; r++) {
             Segment segment = new Segment(folder.resolve("r" + r + SpoolFolder.SEGMENT_SUFFIX));
             segment.create(1);
-            List<Segment.Place> locations = new ArrayList<>();
+            List<Segment.Extent> locations = new ArrayList<>();
             for (int i = 0; i < megabytes * 16; i++) {
                 locations.add(segment.append(block(r, i), 10L * i, 10));
             }
@@ -49,7 +49,7 @@
         Segment segment = new Segment(file);
         Files.deleteIfExists(file);
         segment.create(1);
-        List<Segment.Place> locations = new ArrayList<>();
+        List<Segment.Extent> locations = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             blocks.add(block(0, i));
             locations.add(segment.append(blocks.get(i), 10L * i, 10));
--- a/src/test/java/lineward/StartTest.java
+++ b/src/test/java/lineward/StartTest.java
@@ -12,7 +12,7 @@
 /** A configuration that can't be used ends the start with one plain line and status 2. */
 public class StartTest {
     private static final String GOOD =
-            "\"listen\":\"127.0.0.1:0\",\"journal\":\"127.0.0.1:1\"," + "\"known\":{\"pos\":0,\"entries\":[]}";
+            "\"listen\":\"127.0.0.1:0\",\"journal\":\"127.0.0.1:1\",\"known\":{\"pos\":0,\"entries\":[]}";
 
     @DataProvider
     public Object[][] bad() {
@@ -38,7 +38,8 @@
             throws IOException, InterruptedException {
         Path file = Files.createTempFile("bad", ".conf");
         Files.writeString(file, content);
-        String[] words = command.equals("mysql") ? new String[] {command, file.toString()} : new String[] {command};
+        boolean withFile = command.equals("mysql");
+        String[] words = withFile ? new String[] {command, file.toString()} : new String[] {command};
         try (Program program = new Program(Map.of("RELAY_CONFIG", file.toString()), words)) {
             assertEquals(program.status(), 2);
             Program.await("its line", () -> program.log().contains(says));
--- a/src/test/java/lineward/app/ConfigExceptionTest.java
+++ b/src/test/java/lineward/app/ConfigExceptionTest.java
@@ -71,8 +71,8 @@
     }
 
     @Test(dataProvider = "invalidPlatformValues")
-    public void platformValueIsNamed(String members, String key, String found, String allowed) throws IOException {
-        Files.writeString(file, "{\"settings\":{}," + members + "}");
+    public void platformValueIsNamed(String json, String key, String found, String allowed) throws IOException {
+        Files.writeString(file, "{\"settings\":{}," + json + "}");
         ConfigFile platformFile = new ConfigFile(file.toString());
         ConfigException error = expectThrows(ConfigException.class, platformFile::read);
         assertNames(error, key, found, allowed);
--- a/src/test/java/lineward/core/PlannerDigestTest.java
+++ b/src/test/java/lineward/core/PlannerDigestTest.java
@@ -179,11 +179,11 @@
                 digest.add(
                         'S',
                         c.exchange().number,
-                        c.request(),
+                        (double) c.request(),
                         c.attempt(),
                         engineNumber(c.engine()),
-                        c.timeoutMs(),
-                        c.startWithinMs(),
+                        (double) c.timeoutMs(),
+                        (double) c.startWithinMs(),
                         c.grantMb(),
                         c.priority());
                 start(c);
--- a/src/test/java/lineward/lifecycle/HotRestartTest.java
+++ b/src/test/java/lineward/lifecycle/HotRestartTest.java
@@ -23,12 +23,12 @@
         private final List<String> events = new ArrayList<>();
 
         @Override
-        public void heldOut(String engine, boolean excluded, double sinceMs) {
+        public void maintenanceChanged(String engine, boolean excluded, double sinceMs) {
             events.add(engine + (excluded ? " out" : " back"));
         }
 
         @Override
-        public void part(double quota) {
+        public void quotaChanged(double quota) {
             events.add("quota " + quota);
         }
     }
--- a/src/test/java/lineward/mysql/DialectTest.java
+++ b/src/test/java/lineward/mysql/DialectTest.java
@@ -44,9 +44,9 @@
     @Test(dataProvider = "replies")
     public void aHeldReplyIsFramedAnew(String reply, boolean prepared, String expected) {
         UnpooledByteBufAllocator alloc = UnpooledByteBufAllocator.DEFAULT;
-        ByteBuf reframed = Dialect.SHORT.whole(alloc, bytes(reply), prepared);
+        ByteBuf reframed = Dialect.SHORT.reframe(alloc, bytes(reply), prepared);
         assertEquals(ByteBufUtil.hexDump(reframed), expected);
-        ByteBuf unchanged = Dialect.PLAIN.whole(alloc, bytes(reply), prepared);
+        ByteBuf unchanged = Dialect.PLAIN.reframe(alloc, bytes(reply), prepared);
         assertEquals(ByteBufUtil.hexDump(unchanged), reply);
     }
 
--- a/src/test/java/lineward/mysql/SpoolFrontTest.java
+++ b/src/test/java/lineward/mysql/SpoolFrontTest.java
@@ -225,7 +225,10 @@
         }
         Program.await("it is on file", () -> {
             try {
-                return lineward.spool.store.SpoolFolder.look(folder).whole().size() == 1;
+                return lineward.spool.store.SpoolFolder.inspect(folder)
+                                .complete()
+                                .size()
+                        == 1;
             } catch (IOException e) {
                 throw new AssertionError(e);
             }
--- a/src/test/java/lineward/mysql/StatementKindTest.java
+++ b/src/test/java/lineward/mysql/StatementKindTest.java
@@ -93,14 +93,14 @@
     @Test(dataProvider = "replies")
     public void theLastPacketOfAReplyIsKnown(boolean prepare, byte[][] packets, String place) {
         ReplyTracker tracker = new ReplyTracker(prepare);
-        ReplyTracker.Place last = null;
+        ReplyTracker.PacketRole last = null;
         for (byte[] packet : packets) {
             ByteBuf frame = Unpooled.wrappedBuffer(new byte[4], packet);
             if (place == null) {
-                assertThrows(DecoderException.class, () -> tracker.take(frame));
+                assertThrows(DecoderException.class, () -> tracker.classify(frame));
                 return;
             }
-            last = tracker.take(frame);
+            last = tracker.classify(frame);
         }
         assertEquals(String.valueOf(last), place);
     }
--- a/src/test/java/lineward/operations/Operator.java
+++ b/src/test/java/lineward/operations/AdminClient.java
@@ -8,7 +8,7 @@
 import lineward.Program;
 
 /** A client of a program's admin endpoint. */
-public final class Operator {
+public final class AdminClient {
     /** A response: its status, 0 where the connection was closed without one, and its body. */
     public record Answer(int status, String body) {}
 
@@ -17,7 +17,7 @@
     private final int port;
 
     /** Creates a client for that program. */
-    public Operator(Program program) {
+    public AdminClient(Program program) {
         this.port = program.operations();
     }
 
--- a/src/test/java/lineward/operations/AdminServerTest.java
+++ b/src/test/java/lineward/operations/AdminServerTest.java
@@ -20,12 +20,12 @@
 /** The admin endpoint replies correctly and in time, whatever other clients do. */
 public class AdminServerTest {
     private Platform platform;
-    private Operator operator;
+    private AdminClient operator;
 
     @BeforeClass
     public void start() throws IOException {
         platform = new Platform(Map.of());
-        operator = new Operator(platform.program());
+        operator = new AdminClient(platform.program());
         Program.await("it is ready", operator::isReady);
     }
 
@@ -63,7 +63,7 @@
     public void eachRequestGetsItsResponseInTime(String bytes, int status) throws IOException {
         long startNanos = System.nanoTime();
         assertEquals(operator.raw(bytes).status(), status);
-        assertTrue(Operator.millisSince(startNanos) < 2000, "response or close in time");
+        assertTrue(AdminClient.millisSince(startNanos) < 2000, "response or close in time");
     }
 
     @Test
@@ -91,7 +91,7 @@
             }
             long startNanos = System.nanoTime();
             assertTrue(operator.isReady());
-            assertTrue(Operator.millisSince(startNanos) < 1000);
+            assertTrue(AdminClient.millisSince(startNanos) < 1000);
         } finally {
             for (Socket socket : silent) {
                 socket.close();
--- a/src/test/java/lineward/scheduling/RandomDaysTest.java
+++ b/src/test/java/lineward/scheduling/RandomDaysTest.java
@@ -85,7 +85,22 @@
     @DataProvider
     public Object[][] rulesHoldCases() {
         return new Object[][] {
-            {1L}, {2L}, {3L}, {4L}, {5L}, {6L}, {7L}, {8L}, {9L}, {10L}, {11L}, {12L}, {13L}, {14L}, {15L}, {16L}
+            {1L},
+            {2L},
+            {3L},
+            {4L},
+            {5L},
+            {6L},
+            {7L},
+            {8L},
+            {9L},
+            {10L},
+            {11L},
+            {12L},
+            {13L},
+            {14L},
+            {15L},
+            {16L} /* last */
         };
     }
 
@@ -171,14 +186,12 @@
                     Idempotence effect =
                             set.classes().get(h.type).repeatability().idempotence();
                     assertThat(h.over).isFalse();
-                    assertThat(effect == Idempotence.IDEMPOTENT
-                                    || !h.mayHaveRun && h.out == 0
-                                    || effect == Idempotence.BY_KEY
-                                            && set.classes()
-                                                            .get(h.type)
-                                                            .repeatability()
-                                                            .scope()
-                                                    == DeduplicationScope.ALL)
+                    RequestClass.Repeatability repeat =
+                            set.classes().get(h.type).repeatability();
+                    boolean anywhere = repeat.scope() == DeduplicationScope.ALL;
+                    boolean byKeyAnywhere = effect == Idempotence.BY_KEY && anywhere;
+                    boolean neverRan = !h.mayHaveRun && h.out == 0;
+                    assertThat(effect == Idempotence.IDEMPOTENT || neverRan || byKeyAnywhere)
                             .isTrue();
                     h.over = true;
                 } else if (action instanceof SchedulerAction.CancelAttempt) {
--- a/src/test/java/lineward/scheduling/simulator/AdapterTest.java
+++ b/src/test/java/lineward/scheduling/simulator/AdapterTest.java
@@ -20,12 +20,14 @@
             + "\"limits\":{\"max-attempts\":3,\"cancel\":true},\"never-heard-of\":{\"x\":1}}";
 
     private static byte[] frame(int count, double clock, byte[] tail, ByteBuffer... records) {
-        ByteBuffer b = ByteBuffer.allocate(16 + count * 48 + tail.length);
+        byte[] bytes = new byte[16 + count * 48 + tail.length];
+        ByteBuffer b = ByteBuffer.wrap(bytes);
         b.putInt(count).putInt(8 + count * 48 + tail.length).putDouble(clock);
         for (ByteBuffer r : records) {
-            b.put(r.array());
+            b.put(r.rewind());
         }
-        return b.put(tail).array();
+        b.put(tail);
+        return bytes;
     }
 
     private static ByteBuffer record(int code) {
--- a/src/test/java/lineward/spool/SpoolPolicyTest.java
+++ b/src/test/java/lineward/spool/SpoolPolicyTest.java
@@ -60,8 +60,8 @@
         long id = policy.begin("a", true, 0);
         assertEquals(policy.allocate(id, MB, 0), Placement.FILE);
         policy.writeFailed(id, MB, 0);
-        assertEquals(policy.figures().heldBytes(), MB);
-        assertEquals(policy.figures().filedBytes(), 0);
+        assertEquals(policy.statistics().memoryBytes(), MB);
+        assertEquals(policy.statistics().fileBytes(), 0);
         assertEquals(policy.allocate(id, MB, 10), Placement.MEMORY);
         assertEquals(policy.allocate(id, MB, FileBackoff.PAUSE_MS), Placement.FILE);
     }
@@ -111,7 +111,7 @@
         policy.release(keyed, 5001);
         assertEquals(policy.expire(1e9), List.of(), "a growing result has its attempt's timeout");
         policy.release(growing, 1e9);
-        assertEquals(policy.figures().lapsed(), 2);
+        assertEquals(policy.statistics().expired(), 2);
     }
 
     @Test
@@ -133,11 +133,11 @@
             assertTrue(policy.admit("b", 0) instanceof SpoolPolicy.Admitted);
             policy.allocate(id, MB, 0);
         }
-        SpoolPolicy.Turned rejected = (SpoolPolicy.Turned) policy.admit("b", 0);
+        SpoolPolicy.Rejected rejected = (SpoolPolicy.Rejected) policy.admit("b", 0);
         assertTrue(rejected.retryAfterMs() >= 100 && rejected.retryAfterMs() <= 2000, rejected.toString());
         policy.release(id, 10);
         assertTrue(policy.admit("b", 10) instanceof SpoolPolicy.Admitted);
-        assertEquals(policy.figures().refused(), 1);
+        assertEquals(policy.statistics().rejected(), 1);
     }
 
     @Test
@@ -149,7 +149,7 @@
                 policy.allocate(id, MB, 0);
             }
         }
-        assertTrue(policy.admit("greedy", 0) instanceof SpoolPolicy.Turned);
+        assertTrue(policy.admit("greedy", 0) instanceof SpoolPolicy.Rejected);
         assertTrue(policy.admit("modest", 0) instanceof SpoolPolicy.Admitted);
     }
 
@@ -209,7 +209,7 @@
                     }
                 }
                 assertEquals(
-                        policy.figures().heldBytes(),
+                        policy.statistics().memoryBytes(),
                         inMemory.values().stream()
                                 .flatMap(List::stream)
                                 .mapToLong(b -> b)
@@ -217,9 +217,9 @@
                         "seed " + seed);
             }
             List.copyOf(inMemory.keySet()).forEach(id -> policy.release(id, 1e6));
-            SpoolPolicy.Figures atEnd = policy.figures();
-            assertEquals(atEnd.heldBytes() + atEnd.filedBytes(), 0, "seed " + seed);
-            assertEquals(policy.figures().results(), 0);
+            SpoolPolicy.Statistics atEnd = policy.statistics();
+            assertEquals(atEnd.memoryBytes() + atEnd.fileBytes(), 0, "seed " + seed);
+            assertEquals(policy.statistics().results(), 0);
         }
     }
 
--- a/src/test/java/lineward/spool/SpoolTest.java
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import lineward.spool.SpooledResult.Ahead;
+import lineward.spool.SpooledResult.ReadState;
 import lineward.spool.store.SegmentStore;
 import lineward.spool.store.SpoolFolder;
 import org.testng.annotations.AfterMethod;
@@ -47,7 +47,7 @@
         if (!files) {
             return new Spool(limits, null, () -> now);
         }
-        SpoolFolder lockedFolder = SpoolFolder.take(folder);
+        SpoolFolder lockedFolder = SpoolFolder.acquire(folder);
         SpoolFolder.Recovered found = lockedFolder.recover();
         Spool spool = new Spool(limits, new SegmentStore(lockedFolder, eventLoop::add), () -> now);
         spool.restore(found);
@@ -73,13 +73,13 @@
     private static void append(SpooledResult result, byte[] bytes, boolean row) {
         int at = result.reserve(bytes.length);
         System.arraycopy(bytes, 0, result.buffer(), at, bytes.length);
-        result.took(bytes.length, row, false);
+        result.commit(bytes.length, row, false);
     }
 
     private byte[] drain(SpooledResult.Reader reader) {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
-        while (reader.ahead() == Ahead.MORE) {
-            SpooledResult.Piece chunk = reader.poll();
+        while (reader.readState() == ReadState.MORE) {
+            SpooledResult.Chunk chunk = reader.poll();
             if (chunk == null) {
                 runNextTask();
             } else {
@@ -106,7 +106,7 @@
                         reader = result.read(() -> {});
                     }
                     while (reader != null && (seed % 2 != 0 || random.nextInt(3) == 0)) {
-                        SpooledResult.Piece chunk = reader.poll();
+                        SpooledResult.Chunk chunk = reader.poll();
                         if (chunk == null) {
                             break;
                         }
@@ -115,7 +115,7 @@
                 }
                 result.complete();
                 read.writeBytes(drain(reader));
-                assertEquals(reader.ahead(), Ahead.END);
+                assertEquals(reader.readState(), ReadState.END);
                 assertEquals(read.toByteArray(), wrote.toByteArray(), "seed " + seed);
                 // Every block has reached its file and been released before the reader leaves.
                 for (Runnable task = eventLoop.poll(200, TimeUnit.MILLISECONDS);
@@ -124,10 +124,11 @@
                     task.run();
                 }
                 reader.close();
-                while (spool.figures().results() > 0) {
+                while (spool.statistics().results() > 0) {
                     runNextTask();
                 }
-                assertEquals(spool.figures().heldBytes() + spool.figures().filedBytes(), 0);
+                assertEquals(
+                        spool.statistics().memoryBytes() + spool.statistics().fileBytes(), 0);
             }
             assertEquals(segments(), 0, "files left by seed " + seed);
         }
@@ -164,7 +165,7 @@
             assertEquals(drain(reader).length, 20 * row.length);
             SpooledResult.Reader page = found.read(() -> {});
             int before = page.seek(15);
-            SpooledResult.Piece chunk = null;
+            SpooledResult.Chunk chunk = null;
             while (chunk == null) {
                 chunk = page.poll();
                 if (chunk == null) {
@@ -178,7 +179,7 @@
             second.tick();
             assertNull(second.find("u", "k"), "its lease has expired");
             runNextTask();
-            assertEquals(second.figures().filedBytes(), 0);
+            assertEquals(second.statistics().fileBytes(), 0);
         }
         assertEquals(segments(), 0);
     }
@@ -200,7 +201,7 @@
                         .forEach(f -> f.toFile().delete());
             }
             int rows = 6;
-            while (result.wantsMore() && rows < 100) {
+            while (result.mayReadEngine() && rows < 100) {
                 append(result, row, true);
                 rows++;
                 Runnable task = eventLoop.poll(20, TimeUnit.MILLISECONDS);
@@ -211,8 +212,8 @@
             assertTrue(rows < 100, "backpressure reaches the engine");
             SpooledResult.Reader reader = result.read(() -> {});
             int got = 0;
-            while (reader.ahead() == Ahead.MORE) {
-                SpooledResult.Piece chunk = reader.poll();
+            while (reader.readState() == ReadState.MORE) {
+                SpooledResult.Chunk chunk = reader.poll();
                 if (chunk == null) {
                     break;
                 }
@@ -221,7 +222,7 @@
             // The first block on file is gone with its file; what lies before it has been read.
             assertTrue(got >= row.length, got + " bytes");
             result.release();
-            assertEquals(spool.figures().heldBytes(), 0);
+            assertEquals(spool.statistics().memoryBytes(), 0);
         }
     }
 
@@ -237,10 +238,10 @@
             now = 1001;
             spool.tick();
             assertTrue(notifications[0] > 0);
-            assertEquals(reader.ahead(), Ahead.LAPSED);
+            assertEquals(reader.readState(), ReadState.EXPIRED);
             reader.close();
-            assertEquals(spool.figures().heldBytes(), 0);
-            assertEquals(spool.figures().lapsed(), 1);
+            assertEquals(spool.statistics().memoryBytes(), 0);
+            assertEquals(spool.statistics().expired(), 1);
         }
     }
 
@@ -250,12 +251,12 @@
             SpooledResult result = spool.begin("u", "", "");
             SpooledResult.Reader reader = result.read(() -> {});
             append(result, new byte[100], true);
-            result.breakOff();
-            assertEquals(reader.ahead(), Ahead.MORE);
+            result.fail();
+            assertEquals(reader.readState(), ReadState.MORE);
             assertEquals(reader.poll().bytes().length, 100);
-            assertEquals(reader.ahead(), Ahead.BROKEN);
+            assertEquals(reader.readState(), ReadState.BROKEN);
             reader.close();
-            assertEquals(spool.figures().results(), 0);
+            assertEquals(spool.statistics().results(), 0);
         }
     }
 }
--- a/src/test/java/lineward/spool/store/SegmentTest.java
+++ b/src/test/java/lineward/spool/store/SegmentTest.java
@@ -52,7 +52,7 @@
     private Path write(String name, List<byte[]> blocks) throws IOException {
         Segment segment = new Segment(folder.resolve(name + SpoolFolder.SEGMENT_SUFFIX));
         segment.create(1);
-        List<Segment.Place> locations = new ArrayList<>();
+        List<Segment.Extent> locations = new ArrayList<>();
         for (int i = 0; i < blocks.size(); i++) {
             locations.add(segment.append(blocks.get(i), 10L * i, 10));
         }
@@ -140,11 +140,11 @@
     public void foreignFileIsRecognisedByItsHeader(byte[] bytes, String why) throws IOException {
         Path file = folder.resolve("x" + SpoolFolder.SEGMENT_SUFFIX);
         Files.write(file, bytes);
-        SpoolFolder.Recovered recovered = SpoolFolder.look(folder);
-        assertEquals(recovered.whole().size(), 0);
+        SpoolFolder.Recovered recovered = SpoolFolder.inspect(folder);
+        assertEquals(recovered.complete().size(), 0);
         assertTrue(
-                recovered.dropped().get(0).why().contains(why),
-                recovered.dropped().get(0).why());
+                recovered.unusable().get(0).reason().contains(why),
+                recovered.unusable().get(0).reason());
     }
 
     @Test
@@ -157,10 +157,10 @@
         Files.write(
                 folder.resolve("later" + SpoolFolder.SEGMENT_SUFFIX),
                 SegmentFormat.header(1).putInt(8, 2).array());
-        try (SpoolFolder lockedFolder = SpoolFolder.take(folder)) {
+        try (SpoolFolder lockedFolder = SpoolFolder.acquire(folder)) {
             SpoolFolder.Recovered recovered = lockedFolder.recover();
-            assertEquals(recovered.whole().size(), 1);
-            assertEquals(recovered.whole().get(0).manifest().key(), "good");
+            assertEquals(recovered.complete().size(), 1);
+            assertEquals(recovered.complete().get(0).manifest().key(), "good");
         }
         assertTrue(Files.exists(folder.resolve("notes.txt")));
         assertTrue(Files.exists(folder.resolve("later" + SpoolFolder.SEGMENT_SUFFIX)));
@@ -169,11 +169,11 @@
 
     @Test
     public void folderIsLockedUntilClosed() throws IOException {
-        try (SpoolFolder first = SpoolFolder.take(folder)) {
+        try (SpoolFolder first = SpoolFolder.acquire(folder)) {
             assertEquals(first.toString(), folder.toString());
-            assertThrows(SpoolFolder.HeldException.class, () -> SpoolFolder.take(folder));
+            assertThrows(SpoolFolder.LockedException.class, () -> SpoolFolder.acquire(folder));
         }
-        SpoolFolder.take(folder).close();
+        SpoolFolder.acquire(folder).close();
     }
 
     @Test
@@ -182,7 +182,7 @@
         Files.writeString(file, "");
         IOException e = null;
         try {
-            SpoolFolder.take(file.resolve("below"));
+            SpoolFolder.acquire(file.resolve("below"));
         } catch (IOException thrown) {
             e = thrown;
         }
--- a/src/test/java/lineward/spool/store/StoredSegmentTest.java
+++ b/src/test/java/lineward/spool/store/StoredSegmentTest.java
@@ -58,7 +58,7 @@
     private static Path write(Path folder) throws IOException {
         Segment segment = new Segment(folder.resolve(STORED));
         segment.create(CREATED_MS);
-        List<Segment.Place> locations = new ArrayList<>();
+        List<Segment.Extent> locations = new ArrayList<>();
         long firstRow = 0;
         for (int i = 0; i < blocks().size(); i++) {
             locations.add(segment.append(blocks().get(i), firstRow, rows(i)));
@@ -71,15 +71,15 @@
     @Test
     public void storedSegmentIsRecoveredWithManifestIndexAndBlocks() throws IOException {
         Files.write(folder.resolve(STORED), stored());
-        try (SpoolFolder lockedFolder = SpoolFolder.take(folder)) {
+        try (SpoolFolder lockedFolder = SpoolFolder.acquire(folder)) {
             SpoolFolder.Recovered recovered = lockedFolder.recover();
-            assertEquals(recovered.dropped(), List.of());
-            Segment.Found found = recovered.whole().get(0);
+            assertEquals(recovered.unusable(), List.of());
+            Segment.Found found = recovered.complete().get(0);
             assertEquals(found.manifest(), MANIFEST);
-            assertEquals(found.bytes(), stored().length);
+            assertEquals(found.fileBytes(), stored().length);
             assertEquals(found.blocks().size(), blocks().size());
             for (int i = 0; i < blocks().size(); i++) {
-                Segment.Place location = found.blocks().get(i);
+                Segment.Extent location = found.blocks().get(i);
                 assertEquals(location.rows(), rows(i));
                 assertEquals(found.segment().read(location), blocks().get(i));
             }
--- a/src/test/java/lineward/thrift/DrainTest.java
+++ b/src/test/java/lineward/thrift/DrainTest.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import lineward.Program;
-import lineward.operations.Operator;
+import lineward.operations.AdminClient;
 import org.testng.annotations.Test;
 
 /** A drain that operators start and stop. */
@@ -20,7 +20,7 @@
     @Test
     public void clientsAreSentAwayAndTakenAgain() throws IOException {
         try (Platform platform = new Platform(Map.of())) {
-            Operator operator = new Operator(platform.program());
+            AdminClient operator = new AdminClient(platform.program());
             Program.await("it is ready", operator::isReady);
             List<StandInCaller> resting = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
--- a/src/test/java/lineward/thrift/EngineConnectionTest.java
+++ b/src/test/java/lineward/thrift/EngineConnectionTest.java
@@ -179,7 +179,7 @@
                     throw new AssertionError(e);
                 }
             });
-            assertFalse(logged().contains("suspected"), logged());
+            assertFalse(logged().contains("engine ejected"), logged());
         }
     }
 
@@ -192,12 +192,12 @@
             String portOfTwo = "" + platform.two.port();
             platform.journal.tell(true, "s-9", "" + late.port(), "ready", "s-2", portOfTwo, "ready");
             platform.awaitTold();
-            Program.await("it is suspected", () -> {
+            Program.await("it is ejected", () -> {
                 try {
                     return caller.call(StandInCaller.fields(2400), "select 1")
                                     .body()
                                     .equals(ROWS)
-                            && logged().contains("suspected: refuses connections");
+                            && logged().contains("cause=connect_failures");
                 } catch (IOException e) {
                     throw new AssertionError(e);
                 }
--- a/src/test/java/lineward/thrift/FiguresTest.java
+++ b/src/test/java/lineward/thrift/FiguresTest.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import lineward.Program;
-import lineward.operations.Operator;
+import lineward.operations.AdminClient;
 import lineward.thrift.StandInLines.Mode;
 import org.testng.annotations.Test;
 
@@ -16,7 +16,7 @@
     private static final String ENDS = "edge_relay_operations_total{priority=\"look\",status=";
 
     static Map<String, Integer> figures(Program program) throws IOException {
-        Operator.Answer answer = new Operator(program).get("/ops/stats");
+        AdminClient.Answer answer = new AdminClient(program).get("/ops/stats");
         assertEquals(answer.status(), 200);
         Map<String, Integer> all = new TreeMap<>();
         answer.body()
--- a/src/test/java/lineward/thrift/LargeFleetTest.java
+++ b/src/test/java/lineward/thrift/LargeFleetTest.java
@@ -5,7 +5,7 @@
 
 import java.util.Map;
 import lineward.Program;
-import lineward.operations.Operator;
+import lineward.operations.AdminClient;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -39,7 +39,7 @@
             awaitEngines(program, engines - engines / 2);
             for (int i = engines / 2 + 1; i <= engines; i++) {
                 assertEquals(
-                        new Operator(program)
+                        new AdminClient(program)
                                 .post("/ops/query-engines/down", "s-" + i)
                                 .status(),
                         200);
--- a/src/test/java/lineward/thrift/MaintenanceTest.java
+++ b/src/test/java/lineward/thrift/MaintenanceTest.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import lineward.Program;
 import lineward.SocketHolder;
-import lineward.operations.Operator;
+import lineward.operations.AdminClient;
 import org.testng.annotations.Test;
 
 /** Operators hold an engine out and call it back. */
@@ -27,7 +27,7 @@
     @Test
     public void nothingNewGoesThereUntilTheCallBackWhateverTheListSays() throws IOException {
         try (Platform platform = new Platform(Map.of())) {
-            Operator operator = new Operator(platform.program);
+            AdminClient operator = new AdminClient(platform.program);
             Program.await("it is ready", operator::isReady);
             serve(platform, 30);
             boolean first = platform.one.count("want") > 0;
@@ -62,11 +62,11 @@
     public void eitherProcessOfAnUpgradeMayBeTold() throws IOException {
         try (SocketHolder holder = new SocketHolder();
                 Platform platform = new Platform(Map.of(), holder)) {
-            Operator old = new Operator(platform.program);
+            AdminClient old = new AdminClient(platform.program);
             Program.await("it is ready", old::isReady);
             assertEquals(old.post(DOWN, "s-1").status(), 200);
             try (Program next = platform.again()) {
-                Operator operator = new Operator(next);
+                AdminClient operator = new AdminClient(next);
                 Program.await("the new one is ready", operator::isReady);
                 assertTrue(next.log().contains("s-1 is held out"), next.log());
                 assertEquals(operator.post(DOWN, "s-2").status(), 200);
--- a/src/test/java/lineward/thrift/ShutdownTest.java
+++ b/src/test/java/lineward/thrift/ShutdownTest.java
@@ -18,7 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import lineward.Program;
-import lineward.operations.Operator;
+import lineward.operations.AdminClient;
 import lineward.thrift.StandInLines.Mode;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -107,7 +107,7 @@
      */
     @Test
     public void aRequestInTheTurnOfItsConnectionsCloseIsAnswered() throws IOException, InterruptedException {
-        Operator operator = new Operator(platform.program);
+        AdminClient operator = new AdminClient(platform.program);
         try (StandInCaller caller = platform.caller()) {
             assertTrue(caller.simple("ping").good());
             assertEquals(operator.post("/ops/drain/start", "").status(), 200);
@@ -123,7 +123,7 @@
 
     @Test
     public void aRequestBehindTheShutdownIsNotSentOn() throws IOException {
-        Operator operator = new Operator(platform.program);
+        AdminClient operator = new AdminClient(platform.program);
         try (StandInCaller caller = platform.caller();
                 StandInCaller other = platform.caller()) {
             assertTrue(caller.simple("ping").good());
--- a/src/test/java/lineward/thrift/UpgradeTest.java
+++ b/src/test/java/lineward/thrift/UpgradeTest.java
@@ -14,7 +14,7 @@
 import java.util.Set;
 import lineward.Program;
 import lineward.SocketHolder;
-import lineward.operations.Operator;
+import lineward.operations.AdminClient;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -25,14 +25,14 @@
     private SocketHolder holder;
     private Platform platform;
     private Program next;
-    private Operator operator;
+    private AdminClient operator;
 
     @BeforeMethod
     public void start() throws IOException {
         holder = new SocketHolder();
         platform = new Platform(Map.of(), holder);
         next = platform.again();
-        operator = new Operator(next);
+        operator = new AdminClient(next);
         Program.await("the new one is ready", operator::isReady);
     }
 
@@ -113,7 +113,7 @@
             }
         }
         assertTrue(operator.isReady());
-        assertTrue(new Operator(platform.program).isReady());
+        assertTrue(new AdminClient(platform.program).isReady());
         assertEquals(FiguresTest.figures(next).get("edge_relay_open_requests"), (Integer) 0);
     }
 }
