--- a/src/main/java/lineward/core/TableGroups.java
+++ b/src/main/java/lineward/core/TableGroups.java
@@ -21,7 +21,7 @@
         boolean tablesNext = false;
         boolean isTable = false;
         while (tokens.next()) {
-            boolean named = tokens.kind() == SqlTokens.Kind.WORD || tokens.kind() == SqlTokens.Kind.NAME;
+            boolean named = isName(tokens);
             if (tokens.is(".") && name != null) {
                 int group = number(name);
                 if (group > 0 && isTable) {
@@ -31,12 +31,20 @@
             }
             isTable = named && tablesNext;
             name = named ? tokens.text() : null;
-            tablesNext = tokens.kind() != SqlTokens.Kind.NAME
-                    && BEFORE_TABLES.contains(tokens.text().toLowerCase(Locale.ROOT));
+            tablesNext = isBeforeTables(tokens);
         }
         return fallback;
     }
 
+    private static boolean isName(SqlTokens tokens) {
+        return tokens.kind() == SqlTokens.Kind.WORD || tokens.kind() == SqlTokens.Kind.NAME;
+    }
+
+    private static boolean isBeforeTables(SqlTokens tokens) {
+        return tokens.kind() != SqlTokens.Kind.NAME
+                && BEFORE_TABLES.contains(tokens.text().toLowerCase(Locale.ROOT));
+    }
+
     private static int number(String schema) {
         String digits = schema.substring(schema.lastIndexOf('_') + 1);
         boolean numbered = digits.length() < schema.length()
--- a/src/main/java/lineward/mysql/ConnectionState.java
+++ b/src/main/java/lineward/mysql/ConnectionState.java
@@ -69,13 +69,7 @@
                         Transition.PREPARE,
                         Transition.EXECUTE,
                         Transition.CLOSE);
-            case APPLYING_SETTINGS ->
-                EnumSet.of(
-                        Transition.SELECT_SCHEMA,
-                        Transition.PREPARE,
-                        Transition.EXECUTE,
-                        Transition.RETIRE,
-                        Transition.CLOSE);
+            case APPLYING_SETTINGS -> afterSettings();
             case SELECTING_SCHEMA ->
                 EnumSet.of(
                         Transition.PREPARE,
@@ -91,6 +85,15 @@
         };
     }
 
+    private static Set<Transition> afterSettings() {
+        return EnumSet.of(
+                Transition.SELECT_SCHEMA,
+                Transition.PREPARE,
+                Transition.EXECUTE,
+                Transition.RETIRE,
+                Transition.CLOSE /* at any time */);
+    }
+
     private static Set<Transition> afterCommand(Transition next) {
         return EnumSet.of(next, Transition.RELEASE, Transition.RETIRE, Transition.CLOSE);
     }
--- a/src/main/java/lineward/mysql/EngineConnection.java
+++ b/src/main/java/lineward/mysql/EngineConnection.java
@@ -115,21 +115,18 @@
             case APPLY_SETTINGS -> send(Commands.QUERY, session.settingsChangeFor(attempt));
             case SELECT_SCHEMA -> send(Commands.INIT_DB, work.schema());
             case PREPARE -> send(Commands.PREPARE, ((Work.Execute) work).text());
-            default -> {
-                QueryAttempt started = attempt;
-                sendOwnCommand(work);
-                commands.whenWritten(started::commandWritten);
-            }
+            default -> sendOwnCommand(work, attempt);
         }
     }
 
-    private void sendOwnCommand(Work work) {
+    private void sendOwnCommand(Work work, QueryAttempt started) {
         if (work instanceof Work.Execute execute) {
             sendExecute(execute);
         } else {
             tracker = new ReplyTracker(work instanceof Work.Prepare);
             commands.send(work);
         }
+        commands.whenWritten(started::commandWritten);
     }
 
     private void sendExecute(Work.Execute work) {
@@ -203,18 +200,8 @@
                 sendNextCommand();
                 yield false;
             }
-            case SELECTING_SCHEMA -> {
-                if (place.isLast()) {
-                    session.schemaSelected(attempt.work.schema());
-                    sendNextCommand();
-                }
-                yield false;
-            }
-            case PREPARING -> {
-                session.readPrepared(frame, place.isLast(), attempt.work);
-                if (place.isLast()) {
-                    sendNextCommand();
-                }
+            case SELECTING_SCHEMA, PREPARING -> {
+                readPreparatoryReply(frame, place.isLast());
                 yield false;
             }
             default -> {
@@ -224,6 +211,18 @@
         };
     }
 
+    /** Reads a packet of the reply that the attempt's own command waits for. */
+    private void readPreparatoryReply(ByteBuf frame, boolean last) {
+        if (state == ConnectionState.PREPARING) {
+            session.readPrepared(frame, last, attempt.work);
+        } else if (last) {
+            session.schemaSelected(attempt.work.schema());
+        }
+        if (last) {
+            sendNextCommand();
+        }
+    }
+
     /** Returns whether the frame's reference was handed over to the attempt. */
     private boolean readError(ByteBuf frame) {
         EngineErrorKind kind = EngineErrorKind.of(Packets.errorCode(frame));
--- a/src/main/java/lineward/mysql/OpenCursor.java
+++ b/src/main/java/lineward/mysql/OpenCursor.java
@@ -4,6 +4,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.util.function.Consumer;
+import lineward.spool.ReadState;
+import lineward.spool.ResultChunk;
+import lineward.spool.SpoolReader;
 import lineward.spool.SpooledResult;
 
 /**
@@ -14,7 +17,7 @@
 final class OpenCursor implements Outflow {
     private final Channel channel;
     private final Consumer<ByteBuf> out;
-    private final SpooledResult.Reader reader;
+    private final SpoolReader reader;
     private final Ending ending;
     private boolean columnsSent;
     private boolean fetching;
@@ -78,8 +81,8 @@
             if (fetching) {
                 sendFetched();
             }
-            if (reader.readState() == SpooledResult.ReadState.EXPIRED) {
-                end(SpooledResult.ReadState.EXPIRED);
+            if (reader.readState() == ReadState.EXPIRED) {
+                end(ReadState.EXPIRED);
             }
         } finally {
             moving = false;
@@ -87,10 +90,10 @@
     }
 
     private void open() {
-        SpooledResult.Chunk head = reader.poll();
+        ResultChunk head = reader.poll();
         if (head == null) {
-            if (reader.readState() != SpooledResult.ReadState.MORE) {
-                end(SpooledResult.ReadState.BROKEN);
+            if (reader.readState() != ReadState.MORE) {
+                end(ReadState.BROKEN);
             }
             return;
         }
@@ -107,7 +110,7 @@
             sequence = dialect.behindColumns(columns);
         } else {
             out.accept(dialect.cursor(channel.alloc(), columns));
-            ending.ended(SpooledResult.ReadState.MORE, 0);
+            ending.ended(ReadState.MORE, 0);
         }
     }
 
@@ -121,18 +124,22 @@
             }
         }
         if (rowsWanted == 0 || done) {
-            // The last row is announced as soon as it is known, which spares the client an empty fetch.
-            if (!done && offset == rows.length && reader.readState() == SpooledResult.ReadState.MORE) {
-                nextBlock();
-            }
-            fetching = false;
-            out.accept(dialect.end(channel.alloc(), sequence, endStatus()));
-            done |= pageRows >= 0;
-            if (done) {
-                close();
-            }
-            ending.ended(done ? SpooledResult.ReadState.END : SpooledResult.ReadState.MORE, 0);
+            finishFetch();
+        }
+    }
+
+    private void finishFetch() {
+        // The last row is announced as soon as it is known, which spares the client an empty fetch.
+        if (!done && offset == rows.length && reader.readState() == ReadState.MORE) {
+            nextBlock();
+        }
+        fetching = false;
+        out.accept(dialect.end(channel.alloc(), sequence, endStatus()));
+        done |= pageRows >= 0;
+        if (done) {
+            close();
         }
+        ending.ended(done ? ReadState.END : ReadState.MORE, 0);
     }
 
     /** Returns the status behind the rows that were asked for. */
@@ -145,7 +152,7 @@
 
     /** Returns whether there is something to go on with: rows, or the knowledge that there are none left. */
     private boolean nextBlock() {
-        SpooledResult.Chunk piece = reader.poll();
+        ResultChunk piece = reader.poll();
         if (piece != null && piece.rows() > 0) {
             // Other readers see the same bytes: the numbers of this reply go into a copy.
             rows = piece.bytes().clone();
@@ -153,12 +160,12 @@
             return true;
         }
         // Behind the rows stands the packet that ends them.
-        if (piece != null || reader.readState() == SpooledResult.ReadState.END) {
+        if (piece != null || reader.readState() == ReadState.END) {
             done = true;
             return true;
         }
-        if (reader.readState() == SpooledResult.ReadState.BROKEN) {
-            end(SpooledResult.ReadState.BROKEN);
+        if (reader.readState() == ReadState.BROKEN) {
+            end(ReadState.BROKEN);
         }
         return false;
     }
@@ -188,7 +195,7 @@
         }
     }
 
-    private void end(SpooledResult.ReadState how) {
+    private void end(ReadState how) {
         boolean waits = fetching || !columnsSent;
         close();
         done = true;
--- a/src/main/java/lineward/mysql/Outflow.java
+++ b/src/main/java/lineward/mysql/Outflow.java
@@ -1,6 +1,6 @@
 package lineward.mysql;
 
-import lineward.spool.SpooledResult;
+import lineward.spool.ReadState;
 
 /** A reply that is sent to a client from the spool, at the speed at which the client reads it. */
 interface Outflow {
@@ -13,7 +13,7 @@
          * @param how why it ended; MORE: a fetch may follow
          * @param sequence number that the next packet of this reply would have; 0: none may follow
          */
-        void ended(SpooledResult.ReadState how, int sequence);
+        void ended(ReadState how, int sequence);
     }
 
     /** Sends what the client can take; to be called when it may take more. */
--- a/src/main/java/lineward/mysql/ReplyPump.java
+++ b/src/main/java/lineward/mysql/ReplyPump.java
@@ -3,13 +3,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.util.function.Consumer;
+import lineward.spool.ReadState;
+import lineward.spool.ResultChunk;
+import lineward.spool.SpoolReader;
 import lineward.spool.SpooledResult;
 
 /** Sends a spooled reply to a client as fast as the client reads it. */
 final class ReplyPump implements Outflow {
     private final Channel channel;
     private final Consumer<ByteBuf> sink;
-    private final SpooledResult.Reader reader;
+    private final SpoolReader reader;
     private final Ending ending;
     private final Dialect dialect;
     /** The packets sent last; null before the first. */
@@ -42,7 +45,7 @@
         sending = true;
         boolean noPieceLeft = sendWhileWritable();
         sending = false;
-        SpooledResult.ReadState ahead = reader.readState();
+        ReadState ahead = reader.readState();
         if (isEnd(ahead, noPieceLeft)) {
             close();
             ending.ended(ahead, lastPackets == null ? 1 : dialect.behindColumns(lastPackets));
@@ -51,7 +54,7 @@
 
     /** Returns whether the result had no further piece, or the channel was not writable to begin with. */
     private boolean sendWhileWritable() {
-        SpooledResult.Chunk piece = null;
+        ResultChunk piece = null;
         while (channel.isWritable()) {
             piece = reader.poll();
             if (piece == null) {
@@ -64,7 +67,7 @@
         return piece == null;
     }
 
-    private ByteBuf encode(SpooledResult.Chunk piece) {
+    private ByteBuf encode(ResultChunk piece) {
         if (piece.rows() > 0) {
             return dialect.rows(piece.bytes());
         }
@@ -72,7 +75,7 @@
     }
 
     /** Returns whether nothing more is sent. A broken result is reported once the error can be sent too. */
-    private boolean isEnd(SpooledResult.ReadState ahead, boolean noPieceLeft) {
+    private boolean isEnd(ReadState ahead, boolean noPieceLeft) {
         return switch (ahead) {
             case EXPIRED -> true;
             case END -> noPieceLeft;
--- a/src/main/java/lineward/mysql/SpoolStream.java
+++ b/src/main/java/lineward/mysql/SpoolStream.java
@@ -1,5 +1,6 @@
 package lineward.mysql;
 
+import lineward.spool.ReadState;
 import lineward.spool.SpooledResult;
 
 /**
@@ -94,12 +95,12 @@
     }
 
     /** The rows have come to an end, or to a pause between two fetches. */
-    private void ended(SpooledResult.ReadState ahead, int nextSequence) {
-        if (ahead == SpooledResult.ReadState.EXPIRED && !replies.channel().isWritable()) {
+    private void ended(ReadState ahead, int nextSequence) {
+        if (ahead == ReadState.EXPIRED && !replies.channel().isWritable()) {
             replies.close();
-        } else if (nextSequence > 0 && ahead == SpooledResult.ReadState.BROKEN) {
+        } else if (nextSequence > 0 && ahead == ReadState.BROKEN) {
             replies.sendError(nextSequence, Failure.brokenOff());
-        } else if (nextSequence > 0 && ahead == SpooledResult.ReadState.EXPIRED) {
+        } else if (nextSequence > 0 && ahead == ReadState.EXPIRED) {
             replies.sendError(nextSequence, Failure.lapsed());
         }
         active = null;
--- a/src/main/java/lineward/mysql/VariableQuery.java
+++ b/src/main/java/lineward/mysql/VariableQuery.java
@@ -38,16 +38,21 @@
             if (!readColumn()) {
                 return false;
             }
-            if (more && tokens.is("limit")) {
-                return advance() && tokens.is("1") && !advance();
-            }
             if (more && !tokens.is(",")) {
-                return tokens.is(";") && !advance();
+                return endsHere();
             }
         } while (more && advance());
         return true;
     }
 
+    /** Returns whether the statement ends here, perhaps behind a limit of one row. */
+    private boolean endsHere() {
+        if (tokens.is("limit")) {
+            return advance() && tokens.is("1") && !advance();
+        }
+        return tokens.is(";") && !advance();
+    }
+
     private boolean readColumn() {
         String variable = readVariable();
         String value = variable == null ? null : values.apply(name(variable));
@@ -79,12 +84,12 @@
      * Returns a variable as it is written, with its signs and without its scope; null if none stands here.
      */
     private String readVariable() {
-        if (!tokens.is("@") || !advance() || !tokens.is("@") || !advance()) {
+        if (!skipSigns()) {
             return null;
         }
         String variable = "@@" + tokens.text();
-        if (tokens.is("session") || tokens.is("local") || tokens.is("global")) {
-            if (!advance() || !tokens.is(".") || !advance()) {
+        if (isScope()) {
+            if (!advance() || !skip(".")) {
                 return null;
             }
             variable += "." + tokens.text();
@@ -92,6 +97,20 @@
         return variable;
     }
 
+    /** Returns whether the symbol stood here and something follows it. */
+    private boolean skip(String symbol) {
+        return tokens.is(symbol) && advance();
+    }
+
+    private boolean skipSigns() {
+        boolean first = skip("@");
+        return first && skip("@");
+    }
+
+    private boolean isScope() {
+        return tokens.is("session") || tokens.is("local") || tokens.is("global");
+    }
+
     private static String name(String variable) {
         int afterScope = variable.lastIndexOf('.') + 1;
         return variable.substring(Math.max(afterScope, "@@".length())).toLowerCase(Locale.ROOT);
--- a/src/main/java/lineward/spool/ResultReader.java
+++ b/src/main/java/lineward/spool/ResultReader.java
@@ -4,7 +4,7 @@
 import java.util.Objects;
 
 /** Reads a result's blocks in order and loads those that are on file. Confined to the event loop. */
-final class ResultReader implements SpooledResult.Reader {
+final class ResultReader implements SpoolReader {
     private final SpooledResult result;
     private final Runnable onProgress;
     private int nextBlock;
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public SpooledResult.Chunk poll() {
+    public ResultChunk poll() {
         if (!isReadable()) {
             return null;
         }
@@ -46,7 +46,7 @@
         loaded = null;
         nextBlock++;
         result.blockRead();
-        return new SpooledResult.Chunk(data, block.rows());
+        return new ResultChunk(data, block.rows());
     }
 
     private boolean isReadable() {
@@ -69,9 +69,9 @@
     }
 
     @Override
-    public SpooledResult.ReadState readState() {
+    public ReadState readState() {
         if (loadFailure != null && !result.isExpired()) {
-            return SpooledResult.ReadState.BROKEN;
+            return ReadState.BROKEN;
         }
         return result.readState(nextBlock);
     }
--- a/src/main/java/lineward/spool/ResultState.java
+++ b/src/main/java/lineward/spool/ResultState.java
@@ -57,6 +57,28 @@
         return of(Content.RELEASED, expired);
     }
 
+    /**
+     * Returns what lies ahead of a reader.
+     *
+     * @param hasMore whether parts have come that it has not read
+     */
+    ReadState readState(boolean hasMore) {
+        if (expired) {
+            return ReadState.EXPIRED;
+        }
+        if (content == Content.RELEASED) {
+            return ReadState.BROKEN;
+        }
+        if (hasMore) {
+            return ReadState.MORE;
+        }
+        return switch (content) {
+            case GROWING -> ReadState.MORE;
+            case COMPLETE -> ReadState.END;
+            default -> ReadState.BROKEN;
+        };
+    }
+
     private static ResultState of(Content content, boolean expired) {
         return switch (content) {
             case GROWING -> expired ? EXPIRED_GROWING : GROWING;
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -12,49 +12,6 @@
  * until its lease ends. Confined to the event loop.
  */
 public final class SpooledResult {
-    /** What a reader finds at its position. */
-    public enum ReadState {
-        /** There is more, now or later. */
-        MORE,
-        /** All has been read. */
-        END,
-        /** What is missing will never come: the attempt failed or a file can't be read. */
-        BROKEN,
-        /** The reader's lease has expired. */
-        EXPIRED
-    }
-
-    /**
-     * A part of a result.
-     *
-     * @param bytes complete rows, or what stands before or behind all rows
-     * @param rows in it
-     */
-    @SuppressWarnings("ArrayRecordComponent") // handed on once, never compared
-    public record Chunk(byte[] bytes, int rows) {}
-
-    /** Reads a result from its first block on, in order. */
-    public interface Reader {
-        /** Returned by {@link #seek} if the result does not reach so far. */
-        int ROW_NOT_FOUND = -1;
-
-        /** Returns the next part; null: none is at hand, and the listener is notified when that changes. */
-        Chunk poll();
-
-        /** Returns what lies ahead of the parts read so far. */
-        ReadState readState();
-
-        /**
-         * Goes to the block with a row; only in a result with a key, and before the first poll.
-         *
-         * @return rows of that block before it, or {@link #ROW_NOT_FOUND}
-         */
-        int seek(long row);
-
-        /** Ends the reading; the result may be released with it. */
-        void close();
-    }
-
     private final Spool spool;
     private final long id;
     private final ResultDescription description;
@@ -284,9 +241,10 @@
     /**
      * Returns a new reader.
      *
-     * @param onProgress is run when {@link Reader#poll} or {@link Reader#readState} may return something else
+     * @param onProgress is run when {@link SpoolReader#poll} or {@link SpoolReader#readState} may return
+     *     something else
      */
-    public Reader read(Runnable onProgress) {
+    public SpoolReader read(Runnable onProgress) {
         ResultReader reader = new ResultReader(this, onProgress);
         readers.add(reader);
         spool.policy().readerOpened(id, spool.now());
@@ -326,19 +284,8 @@
 
     /** Returns what lies ahead of a reader whose next block has that number. */
     ReadState readState(int nextBlock) {
-        if (state.isExpired()) {
-            return ReadState.EXPIRED;
-        }
-        if (state.isReleased()) {
-            return ReadState.BROKEN;
-        }
-        if (nextBlock < blocks.end() || !buffer.isEmpty()) {
-            return ReadState.MORE;
-        }
-        if (state.isBroken()) {
-            return ReadState.BROKEN;
-        }
-        return state.isComplete() ? ReadState.END : ReadState.MORE;
+        boolean hasMore = nextBlock < blocks.end() || !buffer.isEmpty();
+        return state.readState(hasMore);
     }
 
     void readerClosed(ResultReader reader) {
--- a/src/test/java/lineward/app/ConfigExceptionTest.java
+++ b/src/test/java/lineward/app/ConfigExceptionTest.java
@@ -71,7 +71,7 @@
     }
 
     @Test(dataProvider = "invalidPlatformValues")
-    public void platformValueIsNamed(String json, String key, String found, String allowed) throws IOException {
+    public void namesPlatformValue(String json, String key, String found, String allowed) throws Exception {
         Files.writeString(file, "{\"settings\":{}," + json + "}");
         ConfigFile platformFile = new ConfigFile(file.toString());
         ConfigException error = expectThrows(ConfigException.class, platformFile::read);
--- a/src/test/java/lineward/spool/SpoolTest.java
+++ b/src/test/java/lineward/spool/SpoolTest.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import lineward.spool.SpooledResult.ReadState;
 import lineward.spool.store.SegmentStore;
 import lineward.spool.store.SpoolFolder;
 import org.testng.annotations.AfterMethod;
@@ -76,10 +75,10 @@
         result.commit(bytes.length, row, false);
     }
 
-    private byte[] drain(SpooledResult.Reader reader) {
+    private byte[] drain(SpoolReader reader) {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         while (reader.readState() == ReadState.MORE) {
-            SpooledResult.Chunk chunk = reader.poll();
+            ResultChunk chunk = reader.poll();
             if (chunk == null) {
                 runNextTask();
             } else {
@@ -95,7 +94,7 @@
             Random random = new Random(seed);
             try (Spool spool = spool(seed % 2 == 0)) {
                 SpooledResult result = spool.begin("u", "", "");
-                SpooledResult.Reader reader = null;
+                SpoolReader reader = null;
                 ByteArrayOutputStream wrote = new ByteArrayOutputStream();
                 ByteArrayOutputStream read = new ByteArrayOutputStream();
                 for (int i = 0; i < 400; i++) {
@@ -106,7 +105,7 @@
                         reader = result.read(() -> {});
                     }
                     while (reader != null && (seed % 2 != 0 || random.nextInt(3) == 0)) {
-                        SpooledResult.Chunk chunk = reader.poll();
+                        ResultChunk chunk = reader.poll();
                         if (chunk == null) {
                             break;
                         }
@@ -161,11 +160,11 @@
             assertNull(second.find("u", "half"), "an incomplete result is dropped");
             SpooledResult found = second.find("u", "k");
             assertEquals(found.statement(), "digest");
-            SpooledResult.Reader reader = found.read(() -> {});
+            SpoolReader reader = found.read(() -> {});
             assertEquals(drain(reader).length, 20 * row.length);
-            SpooledResult.Reader page = found.read(() -> {});
+            SpoolReader page = found.read(() -> {});
             int before = page.seek(15);
-            SpooledResult.Chunk chunk = null;
+            ResultChunk chunk = null;
             while (chunk == null) {
                 chunk = page.poll();
                 if (chunk == null) {
@@ -210,10 +209,10 @@
                 }
             }
             assertTrue(rows < 100, "backpressure reaches the engine");
-            SpooledResult.Reader reader = result.read(() -> {});
+            SpoolReader reader = result.read(() -> {});
             int got = 0;
             while (reader.readState() == ReadState.MORE) {
-                SpooledResult.Chunk chunk = reader.poll();
+                ResultChunk chunk = reader.poll();
                 if (chunk == null) {
                     break;
                 }
@@ -232,7 +231,7 @@
             SpooledResult result = spool.begin("u", "", "");
             append(result, new byte[200_000], true);
             int[] notifications = new int[1];
-            SpooledResult.Reader reader = result.read(() -> notifications[0]++);
+            SpoolReader reader = result.read(() -> notifications[0]++);
             reader.poll();
             result.complete();
             now = 1001;
@@ -249,7 +248,7 @@
     public void failedResultIsReportedBehindItsLastByte() throws IOException {
         try (Spool spool = spool(false)) {
             SpooledResult result = spool.begin("u", "", "");
-            SpooledResult.Reader reader = result.read(() -> {});
+            SpoolReader reader = result.read(() -> {});
             append(result, new byte[100], true);
             result.fail();
             assertEquals(reader.readState(), ReadState.MORE);
