--- a/review/stand-ins/MysqlEngine.java
+++ b/review/stand-ins/MysqlEngine.java
@@ -134,7 +134,7 @@
         }
 
         private void query(String text) throws IOException {
-            Record.line(name + ": connection " + thread + " query: " + text);
+            Record.line(name + ": connection " + thread + " query: " + (text.length() > 200 ? text.substring(0, 200) : text));
             if (text.startsWith("KILL QUERY ")) {
                 killed.put(Integer.parseInt(text.substring(11).trim()), true);
                 ok();
