--- a/review/stand-ins/CursorError.java
+++ b/review/stand-ins/CursorError.java
@@ -9,9 +9,9 @@
 final class CursorError {
     private static final int ROWS = 500;
     private static final int FETCH = 100;
-    private static final int STATEMENTS = 20;
+    private static final int STATEMENTS = 40;
 
-    private static final int CLIENTS = 8;
+    private static final int CLIENTS = 12;
     private static int whole;
     private static int wrong;
     private static int failed;
@@ -50,7 +50,7 @@
     private static void read(MysqlSite site, int number) {
         try (MysqlClient client = site.client()) {
             for (int i = 0; i < STATEMENTS; i++) {
-                Thread.sleep(300);
+                Thread.sleep(200);
                 int id = client.prepare("select a from t where n = " + i + " and report " + ROWS);
                 String end = client.openCursor(id, 20_000);
                 int rows = 0;
--- a/review/stand-ins/MysqlClient.java
+++ b/review/stand-ins/MysqlClient.java
@@ -16,8 +16,13 @@
      * @param rows number of rows
      * @param end "complete", "error N", or "nothing" if no more came in time
      * @param lastRowSent whether the end says that the cursor has no more rows
+     * @param lastRow the last row of a reply to a statement that was sent as text; empty without rows
      */
-    record Reply(int rows, String end, boolean lastRowSent) {
+    record Reply(int rows, String end, boolean lastRowSent, String lastRow) {
+        Reply(int rows, String end, boolean lastRowSent) {
+            this(rows, end, lastRowSent, "");
+        }
+
         boolean isComplete() {
             return end.equals("complete");
         }
@@ -139,6 +144,7 @@
 
     private Reply readRows(int waitMs) throws IOException {
         int rows = 0;
+        byte[] last = {};
         long until = Record.now() + waitMs;
         try {
             while (true) {
@@ -149,15 +155,22 @@
                     return new Reply(rows, error(packet), false);
                 }
                 if (first == 0xfe && packet.length < 9) {
-                    return new Reply(rows, "complete", (packet[3] & 0x80) != 0);
+                    return new Reply(rows, "complete", (packet[3] & 0x80) != 0, text(last));
                 }
                 rows++;
+                last = packet;
             }
         } catch (SocketTimeoutException e) {
             return new Reply(rows, "nothing", false);
         }
     }
 
+    /** Returns the value of a row with one column. */
+    private static String text(byte[] row) {
+        int start = row.length > 0 && (row[0] & 0xff) == 0xfc ? 3 : 1;
+        return row.length <= start ? "" : new String(row, start, row.length - start, StandardCharsets.UTF_8);
+    }
+
     private static String error(byte[] packet) {
         String text = new String(Arrays.copyOfRange(packet, 3, packet.length), StandardCharsets.UTF_8);
         return "error " + (packet[1] & 0xff | (packet[2] & 0xff) << 8) + " " + text;
--- a/review/stand-ins/MysqlEngine.java
+++ b/review/stand-ins/MysqlEngine.java
@@ -16,7 +16,7 @@
 
 /**
  * A small engine that speaks the MySQL protocol. A statement with the word report has as many rows as it names
- * after that word; every other one has one row. Can stop in the middle of a result: by an error, or by vanishing.
+ * after that word; every other one has one row, which holds the statement.
  */
 final class MysqlEngine {
     /** What happens after some rows of a report. */
@@ -24,8 +24,8 @@
         NONE,
         /** The query is interrupted: error 1317 in place of the next row. */
         ERROR,
-        /** The machine vanishes: nothing more is said on any connection, and none is closed. */
-        VANISH
+        /** Some answers are followed at once by a second copy of them. */
+        SECOND_COPY
     }
 
     private static final int ROW_BYTES = 1000;
@@ -34,12 +34,15 @@
     private final AtomicInteger threads = new AtomicInteger();
     private final Map<Integer, Boolean> killed = new ConcurrentHashMap<>();
     volatile Trouble trouble = Trouble.NONE;
+    /** Time that a statement takes. */
+    volatile int workMs;
+
     volatile int troubleAfterRows;
-    /** How many of ten statements meet the trouble. */
+    /** How many of ten statements, or of ten answers, meet the trouble. */
     volatile int failsOfTen = 10;
 
     private final AtomicInteger statements = new AtomicInteger();
-    volatile boolean vanished;
+    private final AtomicInteger answers = new AtomicInteger();
 
     MysqlEngine(String name) throws IOException {
         this.name = name;
@@ -50,8 +53,11 @@
         return server.getLocalPort();
     }
 
-    /** Returns the text of a row of a report. */
-    static String row(int number) {
+    /** Returns the text of a row. */
+    static String row(String statement, int number) {
+        if (rows(statement) == 1) {
+            return "of " + statement;
+        }
         return number + "-" + "r".repeat(ROW_BYTES - 1 - Integer.toString(number).length());
     }
 
@@ -86,6 +92,9 @@
         private final OutputStream out;
         private final int thread;
         private final List<String> prepared = new ArrayList<>();
+        /** The packets of the current answer. */
+        private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
+
         private int sequence;
 
         Session(Socket socket, int thread) throws IOException {
@@ -113,7 +122,7 @@
             greeting.write("mysql_native_password\0".getBytes(StandardCharsets.US_ASCII));
             send(greeting.toByteArray());
             read();
-            ok();
+            send(new byte[] {0, 0, 0, 2, 0, 0, 0});
             while (true) {
                 byte[] command = read();
                 String text = new String(command, 1, command.length - 1, StandardCharsets.UTF_8);
@@ -158,6 +167,7 @@
             send(reply.toByteArray());
             send(column());
             eof();
+            endAnswer();
         }
 
         private void execute(byte[] command) throws IOException {
@@ -168,20 +178,17 @@
 
         private void result(String text, boolean binary) throws IOException {
             killed.remove(thread);
+            work();
             send(new byte[] {1});
             send(column());
             eof();
             int rows = rows(text);
             boolean fails = statements.getAndIncrement() * 7 % 10 < failsOfTen;
             for (int i = 0; i < rows; i++) {
-                if (fails && trouble != Trouble.NONE && i == Math.min(troubleAfterRows, rows - 1)) {
-                    out.flush();
-                    Record.line(name + ": " + trouble + " after " + i + " of " + rows + " rows");
-                    if (trouble == Trouble.ERROR) {
-                        error(1317, "70100", "Query execution was interrupted");
-                        return;
-                    }
-                    vanished = true;
+                if (fails && trouble == Trouble.ERROR && i == Math.min(troubleAfterRows, rows - 1)) {
+                    Record.line(name + ": error after " + i + " of " + rows + " rows");
+                    error(1317, "70100", "Query execution was interrupted");
+                    return;
                 }
                 if (killed.containsKey(thread)) {
                     error(1317, "70100", "Query execution was interrupted");
@@ -192,16 +199,25 @@
                     row.write(0);
                     row.write(0);
                 }
-                byte[] value = row(i).getBytes(StandardCharsets.US_ASCII);
+                byte[] value = row(text, i).getBytes(StandardCharsets.US_ASCII);
                 row.write(0xfc);
                 int16(row, value.length);
                 row.write(value);
                 send(row.toByteArray());
             }
             eof();
+            endAnswer();
             Record.line(name + ": connection " + thread + " sent all " + rows + " rows");
         }
 
+        private void work() throws IOException {
+            try {
+                Thread.sleep(workMs);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
+
         private byte[] column() throws IOException {
             ByteArrayOutputStream column = new ByteArrayOutputStream();
             for (String text : new String[] {"def", "", "t", "t", "a", "a"}) {
@@ -220,14 +236,19 @@
 
         private void ok() throws IOException {
             send(new byte[] {0, 0, 0, 2, 0, 0, 0});
-            out.flush();
+            endAnswer();
         }
 
         private void eof() throws IOException {
             send(new byte[] {(byte) 0xfe, 0, 0, 2, 0});
-            if (!vanished) {
-                out.flush();
+        }
+
+        private void endAnswer() throws IOException {
+            if (trouble == Trouble.SECOND_COPY && answers.getAndIncrement() * 7 % 10 < failsOfTen) {
+                Record.line(name + ": connection " + thread + " sends a second copy of " + answer.size() + " bytes");
+                out.write(answer.toByteArray());
             }
+            out.flush();
         }
 
         private void error(int code, String state, String message) throws IOException {
@@ -240,40 +261,26 @@
         }
 
         private void send(byte[] payload) throws IOException {
-            while (vanished) {
-                sleep();
-            }
-            out.write(payload.length & 0xff);
-            out.write(payload.length >>> 8 & 0xff);
-            out.write(payload.length >>> 16);
-            out.write(sequence++);
-            out.write(payload);
-            if (sequence == 1) {
-                out.flush();
-            }
+            ByteArrayOutputStream packet = new ByteArrayOutputStream(payload.length + 4);
+            int16(packet, payload.length);
+            packet.write(payload.length >>> 16);
+            packet.write(sequence++);
+            packet.write(payload);
+            answer.write(packet.toByteArray());
+            out.write(packet.toByteArray());
         }
 
         private byte[] read() throws IOException {
             out.flush();
             int length = in.readUnsignedByte() | in.readUnsignedByte() << 8 | in.readUnsignedByte() << 16;
             sequence = in.readUnsignedByte() + 1;
+            answer.reset();
             byte[] payload = new byte[length];
             in.readFully(payload);
-            while (vanished) {
-                sleep();
-            }
             return payload;
         }
     }
 
-    private static void sleep() {
-        try {
-            Thread.sleep(1000);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static void int16(ByteArrayOutputStream out, int value) {
         out.write(value);
         out.write(value >>> 8);
--- a/review/stand-ins/UsualClient.java
+++ b/review/stand-ins/UsualClient.java
@@ -89,6 +89,10 @@
                 Journal.start(() -> read(opened));
             }
             current = client;
+            // A connection carries at most 32 open requests.
+            if (open.size() >= 30) {
+                return;
+            }
         }
         String type = random.nextDouble() < 0.85 ? "place-check" : "term-report";
         boolean check = type.equals("place-check");
