--- a/review/stand-ins/CursorError.java
+++ b/review/stand-ins/CursorError.java
@@ -23,6 +23,7 @@
 
     private static int run(Path root, boolean trouble) throws Exception {
         try (MysqlSite site = new MysqlSite(root)) {
+            site.engines.forEach(engine -> engine.workMs = 100);
             if (trouble) {
                 // One engine of six fails 60 in 100 of its statements.
                 site.engines.get(0).troubleAfterRows = 250;
