--- a/review/stand-ins/BadClients.java
+++ b/review/BadClients.java
@@ -12,8 +12,8 @@
     private static final int MEMORY_MB = 192;
     private static final int SOCKETS = 1024;
     private static final int USUAL = 30;
-    private static final int ENDLESS = 250;
-    private static final int FLOODS = 60;
+    private static final int ENDLESS = 280;
+    private static final int FLOODS = 30;
     private static final int REQUESTS_AT_ONCE = 32;
     private static final int TROUBLE_MS = 15_000;
     private static volatile boolean troubleEnded;
@@ -23,7 +23,7 @@
     }
 
     private static int run(Path root, boolean trouble) throws Exception {
-        // Results of 48,000 bytes, about 110 requests a second.
+        // Results of 48,000 bytes, about 100 requests a second.
         Engine.rows = 480;
         UsualClient.statementBytes = 40_000;
         Journal journal = new Journal();
@@ -38,7 +38,7 @@
             frontEnd.awaitReady();
             List<UsualClient> clients = new ArrayList<>();
             for (int i = 0; i < USUAL; i++) {
-                clients.add(new UsualClient(frontEnd.port, i, 270));
+                clients.add(new UsualClient(frontEnd.port, i, 300));
             }
             Thread.sleep(5000);
             say(frontEnd, "before the trouble");
--- a/review/stand-ins/Case.java
+++ b/review/Case.java
@@ -10,11 +10,11 @@
 
     private Case() {}
 
-    /** @param args the root of the repository, and the folder of the case */
+    /** @param args the root of the repository, and the file of the record */
     static void main(String[] args, Body body) {
         int status = 2;
         try {
-            Record.open(Path.of(args[1], "record.txt"));
+            Record.open(Path.of(args[1]));
             status = body.run(Path.of(args[0]), !"0".equals(System.getenv("TROUBLE")));
         } catch (Exception | LinkageError e) {
             e.printStackTrace();
--- a/review/stand-ins/CursorError.java
+++ b/review/CursorError.java
@@ -30,6 +30,15 @@
                 site.engines.get(0).failsOfTen = 6;
                 site.engines.get(0).trouble = MysqlEngine.Trouble.ERROR;
             }
+            // The engine fails for 20 s at most.
+            Journal.start(() -> {
+                try {
+                    Thread.sleep(20_000);
+                } catch (InterruptedException e) {
+                    return;
+                }
+                site.engines.get(0).trouble = MysqlEngine.Trouble.NONE;
+            });
             List<Thread> threads = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 int number = i;
