Bound what clients' incomplete requests hold, so that no other client is closed for it

Cause: `run` allows 24 MB of direct memory, and Netty closes the connection whose read finds none, whoever uses it. The log said so ("OutOfDirectMemoryError: failed to allocate 65536 byte(s)") for clients and engines alike; resident memory stayed under 125 MB, which rules out the heap. Not bounded by the 24 MB were: incomplete frames, 64 KB for each of up to 512 connections (FrameDecoder); statements of open requests and pages of results, held as slices that keep whole read buffers (OpenCalls.admit, ReplyDecoder.decode). On MySQL: packets of 1 MB for each of 200 clients, eight packets behind a running command, and open statements without any bound.

Change: frontend.ReceiveBudget, for both protocols. A message reserves its size when its first part is read; one that does not fit is not read until it does. A client that has completed a message does not wait for those that have not. Statements and pages are copied to the heap in their own size; responses and receive buffers get fixed parts of the direct memory (app.BufferMemory). MySQL statements beyond an eighth of the heap are rejected; a session reads no further with 64 KB queued. Gauge edge_relay_receive_buffer_bytes. DocumentationTest also checks the pages in docs/incidents.

Why it works: a message that does not fit stays with its client, and an open request's connection is closed for nobody's memory.

--- a/src/main/java/lineward/app/MysqlConfigReader.java
+++ b/src/main/java/lineward/app/MysqlConfigReader.java
@@ -55,6 +55,11 @@
     private static final int DEFAULT_LEASE_S = 60;
     private static final int DEFAULT_KEY_LEASE_S = 300;
 
+    /** The open statements may use the heap divided by this. */
+    private static final int STATEMENT_HEAP_DIVISOR = 8;
+    /** A receive buffer may be twice as large as the packet, as it grows by doubling. */
+    private static final long RECEIVE_BUFFER_GROWTH = 2;
+
     private MysqlConfigReader() {}
 
     /** Returns the configuration; throws a {@link ConfigException} that names the first invalid value. */
@@ -70,7 +75,17 @@
             String allowed = "an address with at least one of each";
             throw listen.invalid("needs a user, an engine and a class", allowed);
         }
-        return new MysqlConfig(address, bounds, users, engines, classes, spooling(root.member("spool")));
+        MysqlConfig.MemoryLimits memory = memoryLimits(bounds.maxPacketBytes());
+        MysqlConfig.SpoolConfig spool = spooling(root.member("spool"));
+        return new MysqlConfig(address, bounds, memory, users, engines, classes, spool);
+    }
+
+    /** Returns limits within which at least one packet of the maximum size can be received and executed. */
+    private static MysqlConfig.MemoryLimits memoryLimits(int maxPacketBytes) {
+        long statementBytes = Runtime.getRuntime().maxMemory() / STATEMENT_HEAP_DIVISOR;
+        return new MysqlConfig.MemoryLimits(
+                Math.max(BufferMemory.receiveBytes(), RECEIVE_BUFFER_GROWTH * maxPacketBytes),
+                Math.max(statementBytes, maxPacketBytes));
     }
 
     private static MysqlConfig.Limits bounds(ConfigNode limits) {
--- a/src/main/java/lineward/app/ThriftWiring.java
+++ b/src/main/java/lineward/app/ThriftWiring.java
@@ -18,8 +18,12 @@
     private static final int OPEN_REQUESTS_PER_MB = 64;
     /** The statements of open requests may use the memory divided by this. */
     private static final int STATEMENT_MEMORY_DIVISOR = 16;
+    /** Statements are on the heap and may use at most the heap divided by this. */
+    private static final int STATEMENT_HEAP_DIVISOR = 6;
     /** Responses that clients have not read may use the memory divided by this. */
     private static final int RESPONSE_MEMORY_DIVISOR = 12;
+    /** Responses are in direct memory and may use at most that memory divided by this. */
+    private static final int RESPONSE_BUFFER_DIVISOR = 2;
 
     private static final long BYTES_PER_MB = 1 << 20;
     /** Fraction of the descriptors for clients. */
@@ -42,10 +46,13 @@
 
     private static ThriftServer.Bounds bounds(PlatformConfig.Resources resources) {
         long memoryBytes = resources.memoryMb() * BYTES_PER_MB;
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        long bufferBytes = BufferMemory.capacityBytes();
         return new ThriftServer.Bounds(
                 (int) (resources.descriptors() * CLIENT_DESCRIPTOR_RATIO),
-                memoryBytes / STATEMENT_MEMORY_DIVISOR,
-                memoryBytes / RESPONSE_MEMORY_DIVISOR);
+                BufferMemory.receiveBytes(),
+                Math.min(memoryBytes / STATEMENT_MEMORY_DIVISOR, heapBytes / STATEMENT_HEAP_DIVISOR),
+                Math.min(memoryBytes / RESPONSE_MEMORY_DIVISOR, bufferBytes / RESPONSE_BUFFER_DIVISOR));
     }
 
     /**
--- a/src/main/java/lineward/engine/ReplyDecoder.java
+++ b/src/main/java/lineward/engine/ReplyDecoder.java
@@ -1,6 +1,7 @@
 package lineward.engine;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
@@ -45,7 +46,9 @@
         if (in.getByte(bodyEnd) != '\r' || in.getByte(bodyEnd + 1) != '\n') {
             throw new MalformedReplyException("body is not followed by CRLF");
         }
-        ByteBuf body = in.readRetainedSlice(header.bodyBytes);
+        // A slice would retain the read buffer, which is larger, until the client has read the result.
+        ByteBuf body = Unpooled.buffer(header.bodyBytes, header.bodyBytes);
+        in.readBytes(body);
         output.add(new Reply(header.id, header.type, header.fields, body));
         in.skipBytes(LINE_TERMINATOR_BYTES);
         header = null;
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -17,6 +17,7 @@
 public record MysqlConfig(
         InetSocketAddress listenAddress,
         Limits limits,
+        MemoryLimits memory,
         Map<String, String> passwordsByUser,
         List<EngineConfig> engines,
         List<QueryClass> classes,
@@ -49,6 +50,14 @@
             int idleTimeoutMs,
             int maxAttempts) {}
 
+    /**
+     * Limits on the memory that all clients use together.
+     *
+     * @param maxReceiveBytes maximum bytes that are buffered for packets that can't be processed yet
+     * @param maxStatementBytes maximum bytes of the open statements; further ones are rejected
+     */
+    public record MemoryLimits(long maxReceiveBytes, long maxStatementBytes) {}
+
     /**
      * A class of statements.
      *
--- a/src/main/java/lineward/mysql/MysqlServer.java
+++ b/src/main/java/lineward/mysql/MysqlServer.java
@@ -16,6 +16,7 @@
 import lineward.frontend.CoordinatorDriver;
 import lineward.frontend.Listener;
 import lineward.frontend.ProtocolServer;
+import lineward.frontend.ReceiveBudget;
 import lineward.mysql.client.AttemptReporter;
 import lineward.mysql.client.ClientAcceptor;
 import lineward.mysql.client.ClientContext;
@@ -53,7 +54,8 @@
     private final EngineConnectionPools pools;
     private final AttemptReporter.Context reportTargets;
     private final ConnectedClients clients;
-    private final ServerAdmissionPolicy admission = new ServerAdmissionPolicy(Long.MAX_VALUE);
+    private final ServerAdmissionPolicy admission;
+    private final ReceiveBudget receiveBudget;
     private long shutdownStartedNanos;
 
     /**
@@ -76,6 +78,9 @@
         this.driver = new CoordinatorDriver<>(coordinator, clock, tickRequest);
         this.tickRequest = tickRequest;
         this.spool = spool;
+        this.admission = new ServerAdmissionPolicy(config.memory().maxStatementBytes());
+        this.receiveBudget = new ReceiveBudget(config.memory().maxReceiveBytes());
+        metrics.addReceiveBufferBytes(receiveBudget::used);
         this.clients = new ConnectedClients(config.limits().maxClients());
         this.pools = enginePools(loop, config.limits());
         this.reportTargets = new AttemptReporter.Context(coordinator, metrics, spool, tickRequest);
@@ -92,6 +97,7 @@
                 limits.maxPacketBytes(),
                 new StatementLimits(limits.maxStatements(), textBudget),
                 spool,
+                receiveBudget,
                 dispatcher,
                 this::statistics);
     }
@@ -174,6 +180,7 @@
     @Override
     public void runPeriodicTasks() {
         clients.closeOverdueLogins();
+        receiveBudget.tick();
         spool.tick();
     }
 
--- a/src/main/java/lineward/mysql/QueryAdmission.java
+++ b/src/main/java/lineward/mysql/QueryAdmission.java
@@ -34,8 +34,11 @@
 
     @Override
     public boolean admit(Query query) {
-        boolean admitted = admission.admitsRequests() && offerToCoordinator(query);
-        if (!admitted) {
+        long bytes = query.command().sizeBytes();
+        boolean admitted = admission.mayAdmit(bytes) && offerToCoordinator(query);
+        if (admitted) {
+            admission.recordAdmitted(bytes);
+        } else {
             countRejected(query);
         }
         return admitted;
@@ -51,6 +54,11 @@
         return requestId.isPresent();
     }
 
+    @Override
+    public void completed(Query query) {
+        admission.recordCompleted(query.command().sizeBytes());
+    }
+
     @Override
     public void cancel(Query query) {
         driver.cancel(query.requestId());
--- a/src/main/java/lineward/mysql/client/ClientAcceptor.java
+++ b/src/main/java/lineward/mysql/client/ClientAcceptor.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import lineward.frontend.ClientReadBuffers;
 import lineward.frontend.Listener;
 import lineward.mysql.wire.PacketDecoder;
 
@@ -29,12 +30,13 @@
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ClientReadBuffers.allocator())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
                         lastClientNumber++;
-                        ClientSession client = new ClientSession(context, lastClientNumber);
                         PacketDecoder decoder = new PacketDecoder(context.maxPayloadBytes());
+                        ClientSession client = new ClientSession(context, lastClientNumber, decoder);
                         accepted.pipeline().addLast(decoder, client);
                     }
                 });
--- a/src/main/java/lineward/mysql/client/ClientContext.java
+++ b/src/main/java/lineward/mysql/client/ClientContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.function.Supplier;
+import lineward.frontend.ReceiveBudget;
 import lineward.mysql.session.StatementLimits;
 import lineward.spool.Spool;
 
@@ -10,6 +11,7 @@
  *
  * @param passwords passwords by user name
  * @param maxPayloadBytes maximum payload of a packet from a client, in bytes
+ * @param receiveBudget limits the bytes that are buffered for packets that can't be processed yet
  * @param statistics returns the text of the reply to COM_STATISTICS
  */
 public record ClientContext(
@@ -18,5 +20,6 @@
         int maxPayloadBytes,
         StatementLimits statementLimits,
         Spool spool,
+        ReceiveBudget receiveBudget,
         QueryDispatcher dispatcher,
         Supplier<String> statistics) {}
--- a/src/main/java/lineward/mysql/client/ClientSession.java
+++ b/src/main/java/lineward/mysql/client/ClientSession.java
@@ -9,11 +9,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Supplier;
+import lineward.frontend.ReceiveBudget;
 import lineward.mysql.session.PreparedStatements;
 import lineward.mysql.session.SessionSettings;
 import lineward.mysql.wire.Auth;
 import lineward.mysql.wire.Handshake;
 import lineward.mysql.wire.Latin1Texts;
+import lineward.mysql.wire.PacketDecoder;
 import lineward.mysql.wire.Packets;
 import lineward.mysql.wire.SqlError;
 import org.slf4j.Logger;
@@ -23,20 +25,26 @@
  * The session of one client: its connection, its state, and the packets that are queued while a command is in
  * progress. {@link ClientCommands} and {@link QueryRunner} execute the commands. Confined to the event loop.
  */
-final class ClientSession extends SimpleChannelInboundHandler<ByteBuf> {
+final class ClientSession extends SimpleChannelInboundHandler<ByteBuf> implements ReceiveBudget.Connection {
     private static final Logger LOG = LoggerFactory.getLogger(ClientSession.class);
     /** Limit on packets queued while a command is in progress; reading pauses when the queue is full. */
     private static final int MAX_PENDING_PACKETS = 8;
+    /** Size of the queued packets at which reading pauses. */
+    private static final long MAX_PENDING_BYTES = 64 * 1024;
     /** The payload that confirms fast authentication with caching_sha2_password. */
     private static final byte[] FAST_AUTH_SUCCESS = {1, 3};
 
     private final ClientContext context;
     private final int clientNumber;
+    private final PacketDecoder decoder;
     private final long connectedAtNanos = System.nanoTime();
     private final Deque<ByteBuf> pendingPackets = new ArrayDeque<>();
     private final ClientLogin login;
     private final PreparedStatements statements;
     private SessionState state = SessionState.AWAITING_LOGIN;
+    /** False while the receive budget has no capacity for further bytes of this client. */
+    private boolean readingAllowed = true;
+
     private ClientReplyWriter replies;
     private SpooledResultSender resultSender;
     private QueryRunner queries;
@@ -44,11 +52,13 @@
 
     /**
      * @param clientNumber the client's number, which the greeting also reports as its thread id
+     * @param decoder the decoder before this handler in the pipeline
      */
-    ClientSession(ClientContext context, int clientNumber) {
+    ClientSession(ClientContext context, int clientNumber, PacketDecoder decoder) {
         super(false);
         this.context = context;
         this.clientNumber = clientNumber;
+        this.decoder = decoder;
         login = new ClientLogin(context.passwords());
         statements = new PreparedStatements(context.statementLimits());
     }
@@ -123,7 +133,52 @@
                 packet.release();
             }
         }
-        channel().config().setAutoRead(pendingPackets.size() < MAX_PENDING_PACKETS);
+        updateReading();
+        updateReceiveBudget();
+    }
+
+    private void updateReading() {
+        boolean hasCapacity = pendingPackets.size() < MAX_PENDING_PACKETS && pendingBytes() < MAX_PENDING_BYTES;
+        channel().config().setAutoRead(readingAllowed && hasCapacity);
+    }
+
+    private long pendingBytes() {
+        return pendingPackets.stream().mapToLong(ByteBuf::readableBytes).sum();
+    }
+
+    private void updateReceiveBudget() {
+        if (channel().isActive()) {
+            long partialBytes = ReceiveBudget.bufferBytes(decoder.partialPacketBytes());
+            context.receiveBudget().update(this, partialBytes + pendingBytes());
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        updateReceiveBudget();
+        ctx.fireChannelReadComplete();
+    }
+
+    @Override
+    public boolean hasSentMessage() {
+        return !state.isUnauthenticated();
+    }
+
+    @Override
+    public boolean awaitsResponse() {
+        return !isBetweenCommands();
+    }
+
+    @Override
+    public void setReadingAllowed(boolean allowed) {
+        readingAllowed = allowed;
+        updateReading();
+    }
+
+    @Override
+    public void evict() {
+        LOG.info("client connection closed: client={} cause=receive buffers are full", clientNumber);
+        replies.close();
     }
 
     private void process(ByteBuf packet) {
@@ -208,6 +263,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         transition(SessionState.Event.DISCONNECTED);
         context.clients().remove(this);
+        context.receiveBudget().remove(this);
         pendingPackets.forEach(ByteBuf::release);
         pendingPackets.clear();
         queries.abort();
--- a/src/main/java/lineward/mysql/client/Query.java
+++ b/src/main/java/lineward/mysql/client/Query.java
@@ -33,6 +33,7 @@
     private final StatementClass statementClass;
     private final Map<String, String> settings;
     private final SpoolOptions spooling;
+    private boolean isAdmitted;
     /** Assigned on admission. */
     private long requestId;
     /** Null before the first attempt. */
@@ -58,7 +59,8 @@
         this.spooling = spooling;
     }
 
-    Work command() {
+    /** Returns the command that the engine executes. */
+    public Work command() {
         return command;
     }
 
@@ -88,9 +90,15 @@
 
     /** Records that the coordinator has admitted the query and assigned this id to it. */
     public void admitted(long id) {
+        isAdmitted = true;
         requestId = id;
     }
 
+    /** Returns whether the coordinator has admitted the query. */
+    boolean isAdmitted() {
+        return isAdmitted;
+    }
+
     /** Creates the next attempt and makes it the current one. */
     public MysqlQueryAttempt nextAttempt(int number, long timeoutMs, AttemptListener listener) {
         attempt = new MysqlQueryAttempt(command, settings, timeoutMs, listener);
--- a/src/main/java/lineward/mysql/client/QueryDispatcher.java
+++ b/src/main/java/lineward/mysql/client/QueryDispatcher.java
@@ -10,6 +10,9 @@
     /** Admits the query if there is capacity for it; returns false if the caller must reject it. */
     boolean admit(Query query);
 
+    /** Records that an admitted query has been answered or cancelled, so that its statement is released. */
+    void completed(Query query);
+
     /** Cancels an admitted query whose client has disconnected. */
     void cancel(Query query);
 
--- a/src/main/java/lineward/mysql/client/QueryRunner.java
+++ b/src/main/java/lineward/mysql/client/QueryRunner.java
@@ -168,6 +168,13 @@
             runningQuery = null;
             releaseReservation(aborted);
             context.dispatcher().cancel(aborted);
+            release(aborted);
+        }
+    }
+
+    private void release(Query ended) {
+        if (ended.isAdmitted()) {
+            context.dispatcher().completed(ended);
         }
     }
 
@@ -182,7 +189,9 @@
     }
 
     private void complete() {
+        Query completed = runningQuery;
         runningQuery = null;
+        release(completed);
         session.queryOrStreamEnded(SessionState.Event.QUERY_ENDED);
     }
 }
--- a/src/main/java/lineward/mysql/session/Work.java
+++ b/src/main/java/lineward/mysql/session/Work.java
@@ -16,6 +16,11 @@
     /** Returns the schema of the session; empty if the client has selected none. */
     String schema();
 
+    /**
+     * Returns the number of bytes that the command uses in memory until it is answered, without the schema.
+     */
+    long sizeBytes();
+
     /** Returns whether the command may change the engine's session, so that its connection must be closed. */
     default boolean changesSession() {
         return false;
@@ -33,6 +38,11 @@
             return Work.changesSession(text);
         }
 
+        @Override
+        public long sizeBytes() {
+            return text.length();
+        }
+
         /** Returns a digest of the schema and the text; a spooled result with a key stores it. */
         public String digest() {
             return Work.digest(List.of(bytes(schema), bytes(text)));
@@ -40,7 +50,12 @@
     }
 
     /** Prepares a statement (COM_STMT_PREPARE); the reply describes its parameters and columns. */
-    record Prepare(String schema, String text) implements Work {}
+    record Prepare(String schema, String text) implements Work {
+        @Override
+        public long sizeBytes() {
+            return text.length();
+        }
+    }
 
     /**
      * Executes a prepared statement (COM_STMT_EXECUTE). The engine's connection prepares it first if
@@ -57,6 +72,13 @@
             return Work.changesSession(text);
         }
 
+        @Override
+        public long sizeBytes() {
+            long longDataBytes =
+                    longData.stream().mapToLong(data -> data.bytes().length).sum();
+            return text.length() + arguments.length + longDataBytes;
+        }
+
         /** Returns a digest of the schema, the text and all arguments, see {@link TextQuery#digest}. */
         public String digest() {
             return Work.digest(List.of(bytes(schema), bytes(text), arguments, longDataBytes()));
@@ -73,7 +95,12 @@
     }
 
     /** Selects the schema of the session (COM_INIT_DB). */
-    record UseSchema(String schema) implements Work {}
+    record UseSchema(String schema) implements Work {
+        @Override
+        public long sizeBytes() {
+            return 0;
+        }
+    }
 
     private static byte[] bytes(String latin1) {
         return latin1.getBytes(StandardCharsets.ISO_8859_1);
--- a/src/main/java/lineward/mysql/wire/PacketDecoder.java
+++ b/src/main/java/lineward/mysql/wire/PacketDecoder.java
@@ -20,6 +20,20 @@
         this.maxPayloadBytes = maxPayloadBytes;
     }
 
+    /** Returns whether part of a packet has arrived. */
+    public boolean hasPartialPacket() {
+        return actualReadableBytes() > 0;
+    }
+
+    /** Returns the size of the packet of which a part has arrived, with its header; 0 if there is none. */
+    public int partialPacketBytes() {
+        if (actualReadableBytes() < Packets.HEADER_BYTES) {
+            return actualReadableBytes();
+        }
+        ByteBuf buffer = internalBuffer();
+        return Packets.HEADER_BYTES + buffer.getUnsignedMediumLE(buffer.readerIndex());
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> frames) {
         if (discarding) {
--- a/src/main/java/lineward/operations/Metrics.java
+++ b/src/main/java/lineward/operations/Metrics.java
@@ -1,8 +1,10 @@
 package lineward.operations;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
@@ -48,6 +50,8 @@
 
     /** Null if no protocol server sets it. */
     private LongSupplier unreadBytes;
+    /** The sources of the bytes in receive buffers, one for each protocol server. */
+    private final List<LongSupplier> receiveBufferBytes = new ArrayList<>();
     /** Null if the process has no spool. */
     private Supplier<SpoolPolicy.Statistics> spool;
 
@@ -97,6 +101,15 @@
         unreadBytes = bytes;
     }
 
+    /**
+     * Adds a source of the number of bytes that are buffered for requests that are not complete.
+     *
+     * @param bytes returns the current number of one protocol server
+     */
+    public void addReceiveBufferBytes(LongSupplier bytes) {
+        receiveBufferBytes.add(bytes);
+    }
+
     /**
      * Sets the source of the spool's gauges and counters.
      *
@@ -115,6 +128,10 @@
             String help = "Bytes of answers that clients have not taken yet.";
             text.gauge("unread_answer_bytes", help, unreadBytes.getAsLong());
         }
+        long bufferedBytes =
+                receiveBufferBytes.stream().mapToLong(LongSupplier::getAsLong).sum();
+        String receiveHelp = "Bytes buffered for requests that are not complete.";
+        text.gauge("receive_buffer_bytes", receiveHelp, bufferedBytes);
         if (spool != null) {
             writeSpool(text, spool.get());
         }
--- a/src/main/java/lineward/thrift/Call.java
+++ b/src/main/java/lineward/thrift/Call.java
@@ -1,6 +1,7 @@
 package lineward.thrift;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import lineward.core.GenerationalTable;
 import lineward.engine.QueryAttempt;
 
@@ -22,7 +23,7 @@
     private final ClientHandler client;
     private final int sequenceNumber;
     private final CallFields fields;
-    private final ByteBuf statement;
+    private ByteBuf statement;
     private State state = State.OPEN;
     private long coordinatorRequestId = NOT_ADMITTED;
     /** The latest attempt; null before the first one. */
@@ -30,7 +31,7 @@
 
     private int attemptNumber = NO_ATTEMPT;
 
-    /** @param statement a slice of the client's frame, retained when the call is admitted */
+    /** @param statement a slice of the client's frame, copied when the call is admitted */
     Call(ClientHandler client, int sequenceNumber, CallFields fields, ByteBuf statement) {
         this.client = client;
         this.sequenceNumber = sequenceNumber;
@@ -68,6 +69,14 @@
         return statement;
     }
 
+    /**
+     * Replaces the statement by a copy on the heap, which the call owns. A slice would retain the read
+     * buffers of the connection, which are larger and limited.
+     */
+    void copyStatement() {
+        statement = Unpooled.copiedBuffer(statement);
+    }
+
     /** Returns the coordinator's id of the request; the call must have been admitted. */
     long coordinatorRequestId() {
         return coordinatorRequestId;
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -13,6 +13,7 @@
 import lineward.frontend.ClientRegistry;
 import lineward.frontend.LingeringClose;
 import lineward.frontend.RateLimitedLog;
+import lineward.frontend.ReceiveBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,7 +21,7 @@
  * The connection of one client: decodes its messages and holds the calls that await a response. Runs on the
  * event loop of its channel.
  */
-final class ClientHandler extends SimpleChannelInboundHandler<ByteBuf> {
+final class ClientHandler extends SimpleChannelInboundHandler<ByteBuf> implements ReceiveBudget.Connection {
     private static final Logger LOGGER = LoggerFactory.getLogger(ClientHandler.class);
     private static final RateLimitedLog LOG = new RateLimitedLog(LOGGER);
     /** Maximum number of open calls on a connection, including those whose response is being written. */
@@ -31,6 +32,7 @@
     private final ClientRegistry<ClientHandler> clients;
     private final OpenCalls calls;
     private final ResponseSender responses;
+    private final ReceiveBudget receiveBudget;
     private final FrameDecoder frameDecoder;
     private final Map<Integer, Call> callsBySequenceNumber = new HashMap<>();
     private Channel channel;
@@ -46,10 +48,12 @@
             ClientRegistry<ClientHandler> clients,
             OpenCalls calls,
             ResponseSender responses,
+            ReceiveBudget receiveBudget,
             FrameDecoder frameDecoder) {
         this.clients = clients;
         this.calls = calls;
         this.responses = responses;
+        this.receiveBudget = receiveBudget;
         this.frameDecoder = frameDecoder;
     }
 
@@ -80,6 +84,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (ctx.channel().isActive()) {
+            receiveBudget.update(this, ReceiveBudget.bufferBytes(frameDecoder.partialFrameBytes()));
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     private void handleCall(ThriftReader.Header header, ByteBuf frame) {
         int sequenceNumber = header.sequenceNumber();
         switch (header.method()) {
@@ -161,14 +173,38 @@
         responses.send(this, frame);
     }
 
-    /** Returns whether a frame has been incomplete for more than that many nanoseconds. */
+    /** Returns whether a frame that is being read has been incomplete for more than that many nanoseconds. */
     boolean isStalled(long nanos) {
-        return frameDecoder.isStalled(nanos);
+        return !receiveBudget.isWaiting(this) && frameDecoder.isStalled(nanos);
+    }
+
+    @Override
+    public boolean hasSentMessage() {
+        return receivedMessage;
+    }
+
+    @Override
+    public boolean awaitsResponse() {
+        return !callsBySequenceNumber.isEmpty() || unsentResponses > 0;
+    }
+
+    @Override
+    public void setReadingAllowed(boolean allowed) {
+        channel.config().setAutoRead(allowed);
+        if (allowed) {
+            frameDecoder.restartIncompleteTime();
+        }
+    }
+
+    @Override
+    public void evict() {
+        LOG.info("client connection closed", "client", channel.remoteAddress(), "receive buffers are full");
+        close();
     }
 
     /** Returns whether no call is open, no frame partly received and no response still being written. */
     boolean isIdle() {
-        return callsBySequenceNumber.isEmpty() && unsentResponses == 0 && !frameDecoder.hasPartialFrame();
+        return !awaitsResponse() && !frameDecoder.hasPartialFrame();
     }
 
     /** Closes the connection if it is still idle once the bytes that have arrived are read. */
@@ -217,6 +253,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         clients.remove(this);
+        receiveBudget.remove(this);
         new ArrayList<>(callsBySequenceNumber.values()).forEach(calls::cancel);
         callsBySequenceNumber.clear();
     }
--- a/src/main/java/lineward/thrift/FrameDecoder.java
+++ b/src/main/java/lineward/thrift/FrameDecoder.java
@@ -47,6 +47,20 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns the size of the frame of which a part has arrived, with its length; 0 if there is none. */
+    int partialFrameBytes() {
+        if (actualReadableBytes() < LENGTH_BYTES) {
+            return actualReadableBytes();
+        }
+        ByteBuf buffer = internalBuffer();
+        return LENGTH_BYTES + buffer.getInt(buffer.readerIndex());
+    }
+
+    /** Restarts the time for which a frame has been incomplete, after its bytes were not read for a while. */
+    void restartIncompleteTime() {
+        incompleteSinceNanos = hasPartialFrame() ? OptionalLong.of(System.nanoTime()) : OptionalLong.empty();
+    }
+
     /** Returns whether a frame has been incomplete for more than that many nanoseconds. */
     boolean isStalled(long nanos) {
         long nowNanos = System.nanoTime();
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -58,7 +58,7 @@
     }
 
     /**
-     * Admits the call and retains its statement. Returns false if requests are not admitted or there is no
+     * Admits the call and copies its statement. Returns false if requests are not admitted or there is no
      * capacity; the caller must then reject the call.
      */
     boolean admit(Call call) {
@@ -66,7 +66,7 @@
             metrics.countEndedRequest(call.requestClass(), Metrics.RequestStatus.REJECTED);
             return false;
         }
-        call.statement().retain();
+        call.copyStatement();
         ids.opened(call.id());
         return true;
     }
--- a/src/main/java/lineward/thrift/ThriftServer.java
+++ b/src/main/java/lineward/thrift/ThriftServer.java
@@ -1,7 +1,6 @@
 package lineward.thrift;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -15,10 +14,12 @@
 import java.util.function.DoubleSupplier;
 import lineward.core.Coordinator;
 import lineward.engine.EngineCluster;
+import lineward.frontend.ClientReadBuffers;
 import lineward.frontend.ClientRegistry;
 import lineward.frontend.CoordinatorDriver;
 import lineward.frontend.Listener;
 import lineward.frontend.ProtocolServer;
+import lineward.frontend.ReceiveBudget;
 import lineward.operations.Metrics;
 import lineward.scheduling.decision.ServerAdmissionPolicy;
 
@@ -28,14 +29,6 @@
  */
 public final class ThriftServer implements ProtocolServer {
     private static final int LISTEN_BACKLOG = 1024;
-    /**
-     * Sizes of the buffer for one read from a client. Each connection is read once per event loop iteration,
-     * so that no client starves the others.
-     */
-    private static final int MIN_READ_BYTES = 512;
-
-    private static final int INITIAL_READ_BYTES = 2 * 1024;
-    private static final int MAX_READ_BYTES = 16 * 1024;
     /**
      * A connection is closed if no request arrives within this time after it was opened, or if a frame stays
      * incomplete for this time.
@@ -61,11 +54,13 @@
      * Limits on the resources that clients use.
      *
      * @param maxClients maximum number of client connections
+     * @param maxReceiveBytes maximum bytes that are buffered for incomplete requests, see {@link
+     *     ReceiveBudget}
      * @param maxStatementBytes maximum bytes of the statements of open requests; others are rejected
      * @param maxUnreadBytes maximum bytes of responses that are not completely written, because clients do
      *     not read them; beyond it the client with the most such bytes is closed
      */
-    public record Bounds(int maxClients, long maxStatementBytes, long maxUnreadBytes) {}
+    public record Bounds(int maxClients, long maxReceiveBytes, long maxStatementBytes, long maxUnreadBytes) {}
 
     /**
      * The services of the program that the server uses.
@@ -84,6 +79,7 @@
     private final ClientRegistry<ClientHandler> clients;
     private final OpenCalls calls;
     private final ResponseSender responses;
+    private final ReceiveBudget receiveBudget;
     private final CallForwarder forwarder;
     /** Null until {@link #listen} is called. */
     private Channel listeningChannel;
@@ -124,19 +120,19 @@
         Metrics metrics = services.metrics();
         this.calls = new OpenCalls(names, bounds.maxStatementBytes(), this.driver, metrics);
         this.responses = new ResponseSender(clients, bounds.maxUnreadBytes());
+        this.receiveBudget = new ReceiveBudget(bounds.maxReceiveBytes());
         this.forwarder = new CallForwarder(this.driver, engines, calls, services);
         metrics.setUnreadBytes(responses::unreadBytes);
+        metrics.addReceiveBufferBytes(receiveBudget::used);
     }
 
     @Override
     public ChannelFuture listen(EventLoopGroup loop) {
-        AdaptiveRecvByteBufAllocator readBuffers =
-                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readBuffers.maxMessagesPerRead(1))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ClientReadBuffers.allocator())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -151,7 +147,8 @@
     /** Returns new handlers for one client connection. */
     ChannelHandler[] clientHandlers() {
         FrameDecoder decoder = new FrameDecoder();
-        return new ChannelHandler[] {decoder, new ClientHandler(clients, calls, responses, decoder)};
+        ClientHandler client = new ClientHandler(clients, calls, responses, receiveBudget, decoder);
+        return new ChannelHandler[] {decoder, client};
     }
 
     @Override
@@ -206,6 +203,7 @@
     @Override
     public void runPeriodicTasks() {
         engines.keepAlive();
+        receiveBudget.tick();
         clients.closeSilent(RECEIVE_TIMEOUT_NANOS);
         clients.openClientConnections().stream()
                 .filter(client -> client.isStalled(RECEIVE_TIMEOUT_NANOS))
--- a/src/test/java/lineward/DocumentationTest.java
+++ b/src/test/java/lineward/DocumentationTest.java
@@ -55,7 +55,7 @@
     public Object[][] pages() throws IOException {
         List<Path> pages = new ArrayList<>(
                 List.of(Path.of("README.md"), Path.of("CONTRIBUTING.md"), Path.of("example/README.md")));
-        try (Stream<Path> docs = Files.list(Path.of("docs"))) {
+        try (Stream<Path> docs = Files.walk(Path.of("docs"))) {
             docs.filter(path -> path.toString().endsWith(".md")).sorted().forEach(pages::add);
         }
         return pages.stream().map(page -> new Object[] {page}).toArray(Object[][]::new);
--- a/src/test/java/lineward/mysql/TwoEngineFixture.java
+++ b/src/test/java/lineward/mysql/TwoEngineFixture.java
@@ -27,7 +27,12 @@
         two = new TestingMysqlEngine();
         configFile = Files.createTempFile("mysql", ".toml");
         writeConfig("ready", "ready");
-        program = new Program(Map.of(), "mysql", configFile.toString());
+        program = new Program(environment(), "mysql", configFile.toString());
+    }
+
+    /** Returns the environment variables of the program. */
+    Map<String, String> environment() {
+        return Map.of();
     }
 
     @AfterMethod(alwaysRun = true)
--- a/src/test/java/lineward/thrift/OverloadTest.java
+++ b/src/test/java/lineward/thrift/OverloadTest.java
@@ -1,6 +1,7 @@
 package lineward.thrift;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import lineward.testing.EngineBehavior;
@@ -16,6 +18,8 @@
 import lineward.testing.ProgramMetrics;
 import lineward.testing.TestingClient;
 import lineward.testing.TestingPlatform;
+import lineward.testing.ThriftResponse;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Floods of connections and of requests: other clients are served, and all resources stay bounded. */
@@ -29,6 +33,11 @@
 
     private static final String JVM_OPTIONS = "-Xmx64m -Xss512k -XX:MaxMetaspaceSize=48m";
     private static final int MAX_MEMORY_MB = 192;
+    private static final int DIRECT_MEMORY_BYTES = 4 << 20;
+    private static final int INCOMPLETE_CLIENTS = 100;
+    private static final int MAX_STATEMENT_BYTES = 65_000;
+    private static final int LARGE_STATEMENT_BYTES = 40_000;
+    private static final int CALLS_OF_OTHER_CLIENT = 30;
 
     /** A connection sends thousands of frames at once and closes. */
     @Test
@@ -117,6 +126,48 @@
         }
     }
 
+    /** Whether the clients with an incomplete request have sent a complete message before. */
+    @DataProvider
+    public Object[][] incompleteClients() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /**
+     * More incomplete requests than the direct memory holds, and floods of large ones: a client with large
+     * requests keeps its connection and is answered. Guards against connections that are closed because other
+     * clients have used up the direct memory (review/3).
+     */
+    @Test(dataProvider = "incompleteClients")
+    public void incompleteRequestsCloseNoOtherConnection(boolean haveSentMessage) throws IOException {
+        String options = JVM_OPTIONS + " -Dio.netty.maxDirectMemory=" + DIRECT_MEMORY_BYTES;
+        Map<String, String> variables = Map.of("JAVA_TOOL_OPTIONS", options);
+        String statement = "select " + "1,".repeat(LARGE_STATEMENT_BYTES / 2) + "1";
+        List<TestingClient> incomplete = new ArrayList<>();
+        try (TestingPlatform platform = new TestingPlatform(variables);
+                TestingClient other = platform.client()) {
+            assertEquals(other.call(TestingClient.fields(2000), statement).fieldId(), SERVED);
+            for (int i = 0; i < INCOMPLETE_CLIENTS; i++) {
+                TestingClient client = platform.client();
+                incomplete.add(client);
+                if (haveSentMessage) {
+                    client.callMethod("ping");
+                }
+                byte[] frame = client.encode(TestingClient.fields(2000), "1".repeat(MAX_STATEMENT_BYTES));
+                client.sendRaw(Arrays.copyOf(frame, frame.length - 1));
+            }
+            for (int i = 0; i < CALLS_OF_OTHER_CLIENT; i++) {
+                ThriftResponse response = other.call(TestingClient.fields(2000), statement);
+                assertEquals(response.fieldId(), SERVED, "call " + i);
+            }
+            String log = platform.program().log();
+            assertFalse(log.contains("OutOfDirectMemoryError"), log);
+        } finally {
+            for (TestingClient client : incomplete) {
+                client.close();
+            }
+        }
+    }
+
     private static int metric(TestingPlatform platform, String name) {
         try {
             return ProgramMetrics.read(platform.program()).get(name);
