Send an engine's next MySQL command only when all that it sent is read

Cause: MySQL packets carry no request id. MysqlEngineConnection.readReply sent the next command at the first packet of the reply to SET, and at the last one of the others, while more packets of the same read were still to come. These were then taken for the reply to the statement, and the connection went back to the pool while the engine worked. A result in place of the OK did the same.

Change: ReplyBoundary runs what follows a complete reply (the next command, or the return to the pool) when the read is over and has left nothing unread, after 1 ms if the read filled its buffer. A packet or a part of one behind a complete reply ends the connection; the statement was not sent then and is retried. Only an OK completes a setting or a schema. Login, settings, schema, preparation and release use it. The line protocol of the platform was read for the same: its replies carry ids, and a partial reply keeps attempts off its connection. The example's toy engine answers SET and USE with an OK (no driver was tried with it today).

Why it works: no command is sent while bytes are unread that the engine sent before it.

--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -104,6 +104,10 @@
     }
 
     private static void answer(OutputStream out, String text, boolean binary) throws IOException {
+        if (text.matches("(?is)\\s*(set|use)\\s.*")) {
+            send(out, 1, 0, 0, 0, 2, 0, 0, 0);
+            return;
+        }
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         byte[] row = Arrays.copyOf(bytes, Math.min(250, bytes.length));
         send(out, 1, 1);
--- a/src/main/java/lineward/mysql/engine/EngineConnectionPool.java
+++ b/src/main/java/lineward/mysql/engine/EngineConnectionPool.java
@@ -102,14 +102,15 @@
     }
 
     private MysqlEngineConnection connect() {
-        MysqlEngineConnection connection = new MysqlEngineConnection(this);
+        PacketDecoder decoder = new PacketDecoder(Packets.MAX_PAYLOAD_BYTES);
+        MysqlEngineConnection connection = new MysqlEngineConnection(this, decoder);
         connections.add(connection);
         ChannelFuture connectFuture = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new PacketDecoder(Packets.MAX_PAYLOAD_BYTES), connection);
+                        channel.pipeline().addLast(decoder, connection);
                     }
                 })
                 .connect(engine.address());
--- a/src/main/java/lineward/mysql/engine/MysqlEngineConnection.java
+++ b/src/main/java/lineward/mysql/engine/MysqlEngineConnection.java
@@ -11,6 +11,7 @@
 import lineward.mysql.session.Work;
 import lineward.mysql.wire.ChannelOperations;
 import lineward.mysql.wire.Commands;
+import lineward.mysql.wire.PacketDecoder;
 import lineward.mysql.wire.PacketRole;
 import lineward.mysql.wire.Packets;
 import lineward.mysql.wire.ReplyTracker;
@@ -32,11 +33,13 @@
             SqlError.wrongArguments("the statement's parameters have changed since it was prepared");
 
     private final EngineConnectionPool pool;
+    private final PacketDecoder decoder;
     private MysqlConnectionState state = MysqlConnectionState.CONNECTING;
     private Channel channel;
     private EngineLogin login;
     private EngineCommandWriter commandWriter;
     private EngineSession session;
+    private ReplyBoundary boundary;
     /** Null if no attempt is assigned. */
     private MysqlQueryAttempt attempt;
     /** Classifies the packets of the reply to the last command; null before the first command. */
@@ -44,13 +47,16 @@
     /** {@link System#nanoTime} of the creation, the last command or the end of the last attempt. */
     private long lastUsedNanos = System.nanoTime();
 
-    MysqlEngineConnection(EngineConnectionPool pool) {
+    /** @param decoder the decoder before this handler in the pipeline */
+    MysqlEngineConnection(EngineConnectionPool pool, PacketDecoder decoder) {
         super(false);
         this.pool = pool;
+        this.decoder = decoder;
     }
 
     void setChannel(Channel connectingChannel) {
         channel = connectingChannel;
+        boundary = new ReplyBoundary(channel, decoder);
         login = new EngineLogin(channel, pool.engine());
         commandWriter = new EngineCommandWriter(channel);
         session = new EngineSession(new EngineStatementCache(commandWriter::closeStatement));
@@ -157,6 +163,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
         boolean ownedByAttempt = false;
         try {
+            boundary.packetReceived();
             if (state == MysqlConnectionState.AUTHENTICATING) {
                 readLogin(frame);
             } else if (attempt != null) {
@@ -172,6 +179,12 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        boundary.readCompleted(state == MysqlConnectionState.IDLE);
+        ctx.fireChannelReadComplete();
+    }
+
     private void readLogin(ByteBuf frame) {
         switch (login.advance(frame)) {
             case CONTINUES -> {}
@@ -182,11 +195,7 @@
             }
             case ACCEPTED -> {
                 transition(Transition.AUTHENTICATE);
-                if (attempt != null) {
-                    sendNextCommand();
-                } else {
-                    pool.release(this);
-                }
+                boundary.runWhenRead(attempt != null ? this::sendNextCommand : () -> pool.release(this));
             }
         }
     }
@@ -198,12 +207,7 @@
             return readError(frame);
         }
         return switch (state) {
-            case APPLYING_SETTINGS -> {
-                session.settingsApplied(attempt);
-                sendNextCommand();
-                yield false;
-            }
-            case SELECTING_SCHEMA, PREPARING -> {
+            case APPLYING_SETTINGS, SELECTING_SCHEMA, PREPARING -> {
                 readPreparatoryReply(frame, role.isLast());
                 yield false;
             }
@@ -217,11 +221,15 @@
     private void readPreparatoryReply(ByteBuf frame, boolean last) {
         if (state == MysqlConnectionState.PREPARING) {
             session.readPrepareReply(frame, last, attempt.command());
-        } else if (last) {
+        } else if (!last) {
+            throw new DecoderException("engine answered the preparation of a statement with a result");
+        } else if (state == MysqlConnectionState.APPLYING_SETTINGS) {
+            session.settingsApplied(attempt);
+        } else {
             session.schemaSelected(attempt.command().schema());
         }
         if (last) {
-            sendNextCommand();
+            boundary.runWhenRead(this::sendNextCommand);
         }
     }
 
@@ -259,7 +267,7 @@
         transition(reusable ? Transition.RELEASE : Transition.RETIRE);
         setReading(true);
         if (reusable) {
-            pool.release(this);
+            boundary.runWhenRead(() -> pool.release(this));
         } else {
             close();
         }
@@ -269,6 +277,7 @@
     private void fail(AttemptOutcome outcome) {
         MysqlQueryAttempt failed = attempt;
         attempt = null;
+        boundary.cancel();
         close();
         if (failed != null) {
             failed.end(outcome);
--- a/src/test/java/lineward/mysql/MysqlPacketSocket.java
+++ b/src/test/java/lineward/mysql/MysqlPacketSocket.java
@@ -19,6 +19,8 @@
     private final DataInputStream in;
     private final OutputStream output;
     int sequence;
+    /** Holds all output until {@link #sendHeldOutput}; null if output is sent at once. */
+    private ByteArrayOutputStream heldOutput;
     /** Buffers small packets until {@link #flush}; null outside of a batch. */
     private ByteArrayOutputStream batch;
 
@@ -35,10 +37,35 @@
     }
 
     void flush() throws IOException {
-        output.write(batch.toByteArray());
+        emit(batch.toByteArray());
         batch = null;
     }
 
+    /** Holds all further output back. */
+    void holdOutput() {
+        heldOutput = new ByteArrayOutputStream();
+    }
+
+    /** Sends the held output, as often as stated and followed by these bytes, in one write. */
+    void sendHeldOutput(int copies, byte[] trailer) throws IOException {
+        byte[] held = heldOutput.toByteArray();
+        heldOutput = null;
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (int i = 0; i < copies; i++) {
+            all.writeBytes(held);
+        }
+        all.writeBytes(trailer);
+        output.write(all.toByteArray());
+    }
+
+    private void emit(byte[] bytes) throws IOException {
+        if (heldOutput == null) {
+            output.write(bytes);
+        } else {
+            heldOutput.writeBytes(bytes);
+        }
+    }
+
     byte[] read() throws IOException {
         byte[] packet = readPacket();
         byte[] payload = packet;
@@ -75,11 +102,11 @@
                     Arrays.copyOfRange(payload, offset, offset + length));
             offset += length;
             if (batch == null) {
-                output.write(packet);
+                emit(packet);
             } else {
                 batch.writeBytes(packet);
                 if (batch.size() > 1 << 16) {
-                    output.write(batch.toByteArray());
+                    emit(batch.toByteArray());
                     batch.reset();
                 }
             }
--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -31,6 +31,8 @@
         CRASH_BEFORE_FIRST_ROW,
         CRASH_BETWEEN_ROWS,
         CRASH_BEFORE_LAST_PACKET,
+        /** The engine ends the reply to a statement with an error after half of the rows. */
+        ERROR_BETWEEN_ROWS,
         /** The engine answers a statement only when the statement is killed. */
         SILENT,
         /** The engine rejects new connections. */
@@ -39,6 +41,28 @@
         MALFORMED_REPLY
     }
 
+    /** A step of a connection whose reply may have a {@link ReplyDefect}. */
+    enum Step {
+        LOGIN,
+        SETTINGS,
+        SCHEMA,
+        PREPARATION,
+        EXECUTION
+    }
+
+    /** What an engine sends in place of one correct reply. */
+    enum ReplyDefect {
+        NONE,
+        /** The reply and, in the same write, a second copy of it. */
+        SENT_TWICE,
+        /** A result with one row. */
+        RESULT_INSTEAD,
+        /** The reply and, in the same write, the first part of another packet. */
+        PARTIAL_PACKET_BEHIND
+    }
+
+    private static final byte[] PARTIAL_PACKET = {7, 0, 0, 1, 0, 0};
+
     /**
      * An executed statement, with the state of its session before the execution.
      *
@@ -65,6 +89,11 @@
     /** Called at the start of {@link #crash} and before the reply with {@link Fault#MALFORMED_REPLY}. */
     volatile Runnable beforeFault = () -> {};
 
+    /** The replies to this step have the defect. */
+    volatile Step defectiveStep = Step.EXECUTION;
+
+    volatile ReplyDefect replyDefect = ReplyDefect.NONE;
+
     private volatile long lastByteNanos;
     private volatile long nextStatementNanos;
 
@@ -148,12 +177,12 @@
             TestingMysqlSession session = new TestingMysqlSession(id, packets);
             session.sendGreeting();
             packets.read();
-            packets.write(MysqlPacketSocket.ok());
+            reply(Step.LOGIN, packets, () -> packets.write(MysqlPacketSocket.ok()));
             while (true) {
                 packets.sequence = 0;
                 byte[] command = packets.read();
                 packets.sequence = 1;
-                reply(command, session);
+                reply(stepOf(command), packets, () -> reply(command, session));
             }
         } catch (IOException | InterruptedException e) {
             // The program closed the connection, or the engine reset it.
@@ -162,6 +191,38 @@
         }
     }
 
+    /** Sends the reply to one command. */
+    private interface Reply {
+        void send() throws IOException, InterruptedException;
+    }
+
+    private static Step stepOf(byte[] command) {
+        String arguments = new String(command, 1, command.length - 1, StandardCharsets.UTF_8);
+        boolean setsVariables = arguments.startsWith("SET SESSION");
+        return switch (command[0]) {
+            case 0x02 -> Step.SCHEMA;
+            case 0x16 -> Step.PREPARATION;
+            default -> setsVariables ? Step.SETTINGS : Step.EXECUTION;
+        };
+    }
+
+    /** Sends a reply, with the defect if it is one of the defective step. */
+    private void reply(Step step, MysqlPacketSocket packets, Reply reply) throws IOException, InterruptedException {
+        ReplyDefect defect = step == defectiveStep ? replyDefect : ReplyDefect.NONE;
+        if (defect == ReplyDefect.NONE) {
+            reply.send();
+            return;
+        }
+        packets.holdOutput();
+        if (defect == ReplyDefect.RESULT_INSTEAD) {
+            sendRows(packets, "rows=1 that nobody asked for", false);
+        } else {
+            reply.send();
+        }
+        byte[] trailer = defect == ReplyDefect.PARTIAL_PACKET_BEHIND ? PARTIAL_PACKET : new byte[0];
+        packets.sendHeldOutput(defect == ReplyDefect.SENT_TWICE ? 2 : 1, trailer);
+    }
+
     private void reply(byte[] command, TestingMysqlSession session) throws IOException, InterruptedException {
         MysqlPacketSocket packets = session.packets;
         String text = new String(command, 1, command.length - 1, StandardCharsets.UTF_8);
@@ -283,6 +344,11 @@
                 packets.flush();
                 crash();
             }
+            if (fault == Fault.ERROR_BETWEEN_ROWS && i == rowCount / 2) {
+                packets.flush();
+                packets.write(MysqlPacketSocket.error(1317, "70100", "interrupted"));
+                return;
+            }
             byte[] row = MysqlPacketSocket.lengthEncoded("row " + i + " of " + text + padding);
             if (binary) {
                 packets.write(0, 0, row);
