Let a MySQL cursor end in the engine's error when the engine broke off its rows

Cause: MysqlQueryAttempt wrote the error to the spool as the last block and completed the result; SpooledResultCursor.readNextBlock takes the block behind the rows for their end. Pages of a result with a key are read by the same code, and such a result was kept under its key. Replies without a cursor sent the error, which rules out the tracker of replies.

Change: an error that ends a spooled reply is no block; the result fails and carries it (SpooledResult.fail, SpoolReader.engineError). If the client has received nothing, the error is the whole reply. Otherwise cursors, pages and plain replies send the rows that came and then the error with its right number. A failed result is not kept under its key. Platform results are sent only when complete.

Why it works: only the engine's OK or EOF completes a result, and the end of the rows is reported for complete results only.

--- a/src/main/java/lineward/mysql/client/SpooledResultCursor.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultCursor.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -247,9 +248,17 @@
     /** Closes the cursor, and reports the reason to the listener if the client waits for a reply. */
     private void abort(ReadStatus reason) {
         boolean replyPending = state.isReplyPending();
+        Optional<byte[]> engineError = reason == ReadStatus.FAILED ? reader.engineError() : Optional.empty();
         close();
-        if (replyPending) {
-            listener.ended(reason, OptionalInt.of(Math.max(1, nextSequence)));
+        if (!replyPending) {
+            return;
+        }
+        int sequence = Math.max(1, nextSequence);
+        if (engineError.isPresent()) {
+            sink.accept(Packets.withSequence(engineError.get(), sequence));
+            listener.ended(ReadStatus.END, OptionalInt.empty());
+        } else {
+            listener.ended(reason, OptionalInt.of(sequence));
         }
     }
 
--- a/src/main/java/lineward/mysql/client/SpooledResultReplyStream.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultReplyStream.java
@@ -2,8 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
+import lineward.mysql.wire.Packets;
 import lineward.mysql.wire.ReplyStream;
 import lineward.mysql.wire.ResultFormat;
 import lineward.spool.ReadStatus;
@@ -57,7 +59,18 @@
         ReadStatus readState = reader.readStatus();
         if (isEnd(readState, noChunkLeft)) {
             close();
-            listener.ended(readState, OptionalInt.of(nextSequence()));
+            end(readState, nextSequence());
+        }
+    }
+
+    /** Ends the reply, with the engine's error if that is why the result is incomplete. */
+    private void end(ReadStatus readState, int nextSequence) {
+        Optional<byte[]> engineError = reader.engineError();
+        if (readState == ReadStatus.FAILED && engineError.isPresent()) {
+            sink.accept(Packets.withSequence(engineError.get(), nextSequence));
+            listener.ended(ReadStatus.END, OptionalInt.empty());
+        } else {
+            listener.ended(readState, OptionalInt.of(nextSequence));
         }
     }
 
--- a/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
+++ b/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
@@ -2,10 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import lineward.mysql.session.Work;
 import lineward.mysql.wire.PacketRole;
+import lineward.mysql.wire.Packets;
 import lineward.scheduling.AttemptOutcome;
 import lineward.spool.SpooledResult;
 
@@ -31,6 +33,9 @@
     /** Maximum size of a buffered reply; a longer one is spooled. */
     private static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
+    /** Sequence number of the first packet of a reply. */
+    private static final int FIRST_REPLY_SEQUENCE = 1;
+
     private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final Work command;
@@ -45,6 +50,8 @@
     private int headBytes;
     /** Null unless the reply is spooled. */
     private SpoolWriter spoolWriter;
+    /** The error packet that ended a spooled reply; null if there is none. */
+    private byte[] engineError;
     /** Null until a pool has assigned a connection. */
     private MysqlEngineConnection connection;
 
@@ -91,10 +98,7 @@
         try {
             switch (state) {
                 case BUFFERING -> buffer(alloc, frame, role);
-                case SPOOLING, STREAMING -> {
-                    spoolWriter.write(frame, frame.readableBytes(), role);
-                    applySpoolPolicy();
-                }
+                case SPOOLING, STREAMING -> spool(frame, role);
                 case DISCARDING, ENDED -> {}
             }
         } finally {
@@ -102,6 +106,16 @@
         }
     }
 
+    /** Spools a packet, except an error: it ends the reply without the rest of the rows. */
+    private void spool(ByteBuf frame, PacketRole role) {
+        if (role == PacketRole.LAST_ERROR) {
+            engineError = ByteBufUtil.getBytes(frame);
+        } else {
+            spoolWriter.write(frame, frame.readableBytes(), role);
+            applySpoolPolicy();
+        }
+    }
+
     private void buffer(ByteBufAllocator alloc, ByteBuf frame, PacketRole role) {
         if (buffered == null) {
             buffered = alloc.heapBuffer(frame.readableBytes());
@@ -175,6 +189,7 @@
         boolean incomplete = state == ReplyState.DISCARDING
                 || (spoolWriter != null && spoolWriter.result().isReleased());
         AttemptOutcome outcome = incomplete ? AttemptOutcome.CANCELLED : reported;
+        boolean repliesWithError = state == ReplyState.SPOOLING && engineError != null;
         state = ReplyState.ENDED;
         ByteBuf reply = buffered;
         buffered = null;
@@ -185,14 +200,20 @@
         if (spoolWriter != null) {
             endSpool(outcome);
         }
+        if (outcome == AttemptOutcome.OK && repliesWithError) {
+            // The client has received nothing yet, so that the error is the whole reply.
+            reply = Packets.withSequence(engineError, FIRST_REPLY_SEQUENCE);
+        }
         listener.ended(outcome, reply);
     }
 
     private void endSpool(AttemptOutcome outcome) {
-        if (outcome == AttemptOutcome.OK) {
-            spoolWriter.result().complete();
-        } else {
+        if (outcome != AttemptOutcome.OK) {
             spoolWriter.result().fail();
+        } else if (engineError != null) {
+            spoolWriter.result().fail(engineError);
+        } else {
+            spoolWriter.result().complete();
         }
     }
 }
--- a/src/main/java/lineward/mysql/wire/Packets.java
+++ b/src/main/java/lineward/mysql/wire/Packets.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 
 /** Encodes packets and reads fields of received ones. A frame is one complete packet with its header. */
@@ -150,6 +151,13 @@
         return text;
     }
 
+    /** Returns a copy of a frame with another sequence number. */
+    public static ByteBuf withSequence(byte[] frame, int sequence) {
+        byte[] renumbered = frame.clone();
+        renumbered[HEADER_BYTES - 1] = (byte) sequence;
+        return Unpooled.wrappedBuffer(renumbered);
+    }
+
     /** Returns the sequence number that follows the last of these packets. */
     public static int sequenceAfter(byte[] packets) {
         int offset = 0;
--- a/src/main/java/lineward/spool/ResultReader.java
+++ b/src/main/java/lineward/spool/ResultReader.java
@@ -1,6 +1,7 @@
 package lineward.spool;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /** Reads the blocks of a result in order and loads those on disk. Confined to the event loop. */
 final class ResultReader implements SpoolReader {
@@ -69,6 +70,11 @@
         return result.readStatus(nextBlock);
     }
 
+    @Override
+    public Optional<byte[]> engineError() {
+        return Optional.ofNullable(result.engineErrorOrNull());
+    }
+
     @Override
     public int seek(long row) {
         int number = result.blockNumberOfRow(row);
--- a/src/main/java/lineward/spool/SpoolReader.java
+++ b/src/main/java/lineward/spool/SpoolReader.java
@@ -1,5 +1,7 @@
 package lineward.spool;
 
+import java.util.Optional;
+
 /** Reads a result in order, from its first block. Confined to the event loop. */
 public interface SpoolReader {
     /** Returned by {@link #seek} if the result has no such row. */
@@ -11,6 +13,12 @@
     /** Returns what follows the blocks read so far. */
     ReadStatus readStatus();
 
+    /**
+     * Returns the error of the engine that follows the blocks if the status is FAILED; empty if the engine
+     * sent none.
+     */
+    Optional<byte[]> engineError();
+
     /**
      * Moves to the block that contains a row. Must not be called for results without a key, which remove
      * the blocks that have been read, or after {@link #poll} has returned null, as a block may be loading.
--- a/src/main/java/lineward/spool/SpooledResult.java
+++ b/src/main/java/lineward/spool/SpooledResult.java
@@ -25,6 +25,9 @@
     /** Number of bytes received so far, including removed blocks. */
     private long bytes;
 
+    /** The engine's error that ended the result; null if there is none. */
+    private byte[] engineError;
+
     private Runnable flowListener = () -> {};
 
     private SpooledResult(Spool spool, long id, ResultDescription description, ResultFile file) {
@@ -191,6 +194,21 @@
         }
     }
 
+    /**
+     * Marks the result as failed by an error of the engine, which ends it after the blocks received so far.
+     *
+     * @param error the engine's error, in its wire format
+     */
+    public void fail(byte[] error) {
+        engineError = error;
+        fail();
+    }
+
+    /** Returns the error of the engine that ended the result, or null. */
+    byte[] engineErrorOrNull() {
+        return engineError;
+    }
+
     /** Marks the attempt as failed: readers get the blocks received so far, then an error. */
     public void fail() {
         if (state.isReleased() || state.isComplete()) {
--- a/src/test/java/lineward/mysql/SpoolCursorTest.java
+++ b/src/test/java/lineward/mysql/SpoolCursorTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import lineward.testing.Program;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Cursors and pages of results with a key, with the program, test clients and test engines. */
@@ -70,6 +71,61 @@
         }
     }
 
+    /**
+     * Results that are spooled completely before the client reads, and results that it reads while they
+     * arrive.
+     */
+    @DataProvider
+    public Object[][] resultSizes() {
+        return new Object[][] {{"select rows=500", 500}, {"select rows=20000 size=2000", 20_000}};
+    }
+
+    /**
+     * Guards against a result that an engine's error cuts off and that a cursor reports as complete
+     * (review/2).
+     */
+    @Test(dataProvider = "resultSizes")
+    public void reportsAnErrorAfterSomeRowsToACursor(String text, int rowCount) throws IOException {
+        setFault(TestingMysqlEngine.Fault.ERROR_BETWEEN_ROWS);
+        try (TestingMysqlClient client = client()) {
+            TestingMysqlClient.Statement statement = client.prepare(text);
+            TestingMysqlClient.CursorReply reply = client.openCursor(statement);
+            int received = 0;
+            while (reply.code() == 0 && (reply.status() & LAST_ROW_SENT) == 0) {
+                reply = client.fetch(statement, 100);
+                received += reply.rows().size();
+            }
+            assertEquals(reply.code(), 1317, received + " of " + rowCount + " rows, reported as all");
+            assertTrue(received <= rowCount / 2, received + " rows before the error");
+            assertEquals(client.fetch(statement, 1).code(), 1421, "the error closes the cursor");
+            setFault(TestingMysqlEngine.Fault.NONE);
+            assertEquals(client.query("select rows=7").rows().size(), 7, "the session is still usable");
+            assertEquals(client.execute(statement, false).rows().size(), rowCount);
+        }
+    }
+
+    /**
+     * A result with a key that an engine's error cuts off is not stored: the next request executes it again.
+     */
+    @Test(dataProvider = "resultSizes")
+    public void doesNotKeepAResultThatEndsInAnError(String text, int rowCount) throws IOException {
+        String keyed = "/* lineward:key=k */ " + text;
+        setFault(TestingMysqlEngine.Fault.ERROR_BETWEEN_ROWS);
+        try (TestingMysqlClient client = client()) {
+            assertEquals(client.query(keyed).code(), 1317);
+            setFault(TestingMysqlEngine.Fault.NONE);
+            TestingMysqlClient.Result page = client.query("/* lineward:key=k from=0 rows=9999 */ " + text);
+            assertEquals(page.code(), 1210, page.rows().size() + " rows of a result that is cut off");
+            assertEquals(client.query(keyed).rows().size(), rowCount);
+            assertEquals(executionCount(), 2);
+        }
+    }
+
+    private void setFault(TestingMysqlEngine.Fault fault) {
+        one.fault = fault;
+        two.fault = fault;
+    }
+
     @Test
     public void answersPagesOfAResultWithAKeyFromTheSpool() throws IOException {
         String text = " select rows=1000";
