--- a/src/main/java/lineward/frontend/ReceiveBudget.java
+++ b/src/main/java/lineward/frontend/ReceiveBudget.java
@@ -120,7 +120,8 @@
     }
 
     private boolean isStalled(Connection connection) {
-        return tick - reservations.get(connection).lastReadTick() > STALLED_TICKS && !connection.awaitsResponse();
+        long ticksSinceRead = tick - reservations.get(connection).lastReadTick();
+        return ticksSinceRead > STALLED_TICKS && !connection.awaitsResponse();
     }
 
     /**
--- a/src/main/java/lineward/mysql/client/ClientSession.java
+++ b/src/main/java/lineward/mysql/client/ClientSession.java
@@ -138,8 +138,9 @@
     }
 
     private void updateReading() {
-        boolean hasCapacity = pendingPackets.size() < MAX_PENDING_PACKETS && pendingBytes() < MAX_PENDING_BYTES;
-        channel().config().setAutoRead(readingAllowed && hasCapacity);
+        int packets = pendingPackets.size();
+        boolean isQueueFull = packets >= MAX_PENDING_PACKETS || pendingBytes() >= MAX_PENDING_BYTES;
+        channel().config().setAutoRead(readingAllowed && !isQueueFull);
     }
 
     private long pendingBytes() {
--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -177,12 +177,12 @@
             TestingMysqlSession session = new TestingMysqlSession(id, packets);
             session.sendGreeting();
             packets.read();
-            reply(Step.LOGIN, packets, () -> packets.write(MysqlPacketSocket.ok()));
+            send(Step.LOGIN, packets, () -> packets.write(MysqlPacketSocket.ok()));
             while (true) {
                 packets.sequence = 0;
                 byte[] command = packets.read();
                 packets.sequence = 1;
-                reply(stepOf(command), packets, () -> reply(command, session));
+                send(stepOf(command), packets, () -> reply(command, session));
             }
         } catch (IOException | InterruptedException e) {
             // The program closed the connection, or the engine reset it.
@@ -207,20 +207,20 @@
     }
 
     /** Sends a reply, with the defect if it is one of the defective step. */
-    private void reply(Step step, MysqlPacketSocket packets, Reply reply) throws IOException, InterruptedException {
+    private void send(Step step, MysqlPacketSocket to, Reply reply) throws IOException, InterruptedException {
         ReplyDefect defect = step == defectiveStep ? replyDefect : ReplyDefect.NONE;
         if (defect == ReplyDefect.NONE) {
             reply.send();
             return;
         }
-        packets.holdOutput();
+        to.holdOutput();
         if (defect == ReplyDefect.RESULT_INSTEAD) {
-            sendRows(packets, "rows=1 that nobody asked for", false);
+            sendRows(to, "rows=1 that nobody asked for", false);
         } else {
             reply.send();
         }
         byte[] trailer = defect == ReplyDefect.PARTIAL_PACKET_BEHIND ? PARTIAL_PACKET : new byte[0];
-        packets.sendHeldOutput(defect == ReplyDefect.SENT_TWICE ? 2 : 1, trailer);
+        to.sendHeldOutput(defect == ReplyDefect.SENT_TWICE ? 2 : 1, trailer);
     }
 
     private void reply(byte[] command, TestingMysqlSession session) throws IOException, InterruptedException {
