--- /dev/null
+++ b/review/two/SilentStream.java
@@ -0,0 +1,69 @@
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.SocketTimeoutException;
+
+/**
+ * An engine sends part of a place check's rows and then says nothing more; its connection stays open. The client
+ * waits for 2.5 s, and must have its final answer half a second later at the latest.
+ */
+final class SilentStream extends Case2 {
+    private static final int DEADLINE_MS = 2500;
+    private static final int LATEST_MS = DEADLINE_MS + 500 + 50;
+    private static final int WATCH_MS = 20_000;
+
+    public static void main(String[] args) throws Exception {
+        run(new SilentStream(), args);
+    }
+
+    private MysqlEngine2 engine(String name) throws IOException {
+        return new MysqlEngine2(name, record) {
+            @Override
+            void execute(OutputStream out, String text, boolean binary) throws IOException {
+                if (!text.contains("place_list")) {
+                    super.execute(out, text, binary);
+                    return;
+                }
+                int sequence = writeHead(out, 1);
+                byte[] value = ("ran " + text + " ".repeat(400)).getBytes();
+                for (int row = 0; row < 340; row++) {
+                    Packets2.write(out, sequence++, row(1, value, binary));
+                    if (row % 20 == 19) {
+                        out.flush();
+                        FrontEnd2.sleep(100);
+                    }
+                }
+                out.flush();
+                if (trouble) {
+                    record.line("%s says nothing more", name);
+                    FrontEnd2.sleep(120_000);
+                }
+                Packets2.write(out, sequence, Packets2.eof());
+            }
+        };
+    }
+
+    @Override
+    void play() throws Exception {
+        MysqlEngine2 first = engine("db-1");
+        MysqlEngine2 second = engine("db-2");
+        String engines = FrontEnd2.engine("db-1", first.port(), "ready")
+                + FrontEnd2.engine("db-2", second.port(), "ready");
+        try (FrontEnd2 frontEnd = new FrontEnd2(root, folder, engines, record);
+                MysqlClient2 client = new MysqlClient2(frontEnd.mysqlPort, "office", "little-steps")) {
+            record.line("client gets: %s", client.query("select 1"));
+            client.setTimeoutMs(WATCH_MS);
+            long sentMs = record.nowMs();
+            record.line("client sends the place check");
+            try {
+                String reply = client.query("select * from place_list");
+                long tookMs = record.nowMs() - sentMs;
+                record.line("client gets after %d ms: %s", tookMs, reply);
+                if (tookMs > LATEST_MS) {
+                    broken("the final answer came after %d ms", tookMs);
+                }
+            } catch (SocketTimeoutException e) {
+                broken("no final answer, and nothing at all for %d ms", WATCH_MS);
+            }
+        }
+    }
+}
