--- a/review/two/MysqlClient2.java
+++ b/review/two/MysqlClient2.java
@@ -22,6 +22,7 @@
     MysqlClient2(int port, String user, String password) throws IOException {
         socket = new Socket("127.0.0.1", port);
         socket.setTcpNoDelay(true);
+        socket.setSoTimeout(5000);
         in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
         out = new BufferedOutputStream(socket.getOutputStream(), 1 << 16);
         byte[] greeting = Packets2.read(in).payload();
