--- a/review/two/FrontEnd2.java
+++ b/review/two/FrontEnd2.java
@@ -1,10 +1,7 @@
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,8 +12,8 @@
 
 /**
  * The project's program, started by the `run` command of deploy/balancer.toml in a temporary folder: the
- * folder has a link to target/, a configuration of a small deployment, and a MySQL file with an address. The
- * journal service is a stand-in that tells nothing new.
+ * folder has a link to target/, a configuration of a small deployment, and, for cases with MySQL clients, a MySQL
+ * file with an address.
  */
 final class FrontEnd2 implements AutoCloseable {
     /** The classes of the deployment: place checks and term reports. */
@@ -40,25 +37,38 @@
     final Path folder;
     private final Record2 record;
     private final Process process;
-    private final ServerSocket journal;
+    private final Journal2 journal;
 
     FrontEnd2(Path root, Path folder, String engines, Record2 record) throws IOException {
         this(root, folder, engines, "", record);
     }
 
+    /** Starts a front end for MySQL clients too; on the platform's side there is one engine that has no use. */
     FrontEnd2(Path root, Path folder, String engines, String moreSettings, Record2 record) throws IOException {
+        this(root, folder, new Journal2(new LineEngine2("s-00c41f7a").instance("ready")), engines, moreSettings, record);
+    }
+
+    /** Starts a front end for the platform only. */
+    FrontEnd2(Path root, Path folder, Journal2 journal, Record2 record) throws IOException {
+        this(root, folder, journal, "", "", record);
+    }
+
+    private FrontEnd2(
+            Path root, Path folder, Journal2 journal, String engines, String moreSettings, Record2 record)
+            throws IOException {
         this.record = record;
         this.folder = folder;
-        journal = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        startDaemon(this::serveJournal);
+        this.journal = journal;
         thriftPort = freePort();
-        mysqlPort = freePort();
+        mysqlPort = engines.isEmpty() ? 0 : freePort();
         Files.createDirectories(folder.resolve("deploy"));
         Files.createDirectories(folder.resolve("tmp"));
         Files.createSymbolicLink(folder.resolve("target"), root.resolve("target"));
         Path config = folder.resolve("config.json");
         Files.writeString(config, config());
-        writeMysqlFile(engines, moreSettings);
+        if (mysqlPort != 0) {
+            writeMysqlFile(engines, moreSettings);
+        }
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand(root));
         builder.directory(folder.toFile());
         builder.environment().put("RELAY_NAME", "n1");
@@ -105,9 +115,7 @@
                 {"name":"n1","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  "journal":"127.0.0.1:%d",
-                 "known":{"pos":1,"entries":[{"pos":1,"hosts":{"generation":1,"reset":true,"instances":[
-                  {"instanceId":"s-00c41f7a","hostPort":"127.0.0.1:%d","zone":"floor-1","machineType":"std-8core",
-                   "cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}]}}]},
+                 "known":%s,
                  "settings":{"az":0,"classes":[
                   {"name":"place-check","aim":500,"aim-stretch":2,"deadline":2500,"value":1,"effect":"retryable",
                    "dedup-scope":"all","late-share":0.1},
@@ -122,44 +130,7 @@
                   "skus":["std-8core"],"zones":["floor-1","floor-2"],
                   "tenants":[{"name":"western-branches","quota-rps":60}]}}
                 """
-                .formatted(thriftPort, journal.getLocalPort(), journal.getLocalPort());
-    }
-
-    /** Answers each poll after the time that it asks for: there are no later events. */
-    private void serveJournal() {
-        try {
-            while (true) {
-                Socket socket = journal.accept();
-                startDaemon(() -> answerPolls(socket));
-            }
-        } catch (IOException e) {
-            // The case has ended.
-        }
-    }
-
-    private void answerPolls(Socket socket) {
-        try (socket) {
-            InputStream in = socket.getInputStream();
-            OutputStream out = socket.getOutputStream();
-            StringBuilder head = new StringBuilder();
-            int next = in.read();
-            while (next >= 0) {
-                head.append((char) next);
-                if (head.toString().endsWith("\r\n\r\n")) {
-                    Matcher wait = Pattern.compile("max_wait=(\\d+)").matcher(head);
-                    Thread.sleep(wait.find() ? Long.parseLong(wait.group(1)) : 1000);
-                    String body = "{\"pos\":1,\"entries\":[]}";
-                    String answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-                            + body.length() + "\r\n\r\n" + body;
-                    out.write(answer.getBytes(StandardCharsets.US_ASCII));
-                    out.flush();
-                    head.setLength(0);
-                }
-                next = in.read();
-            }
-        } catch (IOException | InterruptedException e) {
-            // The front end has closed the connection.
-        }
+                .formatted(thriftPort, journal.port(), journal.after(0));
     }
 
     static void startDaemon(Runnable task) {
@@ -176,7 +147,7 @@
 
     private void awaitListening() throws IOException {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        List<Integer> ports = new ArrayList<>(List.of(thriftPort, mysqlPort));
+        List<Integer> ports = new ArrayList<>(mysqlPort == 0 ? List.of(thriftPort) : List.of(thriftPort, mysqlPort));
         while (!ports.isEmpty()) {
             if (!process.isAlive() || System.nanoTime() > endNanos) {
                 throw new IOException("the front end has not started: " + Files.readString(folder.resolve("log.txt")));
