--- a/review/two/LongData.java
+++ b/review/two/LongData.java
@@ -49,14 +49,15 @@
                 client.join();
             }
             record.line("usual clients asked %d, answered %d", asked.get(), answered.get());
+            record.line("front end alive: %s; %s", frontEnd.isAlive(), firstError(frontEnd.log()));
             if (!frontEnd.isAlive()) {
-                broken("the front end has crashed: %s", firstError(frontEnd.log()));
+                broken("the front end has crashed");
             }
         }
     }
 
     private static String firstError(String log) {
-        return log.lines().filter(line -> line.contains("Exception in thread")).findFirst().orElse("");
+        return log.lines().filter(line -> line.contains("OutOfMemoryError")).findFirst().orElse("");
     }
 
     private void usualClient(int port, int number, long endMs) {
