--- a/review/two/Case2.java
+++ b/review/two/Case2.java
@@ -4,8 +4,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 
-/** Runs one case in a temporary folder and ends with its status: 0 held, 1 broken, 2 could not run. */
+/** Runs one case in a temporary folder and ends with its status: 40 held, 41 broken, 42 could not run. */
 abstract class Case2 {
+    private static final int HELD = 40;
+    private static final int BROKEN = 41;
+    private static final int NOT_RUN = 42;
+
     Path root;
     Path folder;
     Record2 record;
@@ -22,22 +26,20 @@
 
     static void run(Case2 played, String[] args) throws Exception {
         played.root = Path.of(args[0]).toRealPath();
-        played.record = new Record2(Path.of(args[1]).resolve("record.txt"));
+        played.record = new Record2(Path.of(args[1]));
         played.trouble = !"0".equals(System.getenv("TROUBLE"));
         played.folder = Files.createTempDirectory("lineward-case");
-        int status = 2;
+        int status = NOT_RUN;
         try {
             played.record.line("trouble: %s", played.trouble);
             played.play();
-            status = played.broken.get() ? 1 : 0;
+            status = played.broken.get() ? BROKEN : HELD;
         } catch (Exception | Error e) {
             played.record.line("could not run: %s", e);
             e.printStackTrace();
         } finally {
-            played.record.line("status %d", status);
             deleteFolder(played.folder);
         }
-        System.out.println("status " + status);
         Runtime.getRuntime().halt(status);
     }
 
--- a/review/two/Record2.java
+++ b/review/two/Record2.java
@@ -2,14 +2,15 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 
-/** Writes record.txt: what was sent, answered and run, with the milliseconds since the start of the case. */
+/** Appends to record.txt: what was sent, answered and run, with the milliseconds since the start of the case. */
 final class Record2 {
     private final PrintWriter out;
     private final long startNanos = System.nanoTime();
 
     Record2(Path file) throws IOException {
-        out = new PrintWriter(Files.newBufferedWriter(file), true);
+        out = new PrintWriter(Files.newBufferedWriter(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND), true);
     }
 
     long nowMs() {
