--- a/review/two/SilentStream.java
+++ b/review/two/SilentStream.java
@@ -3,11 +3,13 @@
 import java.net.SocketTimeoutException;
 
 /**
- * An engine sends part of a place check's rows and then says nothing more; its connection stays open. The client
- * waits for 2.5 s, and must have its final answer half a second later at the latest, and so for its next statement
- * on the same connection.
+ * The machine of one of six engines vanishes amid a place check's rows: its connections stay open and silent, and
+ * new ones get no greeting. It is back after 20 s for new connections. The client waits for 2.5 s, and must have its
+ * final answer half a second later at the latest, and so for its next statement on the same connection.
  */
 final class SilentStream extends Case2 {
+    private static final int ENGINES = 6;
+    private static final int BACK_AFTER_MS = 20_000;
     private static final int DEADLINE_MS = 2500;
     private static final int LATEST_MS = DEADLINE_MS + 500 + 50;
     private static final int WATCH_MS = 25_000;
@@ -36,7 +38,11 @@
                 }
                 out.flush();
                 if (trouble) {
-                    record.line("%s says nothing more", name);
+                    record.line("%s vanishes", name);
+                    setStill(true);
+                    FrontEnd2.sleep(BACK_AFTER_MS);
+                    record.line("%s is back for new connections", name);
+                    setStill(false);
                     FrontEnd2.sleep(120_000);
                 }
                 Packets2.write(out, sequence, Packets2.eof());
@@ -46,11 +52,11 @@
 
     @Override
     void play() throws Exception {
-        MysqlEngine2 first = engine("db-1");
-        MysqlEngine2 second = engine("db-2");
-        String engines = FrontEnd2.engine("db-1", first.port(), "ready")
-                + FrontEnd2.engine("db-2", second.port(), "ready");
-        try (FrontEnd2 frontEnd = new FrontEnd2(root, folder, engines, LEASE, record);
+        StringBuilder engines = new StringBuilder();
+        for (int i = 1; i <= ENGINES; i++) {
+            engines.append(FrontEnd2.engine("db-" + i, engine("db-" + i).port(), "ready"));
+        }
+        try (FrontEnd2 frontEnd = new FrontEnd2(root, folder, engines.toString(), LEASE, record);
                 MysqlClient2 client = new MysqlClient2(frontEnd.mysqlPort, "office", "little-steps")) {
             record.line("client gets: %s", client.query("select 1"));
             client.setTimeoutMs(WATCH_MS);
