Match the result of a health check by the check's number, not by its engine alone

Need: an engine that answered a check after its 250 ms, on another connection than the next check's, was taken to have answered the next one. Cause: core.HealthChecks knew a check by its engine only, and each connection keeps its unanswered check. Change: each check has a number, which comes back with its result. Measured: CoordinatorTest.ignoresTheLateResultOfAnEarlierHealthCheck failed without the comparison (OK in place of TIMEOUT) and passes with it.

--- a/src/main/java/lineward/core/ActionExecutor.java
+++ b/src/main/java/lineward/core/ActionExecutor.java
@@ -141,8 +141,11 @@
     @Override
     public void startHealthCheck(SchedulerAction.StartHealthCheck check) {
         String engineId = coordinator.engines().idOf(check.engine());
-        if (engineId != null && coordinator.healthChecks().start(check.engine(), nowMs)) {
-            coordinator.addCommand(new Command.CheckHealth<>(engineId));
+        if (engineId != null) {
+            coordinator
+                    .healthChecks()
+                    .start(check.engine(), nowMs)
+                    .ifPresent(number -> coordinator.addCommand(new Command.CheckHealth<>(engineId, number)));
         }
     }
 
--- a/src/main/java/lineward/core/Command.java
+++ b/src/main/java/lineward/core/Command.java
@@ -58,8 +58,12 @@
         }
     }
 
-    /** Checks an engine's health. The result goes to {@link Coordinator#healthCheckCompleted}. */
-    record CheckHealth<X>(String engineId) implements Command<X> {
+    /**
+     * Checks an engine's health. The result goes to {@link Coordinator#healthCheckCompleted}.
+     *
+     * @param checkNumber identifies the check in its result
+     */
+    record CheckHealth<X>(String engineId, long checkNumber) implements Command<X> {
         @Override
         public void executeBy(Forwarder<X> forwarder) {
             forwarder.checkHealth(this);
--- a/src/main/java/lineward/core/Coordinator.java
+++ b/src/main/java/lineward/core/Coordinator.java
@@ -166,10 +166,11 @@
     }
 
     /** Records the result of a health check. Late and unsolicited results are ignored. */
-    public void healthCheckCompleted(double nowMs, String engineId, AttemptOutcome outcome, double[] report) {
+    public void healthCheckCompleted(
+            double nowMs, String engineId, long checkNumber, AttemptOutcome outcome, double[] report) {
         OptionalLong engineNumber = engines.findNumber(engineId);
         if (engineNumber.isPresent()) {
-            healthChecks.complete(nowMs, engineNumber.getAsLong(), outcome, report);
+            healthChecks.complete(nowMs, engineNumber.getAsLong(), checkNumber, outcome, report);
         }
     }
 
--- a/src/main/java/lineward/core/HealthChecks.java
+++ b/src/main/java/lineward/core/HealthChecks.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import lineward.scheduling.AttemptOutcome;
 import lineward.scheduling.SchedulerEvent;
@@ -14,11 +15,13 @@
     private static final double TIMEOUT_MS = 250;
     private static final double[] MISSING_LOAD_REPORT = new double[0];
 
-    private record Check(double startedAtMs, DeadlineQueue.Entry timeout) {}
+    /** @param number identifies the check, as a result may arrive during a later check of the engine */
+    private record Check(long number, double startedAtMs, DeadlineQueue.Entry timeout) {}
 
     private final Map<Long, Check> inFlight = new HashMap<>();
     private final DeadlineQueue deadlines;
     private final Consumer<SchedulerEvent> resultConsumer;
+    private long lastNumber;
 
     /**
      * Creates a tracker without checks in flight.
@@ -30,24 +33,29 @@
         this.resultConsumer = resultConsumer;
     }
 
-    /** Records the start of a check; returns false if a check of the engine is already in flight. */
-    boolean start(long engineNumber, double nowMs) {
+    /** Records the start of a check; returns its number, or empty if one of the engine is in flight. */
+    OptionalLong start(long engineNumber, double nowMs) {
         if (inFlight.containsKey(engineNumber)) {
-            return false;
+            return OptionalLong.empty();
         }
-        DeadlineQueue.Entry timeout = deadlines.add(nowMs + TIMEOUT_MS, atMs -> expire(atMs, engineNumber));
-        inFlight.put(engineNumber, new Check(nowMs, timeout));
-        return true;
+        lastNumber++;
+        long number = lastNumber;
+        DeadlineQueue.Entry timeout =
+                deadlines.add(nowMs + TIMEOUT_MS, atMs -> expire(atMs, engineNumber, number));
+        inFlight.put(engineNumber, new Check(number, nowMs, timeout));
+        return OptionalLong.of(number);
     }
 
-    private void expire(double nowMs, long engineNumber) {
-        complete(nowMs, engineNumber, AttemptOutcome.TIMEOUT, MISSING_LOAD_REPORT);
+    private void expire(double nowMs, long engineNumber, long checkNumber) {
+        complete(nowMs, engineNumber, checkNumber, AttemptOutcome.TIMEOUT, MISSING_LOAD_REPORT);
     }
 
-    /** Records the end of a check. Does nothing if no check of the engine is in flight. */
-    void complete(double nowMs, long engineNumber, AttemptOutcome outcome, double[] loadReport) {
-        Check check = inFlight.remove(engineNumber);
-        if (check != null) {
+    /** Records the end of a check. Does nothing if the check is not in flight any more. */
+    void complete(
+            double nowMs, long engineNumber, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
+        Check check = inFlight.get(engineNumber);
+        if (check != null && check.number() == checkNumber) {
+            inFlight.remove(engineNumber);
             deadlines.cancel(check.timeout());
             double latencyMs = nowMs - check.startedAtMs();
             resultConsumer.accept(
--- a/src/main/java/lineward/thrift/CallForwarder.java
+++ b/src/main/java/lineward/thrift/CallForwarder.java
@@ -65,7 +65,7 @@
     public void checkHealth(Command.CheckHealth<Call> command) {
         String engine = command.engineId();
         EngineCluster.HealthCheckListener listener =
-                (outcome, loadReport) -> driver.healthCheckCompleted(engine, outcome, loadReport);
+                (outcome, load) -> driver.healthCheckCompleted(engine, command.checkNumber(), outcome, load);
         engines.checkHealth(engine, listener);
     }
 
