Process a long reply of an engine by the code for its command, never through the spool

Cause: MysqlQueryAttempt spooled each reply over 64 KB, and a spooled reply passes QueryRunner.relay by, which registers a statement and stores a schema. Evidence: the client's statement has the engine's id 100. Change: only a result is spooled, after the packet that ends its columns, so that a reply without rows can't get there.

--- a/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
+++ b/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
@@ -12,9 +12,9 @@
 import lineward.spool.SpooledResult;
 
 /**
- * One attempt on an engine: its command, the reply so far, and its listener. A short reply is buffered. A
- * longer one is spooled, so that the connection is free after the last packet, however slowly the client
- * reads. Confined to the event loop.
+ * One attempt on an engine: its command, the reply so far, and its listener. A reply without rows and a short
+ * result are buffered, and processed as the command requires. A longer result is spooled, so that the
+ * connection is free after the last packet, however slowly the client reads. Confined to the event loop.
  */
 public final class MysqlQueryAttempt {
     private enum ReplyState {
@@ -30,7 +30,7 @@
         ENDED
     }
 
-    /** Maximum size of a buffered reply; a longer one is spooled. */
+    /** Maximum size of a buffered result; a longer one is spooled. */
     private static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
     /** Sequence number of the first packet of a reply. */
@@ -48,6 +48,8 @@
     private ByteBuf buffered;
     /** Number of buffered bytes that precede the rows. */
     private int headBytes;
+    /** Whether the columns of a result have been received. Only rows are spooled, after their columns. */
+    private boolean rowsFollow;
     /** Null unless the reply is spooled. */
     private SpoolWriter spoolWriter;
     /** The error packet that ended a spooled reply; null if there is none. */
@@ -124,13 +126,17 @@
         if (role == PacketRole.HEAD || role == PacketRole.HEAD_END) {
             headBytes = buffered.readableBytes();
         }
-        boolean tooLong = buffered.readableBytes() > MAX_BUFFERED_BYTES && role.isRowOrSuccess();
-        boolean rowsFollow = role == PacketRole.HEAD_END;
-        if (tooLong || (rowsFollow && listener.alwaysSpools())) {
+        rowsFollow |= role == PacketRole.HEAD_END;
+        if (rowsFollow && mustSpool(role)) {
             startSpooling(role);
         }
     }
 
+    private boolean mustSpool(PacketRole role) {
+        boolean tooLong = buffered.readableBytes() > MAX_BUFFERED_BYTES && role.isRowOrSuccess();
+        return tooLong || listener.alwaysSpools();
+    }
+
     /** Moves the buffered packets to the spool, or discards the reply if the listener does not need it. */
     private void startSpooling(PacketRole lastRole) {
         SpooledResult result = listener.createSpooledResult();
--- a/src/test/java/lineward/mysql/TestingMysqlClient.java
+++ b/src/test/java/lineward/mysql/TestingMysqlClient.java
@@ -126,11 +126,12 @@
         if (head[0] != 0) {
             return new Statement(0, 0, readResult(head));
         }
-        int parameterCount = head[7];
+        int parameterCount = (head[7] & 0xff) | (head[8] & 0xff) << 8;
         for (int i = 0; i < (parameterCount > 0 ? parameterCount + 1 : 0) + head[5] + 1; i++) {
             packets.read();
         }
-        return new Statement(head[1] & 0xff, parameterCount, new Result(0, "", "", List.of()));
+        int id = (head[1] & 0xff) | (head[2] & 0xff) << 8;
+        return new Statement(id, parameterCount, new Result(0, "", "", List.of()));
     }
 
     /**
@@ -141,7 +142,7 @@
     Result execute(Statement statement, boolean sendTypes, String... values) throws IOException {
         List<Object> parts = new ArrayList<>(List.of(0x17, statement.id(), 0, 1L));
         if (values.length > 0) {
-            parts.add(0);
+            parts.add(new byte[(values.length + Byte.SIZE - 1) / Byte.SIZE]);
             parts.add(sendTypes ? 1 : 0);
             for (int i = 0; sendTypes && i < values.length; i++) {
                 parts.addAll(List.of(253, 0));
--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -38,7 +38,9 @@
         /** The engine rejects new connections. */
         TOO_MANY_CONNECTIONS,
         /** The engine answers a statement with an empty packet. */
-        MALFORMED_REPLY
+        MALFORMED_REPLY,
+        /** The engine's OK packets for a schema have a text of 70 KB. */
+        LONG_OK
     }
 
     /** A step of a connection whose reply may have a {@link ReplyDefect}. */
@@ -61,6 +63,7 @@
         PARTIAL_PACKET_BEHIND
     }
 
+    private static final int LONG_OK_TEXT_BYTES = 70_000;
     private static final byte[] PARTIAL_PACKET = {7, 0, 0, 1, 0, 0};
 
     /**
@@ -233,7 +236,7 @@
                 packets.write(
                         text.equals("nowhere")
                                 ? MysqlPacketSocket.error(1049, "42000", "unknown")
-                                : MysqlPacketSocket.ok());
+                                : MysqlPacketSocket.encode(MysqlPacketSocket.ok(), okText()));
             }
             case 0x03 -> execute(packets, text, session, "");
             case 0x16 -> {
@@ -242,7 +245,7 @@
                 session.preparedTexts.put(statementId, text);
                 session.settingsAtPreparation.put(statementId, session.settings.toString());
                 int parameterCount = (int) text.chars().filter(c -> c == '?').count();
-                packets.write(0, statementId, 1, 0, parameterCount, 0, 0, 0, 0);
+                packets.write(0, statementId, 1, 0, parameterCount & 0xff, parameterCount >> 8, 0, 0, 0);
                 for (int i = 0; i < parameterCount; i++) {
                     packets.write(columnDefinition("?"));
                 }
@@ -270,6 +273,10 @@
         }
     }
 
+    private byte[] okText() {
+        return new byte[fault == Fault.LONG_OK ? LONG_OK_TEXT_BYTES : 0];
+    }
+
     private static long statementId(byte[] command) {
         return (command[1] & 0xff) | (command[2] & 0xff) << 8;
     }
