--- a/src/main/java/lineward/core/HealthChecks.java
+++ b/src/main/java/lineward/core/HealthChecks.java
@@ -40,8 +40,7 @@
         }
         lastNumber++;
         long number = lastNumber;
-        DeadlineQueue.Entry timeout =
-                deadlines.add(nowMs + TIMEOUT_MS, atMs -> expire(atMs, engineNumber, number));
+        DeadlineQueue.Entry timeout = deadlines.add(nowMs + TIMEOUT_MS, atMs -> expire(atMs, engineNumber, number));
         inFlight.put(engineNumber, new Check(number, nowMs, timeout));
         return OptionalLong.of(number);
     }
@@ -51,8 +50,7 @@
     }
 
     /** Records the end of a check. Does nothing if the check is not in flight any more. */
-    void complete(
-            double nowMs, long engineNumber, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
+    void complete(double nowMs, long engineNumber, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
         Check check = inFlight.get(engineNumber);
         if (check != null && check.number() == checkNumber) {
             inFlight.remove(engineNumber);
--- a/src/main/java/lineward/frontend/CoordinatorDriver.java
+++ b/src/main/java/lineward/frontend/CoordinatorDriver.java
@@ -76,8 +76,7 @@
     }
 
     /** Records the result of a health check. */
-    public void healthCheckCompleted(
-            String engineId, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
+    public void healthCheckCompleted(String engineId, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
         coordinator.healthCheckCompleted(clock.getAsDouble(), engineId, checkNumber, outcome, loadReport);
         tickRequest.run();
     }
