Bound the memory of all clients' prepared statements, with their long parameters

Cause: long data was bounded for each statement (1 MB), not in all, and an empty part counted as nothing; each part cost an object, and adding one read all others. Change: texts, objects, parameter types and long parameters of all clients share an eighth of the heap, of which one client gets half; the parts of a parameter are joined. MysqlServerTest.sendsLongDataBeforeTheExecution expects the joined value in place of the last part alone: it checks both parts now.

--- a/src/main/java/lineward/app/MysqlConfigReader.java
+++ b/src/main/java/lineward/app/MysqlConfigReader.java
@@ -55,7 +55,7 @@
     private static final int DEFAULT_LEASE_S = 60;
     private static final int DEFAULT_KEY_LEASE_S = 300;
 
-    /** The open statements may use the heap divided by this. */
+    /** The open statements may use the heap divided by this, and the prepared ones as much again. */
     private static final int STATEMENT_HEAP_DIVISOR = 8;
     /** A receive buffer may be twice as large as the packet, as it grows by doubling. */
     private static final long RECEIVE_BUFFER_GROWTH = 2;
@@ -85,7 +85,8 @@
         long statementBytes = Runtime.getRuntime().maxMemory() / STATEMENT_HEAP_DIVISOR;
         return new MysqlConfig.MemoryLimits(
                 Math.max(BufferMemory.receiveBytes(), RECEIVE_BUFFER_GROWTH * maxPacketBytes),
-                Math.max(statementBytes, maxPacketBytes));
+                Math.max(statementBytes, maxPacketBytes),
+                statementBytes);
     }
 
     private static MysqlConfig.Limits bounds(ConfigNode limits) {
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -55,8 +55,9 @@
      *
      * @param maxReceiveBytes maximum bytes that are buffered for packets that can't be processed yet
      * @param maxStatementBytes maximum bytes of the open statements; further ones are rejected
+     * @param maxPreparedBytes maximum bytes of the prepared statements, with their long parameters
      */
-    public record MemoryLimits(long maxReceiveBytes, long maxStatementBytes) {}
+    public record MemoryLimits(long maxReceiveBytes, long maxStatementBytes, long maxPreparedBytes) {}
 
     /**
      * A class of statements.
--- a/src/main/java/lineward/mysql/MysqlServer.java
+++ b/src/main/java/lineward/mysql/MysqlServer.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import lineward.core.ByteBudget;
 import lineward.core.Command;
 import lineward.core.Coordinator;
 import lineward.core.EngineEndpoint;
@@ -43,8 +42,6 @@
     public static final double MAX_CANCEL_DURATION_MS = 500;
 
     private static final Logger LOG = LoggerFactory.getLogger(MysqlServer.class);
-    /** Maximum total size of the texts of the prepared statements of all clients. */
-    private static final long MAX_STATEMENT_TEXT_BYTES = 8L << 20;
 
     private final MysqlConfig config;
     private final ClientAcceptor acceptor;
@@ -90,12 +87,11 @@
 
     private ClientContext clientContext(QueryDispatcher dispatcher) {
         MysqlConfig.Limits limits = config.limits();
-        ByteBudget textBudget = new ByteBudget(MAX_STATEMENT_TEXT_BYTES);
         return new ClientContext(
                 clients,
                 config.passwordsByUser(),
                 limits.maxPacketBytes(),
-                new StatementLimits(limits.maxStatements(), textBudget),
+                StatementLimits.of(limits.maxStatements(), config.memory().maxPreparedBytes()),
                 spool,
                 receiveBudget,
                 dispatcher,
--- a/src/main/java/lineward/mysql/client/ClientCommands.java
+++ b/src/main/java/lineward/mysql/client/ClientCommands.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Supplier;
+import lineward.mysql.session.LongParameters;
 import lineward.mysql.session.PreparedStatement;
 import lineward.mysql.session.PreparedStatements;
 import lineward.mysql.session.SessionSettings;
@@ -189,13 +190,12 @@
             return;
         }
         int parameterNumber = payload.readUnsignedShortLE();
-        if (statement.longDataBytes() + payload.readableBytes() > MAX_LONG_DATA_BYTES) {
+        LongParameters parameters = statement.longParameters();
+        if (parameters.valueBytes() + payload.readableBytes() > MAX_LONG_DATA_BYTES) {
             session.closeWithError(SqlError.packetTooLarge(MAX_LONG_DATA_BYTES));
-            return;
+        } else if (!parameters.append(parameterNumber, payload)) {
+            session.closeWithError(SqlError.tooMany("long parameters"));
         }
-        byte[] bytes = new byte[payload.readableBytes()];
-        payload.readBytes(bytes);
-        statement.addLongData(new Work.LongData(parameterNumber, bytes));
     }
 
     /** Closes a statement; COM_STMT_CLOSE has no reply. */
--- a/src/main/java/lineward/mysql/client/QueryRunner.java
+++ b/src/main/java/lineward/mysql/client/QueryRunner.java
@@ -1,6 +1,7 @@
 package lineward.mysql.client;
 
 import io.netty.buffer.ByteBuf;
+import java.util.OptionalLong;
 import lineward.mysql.session.PreparedStatements;
 import lineward.mysql.session.SessionSettings;
 import lineward.mysql.session.StatementClass;
@@ -123,9 +124,13 @@
     private void relay(Query query, ByteBuf reply) {
         boolean succeeded = Packets.firstByte(reply) != Packets.ERR;
         boolean prepared = succeeded && query.command() instanceof Work.Prepare;
-        if (prepared) {
-            registerPrepared((Work.Prepare) query.command(), reply);
-        } else {
+        if (prepared && !registerPrepared((Work.Prepare) query.command(), reply)) {
+            reply.release();
+            replies.sendError(SqlError.tooMany("prepared statements"));
+            complete();
+            return;
+        }
+        if (!prepared) {
             releaseReservation(query);
         }
         if (query.command() instanceof Work.UseSchema use) {
@@ -136,10 +141,12 @@
         complete();
     }
 
-    private void registerPrepared(Work.Prepare command, ByteBuf reply) {
+    /** Registers the statement and writes its id to the reply; returns false if it exceeds a limit. */
+    private boolean registerPrepared(Work.Prepare command, ByteBuf reply) {
         int parameterCount = reply.getUnsignedShortLE(reply.readerIndex() + PARAMETER_COUNT_OFFSET);
-        long id = statements.add(command, parameterCount);
-        reply.setIntLE(reply.readerIndex() + STATEMENT_ID_OFFSET, (int) id);
+        OptionalLong id = statements.add(command, parameterCount);
+        id.ifPresent(number -> reply.setIntLE(reply.readerIndex() + STATEMENT_ID_OFFSET, (int) number));
+        return id.isPresent();
     }
 
     /** Starts sending the spooled result of the query, which may be incomplete, if the client still waits. */
--- a/src/main/java/lineward/mysql/session/PreparedStatement.java
+++ b/src/main/java/lineward/mysql/session/PreparedStatement.java
@@ -1,8 +1,7 @@
 package lineward.mysql.session;
 
 import io.netty.buffer.ByteBuf;
-import java.util.ArrayList;
-import java.util.List;
+import lineward.core.ByteBudget;
 
 /** A prepared statement of a client. It keeps the text, so that any engine can prepare and execute it. */
 public final class PreparedStatement {
@@ -17,19 +16,23 @@
     private final String schema;
     private final SpoolHint hint;
     private final int parameterCount;
-    private final int reservedBytes;
-    private final List<Work.LongData> longData = new ArrayList<>();
+    private final LongParameters longParameters;
     /** Null if no cursor was opened since the last reset or execution. */
     private StatementCursor cursor;
     /** Types of the parameters; null until the client sends them with an execution. */
     private byte[] parameterTypes;
 
-    /** @param reservedBytes bytes that are reserved for the text in the budget of all clients */
-    PreparedStatement(String schema, SpoolHint hint, int parameterCount, int reservedBytes) {
+    /** @param memory the budget from which the memory of long parameters is reserved */
+    PreparedStatement(String schema, SpoolHint hint, int parameterCount, ByteBudget memory) {
         this.schema = schema;
         this.hint = hint;
         this.parameterCount = parameterCount;
-        this.reservedBytes = reservedBytes;
+        this.longParameters = new LongParameters(memory);
+    }
+
+    /** Returns the memory that a statement uses beside its text and long parameters, in bytes. */
+    static long memoryBytes(int parameterCount) {
+        return (long) BYTES_PER_TYPE * parameterCount;
     }
 
     /** Returns the text without the hint. */
@@ -42,8 +45,8 @@
         return hint;
     }
 
-    int reservedBytes() {
-        return reservedBytes;
+    int parameterCount() {
+        return parameterCount;
     }
 
     /** Returns whether rows can be fetched from a cursor. */
@@ -75,19 +78,14 @@
         return arguments.isReadable() && arguments.getByte(arguments.readerIndex()) == READ_ONLY_CURSOR;
     }
 
-    /** Adds a part of a long parameter (COM_STMT_SEND_LONG_DATA) for the next execution. */
-    public void addLongData(Work.LongData data) {
-        longData.add(data);
-    }
-
-    /** Returns the bytes of all long parameters for the next execution. */
-    public int longDataBytes() {
-        return longData.stream().mapToInt(data -> data.bytes().length).sum();
+    /** Returns the long parameters for the next execution. */
+    public LongParameters longParameters() {
+        return longParameters;
     }
 
     /** Discards the long parameters for the next execution, and closes the cursor. */
     public void reset() {
-        longData.clear();
+        longParameters.clear();
         closeCursor();
     }
 
@@ -114,12 +112,12 @@
             }
             byte[] bytes = new byte[forwarded.readableBytes()];
             forwarded.readBytes(bytes);
-            return new Work.Execute(schema, text(), parameterCount, bytes, List.copyOf(longData));
+            return new Work.Execute(schema, text(), parameterCount, bytes, longParameters.values());
         } catch (IndexOutOfBoundsException e) {
             throw new IllegalArgumentException("they end early", e);
         } finally {
             forwarded.release();
-            longData.clear();
+            longParameters.clear();
         }
     }
 
--- a/src/test/java/lineward/mysql/MysqlServerTest.java
+++ b/src/test/java/lineward/mysql/MysqlServerTest.java
@@ -64,8 +64,9 @@
             client.send(0x18, statement.id(), 0, 0, "piece one,");
             client.send(0x18, statement.id(), 0, 0, "piece two");
             assertEquals(client.execute(statement, true, "").code(), 0);
-            String lastPart = "long 100 piece two";
-            assertTrue(one.commands.contains(lastPart) || two.commands.contains(lastPart));
+            // The parts of one parameter are joined.
+            String longData = "long 100 piece one,piece two";
+            assertTrue(one.commands.contains(longData) || two.commands.contains(longData));
         }
     }
 
--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -64,6 +64,9 @@
     }
 
     private static final int LONG_OK_TEXT_BYTES = 70_000;
+    /** A statement with this text is answered only when it is killed. */
+    static final String SILENT_TEXT = "silent";
+
     private static final byte[] PARTIAL_PACKET = {7, 0, 0, 1, 0, 0};
 
     /**
@@ -317,7 +320,7 @@
             } else if (fault == Fault.MALFORMED_REPLY) {
                 beforeFault.run();
                 packets.write(new byte[0]);
-            } else if (fault == Fault.SILENT) {
+            } else if (fault == Fault.SILENT || text.contains(SILENT_TEXT)) {
                 killLatches.get(session.id).await();
                 packets.write(MysqlPacketSocket.error(1317, "70100", "interrupted"));
             } else if (text.contains("syntax")) {
--- a/src/test/java/lineward/mysql/TwoEngineFixture.java
+++ b/src/test/java/lineward/mysql/TwoEngineFixture.java
@@ -31,7 +31,7 @@
     }
 
     /** Returns the environment variables of the program. */
-    Map<String, String> environment() {
+    Map<String, String> environment() throws IOException {
         return Map.of();
     }
 
