Let a MySQL client's commands wait while it does not read, and bound all unread replies

Cause: commands that the front end answers itself were processed whatever the client had read, and each read was decoded whole, so that up to 4,096 packets waited behind a command. Change: frontend.SendBudget bounds what all MySQL clients leave unread (an eighth of the direct memory); a command waits until its client reads, a spooled reply goes on only within the budget, and clients that read nothing for a second are closed while it is used up. A reply of which a part can't be written closes the connection. PacketDecoder keeps bytes undecoded while eight packets wait.

--- a/src/main/java/lineward/app/MysqlConfigReader.java
+++ b/src/main/java/lineward/app/MysqlConfigReader.java
@@ -86,7 +86,8 @@
         return new MysqlConfig.MemoryLimits(
                 Math.max(BufferMemory.receiveBytes(), RECEIVE_BUFFER_GROWTH * maxPacketBytes),
                 Math.max(statementBytes, maxPacketBytes),
-                statementBytes);
+                statementBytes,
+                BufferMemory.unreadBytes());
     }
 
     private static MysqlConfig.Limits bounds(ConfigNode limits) {
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -56,8 +56,10 @@
      * @param maxReceiveBytes maximum bytes that are buffered for packets that can't be processed yet
      * @param maxStatementBytes maximum bytes of the open statements; further ones are rejected
      * @param maxPreparedBytes maximum bytes of the prepared statements, with their long parameters
+     * @param maxUnreadBytes bytes of replies that clients have not read from which no more are sent
      */
-    public record MemoryLimits(long maxReceiveBytes, long maxStatementBytes, long maxPreparedBytes) {}
+    public record MemoryLimits(
+            long maxReceiveBytes, long maxStatementBytes, long maxPreparedBytes, long maxUnreadBytes) {}
 
     /**
      * A class of statements.
--- a/src/main/java/lineward/mysql/MysqlServer.java
+++ b/src/main/java/lineward/mysql/MysqlServer.java
@@ -16,6 +16,7 @@
 import lineward.frontend.Listener;
 import lineward.frontend.ProtocolServer;
 import lineward.frontend.ReceiveBudget;
+import lineward.frontend.SendBudget;
 import lineward.mysql.client.AttemptReporter;
 import lineward.mysql.client.ClientAcceptor;
 import lineward.mysql.client.ClientContext;
@@ -53,6 +54,7 @@
     private final ConnectedClients clients;
     private final ServerAdmissionPolicy admission;
     private final ReceiveBudget receiveBudget;
+    private final SendBudget sendBudget;
     private long shutdownStartedNanos;
 
     /**
@@ -78,6 +80,7 @@
         this.admission = new ServerAdmissionPolicy(config.memory().maxStatementBytes());
         this.receiveBudget = new ReceiveBudget(config.memory().maxReceiveBytes());
         metrics.addReceiveBufferBytes(receiveBudget::used);
+        this.sendBudget = new SendBudget(config.memory().maxUnreadBytes());
         this.clients = new ConnectedClients(config.limits().maxClients());
         this.pools = enginePools(loop, config.limits());
         this.reportTargets = new AttemptReporter.Context(coordinator, metrics, spool, tickRequest);
@@ -94,6 +97,7 @@
                 StatementLimits.of(limits.maxStatements(), config.memory().maxPreparedBytes()),
                 spool,
                 receiveBudget,
+                sendBudget,
                 dispatcher,
                 this::statistics);
     }
@@ -177,6 +181,7 @@
     public void runPeriodicTasks() {
         clients.closeOverdueLogins();
         receiveBudget.tick();
+        sendBudget.tick();
         spool.tick();
     }
 
--- a/src/main/java/lineward/mysql/client/ClientSession.java
+++ b/src/main/java/lineward/mysql/client/ClientSession.java
@@ -66,7 +66,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         SessionSettings settings = new SessionSettings();
-        replies = new ClientReplyWriter(ctx.channel());
+        replies = new ClientReplyWriter(ctx.channel(), context.sendBudget(), this::resumeReply);
         resultSender = new SpooledResultSender(this, context.spool(), replies);
         queries = new QueryRunner(this, context, replies, settings, statements, resultSender);
         Supplier<String> statistics = context.statistics();
@@ -124,8 +124,9 @@
         processPending();
     }
 
+    /** Processes the queued packets in order, until one waits for an engine or for the client to read. */
     private void processPending() {
-        while (state.acceptsPackets() && !pendingPackets.isEmpty()) {
+        while (mayProcessNext()) {
             ByteBuf packet = pendingPackets.poll();
             try {
                 process(packet);
@@ -137,10 +138,15 @@
         updateReceiveBudget();
     }
 
+    private boolean mayProcessNext() {
+        return state.acceptsPackets() && !pendingPackets.isEmpty() && replies.acceptsCommand();
+    }
+
     private void updateReading() {
         int packets = pendingPackets.size();
         boolean isQueueFull = packets >= MAX_PENDING_PACKETS || pendingBytes() >= MAX_PENDING_BYTES;
         channel().config().setAutoRead(readingAllowed && !isQueueFull);
+        decoder.setPaused(isQueueFull);
     }
 
     private long pendingBytes() {
@@ -149,7 +155,7 @@
 
     private void updateReceiveBudget() {
         if (channel().isActive()) {
-            long partialBytes = ReceiveBudget.bufferBytes(decoder.partialPacketBytes());
+            long partialBytes = ReceiveBudget.bufferBytes(decoder.undecodedBytes());
             context.receiveBudget().update(this, partialBytes + pendingBytes());
         }
     }
@@ -243,7 +249,13 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        resumeReply();
+    }
+
+    /** Continues the reply that is being sent, and then the queued packets, as the client reads again. */
+    private void resumeReply() {
         resultSender.resume();
+        processPending();
     }
 
     @Override
@@ -265,6 +277,7 @@
         transition(SessionState.Event.DISCONNECTED);
         context.clients().remove(this);
         context.receiveBudget().remove(this);
+        replies.closed();
         pendingPackets.forEach(ByteBuf::release);
         pendingPackets.clear();
         queries.abort();
--- a/src/main/java/lineward/mysql/client/SpooledResultCursor.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultCursor.java
@@ -1,12 +1,10 @@
 package lineward.mysql.client;
 
-import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 import lineward.mysql.session.StatementCursor;
 import lineward.mysql.wire.Packets;
 import lineward.mysql.wire.ResultFormat;
@@ -35,10 +33,10 @@
     private static final int SEQUENCE_OFFSET = Packets.HEADER_BYTES - 1;
     private static final byte[] EMPTY_BLOCK = {};
 
-    private final Channel channel;
+    private final ByteBufAllocator alloc;
     private final ResultFormat dialect;
     private final Range range;
-    private final Consumer<ByteBuf> sink;
+    private final ClientReplyWriter replies;
     private final StreamEndListener listener;
     private final SpoolReader reader;
     private CursorState state = CursorState.OPENING;
@@ -58,20 +56,20 @@
     /**
      * Creates a cursor that has sent nothing.
      *
-     * @param sink takes over complete packets and sends them
+     * @param replies sends complete packets
      * @param listener is notified when the opening of the cursor or a fetch has ended
      */
     SpooledResultCursor(
-            Channel channel,
+            ByteBufAllocator alloc,
             SpooledResult result,
             ResultFormat dialect,
             Range range,
-            Consumer<ByteBuf> sink,
+            ClientReplyWriter replies,
             StreamEndListener listener) {
-        this.channel = channel;
+        this.alloc = alloc;
         this.dialect = dialect;
         this.range = range;
-        this.sink = sink;
+        this.replies = replies;
         this.listener = listener;
         this.reader = result.openReader(this::resume);
     }
@@ -132,10 +130,10 @@
             seekFirstRow();
         }
         if (range.isPage()) {
-            sink.accept(dialect.convertColumns(columns));
+            replies.send(dialect.convertColumns(columns));
             startFetch(range.maxRows().getAsLong(), dialect.sequenceAfter(columns));
         } else {
-            sink.accept(dialect.convertCursorColumns(channel.alloc(), columns));
+            replies.send(dialect.convertCursorColumns(alloc, columns));
             listener.ended(ReadStatus.MORE, OptionalInt.empty());
         }
     }
@@ -150,7 +148,7 @@
     }
 
     private void sendRequestedRows() {
-        while (rowsToSend > 0 && state == CursorState.FETCHING && channel.isWritable()) {
+        while (rowsToSend > 0 && state == CursorState.FETCHING && replies.acceptsPart()) {
             if (nextRowOffset == currentBlock.length && !readNextBlock()) {
                 return;
             }
@@ -172,7 +170,7 @@
         if (!state.isFetching()) {
             return;
         }
-        sink.accept(dialect.eofOrOk(channel.alloc(), nextSequence, endStatus()));
+        replies.send(dialect.eofOrOk(alloc, nextSequence, endStatus()));
         if (range.isPage() || state == CursorState.FETCHING_LAST) {
             close();
             listener.ended(ReadStatus.END, OptionalInt.empty());
@@ -221,7 +219,7 @@
             rowsToSend--;
         }
         if (nextRowOffset > begin) {
-            sink.accept(Unpooled.wrappedBuffer(currentBlock, begin, nextRowOffset - begin));
+            replies.send(Unpooled.wrappedBuffer(currentBlock, begin, nextRowOffset - begin));
         }
     }
 
@@ -255,7 +253,7 @@
         }
         int sequence = Math.max(1, nextSequence);
         if (engineError.isPresent()) {
-            sink.accept(Packets.withSequence(engineError.get(), sequence));
+            replies.send(Packets.withSequence(engineError.get(), sequence));
             listener.ended(ReadStatus.END, OptionalInt.empty());
         } else {
             listener.ended(reason, OptionalInt.of(sequence));
--- a/src/main/java/lineward/mysql/client/SpooledResultReplyStream.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultReplyStream.java
@@ -1,10 +1,9 @@
 package lineward.mysql.client;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
+import io.netty.buffer.ByteBufAllocator;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.function.Consumer;
 import lineward.mysql.wire.Packets;
 import lineward.mysql.wire.ReplyStream;
 import lineward.mysql.wire.ResultFormat;
@@ -17,8 +16,8 @@
 final class SpooledResultReplyStream implements ReplyStream {
     private static final int FIRST_SEQUENCE = 1;
 
-    private final Channel channel;
-    private final Consumer<ByteBuf> sink;
+    private final ByteBufAllocator alloc;
+    private final ClientReplyWriter replies;
     private final SpoolReader reader;
     private final StreamEndListener listener;
     private final ResultFormat dialect;
@@ -32,18 +31,18 @@
     /**
      * Creates a stream that has sent nothing.
      *
-     * @param sink takes over complete packets and sends them
+     * @param replies sends complete packets
      * @param listener is notified when the reply has ended
      */
     SpooledResultReplyStream(
-            Channel channel,
+            ByteBufAllocator alloc,
             SpooledResult result,
             ResultFormat dialect,
-            Consumer<ByteBuf> sink,
+            ClientReplyWriter replies,
             StreamEndListener listener) {
         this.dialect = dialect;
-        this.channel = channel;
-        this.sink = sink;
+        this.alloc = alloc;
+        this.replies = replies;
         this.listener = listener;
         this.reader = result.openReader(this::resume);
     }
@@ -67,7 +66,7 @@
     private void end(ReadStatus readState, int nextSequence) {
         Optional<byte[]> engineError = reader.engineError();
         if (readState == ReadStatus.FAILED && engineError.isPresent()) {
-            sink.accept(Packets.withSequence(engineError.get(), nextSequence));
+            replies.send(Packets.withSequence(engineError.get(), nextSequence));
             listener.ended(ReadStatus.END, OptionalInt.empty());
         } else {
             listener.ended(readState, OptionalInt.of(nextSequence));
@@ -81,14 +80,14 @@
      */
     private boolean sendWhileWritable() {
         ResultChunk chunk = null;
-        while (channel.isWritable()) {
+        while (replies.acceptsPart()) {
             chunk = reader.poll();
             if (chunk == null) {
                 break;
             }
             ByteBuf packets = encode(chunk);
             lastPackets = chunk.bytes();
-            sink.accept(packets);
+            replies.send(packets);
         }
         return chunk == null;
     }
@@ -98,9 +97,7 @@
             return dialect.convertRows(chunk.bytes());
         }
         boolean isHead = lastPackets == null;
-        return isHead
-                ? dialect.convertColumns(chunk.bytes())
-                : dialect.convertLastPacket(channel.alloc(), chunk.bytes());
+        return isHead ? dialect.convertColumns(chunk.bytes()) : dialect.convertLastPacket(alloc, chunk.bytes());
     }
 
     private int nextSequence() {
@@ -112,7 +109,7 @@
         return switch (readState) {
             case EXPIRED -> true;
             case END -> noChunkLeft;
-            case FAILED -> noChunkLeft && channel.isWritable();
+            case FAILED -> noChunkLeft && replies.acceptsPart();
             default -> false;
         };
     }
--- a/src/main/java/lineward/mysql/client/SpooledResultSender.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultSender.java
@@ -71,8 +71,7 @@
             long maxRows = hint.rowLimit().orElse(Long.MAX_VALUE);
             active = open(result, new SpooledResultCursor.Range(hint.firstRow(), OptionalLong.of(maxRows)));
         } else {
-            active = new SpooledResultReplyStream(
-                    replies.channel(), result, replies.dialect(), replies::send, this::ended);
+            active = new SpooledResultReplyStream(replies.alloc(), result, replies.dialect(), replies, this::ended);
         }
         session.transition(SessionState.Event.STREAM_STARTED);
         active.resume();
@@ -80,7 +79,7 @@
 
     private SpooledResultCursor open(SpooledResult result, SpooledResultCursor.Range range) {
         ResultFormat dialect = replies.dialect();
-        return new SpooledResultCursor(replies.channel(), result, dialect, range, replies::send, this::ended);
+        return new SpooledResultCursor(replies.alloc(), result, dialect, range, replies, this::ended);
     }
 
     /** Sends the next rows of the statement's open cursor. */
--- a/src/test/java/lineward/mysql/ClientMemoryTest.java
+++ b/src/test/java/lineward/mysql/ClientMemoryTest.java
@@ -24,6 +24,9 @@
     /** Limit on the answer to a usual statement: the deadline of its class. */
     private static final long DEADLINE_MS = 1500;
 
+    /** Maximum duration of an attack, as the program need not read what it can't answer. */
+    private static final long ATTACK_NANOS = TimeUnit.SECONDS.toNanos(8);
+
     private static final int MEGABYTE = 1 << 20;
     private static final int LONG_PARAMETERS = 60;
     private static final int LONG_DATA_PART_BYTES = 1000;
@@ -32,6 +35,7 @@
     private static final int MANY_STATEMENTS = 250;
     private static final int CLIENTS = 150;
     private static final byte[] PING = {1, 0, 0, 0, 0x0e};
+    private static final int PINGS = 2_000_000;
     private static final int PINGS_BEHIND_A_STATEMENT = 4_000;
 
     /** What a client does until the program closes its connection or it has sent everything. */
@@ -49,7 +53,8 @@
         return new Object[][] {
             {"60 MB of long parameters", (Attack) ClientMemoryTest::sendLongParameters},
             {"2 million empty parts of a long parameter", (Attack) ClientMemoryTest::sendEmptyParts},
-            {"parameter types of many statements", (Attack) ClientMemoryTest::sendParameterTypes}
+            {"parameter types of many statements", (Attack) ClientMemoryTest::sendParameterTypes},
+            {"pings whose answers are not read", (Attack) ClientMemoryTest::sendPings}
         };
     }
 
@@ -62,7 +67,8 @@
             other.packets.socket.setSoTimeout(5000);
             attacker.start();
             int served = 0;
-            while (attacker.isAlive() || served < 10) {
+            long endNanos = System.nanoTime() + ATTACK_NANOS;
+            while (served < 10 || (attacker.isAlive() && System.nanoTime() < endNanos)) {
                 long sentNanos = System.nanoTime();
                 assertEquals(other.query("select rows=3").rows().size(), 3, name);
                 long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
@@ -72,13 +78,12 @@
             try (TestingMysqlClient later = client()) {
                 assertEquals(later.query("select rows=3").rows().size(), 3, name);
             }
-            assertFalse(program.log().contains("OutOf"), program.log());
-            assertFalse(program.log().contains("failed to allocate"), program.log());
+            assertNoMemoryError();
         } finally {
             for (TestingMysqlClient client : List.copyOf(clients)) {
                 client.close();
             }
-            attacker.join();
+            attacker.join(TimeUnit.NANOSECONDS.toMillis(ATTACK_NANOS));
         }
     }
 
@@ -105,7 +110,7 @@
                     assertEquals(client.packets.read()[0], 0, "ping " + i);
                 }
             }
-            assertFalse(program.log().contains("OutOf"), program.log());
+            assertNoMemoryError();
         } finally {
             for (TestingMysqlClient client : clients) {
                 client.close();
@@ -113,6 +118,11 @@
         }
     }
 
+    private void assertNoMemoryError() {
+        String log = RunCommand.logWithoutOptions(program);
+        assertFalse(log.contains("OutOf"), log);
+    }
+
     private void runUntilClosed(Attack attack, List<TestingMysqlClient> clients) {
         try {
             attack.run(this, clients);
@@ -160,6 +170,11 @@
         }
     }
 
+    private void sendPings(List<TestingMysqlClient> clients) throws IOException {
+        Socket socket = attacker(clients).packets.socket;
+        sendRepeatedly(socket, PING, PINGS);
+    }
+
     private static byte[] longDataPacket(long statementId, byte[] part) {
         byte[] payload = MysqlPacketSocket.encode(0x18, statementId, 0, 0, part);
         return MysqlPacketSocket.encode(payload.length & 0xff, payload.length >> 8, 0, 0, payload);
--- a/src/test/java/lineward/testing/RunCommand.java
+++ b/src/test/java/lineward/testing/RunCommand.java
@@ -14,8 +14,18 @@
     /** Options of the class archive, which the tests' class path does not match. */
     private static final String ARCHIVE_OPTIONS = "-Xshare:.*|-XX:SharedArchiveFile=.*";
 
+    private static final String OPTIONS_LINE = "Picked up JAVA_TOOL_OPTIONS";
+
     private RunCommand() {}
 
+    /** Returns the log of a program in this environment, without the line that states its options. */
+    public static String logWithoutOptions(Program program) {
+        return program.log()
+                .lines()
+                .filter(line -> !line.startsWith(OPTIONS_LINE))
+                .collect(Collectors.joining("\n"));
+    }
+
     /** Returns an environment in which the program has the memory and the other JVM options of the command. */
     public static Map<String, String> environment() throws IOException {
         String command = Files.readAllLines(DEPLOY_FILE).stream()
