End a process whose event loop has ended, and run periodic tasks again after an error

Cause: Ticker caught runtime exceptions only, so that an error ended a task for good, and nothing watched the event loop; all servers shared one task.

--- a/src/main/java/lineward/app/FrontEnd.java
+++ b/src/main/java/lineward/app/FrontEnd.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.util.List;
 import lineward.frontend.ProtocolServer;
+import lineward.lifecycle.EventLoopMonitor;
 import lineward.lifecycle.Lifecycle;
 import lineward.lifecycle.Ticker;
 import org.slf4j.Logger;
@@ -74,10 +75,9 @@
     private void start() {
         List<ProtocolServer> servers = context.protocolServers();
         Ticker ticker = context.ticker();
+        EventLoopMonitor.watch(context.eventLoopGroup(), Runtime.getRuntime()::halt);
         context.runOnEventLoop(lifecycle::startStateExchange);
-        ticker.every(Ticker.TICK_MS, () -> servers.forEach(ProtocolServer::tick));
-        ticker.every(CLIENT_CHECK_PERIOD_MS, () -> servers.forEach(ProtocolServer::runPeriodicTasks));
-        ticker.every(IDLE_CHECK_PERIOD_MS, () -> servers.forEach(ProtocolServer::closeIdleEngineConnections));
+        servers.forEach(server -> startPeriodicTasks(ticker, server));
         AdminWiring.start(context, lifecycle, adminAddress);
         context.startActions().forEach(Runnable::run);
         for (ProtocolServer server : servers) {
@@ -90,6 +90,13 @@
         context.runOnEventLoop(lifecycle::startServing);
     }
 
+    /** Each server has tasks of its own, so that the failure of one does not keep the others from theirs. */
+    private static void startPeriodicTasks(Ticker ticker, ProtocolServer server) {
+        ticker.every(Ticker.TICK_MS, server::tick);
+        ticker.every(CLIENT_CHECK_PERIOD_MS, server::runPeriodicTasks);
+        ticker.every(IDLE_CHECK_PERIOD_MS, server::closeIdleEngineConnections);
+    }
+
     /** Shuts down gracefully and ends the process with status 0, instead of the one that SIGTERM causes. */
     private void terminate() {
         lifecycle.shutdownGracefully();
--- a/src/main/java/lineward/lifecycle/InheritedListener.java
+++ b/src/main/java/lineward/lifecycle/InheritedListener.java
@@ -48,6 +48,7 @@
     public ChannelFuture bind(ServerBootstrap clients, EventLoopGroup loop) {
         DefaultThreadFactory threads = new DefaultThreadFactory("accept", true);
         EventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory());
+        EventLoopMonitor.watch(acceptor, Runtime.getRuntime()::halt);
         // One accept per wake-up: a second one may block and delay the connection that was accepted first.
         ServerChannelRecvByteBufAllocator singleAccept = new ServerChannelRecvByteBufAllocator();
         singleAccept.maxMessagesPerRead(1);
--- a/src/main/java/lineward/lifecycle/Ticker.java
+++ b/src/main/java/lineward/lifecycle/Ticker.java
@@ -41,13 +41,21 @@
         timer.newTimeout(
                 timeout -> {
                     try {
-                        task.run();
-                    } catch (RuntimeException e) {
-                        LOG.error("periodic task failed: periodMs={}", periodMs, e);
+                        runAndLogFailure(periodMs, task);
+                    } finally {
+                        every(periodMs, task);
                     }
-                    every(periodMs, task);
                 },
                 periodMs,
                 TimeUnit.MILLISECONDS);
     }
+
+    /** An error must not end the task either: without its ticks, a server listens but answers nobody. */
+    private static void runAndLogFailure(int periodMs, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            LOG.error("periodic task failed: periodMs={}", periodMs, e);
+        }
+    }
 }
