Bound the ids of recently ended calls, in all and for one connection

Cause: thrift.CallIds. Change: one id for each KB of the heap, a quarter of these for one connection; further calls are rejected.

--- a/src/main/java/lineward/app/ThriftWiring.java
+++ b/src/main/java/lineward/app/ThriftWiring.java
@@ -25,6 +25,11 @@
     /** Responses are in direct memory and may use at most that memory divided by this. */
     private static final int RESPONSE_BUFFER_DIVISOR = 2;
 
+    /** The ids of open and recently ended requests use an eighth of the heap: 128 bytes each. */
+    private static final int HEAP_BYTES_PER_CALL_ID = 1024;
+
+    private static final int MAX_CALL_IDS = 1 << 20;
+
     private static final long BYTES_PER_MB = 1 << 20;
     /** Fraction of the descriptors for clients. */
     private static final double CLIENT_DESCRIPTOR_RATIO = 0.5;
@@ -52,7 +57,8 @@
                 (int) (resources.descriptors() * CLIENT_DESCRIPTOR_RATIO),
                 BufferMemory.receiveBytes(),
                 Math.min(memoryBytes / STATEMENT_MEMORY_DIVISOR, heapBytes / STATEMENT_HEAP_DIVISOR),
-                Math.min(memoryBytes / RESPONSE_MEMORY_DIVISOR, bufferBytes / RESPONSE_BUFFER_DIVISOR));
+                Math.min(memoryBytes / RESPONSE_MEMORY_DIVISOR, bufferBytes / RESPONSE_BUFFER_DIVISOR),
+                (int) Math.min(MAX_CALL_IDS, heapBytes / HEAP_BYTES_PER_CALL_ID));
     }
 
     /**
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -15,15 +15,16 @@
     private final ServerAdmissionPolicy admission;
     private final CoordinatorDriver<Call> driver;
     private final Metrics metrics;
-    private final CallIds ids = new CallIds();
+    private final CallIds ids;
 
     /**
-     * @param maxStatementBytes maximum bytes of the statements of open calls; further calls are rejected
+     * @param bounds limits the statements of open calls and the ids; further calls are rejected
      * @param metrics counts the calls that end before the coordinator has admitted them
      */
-    OpenCalls(Names names, long maxStatementBytes, CoordinatorDriver<Call> driver, Metrics metrics) {
+    OpenCalls(Names names, ThriftServer.Bounds bounds, CoordinatorDriver<Call> driver, Metrics metrics) {
         this.names = names;
-        this.admission = new ServerAdmissionPolicy(maxStatementBytes);
+        this.admission = new ServerAdmissionPolicy(bounds.maxStatementBytes());
+        this.ids = new CallIds(bounds.maxCallIds());
         this.driver = driver;
         this.metrics = metrics;
     }
@@ -67,13 +68,13 @@
             return false;
         }
         call.copyStatement();
-        ids.opened(call.id());
+        ids.opened(call.id(), call.client());
         return true;
     }
 
     private boolean admitWithinBounds(Call call) {
         int bytes = call.statement().readableBytes();
-        if (!admission.mayAdmit(bytes)) {
+        if (!admission.mayAdmit(bytes) || !ids.hasCapacity(call.client())) {
             return false;
         }
         OptionalLong coordinatorRequestId = driver.admit(call.fields().attributes(), call);
@@ -100,7 +101,7 @@
         if (call.complete()) {
             admission.recordCompleted(call.statement().readableBytes());
             call.statement().release();
-            ids.ended(call.id(), System.nanoTime());
+            ids.ended(call.id(), call.client(), System.nanoTime());
         }
     }
 
--- a/src/main/java/lineward/thrift/ThriftServer.java
+++ b/src/main/java/lineward/thrift/ThriftServer.java
@@ -59,8 +59,10 @@
      * @param maxStatementBytes maximum bytes of the statements of open requests; others are rejected
      * @param maxUnreadBytes maximum bytes of responses that are not completely written, because clients do
      *     not read them; beyond it the client with the most such bytes is closed
+     * @param maxCallIds maximum number of ids of open and recently ended requests; others are rejected
      */
-    public record Bounds(int maxClients, long maxReceiveBytes, long maxStatementBytes, long maxUnreadBytes) {}
+    public record Bounds(
+            int maxClients, long maxReceiveBytes, long maxStatementBytes, long maxUnreadBytes, int maxCallIds) {}
 
     /**
      * The services of the program that the server uses.
@@ -118,7 +120,7 @@
         this.clients = new ClientRegistry<>(
                 bounds.maxClients(), System::nanoTime, ClientHandler::close, ClientHandler::closeGracefully);
         Metrics metrics = services.metrics();
-        this.calls = new OpenCalls(names, bounds.maxStatementBytes(), this.driver, metrics);
+        this.calls = new OpenCalls(names, bounds, this.driver, metrics);
         this.responses = new ResponseSender(clients, bounds.maxUnreadBytes());
         this.receiveBudget = new ReceiveBudget(bounds.maxReceiveBytes());
         this.forwarder = new CallForwarder(this.driver, engines, calls, services);
