--- a/src/main/java/lineward/core/HealthChecks.java
+++ b/src/main/java/lineward/core/HealthChecks.java
@@ -40,7 +40,8 @@
         }
         lastNumber++;
         long number = lastNumber;
-        DeadlineQueue.Entry timeout = deadlines.add(nowMs + TIMEOUT_MS, atMs -> expire(atMs, engineNumber, number));
+        double expiresAtMs = nowMs + TIMEOUT_MS;
+        DeadlineQueue.Entry timeout = deadlines.add(expiresAtMs, atMs -> expire(atMs, engineNumber, number));
         inFlight.put(engineNumber, new Check(number, nowMs, timeout));
         return OptionalLong.of(number);
     }
@@ -50,14 +51,14 @@
     }
 
     /** Records the end of a check. Does nothing if the check is not in flight any more. */
-    void complete(double nowMs, long engineNumber, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
+    void complete(double nowMs, long engineNumber, long checkNumber, AttemptOutcome outcome, double[] load) {
         Check check = inFlight.get(engineNumber);
         if (check != null && check.number() == checkNumber) {
             inFlight.remove(engineNumber);
             deadlines.cancel(check.timeout());
             double latencyMs = nowMs - check.startedAtMs();
-            resultConsumer.accept(
-                    new SchedulerEvent.HealthCheckCompleted(engineNumber, outcome, latencyMs, loadReport));
+            var completed = new SchedulerEvent.HealthCheckCompleted(engineNumber, outcome, latencyMs, load);
+            resultConsumer.accept(completed);
         }
     }
 }
--- a/src/main/java/lineward/frontend/CoordinatorDriver.java
+++ b/src/main/java/lineward/frontend/CoordinatorDriver.java
@@ -75,9 +75,9 @@
         tickRequest.run();
     }
 
-    /** Records the result of a health check. */
-    public void healthCheckCompleted(String engineId, long checkNumber, AttemptOutcome outcome, double[] loadReport) {
-        coordinator.healthCheckCompleted(clock.getAsDouble(), engineId, checkNumber, outcome, loadReport);
+    /** Records the result of the health check with this number. */
+    public void healthCheckCompleted(String engineId, long check, AttemptOutcome outcome, double[] load) {
+        coordinator.healthCheckCompleted(clock.getAsDouble(), engineId, check, outcome, load);
         tickRequest.run();
     }
 
--- a/src/main/java/lineward/frontend/SendBudget.java
+++ b/src/main/java/lineward/frontend/SendBudget.java
@@ -9,9 +9,9 @@
 
 /**
  * Limits the bytes of replies that a protocol server has written but its clients have not read. A reply that
- * is sent in parts goes on only while there is capacity, and each part may exceed it; a short reply is sent at
- * once, but the next one to this client waits. While the capacity is used up, connections whose clients read
- * nothing are closed. Used on the event loop only.
+ * is sent in parts goes on only while there is capacity, and each part may exceed it; a short reply is sent
+ * at once, but the next one to this client waits. While the capacity is used up, connections whose clients
+ * read nothing are closed. Used on the event loop only.
  */
 public final class SendBudget {
     /** A client connection, as the budget sees it. */
--- a/src/main/java/lineward/mysql/client/ClientReplyWriter.java
+++ b/src/main/java/lineward/mysql/client/ClientReplyWriter.java
@@ -144,7 +144,7 @@
 
     @Override
     public void evict() {
-        LOG.info("client connection closed: address={} cause=does not read its replies", channel.remoteAddress());
+        LOG.info("client connection closed: address={} cause=reads no replies", channel.remoteAddress());
         close();
     }
 
--- a/src/main/java/lineward/mysql/client/SpooledResultReplyStream.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultReplyStream.java
@@ -96,8 +96,9 @@
         if (chunk.rows() > 0) {
             return dialect.convertRows(chunk.bytes());
         }
+        byte[] packets = chunk.bytes();
         boolean isHead = lastPackets == null;
-        return isHead ? dialect.convertColumns(chunk.bytes()) : dialect.convertLastPacket(alloc, chunk.bytes());
+        return isHead ? dialect.convertColumns(packets) : dialect.convertLastPacket(alloc, packets);
     }
 
     private int nextSequence() {
--- a/src/main/java/lineward/mysql/client/SpooledResultSender.java
+++ b/src/main/java/lineward/mysql/client/SpooledResultSender.java
@@ -71,7 +71,8 @@
             long maxRows = hint.rowLimit().orElse(Long.MAX_VALUE);
             active = open(result, new SpooledResultCursor.Range(hint.firstRow(), OptionalLong.of(maxRows)));
         } else {
-            active = new SpooledResultReplyStream(replies.alloc(), result, replies.dialect(), replies, this::ended);
+            ResultFormat dialect = replies.dialect();
+            active = new SpooledResultReplyStream(replies.alloc(), result, dialect, replies, this::ended);
         }
         session.transition(SessionState.Event.STREAM_STARTED);
         active.resume();
--- a/src/main/java/lineward/thrift/CallIds.java
+++ b/src/main/java/lineward/thrift/CallIds.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The ids of open and recently ended calls, to detect duplicates. Their number is limited, as a client may end
- * calls as fast as it sends them. Used on the event loop only.
+ * The ids of open and recently ended calls, to detect duplicates. Their number is limited, as a client may
+ * end calls as fast as it sends them. Used on the event loop only.
  */
 final class CallIds {
     /**
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -24,7 +24,7 @@
     OpenCalls(Names names, ThriftServer.Bounds bounds, CoordinatorDriver<Call> driver, Metrics metrics) {
         this.names = names;
         this.admission = new ServerAdmissionPolicy(bounds.maxStatementBytes());
-        this.ids = new CallIds(bounds.maxCallIds());
+        this.ids = new CallIds(bounds.maxIds());
         this.driver = driver;
         this.metrics = metrics;
     }
--- a/src/main/java/lineward/thrift/ThriftServer.java
+++ b/src/main/java/lineward/thrift/ThriftServer.java
@@ -59,10 +59,10 @@
      * @param maxStatementBytes maximum bytes of the statements of open requests; others are rejected
      * @param maxUnreadBytes maximum bytes of responses that are not completely written, because clients do
      *     not read them; beyond it the client with the most such bytes is closed
-     * @param maxCallIds maximum number of ids of open and recently ended requests; others are rejected
+     * @param maxIds maximum number of ids of open and recently ended requests; others are rejected
      */
     public record Bounds(
-            int maxClients, long maxReceiveBytes, long maxStatementBytes, long maxUnreadBytes, int maxCallIds) {}
+            int maxClients, long maxReceiveBytes, long maxStatementBytes, long maxUnreadBytes, int maxIds) {}
 
     /**
      * The services of the program that the server uses.
--- a/src/test/java/lineward/core/CoordinatorTest.java
+++ b/src/test/java/lineward/core/CoordinatorTest.java
@@ -204,12 +204,14 @@
         assertEquals(second, List.of(new Command.CheckHealth<>("s-1", 2)));
         coordinator.healthCheckCompleted(1301, "s-1", 1, OK, new double[0]);
         coordinator.tick(1302);
-        SchedulerEvent.HealthCheckCompleted last = scheduler.lastEventOfType(SchedulerEvent.HealthCheckCompleted.class);
-        assertEquals(last.outcome(), TIMEOUT, "the second check is still in flight");
+        assertEquals(lastHealthCheck().outcome(), TIMEOUT, "the second check is still in flight");
         coordinator.healthCheckCompleted(1310, "s-1", 2, OK, new double[0]);
         coordinator.tick(1311);
-        last = scheduler.lastEventOfType(SchedulerEvent.HealthCheckCompleted.class);
-        assertEquals(last.outcome() + " " + last.latencyMs(), "OK 10.0");
+        assertEquals(lastHealthCheck().outcome() + " " + lastHealthCheck().latencyMs(), "OK 10.0");
+    }
+
+    private SchedulerEvent.HealthCheckCompleted lastHealthCheck() {
+        return scheduler.lastEventOfType(SchedulerEvent.HealthCheckCompleted.class);
     }
 
     private List<Command<String>> startHealthChecks(double nowMs, long... engineNumbers) {
--- a/src/test/java/lineward/mysql/ClientMemoryTest.java
+++ b/src/test/java/lineward/mysql/ClientMemoryTest.java
@@ -17,8 +17,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Clients with a valid password that make the program keep as much as they can. It runs with the memory of the
- * {@code run} command; the statements of another client are served all the while.
+ * Clients with a valid password that make the program keep as much as they can. It runs with the memory of
+ * the {@code run} command; the statements of another client are served all the while.
  */
 public class ClientMemoryTest extends TwoEngineFixture {
     /** Limit on the answer to a usual statement: the deadline of its class. */
--- a/src/test/java/lineward/testing/RunCommand.java
+++ b/src/test/java/lineward/testing/RunCommand.java
@@ -26,7 +26,7 @@
                 .collect(Collectors.joining("\n"));
     }
 
-    /** Returns an environment in which the program has the memory and the other JVM options of the command. */
+    /** Returns an environment in which the program has the memory and other JVM options of the command. */
     public static Map<String, String> environment() throws IOException {
         String command = Files.readAllLines(DEPLOY_FILE).stream()
                 .filter(line -> line.startsWith(KEY))
--- a/src/test/java/lineward/thrift/CallMemoryTest.java
+++ b/src/test/java/lineward/thrift/CallMemoryTest.java
@@ -19,8 +19,8 @@
 import org.testng.annotations.Test;
 
 /**
- * One client that sends small or invalid requests at full speed, under ever new ids. The program runs with the
- * memory of the {@code run} command; the requests of another client are served in time all the while.
+ * One client that sends small or invalid requests at full speed, under ever new ids. The program runs with
+ * the memory of the {@code run} command; the requests of another client are served in time all the while.
  */
 public class CallMemoryTest {
     private static final int SERVED = 0;
