Count no statement of a closed test engine in later tests

Cause: ClientMemoryTest.keepsFewPacketsBehindRunningStatements ends while engines still execute silent statements; their threads wait for a kill that never comes, and the count of running statements is shared by all tests. Change: a closed engine's statements are taken out of the count; no check is changed.

--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -100,6 +100,9 @@
 
     volatile ReplyDefect replyDefect = ReplyDefect.NONE;
 
+    /** Statements that this engine is executing; guarded by this. */
+    private int runningHere;
+
     private volatile long lastByteNanos;
     private volatile long nextStatementNanos;
 
@@ -155,6 +158,13 @@
     @Override
     public void close() throws IOException {
         crash();
+        forgetRunningStatements();
+    }
+
+    /** A silent statement that is never killed must not count in later tests. */
+    private synchronized void forgetRunningStatements() {
+        RUNNING_COUNT.addAndGet(-runningHere);
+        runningHere = 0;
     }
 
     private void accept() {
@@ -313,7 +323,7 @@
                 session.schema,
                 session.sessionChanges));
         session.recordChange(text);
-        MAX_RUNNING_COUNT.accumulateAndGet(RUNNING_COUNT.incrementAndGet(), Math::max);
+        statementStarted();
         try {
             if (fault == Fault.CRASH_IN_EXECUTE) {
                 crash();
@@ -329,6 +339,18 @@
                 sendRows(packets, text, !preparationSettings.isEmpty());
             }
         } finally {
+            statementEnded();
+        }
+    }
+
+    private synchronized void statementStarted() {
+        runningHere++;
+        MAX_RUNNING_COUNT.accumulateAndGet(RUNNING_COUNT.incrementAndGet(), Math::max);
+    }
+
+    private synchronized void statementEnded() {
+        if (runningHere > 0) {
+            runningHere--;
             RUNNING_COUNT.decrementAndGet();
         }
     }
