Write the pipe of ShutdownSignalTest again only after the program has closed it

Cause: a fault of the test. The second write opened the pipe right after the first ended. If the program had read the end but not closed the pipe yet, the open succeeded against that reader, whose close then broke the write.

Change: the test waits until the program listens, which follows the close of the first read, and writes then. What is checked is the same: the request is served, SIGTERM ends with status 0.

--- a/src/test/java/lineward/thrift/ShutdownSignalTest.java
+++ b/src/test/java/lineward/thrift/ShutdownSignalTest.java
@@ -158,9 +158,11 @@
                 program.sendSighup();
                 out.write(config.getBytes(StandardCharsets.UTF_8));
             }
+            // The program has closed the pipe once it listens; a writer before that may meet its first read.
+            int port = program.port();
             // SIGHUP makes the program read the configuration again, so the pipe is written again.
             Files.writeString(configPipe, config);
-            try (TestingClient caller = new TestingClient(program.port())) {
+            try (TestingClient caller = new TestingClient(port)) {
                 assertEquals(caller.call(TestingClient.fields(2000), "select 1").fieldId(), SERVED);
             }
             program.sendSigterm();
