Bound the memory of incomplete MySQL replies for the whole process

Column definitions and replies without rows were buffered whole, whatever their size. Four statements with 1,200 columns of 60,000 bytes each ended the process within two seconds.

Change: mysql.engine.ReplyBuffer reserves each buffered reply from a budget of an eighth of the heap. If it is exhausted, a result whose rows have begun is spooled early; another reply is discarded and its attempt ends as cancelled.

--- a/src/main/java/lineward/app/MysqlConfigReader.java
+++ b/src/main/java/lineward/app/MysqlConfigReader.java
@@ -57,6 +57,8 @@
 
     /** The open statements may use the heap divided by this, and the prepared ones as much again. */
     private static final int STATEMENT_HEAP_DIVISOR = 8;
+    /** Incomplete replies of engines are on the heap and may use at most the heap divided by this. */
+    private static final int REPLY_HEAP_DIVISOR = 8;
     /** A receive buffer may be twice as large as the packet, as it grows by doubling. */
     private static final long RECEIVE_BUFFER_GROWTH = 2;
 
@@ -87,6 +89,7 @@
                 Math.max(BufferMemory.receiveBytes(), RECEIVE_BUFFER_GROWTH * maxPacketBytes),
                 Math.max(statementBytes, maxPacketBytes),
                 statementBytes,
+                Runtime.getRuntime().maxMemory() / REPLY_HEAP_DIVISOR,
                 BufferMemory.unreadBytes());
     }
 
--- a/src/main/java/lineward/mysql/MysqlConfig.java
+++ b/src/main/java/lineward/mysql/MysqlConfig.java
@@ -56,10 +56,15 @@
      * @param maxReceiveBytes maximum bytes that are buffered for packets that can't be processed yet
      * @param maxStatementBytes maximum bytes of the open statements; further ones are rejected
      * @param maxPreparedBytes maximum bytes of the prepared statements, with their long parameters
+     * @param maxReplyBytes maximum bytes of the replies of engines that are not complete and not spooled
      * @param maxUnreadBytes bytes of replies that clients have not read from which no more are sent
      */
     public record MemoryLimits(
-            long maxReceiveBytes, long maxStatementBytes, long maxPreparedBytes, long maxUnreadBytes) {}
+            long maxReceiveBytes,
+            long maxStatementBytes,
+            long maxPreparedBytes,
+            long maxReplyBytes,
+            long maxUnreadBytes) {}
 
     /**
      * A class of statements.
--- a/src/main/java/lineward/mysql/MysqlServer.java
+++ b/src/main/java/lineward/mysql/MysqlServer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import lineward.core.ByteBudget;
 import lineward.core.Command;
 import lineward.core.Coordinator;
 import lineward.core.EngineEndpoint;
@@ -82,7 +83,7 @@
         metrics.addReceiveBufferBytes(receiveBudget::used);
         this.sendBudget = new SendBudget(config.memory().maxUnreadBytes());
         this.clients = new ConnectedClients(config.limits().maxClients());
-        this.pools = enginePools(loop, config.limits());
+        this.pools = enginePools(loop, config);
         this.reportTargets = new AttemptReporter.Context(coordinator, metrics, spool, tickRequest);
         QueryDispatcher dispatcher = new QueryAdmission(config, admission, driver, metrics);
         this.acceptor = new ClientAcceptor(clientContext(dispatcher), Listener.at(config.listenAddress()));
@@ -102,14 +103,17 @@
                 this::statistics);
     }
 
-    private static EngineConnectionPools enginePools(EventLoopGroup loop, MysqlConfig.Limits limits) {
+    private static EngineConnectionPools enginePools(EventLoopGroup loop, MysqlConfig config) {
+        MysqlConfig.Limits limits = config.limits();
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
-        int maxConnections = limits.connectionsPerEngine();
-        ConnectionLimits connectionLimits = new ConnectionLimits(maxConnections, limits.connectTimeoutMs());
+        ConnectionLimits connectionLimits = new ConnectionLimits(
+                limits.connectionsPerEngine(),
+                limits.connectTimeoutMs(),
+                new ByteBudget(config.memory().maxReplyBytes()));
         return new EngineConnectionPools(bootstrap, connectionLimits);
     }
 
--- a/src/main/java/lineward/mysql/engine/EngineConnectionPool.java
+++ b/src/main/java/lineward/mysql/engine/EngineConnectionPool.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import lineward.core.ByteBudget;
 import lineward.mysql.session.Work;
 import lineward.mysql.wire.PacketDecoder;
 import lineward.mysql.wire.Packets;
@@ -49,6 +50,10 @@
         return engine;
     }
 
+    ByteBudget replyBudget() {
+        return limits.replyBudget();
+    }
+
     /**
      * Starts the attempt on an idle connection that can run it, or else on a new one, which may replace an
      * idle one. Rejects the attempt if a new connection would exceed the limit.
--- a/src/main/java/lineward/mysql/engine/MysqlEngineConnection.java
+++ b/src/main/java/lineward/mysql/engine/MysqlEngineConnection.java
@@ -60,6 +60,10 @@
         session = new EngineSession(new EngineStatementCache(commandWriter::closeStatement));
     }
 
+    EngineConnectionPool pool() {
+        return pool;
+    }
+
     EngineSession session() {
         return session;
     }
--- a/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
+++ b/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
@@ -5,11 +5,14 @@
 import io.netty.buffer.ByteBufUtil;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import lineward.frontend.RateLimitedLog;
 import lineward.mysql.session.Work;
 import lineward.mysql.wire.PacketRole;
 import lineward.mysql.wire.Packets;
 import lineward.scheduling.AttemptOutcome;
 import lineward.spool.SpooledResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One attempt on an engine: its command, the reply so far, and its listener. A reply without rows and a short
@@ -30,6 +33,9 @@
         ENDED
     }
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(MysqlQueryAttempt.class);
+    private static final RateLimitedLog LOG = new RateLimitedLog(LOGGER);
+
     /** Maximum size of a buffered result; a longer one is spooled. */
     private static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
@@ -45,9 +51,7 @@
     private final long startedNanos = System.nanoTime();
     private ReplyState state = ReplyState.BUFFERING;
     /** Null before the first packet, once the reply is spooled, and after the end. */
-    private ByteBuf buffered;
-    /** Number of buffered bytes that precede the rows. */
-    private int headBytes;
+    private ReplyBuffer buffered;
     /** Whether the columns of a result have been received. Only rows are spooled, after their columns. */
     private boolean rowsFollow;
     /** Null unless the reply is spooled. */
@@ -120,39 +124,50 @@
 
     private void buffer(ByteBufAllocator alloc, ByteBuf frame, PacketRole role) {
         if (buffered == null) {
-            buffered = alloc.heapBuffer(frame.readableBytes());
+            buffered = new ReplyBuffer(alloc.heapBuffer(), connection.pool().replyBudget());
         }
-        buffered.writeBytes(frame);
-        if (role == PacketRole.HEAD || role == PacketRole.HEAD_END) {
-            headBytes = buffered.readableBytes();
+        if (!buffered.append(frame, role)) {
+            continueWithoutBuffer(frame, role);
+            return;
         }
         rowsFollow |= role == PacketRole.HEAD_END;
         if (rowsFollow && mustSpool(role)) {
-            startSpooling(role);
+            startSpooling();
+        }
+    }
+
+    /** Spools a packet that can't be buffered. A reply whose rows have not started is discarded instead. */
+    private void continueWithoutBuffer(ByteBuf frame, PacketRole role) {
+        if (!rowsFollow) {
+            LOG.info("engine reply discarded", "engine", connection.pool().name(), "reply buffers are full");
+            releaseBuffer();
+            state = ReplyState.DISCARDING;
+            return;
+        }
+        startSpooling();
+        if (state != ReplyState.DISCARDING) {
+            spool(frame, role);
         }
     }
 
     private boolean mustSpool(PacketRole role) {
-        boolean tooLong = buffered.readableBytes() > MAX_BUFFERED_BYTES && role.isRowOrSuccess();
+        boolean tooLong = buffered.size() > MAX_BUFFERED_BYTES && role.isRowOrSuccess();
         return tooLong || listener.alwaysSpools();
     }
 
     /** Moves the buffered packets to the spool, or discards the reply if the listener does not need it. */
-    private void startSpooling(PacketRole lastRole) {
+    private void startSpooling() {
         SpooledResult result = listener.createSpooledResult();
-        ByteBuf packets = buffered;
-        buffered = null;
-        try {
-            if (result == null) {
-                state = ReplyState.DISCARDING;
-                return;
-            }
-            state = ReplyState.SPOOLING;
-            spoolWriter = new SpoolWriter(result);
-            spoolWriter.writeBuffered(packets, headBytes, lastRole);
-        } finally {
-            packets.release();
+        if (result == null) {
+            releaseBuffer();
+            state = ReplyState.DISCARDING;
+            return;
         }
+        state = ReplyState.SPOOLING;
+        spoolWriter = new SpoolWriter(result);
+        ReplyBuffer packets = buffered;
+        buffered = null;
+        packets.moveTo(spoolWriter);
         result.onFlowChange(() -> {
             if (state != ReplyState.ENDED && connection != null) {
                 connection.setReading(result.mayReadEngine());
@@ -197,12 +212,11 @@
         AttemptOutcome outcome = incomplete ? AttemptOutcome.CANCELLED : reported;
         boolean repliesWithError = state == ReplyState.SPOOLING && engineError != null;
         state = ReplyState.ENDED;
-        ByteBuf reply = buffered;
-        buffered = null;
-        if (outcome != AttemptOutcome.OK && reply != null) {
-            reply.release();
-            reply = null;
+        if (outcome != AttemptOutcome.OK) {
+            releaseBuffer();
         }
+        ByteBuf reply = buffered == null ? null : buffered.detach();
+        buffered = null;
         if (spoolWriter != null) {
             endSpool(outcome);
         }
@@ -210,6 +224,13 @@
         listener.ended(outcome, repliesWithError ? errorReply(outcome) : reply);
     }
 
+    private void releaseBuffer() {
+        if (buffered != null) {
+            buffered.release();
+            buffered = null;
+        }
+    }
+
     /** Returns the engine's error as a complete reply; null if the outcome is not OK. */
     private ByteBuf errorReply(AttemptOutcome outcome) {
         return outcome == AttemptOutcome.OK ? Packets.withSequence(engineError, FIRST_REPLY_SEQUENCE) : null;
--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -18,7 +18,8 @@
 
 /**
  * A minimal MySQL engine for tests. It answers a statement that contains {@code rows=N size=BYTES} with N
- * rows of more than this size, unless it has a {@link Fault}.
+ * rows of more than this size, and one with {@code columns=N size=BYTES} with N columns with names of this
+ * size and no rows, unless it has a {@link Fault}.
  */
 final class TestingMysqlEngine implements AutoCloseable {
     /** How the engine fails. */
@@ -78,6 +79,7 @@
     record Execution(String text, String settings, String schema, String sessionChanges) {}
 
     private static final Pattern ROWS = Pattern.compile("rows=(\\d+)(?: size=(\\d+))?");
+    private static final Pattern COLUMNS = Pattern.compile("columns=(\\d+) size=(\\d+)");
     private static final AtomicInteger RUNNING_COUNT = new AtomicInteger();
     static final AtomicInteger MAX_RUNNING_COUNT = new AtomicInteger();
 
@@ -356,6 +358,11 @@
     }
 
     private void sendRows(MysqlPacketSocket packets, String text, boolean binary) throws IOException {
+        Matcher columns = COLUMNS.matcher(text);
+        if (columns.find()) {
+            sendColumns(packets, Integer.parseInt(columns.group(1)), Integer.parseInt(columns.group(2)));
+            return;
+        }
         Matcher requested = ROWS.matcher(text);
         if (!requested.find()) {
             packets.write(
@@ -399,6 +406,15 @@
         }
     }
 
+    private static void sendColumns(MysqlPacketSocket packets, int count, int size) throws IOException {
+        packets.write(0xfc, count & 0xff, count >> 8);
+        for (int i = 0; i < count; i++) {
+            packets.write(columnDefinition("c".repeat(size)));
+        }
+        packets.write(MysqlPacketSocket.eof());
+        packets.write(MysqlPacketSocket.eof());
+    }
+
     private static byte[] columnDefinition(String name) {
         return MysqlPacketSocket.encode(
                 MysqlPacketSocket.lengthEncoded("def"),
