Bound the memory of the platform's incomplete results for the whole process

The pages of a result were bounded by 48,000 bytes for each attempt; together they had no bound.

Change: incomplete results share a budget of an eighth of the heap (engine.ResultPages). The attempt whose page does not fit ends as cancelled, and its result is closed at the engine.

No test with real processes fills the budget.

--- a/src/main/java/lineward/app/ThriftWiring.java
+++ b/src/main/java/lineward/app/ThriftWiring.java
@@ -1,5 +1,6 @@
 package lineward.app;
 
+import lineward.core.ByteBudget;
 import lineward.core.Coordinator;
 import lineward.core.Tracer;
 import lineward.discovery.EndpointList;
@@ -20,6 +21,8 @@
     private static final int STATEMENT_MEMORY_DIVISOR = 16;
     /** Statements are on the heap and may use at most the heap divided by this. */
     private static final int STATEMENT_HEAP_DIVISOR = 6;
+    /** The pages of incomplete results are on the heap and may use at most the heap divided by this. */
+    private static final int PAGE_HEAP_DIVISOR = 8;
     /** Responses that clients have not read may use the memory divided by this. */
     private static final int RESPONSE_MEMORY_DIVISOR = 12;
     /** Responses are in direct memory and may use at most that memory divided by this. */
@@ -112,6 +115,7 @@
                 connections.engineIdleTimeoutMs(),
                 connections.attemptsPerConnection(),
                 (int) (config.resources().descriptors() * ENGINE_DESCRIPTOR_RATIO),
+                new ByteBudget(Runtime.getRuntime().maxMemory() / PAGE_HEAP_DIVISOR),
                 !config.settings().loadReporting().fields().isEmpty());
         return new EngineCluster(context.eventLoopGroup(), limits, context.metrics()::countForwardedAttempt);
     }
--- a/src/main/java/lineward/core/ByteBudget.java
+++ b/src/main/java/lineward/core/ByteBudget.java
@@ -20,6 +20,11 @@
         this.parent = parent;
     }
 
+    /** Returns a budget without a limit. */
+    public static ByteBudget unlimited() {
+        return new ByteBudget(Long.MAX_VALUE);
+    }
+
     /** Returns a budget with a limit of its own whose bytes are also reserved from this one. */
     public ByteBudget part(long partCapacity) {
         return new ByteBudget(partCapacity, Optional.of(this));
--- a/src/main/java/lineward/engine/AttemptEnd.java
+++ b/src/main/java/lineward/engine/AttemptEnd.java
@@ -29,6 +29,8 @@
     PARTIALLY_SENT(AttemptOutcome.REJECTED),
     /** The connection broke after the request was sent, while another one to the engine is up. */
     CONNECTION_BROKEN(AttemptOutcome.CANCELLED),
+    /** There was no memory for a page: the query ran, and its result was discarded. */
+    RESULT_DISCARDED(AttemptOutcome.CANCELLED),
     /**
      * The connection broke or was unresponsive after the request was sent, and no other one to the engine is
      * up or such failures have repeated: the engine's process has probably ended.
--- a/src/main/java/lineward/engine/EngineCluster.java
+++ b/src/main/java/lineward/engine/EngineCluster.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import lineward.core.ByteBudget;
 import lineward.core.EngineEndpoint;
 import lineward.scheduling.AttemptOutcome;
 import lineward.scheduling.Endpoint;
@@ -66,6 +67,7 @@
      * @param engineIdleTimeoutMs time after which engines close idle connections
      * @param maxAttemptsPerConnection maximum number of attempts in flight on one connection
      * @param maxConnections maximum number of connections to all engines
+     * @param pageBudget bytes of the pages of incomplete results, shared by all connections
      * @param requestsLoadReports whether a health check requests a load report
      */
     public record Limits(
@@ -73,6 +75,7 @@
             double engineIdleTimeoutMs,
             int maxAttemptsPerConnection,
             int maxConnections,
+            ByteBudget pageBudget,
             boolean requestsLoadReports) {}
 
     /** Notified of the answer to a health check, on the event loop. */
--- a/src/main/java/lineward/engine/EngineConnection.java
+++ b/src/main/java/lineward/engine/EngineConnection.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import lineward.core.ByteBudget;
 import lineward.frontend.RateLimitedLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,7 +34,7 @@
     /** Delay before the attempts of a closed connection end, so that no retry overtakes the close. */
     static final int ATTEMPT_END_DELAY_MS = 6;
 
-    private final InFlightAttempts attempts = new InFlightAttempts();
+    private final InFlightAttempts attempts;
     private final long openedAtUnixMs = System.currentTimeMillis();
     private final ConnectionListener listener;
     private ConnectionState state = ConnectionState.CONNECTING;
@@ -50,8 +51,10 @@
     /** The last health check if it is unanswered, else null. An engine has at most one in flight. */
     private HealthCheck healthCheck;
 
-    EngineConnection(ConnectionListener listener) {
+    /** @param pageBudget the bytes that the pages of all incomplete results may use */
+    EngineConnection(ConnectionListener listener, ByteBudget pageBudget) {
         super(false);
+        this.attempts = new InFlightAttempts(pageBudget);
         this.listener = listener;
     }
 
--- a/src/main/java/lineward/engine/EnginePool.java
+++ b/src/main/java/lineward/engine/EnginePool.java
@@ -93,7 +93,7 @@
     }
 
     private EngineConnection connect() {
-        EngineConnection connection = new EngineConnection(this);
+        EngineConnection connection = new EngineConnection(this, limits.pageBudget());
         connections.add(connection);
         ChannelFuture connectFuture =
                 bootstrap.clone().handler(initializer(connection)).connect(address);
--- a/src/main/java/lineward/engine/EngineWarmup.java
+++ b/src/main/java/lineward/engine/EngineWarmup.java
@@ -6,6 +6,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import lineward.core.ByteBudget;
 import lineward.scheduling.AttemptOutcome;
 
 /**
@@ -17,7 +18,7 @@
     private static final QueryAttempt.TimeLimits TIME_LIMITS = new QueryAttempt.TimeLimits(1000, 1000);
 
     /** Ignores all events. */
-    static final ConnectionListener NO_OP_LISTENER = new ConnectionListener() {
+    private static final ConnectionListener NO_OP_LISTENER = new ConnectionListener() {
         @Override
         public void closed(EngineConnection connection) {}
 
@@ -39,9 +40,14 @@
 
     private EngineWarmup() {}
 
+    /** Returns a connection without a pool, whose incomplete results have no limit. */
+    static EngineConnection newConnection() {
+        return new EngineConnection(NO_OP_LISTENER, ByteBudget.unlimited());
+    }
+
     /** Runs the attempts, each with a result of two pages. */
     public static void run() {
-        EngineConnection connection = new EngineConnection(NO_OP_LISTENER);
+        EngineConnection connection = newConnection();
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder(), connection);
         connection.setChannel(channel);
         ByteBuf statement = Unpooled.copiedBuffer("select 1", StandardCharsets.US_ASCII);
--- a/src/main/java/lineward/engine/InFlightAttempts.java
+++ b/src/main/java/lineward/engine/InFlightAttempts.java
@@ -3,13 +3,26 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import lineward.core.ByteBudget;
+import lineward.frontend.RateLimitedLog;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The attempts in flight on one connection. Dispatches each reply to its attempt, on the event loop. */
 final class InFlightAttempts {
+    private static final Logger LOGGER = LoggerFactory.getLogger(InFlightAttempts.class);
+    private static final RateLimitedLog LOG = new RateLimitedLog(LOGGER);
+
     /** Attempts by id, in the order in which they started; the pool limits their number. */
     private final Map<String, QueryAttempt> attempts = new LinkedHashMap<>();
 
     private final EndedAttempts endedAttempts = new EndedAttempts();
+    private final ByteBudget pageBudget;
+
+    /** @param pageBudget the bytes that the pages of all incomplete results may use */
+    InFlightAttempts(ByteBudget pageBudget) {
+        this.pageBudget = pageBudget;
+    }
 
     /** Returns whether an attempt with this id may be added, given the maximum in flight. */
     boolean accepts(String id, int maxAttempts) {
@@ -112,16 +125,29 @@
     }
 
     private void addFirstPage(QueryAttempt attempt, Reply reply, RequestWriter writer) {
-        attempt.addFirstPage(reply.integer(LineProtocol.PAGE_COUNT_FIELD), reply.body());
-        for (int pageIndex = 1; pageIndex < attempt.pageCount(); pageIndex++) {
+        int pageCount = reply.integer(LineProtocol.PAGE_COUNT_FIELD);
+        if (!attempt.addFirstPage(pageCount, reply.body(), pageBudget)) {
+            discardResult(attempt, reply, writer);
+            return;
+        }
+        for (int pageIndex = 1; pageIndex < pageCount; pageIndex++) {
             writer.readPage(attempt.id(), pageIndex);
         }
         completeIfAllPages(attempt, writer);
     }
 
     private void addPage(QueryAttempt attempt, Reply reply, RequestWriter writer) {
-        attempt.addPage(reply.integer(LineProtocol.PAGE_INDEX_FIELD), reply.body());
-        completeIfAllPages(attempt, writer);
+        if (attempt.addPage(reply.integer(LineProtocol.PAGE_INDEX_FIELD), reply.body())) {
+            completeIfAllPages(attempt, writer);
+        } else {
+            discardResult(attempt, reply, writer);
+        }
+    }
+
+    private void discardResult(QueryAttempt attempt, Reply reply, RequestWriter writer) {
+        LOG.info("result discarded", "attempt", attempt.id(), "the memory for incomplete results is full");
+        writer.closeResult(attempt.id());
+        endWithoutResult(attempt, reply, AttemptEnd.RESULT_DISCARDED);
     }
 
     private void completeIfAllPages(QueryAttempt attempt, RequestWriter writer) {
--- a/src/main/java/lineward/engine/QueryAttempt.java
+++ b/src/main/java/lineward/engine/QueryAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import lineward.core.ByteBudget;
 import lineward.scheduling.AttemptOutcome;
 import lineward.scheduling.ProgressKind;
 
@@ -170,23 +171,26 @@
     /**
      * Adds the first page and takes ownership of it.
      *
+     * @param budget the bytes that all incomplete results may use
+     * @return false, and the caller keeps ownership, if the budget is exhausted
      * @throws MalformedReplyException if the count or the page is invalid; the caller keeps ownership
      */
-    void addFirstPage(int pageCount, ByteBuf page) {
-        pages = ResultPages.ofCount(pageCount);
-        addPage(0, page);
+    boolean addFirstPage(int pageCount, ByteBuf page, ByteBudget budget) {
+        pages = ResultPages.ofCount(pageCount, budget);
+        return addPage(0, page);
     }
 
     /**
      * Adds a page that was not received before and takes ownership of it.
      *
+     * @return false, and the caller keeps ownership, if the budget of incomplete results is exhausted
      * @throws MalformedReplyException if the page was not requested or is invalid; the caller keeps ownership
      */
-    void addPage(int index, ByteBuf page) {
+    boolean addPage(int index, ByteBuf page) {
         if (pages == null || !pages.accepts(index, page)) {
             throw new MalformedReplyException("page " + index + " was not requested or is invalid");
         }
-        pages.add(index, page);
+        return pages.add(index, page);
     }
 
     /** Returns whether the result is complete; the first page must have been received. */
--- a/src/test/java/lineward/engine/AttemptEndTest.java
+++ b/src/test/java/lineward/engine/AttemptEndTest.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import lineward.core.ByteBudget;
 import lineward.scheduling.AttemptOutcome;
 import lineward.testing.Program;
 import org.testng.annotations.DataProvider;
@@ -31,7 +32,8 @@
 
 /** Tests the outcome of each end of an attempt, and whether the request may have run. */
 public class AttemptEndTest {
-    private static final EngineCluster.Limits LIMITS = new EngineCluster.Limits(250, 30_000, 10, 100, false);
+    private static final EngineCluster.Limits LIMITS =
+            new EngineCluster.Limits(250, 30_000, 10, 100, ByteBudget.unlimited(), false);
     /** The only ends after which a request that is not idempotent may be retried. */
     private static final Set<AttemptEnd> NEVER_RAN = EnumSet.of(
             AttemptEnd.REJECTED,
@@ -64,7 +66,7 @@
     @Test(dataProvider = "replies")
     public void replyEndsTheAttemptWithItsOutcome(String reply, AttemptOutcome outcome) {
         RecordingListener listener = new RecordingListener();
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         EmbeddedChannel channel = openChannel(connection);
         connection.start(listener.attempt);
         channel.writeInbound(Unpooled.copiedBuffer(reply, StandardCharsets.US_ASCII));
@@ -91,7 +93,7 @@
     @Test(dataProvider = "writeCounts")
     public void requestIsSentOnceItsLastPartIsWritten(int succeedingWrites, boolean sent) {
         RecordingListener listener = new RecordingListener();
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         EmbeddedChannel channel = openChannel(connection);
         channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
             private int writes;
--- a/src/test/java/lineward/engine/ConnectionAttemptsTest.java
+++ b/src/test/java/lineward/engine/ConnectionAttemptsTest.java
@@ -37,7 +37,7 @@
      */
     @Test
     public void attemptRetainsItsStatementWhenItsRequestEnds() {
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         ByteBuf statement = buffer("select 1");
         List<AttemptOutcome> outcomes = new ArrayList<>();
         QueryAttempt attempt = attempt(statement, outcomes);
@@ -55,7 +55,7 @@
 
     @Test
     public void cancelledAttemptThatWaitsForAConnectionIsNeverSent() {
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         ByteBuf statement = buffer("select 1");
         List<AttemptOutcome> outcomes = new ArrayList<>();
         connection.start(attempt(statement, outcomes));
@@ -69,7 +69,7 @@
     /** Engines drop idempotency keys after a time: a retry that is sent later could run a second time. */
     @Test
     public void attemptPastItsStartDeadlineIsNotSent() {
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         ByteBuf statement = buffer("select 1");
         List<AttemptOutcome> outcomes = new ArrayList<>();
         connection.start(attempt(statement, outcomes, 0));
@@ -81,7 +81,7 @@
     /** If an engine rejects every request, the ids of ended attempts must not accumulate without bound. */
     @Test
     public void numberOfEndedAttemptIdsIsBounded() {
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         EmbeddedChannel channel = connect(connection);
         channel.pipeline().addFirst(new ReplyDecoder());
         ByteBuf statement = buffer("select 1");
--- a/src/test/java/lineward/engine/HealthCheckTest.java
+++ b/src/test/java/lineward/engine/HealthCheckTest.java
@@ -18,7 +18,7 @@
 
     private EmbeddedChannel startCheck(HealthCheck.Kind kind) {
         received.clear();
-        EngineConnection connection = new EngineConnection(EngineWarmup.NO_OP_LISTENER);
+        EngineConnection connection = EngineWarmup.newConnection();
         EmbeddedChannel channel = new EmbeddedChannel(new ReplyDecoder());
         connection.setChannel(channel);
         channel.pipeline().addLast(connection);
