Submit requests only once the end of their connection would have been read

Cause: one read an iteration of the event loop; the end of the connection takes a read of its own behind the requests, which had been submitted by then.

Change: thrift.ReceivedCalls submits a call in the iteration after the read that emptied the socket. OpenCalls.admit is split into open (bounds, statement, id) and submit (coordinator).

--- a/src/main/java/lineward/thrift/Call.java
+++ b/src/main/java/lineward/thrift/Call.java
@@ -11,7 +11,7 @@
  */
 public final class Call {
     private static final int NO_ATTEMPT = -1;
-    private static final long NOT_ADMITTED = GenerationalTable.FULL;
+    private static final long NOT_SUBMITTED = GenerationalTable.FULL;
 
     private enum State {
         /** The call awaits its final response and holds its statement. */
@@ -25,13 +25,13 @@
     private final CallFields fields;
     private ByteBuf statement;
     private State state = State.OPEN;
-    private long coordinatorRequestId = NOT_ADMITTED;
+    private long coordinatorRequestId = NOT_SUBMITTED;
     /** The latest attempt; null before the first one. */
     private QueryAttempt attempt;
 
     private int attemptNumber = NO_ATTEMPT;
 
-    /** @param statement a slice of the client's frame, copied when the call is admitted */
+    /** @param statement a slice of the client's frame, copied when the call is opened */
     Call(ClientHandler client, int sequenceNumber, CallFields fields, ByteBuf statement) {
         this.client = client;
         this.sequenceNumber = sequenceNumber;
@@ -77,13 +77,18 @@
         statement = Unpooled.copiedBuffer(statement);
     }
 
-    /** Returns the coordinator's id of the request; the call must have been admitted. */
+    /** Returns whether the coordinator has admitted the call. */
+    boolean isSubmitted() {
+        return coordinatorRequestId != NOT_SUBMITTED;
+    }
+
+    /** Returns the coordinator's id of the request; the call must have been submitted. */
     long coordinatorRequestId() {
         return coordinatorRequestId;
     }
 
     /** Records the id under which the coordinator has admitted the call. */
-    void admitted(long id) {
+    void submitted(long id) {
         coordinatorRequestId = id;
     }
 
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -35,6 +35,7 @@
     private final ReceiveBudget receiveBudget;
     private final FrameDecoder frameDecoder;
     private final Map<Integer, Call> callsBySequenceNumber = new HashMap<>();
+    private final ReceivedCalls receivedCalls = new ReceivedCalls(this::submit);
     private Channel channel;
     private long unreadBytes;
     /** Responses that are not completely written. The client still regards their calls as open. */
@@ -88,6 +89,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (ctx.channel().isActive()) {
             receiveBudget.update(this, ReceiveBudget.bufferBytes(frameDecoder.partialFrameBytes()));
+            receivedCalls.readCompleted(ctx.channel());
         }
         ctx.fireChannelReadComplete();
     }
@@ -134,14 +136,26 @@
             return;
         }
         Call call = new Call(this, sequenceNumber, fields, invocation.statement());
-        if (!calls.admit(call)) {
-            send(ThriftWriter.overloaded(channel.alloc(), sequenceNumber, RETRY_AFTER_MS));
+        if (!calls.open(call)) {
+            send(overloaded(call));
             return;
         }
         callsBySequenceNumber.put(sequenceNumber, call);
+        receivedCalls.add(call);
         clients.markAwaitingResponse(this);
     }
 
+    private void submit(Call call) {
+        boolean isOpen = callsBySequenceNumber.get(call.sequenceNumber()) == call;
+        if (isOpen && !calls.submit(call)) {
+            respond(call, overloaded(call));
+        }
+    }
+
+    private ByteBuf overloaded(Call call) {
+        return ThriftWriter.overloaded(channel.alloc(), call.sequenceNumber(), RETRY_AFTER_MS);
+    }
+
     private void requireWithinLimits(int sequenceNumber) {
         // Sequence numbers must increase: if one were reused, its responses would be ambiguous.
         if (sequenceNumber <= lastSequenceNumber) {
@@ -254,6 +268,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         clients.remove(this);
         receiveBudget.remove(this);
+        receivedCalls.clear();
         new ArrayList<>(callsBySequenceNumber.values()).forEach(calls::cancel);
         callsBySequenceNumber.clear();
     }
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -7,7 +7,7 @@
 import lineward.thrift.ThriftServer.Names;
 
 /**
- * Validates calls and admits them to the coordinator. Holds the statement of an admitted call until the call
+ * Validates calls and submits them to the coordinator. Holds the statement of an open call until the call
  * is complete, and its id for the quarantine of {@link CallIds} after that. Used on the event loop only.
  */
 final class OpenCalls {
@@ -59,36 +59,45 @@
     }
 
     /**
-     * Admits the call and copies its statement. Returns false if requests are not admitted or there is no
+     * Opens the call and copies its statement. Returns false if requests are not admitted or there is no
      * capacity; the caller must then reject the call.
      */
-    boolean admit(Call call) {
-        if (!admitWithinBounds(call)) {
-            metrics.countEndedRequest(call.requestClass(), Metrics.RequestStatus.REJECTED);
+    boolean open(Call call) {
+        int bytes = call.statement().readableBytes();
+        if (!admission.mayAdmit(bytes) || !ids.hasCapacity(call.client())) {
+            countRejected(call);
             return false;
         }
+        admission.recordAdmitted(bytes);
         call.copyStatement();
         ids.opened(call.id(), call.client());
         return true;
     }
 
-    private boolean admitWithinBounds(Call call) {
-        int bytes = call.statement().readableBytes();
-        if (!admission.mayAdmit(bytes) || !ids.hasCapacity(call.client())) {
-            return false;
-        }
+    /**
+     * Submits an open call to the coordinator. Returns false if that has no capacity; the call is then
+     * complete, and the caller must reject it.
+     */
+    boolean submit(Call call) {
         OptionalLong coordinatorRequestId = driver.admit(call.fields().attributes(), call);
         if (coordinatorRequestId.isEmpty()) {
+            countRejected(call);
+            complete(call);
             return false;
         }
-        admission.recordAdmitted(bytes);
-        call.admitted(coordinatorRequestId.getAsLong());
+        call.submitted(coordinatorRequestId.getAsLong());
         return true;
     }
 
+    private void countRejected(Call call) {
+        metrics.countEndedRequest(call.requestClass(), Metrics.RequestStatus.REJECTED);
+    }
+
     /** Cancels a call whose client no longer waits for it. */
     void cancel(Call call) {
-        driver.cancel(call.coordinatorRequestId());
+        if (call.isSubmitted()) {
+            driver.cancel(call.coordinatorRequestId());
+        }
         complete(call);
     }
 
