--- a/src/test/java/lineward/mysql/TwoEngineFixture.java
+++ b/src/test/java/lineward/mysql/TwoEngineFixture.java
@@ -35,6 +35,11 @@
         return Map.of();
     }
 
+    /** Returns further limits of the configuration. */
+    String limits() {
+        return "";
+    }
+
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         program.close();
@@ -49,6 +54,7 @@
             listen = "127.0.0.1:0"
             [limits]
             packet = 100000
+            %s
             [[user]]
             name = "office"
             password = "secret"
@@ -56,7 +62,7 @@
             name = "all"
             aim-ms = 300
             deadline-ms = 1500
-            """);
+            """.formatted(limits()));
         addEngine(text, "one", one, stateOfOne);
         addEngine(text, "two", two, stateOfTwo);
         Files.writeString(configFile, text);
