Wait for the admission itself in two tests of ClientDisconnectTest

Cause: the test took the answer to a ping for the admission of the requests before it. Since ReceivedCalls they are submitted one iteration after it, so that a client which leaves right behind the pong has nothing forwarded, as intended.

Change: both tests also wait until the metric counts the requests as open. What they check afterwards is unchanged.

--- a/src/test/java/lineward/thrift/ClientDisconnectTest.java
+++ b/src/test/java/lineward/thrift/ClientDisconnectTest.java
@@ -86,7 +86,8 @@
         platform.publishBoth("draining");
         try (TestingClient client = platform.client()) {
             int seqid = client.send(TestingClient.fields(9000), "select 1");
-            assertTrue(client.callMethod("ping").ok(), "the request is admitted and queued");
+            assertTrue(client.callMethod("ping").ok(), "the request is received");
+            Program.await("the request is admitted and queued", () -> openRequests() == 1);
             disconnect(client, seqid, how);
             platform.publishBoth("ready");
             String nextId = serveAnotherRequest();
@@ -168,7 +169,8 @@
             }
             Map<String, String> lastFields = TestingClient.fields(9000);
             int seqid = client.send(lastFields, "select 1");
-            assertTrue(client.callMethod("ping").ok(), "all requests are admitted");
+            assertTrue(client.callMethod("ping").ok(), "all requests are received");
+            Program.await("all requests are admitted", () -> openRequests() == MAX_OPEN_CALLS);
             disconnect(client, seqid, how);
             int forwarded = ProgramMetrics.read(platform.program()).get("edge_relay_relayed_total");
             assertTrue(
