--- a/src/main/java/lineward/mysql/engine/MysqlEngineConnection.java
+++ b/src/main/java/lineward/mysql/engine/MysqlEngineConnection.java
@@ -60,10 +60,6 @@
         session = new EngineSession(new EngineStatementCache(commandWriter::closeStatement));
     }
 
-    EngineConnectionPool pool() {
-        return pool;
-    }
-
     EngineSession session() {
         return session;
     }
@@ -92,7 +88,7 @@
 
     void start(MysqlQueryAttempt next) {
         attempt = next;
-        next.assignTo(this);
+        next.assignTo(this, pool);
         if (state == MysqlConnectionState.IDLE) {
             sendNextCommand();
         }
--- a/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
+++ b/src/main/java/lineward/mysql/engine/MysqlQueryAttempt.java
@@ -60,6 +60,8 @@
     private byte[] engineError;
     /** Null until a pool has assigned a connection. */
     private MysqlEngineConnection connection;
+    /** The pool of the connection; null until then. */
+    private EngineConnectionPool pool;
 
     /**
      * Creates an attempt that has not started.
@@ -83,9 +85,10 @@
         return sessionSettings;
     }
 
-    /** Records the connection that executes this attempt. */
-    void assignTo(MysqlEngineConnection assigned) {
+    /** Records the connection that executes this attempt, and its pool. */
+    void assignTo(MysqlEngineConnection assigned, EngineConnectionPool assignedPool) {
         connection = assigned;
+        pool = assignedPool;
     }
 
     void commandWritten() {
@@ -124,7 +127,7 @@
 
     private void buffer(ByteBufAllocator alloc, ByteBuf frame, PacketRole role) {
         if (buffered == null) {
-            buffered = new ReplyBuffer(alloc.heapBuffer(), connection.pool().replyBudget());
+            buffered = new ReplyBuffer(alloc.heapBuffer(), pool.replyBudget());
         }
         if (!buffered.append(frame, role)) {
             continueWithoutBuffer(frame, role);
@@ -139,7 +142,7 @@
     /** Spools a packet that can't be buffered. A reply whose rows have not started is discarded instead. */
     private void continueWithoutBuffer(ByteBuf frame, PacketRole role) {
         if (!rowsFollow) {
-            LOG.info("engine reply discarded", "engine", connection.pool().name(), "reply buffers are full");
+            LOG.info("engine reply discarded", "engine", pool.name(), "reply buffers are full");
             releaseBuffer();
             state = ReplyState.DISCARDING;
             return;
