Receive the responses of a slow service discovery however long they take

With responses that took 5.5 s, a front end never learned that an engine drained, nor of new engines.

Cause: PollPolicy opened a connection when the response was overdue (1.7 s) and closed the oldest of three for it, so that each connection was closed 5.1 s after its poll; a response in between closed polls that were nearly answered; a connect had 0.5 s.

Change: PollConnections holds eight connections and decides which is closed: those whose poll is older than an answered one, all others after a response in time, the second oldest when a ninth is needed (the oldest after 15 s, then twice as long each time). Polls are spread by 1 s while several wait. Connects have no timeout of their own. Incomplete responses share 12 MB, as before with three.

--- a/src/main/java/lineward/discovery/PollConnection.java
+++ b/src/main/java/lineward/discovery/PollConnection.java
@@ -8,9 +8,9 @@
  * milliseconds of a monotonic clock.
  */
 final class PollConnection {
-    /** Limit on the time to connect; longer than the connect timeout of {@link PollTransport}. */
+    /** Time to connect after which the connection is overdue. */
     static final double CONNECT_LIMIT_MS = 600;
-    /** Limit on the time to a complete response; a partial response does not extend it. */
+    /** Time to a complete response after which it is overdue; a partial response does not extend it. */
     static final double RESPONSE_LIMIT_MS = PollPolicy.LONG_POLL_TIMEOUT_MS + 700;
 
     /** What the connection waits for, and the limit on that wait. */
@@ -68,6 +68,11 @@
         return waitingSinceMs;
     }
 
+    /** Returns the time of the next poll if the connection is paused; else {@link #waitingSinceMs}. */
+    double latestPollMs() {
+        return state == State.PAUSED ? resumeAtMs : waitingSinceMs;
+    }
+
     /** Records that a poll is sent. */
     void recordPoll(double nowMs) {
         transitionTo(State.POLLING);
--- a/src/main/java/lineward/discovery/PollPolicy.java
+++ b/src/main/java/lineward/discovery/PollPolicy.java
@@ -22,8 +22,6 @@
     static final int LONG_POLL_TIMEOUT_MS = 1000;
     /** Delay of a connect after a connection has ended, and of a poll after an early empty response. */
     static final double PAUSE_MS = 100;
-    /** Limit on connections; overdue ones stay open because a slow service may still respond on them. */
-    static final int MAX_CONNECTIONS = 3;
     /** Time without a valid response after which a warning is logged. */
     static final double WARNING_DELAY_MS = 2000;
     /** Interval between these warnings. */
@@ -34,12 +32,9 @@
     /** A time that is never reached. */
     static final double NEVER = Double.POSITIVE_INFINITY;
 
-    /** The open connections, oldest first. */
-    private final List<PollConnection> connections = new ArrayList<>(MAX_CONNECTIONS);
-
+    private final PollConnections connections = new PollConnections();
     private final FileReadSchedule fileReads = new FileReadSchedule();
     private String address;
-    private int lastConnectionNumber;
     private double connectNotBeforeMs;
     private double lastResponseAtMs;
     /** Time of the first fault since a valid response or new address; {@link #NEVER} if there was none. */
@@ -68,7 +63,7 @@
     /** Returns the steps that are due. */
     List<PollStep> tick(double nowMs) {
         List<PollStep> steps = new ArrayList<>(2);
-        for (PollConnection connection : connections) {
+        for (PollConnection connection : connections.open()) {
             if (connection.isResumeDue(nowMs)) {
                 poll(connection, nowMs, steps);
             }
@@ -88,7 +83,7 @@
     /** Handles an established connection: polls on it, or closes it if it is no longer in use. */
     List<PollStep> connected(int connectionNumber, double nowMs) {
         List<PollStep> steps = new ArrayList<>(1);
-        PollConnection connection = find(connectionNumber);
+        PollConnection connection = connections.find(connectionNumber);
         if (connection == null) {
             steps.add(new PollStep.Close(connectionNumber));
         } else {
@@ -99,26 +94,37 @@
 
     /** Returns whether the connection is in use; the caller ignores responses on other connections. */
     boolean isOpen(int connectionNumber) {
-        return find(connectionNumber) != null;
+        return connections.find(connectionNumber) != null;
     }
 
-    /** Handles a valid response: closes all other connections and continues to poll. */
+    /**
+     * Handles a valid response: continues to poll, and closes the connections that are not needed any more.
+     * While the service is slow, the polls sent after this one stay open, so that an event that this response
+     * does not contain arrives with the next of them.
+     */
     List<PollStep> responded(int connectionNumber, PollResponse response, double nowMs) {
         List<PollStep> steps = new ArrayList<>(2);
-        PollConnection connection = find(connectionNumber);
+        PollConnection connection = connections.find(connectionNumber);
         if (connection == null) {
             return steps;
         }
         lastResponseAtMs = nowMs;
         failingSinceMs = NEVER;
         nextWarningAtMs = nowMs;
-        closeAllExcept(connection, steps);
+        double responseTimeMs = nowMs - connection.waitingSinceMs();
+        connections.recordResponse(connection, nowMs, steps);
         if (response.closesConnection()) {
-            steps.add(new PollStep.Close(connectionNumber));
-            removeAndDelayConnect(connection, nowMs);
-        } else if (!response.hasNewEvent() && nowMs - connection.waitingSinceMs() < EARLY_RESPONSE_MS) {
+            connections.close(connection, steps);
+            connectNotBeforeMs = nowMs + PAUSE_MS;
+            return steps;
+        }
+        double nextPollAtMs = connections.nextPollAtMs(connection);
+        if (!response.hasNewEvent() && responseTimeMs < EARLY_RESPONSE_MS) {
             // An immediate poll would cause a busy loop with a service that does not hold polls.
-            connection.pause(nowMs + PAUSE_MS);
+            nextPollAtMs = nowMs + PAUSE_MS;
+        }
+        if (nextPollAtMs > nowMs) {
+            connection.pause(nextPollAtMs);
         } else {
             poll(connection, nowMs, steps);
         }
@@ -127,9 +133,10 @@
 
     /** Handles a connection that was closed, not established, or aborted after an invalid response. */
     void failed(int connectionNumber, PollFault fault, double nowMs) {
-        PollConnection connection = find(connectionNumber);
+        PollConnection connection = connections.find(connectionNumber);
         if (connection != null) {
-            removeAndDelayConnect(connection, nowMs);
+            connections.remove(connection);
+            connectNotBeforeMs = nowMs + PAUSE_MS;
             recordFault(fault, nowMs);
         }
     }
@@ -141,12 +148,11 @@
 
     /** Handles the address read from the file: if it differs, replaces all connections. */
     List<PollStep> fileReadSucceeded(String newAddress, double nowMs) {
-        List<PollStep> steps = new ArrayList<>(MAX_CONNECTIONS);
+        List<PollStep> steps = new ArrayList<>(PollConnections.MAX_CONNECTIONS);
         fileReads.readSucceeded(nowMs, isFailing());
         if (!newAddress.equals(address)) {
             address = newAddress;
-            connections.forEach(connection -> steps.add(new PollStep.Close(connection.number())));
-            connections.clear();
+            connections.closeAll(steps);
             connectNotBeforeMs = nowMs;
             failingSinceMs = NEVER;
             steps.addAll(tick(nowMs));
@@ -159,44 +165,22 @@
         fileReads.readFailed(nowMs, isFailing());
     }
 
+    /** Connects if needed; a service with an overdue response is failing, even if it responds to others. */
     private void connectIfNeeded(double nowMs, List<PollStep> steps) {
-        boolean overdue = !connections.isEmpty() && newest().isOverdue(nowMs);
-        if (overdue) {
+        if (connections.isAnyOverdue(nowMs)) {
             recordFault(PollFault.NO_RESPONSE, nowMs);
         }
-        if ((connections.isEmpty() || overdue) && nowMs >= connectNotBeforeMs) {
-            connect(nowMs, steps);
+        if (connections.isConnectDue(nowMs) && nowMs >= connectNotBeforeMs) {
+            PollConnection added = connections.add(nowMs, steps);
+            steps.add(new PollStep.Connect(added.number(), address));
         }
     }
 
-    private void connect(double nowMs, List<PollStep> steps) {
-        if (connections.size() == MAX_CONNECTIONS) {
-            steps.add(new PollStep.Close(connections.remove(0).number()));
-        }
-        lastConnectionNumber++;
-        connections.add(new PollConnection(lastConnectionNumber, nowMs));
-        steps.add(new PollStep.Connect(lastConnectionNumber, address));
-    }
-
-    private static void poll(PollConnection connection, double nowMs, List<PollStep> steps) {
-        connection.recordPoll(nowMs);
+    private void poll(PollConnection connection, double nowMs, List<PollStep> steps) {
+        connections.recordPoll(connection, nowMs);
         steps.add(new PollStep.SendPoll(connection.number()));
     }
 
-    private void closeAllExcept(PollConnection retained, List<PollStep> steps) {
-        for (PollConnection connection : connections) {
-            if (connection != retained) {
-                steps.add(new PollStep.Close(connection.number()));
-            }
-        }
-        connections.removeIf(connection -> connection != retained);
-    }
-
-    private void removeAndDelayConnect(PollConnection connection, double nowMs) {
-        connections.remove(connection);
-        connectNotBeforeMs = nowMs + PAUSE_MS;
-    }
-
     private void recordFault(PollFault fault, double nowMs) {
         lastFault = fault;
         if (!isFailing()) {
@@ -207,17 +191,4 @@
     private boolean isFailing() {
         return failingSinceMs < NEVER;
     }
-
-    private PollConnection newest() {
-        return connections.get(connections.size() - 1);
-    }
-
-    private PollConnection find(int connectionNumber) {
-        for (PollConnection connection : connections) {
-            if (connection.number() == connectionNumber) {
-                return connection;
-            }
-        }
-        return null;
-    }
 }
--- a/src/main/java/lineward/discovery/PollTransport.java
+++ b/src/main/java/lineward/discovery/PollTransport.java
@@ -23,18 +23,23 @@
 import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import lineward.core.ByteBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * The HTTP/1.1 connections to service discovery, identified by the numbers that {@link PollPolicy} assigns.
- * Runs on the event loop. A response has at most {@value #MAX_RESPONSE_BYTES} bytes; the policy limits the
- * number of connections.
+ * Runs on the event loop. A response has at most {@value #MAX_RESPONSE_BYTES} bytes, all incomplete responses
+ * {@value #MAX_INCOMPLETE_BYTES}; the policy limits the number of connections.
  */
 final class PollTransport {
     private static final Logger LOG = LoggerFactory.getLogger(PollTransport.class);
-    private static final int CONNECT_TIMEOUT_MS = 500;
+    /** Disables Netty's timeout: {@link PollPolicy} decides how long a connect may take. */
+    private static final int NO_CONNECT_TIMEOUT = 0;
+
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
+    /** Limit on the incomplete responses of all connections together. */
+    private static final long MAX_INCOMPLETE_BYTES = 3L * MAX_RESPONSE_BYTES;
 
     /** Receives the events of the connections, on the event loop. */
     interface Listener {
@@ -57,6 +62,7 @@
     private final EventLoop loop;
     private final Listener listener;
     private final Map<Integer, Connection> connections = new HashMap<>();
+    private final ByteBudget incompleteResponses = new ByteBudget(MAX_INCOMPLETE_BYTES);
 
     /** Creates a transport without connections. */
     PollTransport(EventLoop loop, Listener listener) {
@@ -72,7 +78,7 @@
         ChannelFuture connectFuture = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_CONNECT_TIMEOUT)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new PipelineInitializer(connectionNumber))
                 .connect(new InetSocketAddress(host, port));
@@ -137,6 +143,7 @@
             channel.pipeline()
                     .addLast(
                             new HttpClientCodec(),
+                            new ResponseMemoryLimiter(incompleteResponses),
                             new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                             new ResponseHandler(connectionNumber));
         }
