--- a/src/main/java/lineward/discovery/ResponseMemoryLimiter.java
+++ b/src/main/java/lineward/discovery/ResponseMemoryLimiter.java
@@ -25,7 +25,8 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (message instanceof HttpContent content && !reserve(content.content().readableBytes())) {
             ReferenceCountUtil.release(message);
-            ctx.fireExceptionCaught(new IllegalStateException("incomplete responses exceed the memory limit"));
+            String reason = "incomplete responses exceed the memory limit";
+            ctx.fireExceptionCaught(new IllegalStateException(reason));
             return;
         }
         ctx.fireChannelRead(message);
--- a/src/main/java/lineward/discovery/package-info.java
+++ b/src/main/java/lineward/discovery/package-info.java
@@ -9,7 +9,7 @@
  *
  * <p>The package uses {@code core}, records of {@code scheduling}, Netty and Jackson. It runs on one event
  * loop, except the reads of the file, which have a separate thread. Bounds: eight connections, 4 MB for a
- * response, 12 MB for all incomplete ones, one read of the file at a time, one warning a second. The design is
- * described in {@code docs/service-discovery.md}, with an overview in {@code docs/architecture.md}.
+ * response, 12 MB for all incomplete ones, one read of the file at a time, one warning a second. The design
+ * is described in {@code docs/service-discovery.md}, with an overview in {@code docs/architecture.md}.
  */
 package lineward.discovery;
--- a/src/test/java/lineward/discovery/DiscoverySimulation.java
+++ b/src/test/java/lineward/discovery/DiscoverySimulation.java
@@ -193,7 +193,8 @@
         connectCount++;
         connections.put(step.connectionNumber(), step.address());
         waitingSinceMs.put(step.connectionNumber(), nowMs);
-        at(nowMs + connectDelayMs + 1 + random.nextInt(20), () -> establish(step.connectionNumber(), step.address()));
+        double establishedAtMs = nowMs + connectDelayMs + 1 + random.nextInt(20);
+        at(establishedAtMs, () -> establish(step.connectionNumber(), step.address()));
     }
 
     @Override
--- a/src/test/java/lineward/discovery/SlowDiscoveryTest.java
+++ b/src/test/java/lineward/discovery/SlowDiscoveryTest.java
@@ -141,7 +141,8 @@
                 .mapToDouble(Double::doubleValue)
                 .max()
                 .orElseThrow();
-        assertTrue(longestMs <= PollConnection.RESPONSE_LIMIT_MS + 100, "received after " + longestMs + " ms");
+        double maxMs = PollConnection.RESPONSE_LIMIT_MS + 100;
+        assertTrue(longestMs <= maxMs, "received after " + longestMs + " ms");
     }
 
     /** Once the service is fast again, one connection is left, and its rate of polls is the usual one. */
@@ -159,7 +160,8 @@
         DiscoverySimulation simulation = simulation((connection, polledAtMs) -> 3000);
         simulation.connectDelayMs = 3000;
         simulation.run(END_MS);
-        double longestMs = Collections.max(simulation.eventDelaysMs.subList(1, simulation.eventDelaysMs.size()));
+        List<Double> delays = simulation.eventDelaysMs;
+        double longestMs = Collections.max(delays.subList(1, delays.size()));
         assertTrue(longestMs <= MAX_EVENT_DELAY_MS, "received after " + longestMs + " ms");
     }
 
@@ -177,7 +179,8 @@
             simulation.addressInFile = "b:1";
         });
         simulation.run(80_000);
-        assertTrue(simulation.longestUnpolledMs <= 2000, "no poll for " + simulation.longestUnpolledMs + " ms");
+        double unpolledMs = simulation.longestUnpolledMs;
+        assertTrue(unpolledMs <= 2000, "no poll for " + unpolledMs + " ms");
         assertReceivedUpTo(80_000 - delayMs - 2000, simulation);
     }
 
