Keep the ids of ended calls in a primitive table, and let one connection use most of them

One connection was rejected beyond 3,168 requests a second, and four tests failed for it on x86-64.

Cause: CallIds allowed one id for each KB of the heap and a quarter of them for one connection (15,840 with run), and an id stays for 5 s. The limit held for a rate instead of for memory, and nothing in log or metrics named it.

Change: an id is 16 hexadecimal digits, so CallIdTable keeps it as a number, with its state and the connection that it counts for. Ids are released by slices of one second. A connection may use four times the free capacity, so that the one with the most ids is rejected first. A call without an attempt releases its id when it ends. A rejection has its log line and counter. TestingClient reads through a buffer, unless it has a small receive buffer.

The old CallIds rejects id 15,841 of one connection; CallIdsTest holds 50,000 ids for each of four. On this machine one connection gets 3,200 requests a second, so that these tests and the four of the issue do not fail here before the change; x86-64 was not run. CallMemoryTest, UnfinishedRequestsTest, ThriftServerTest, MetricsTest pass, one run each.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint format run example measure-spool measure-fleet
+.PHONY: build test lint format run example measure-spool measure-fleet measure-call-ids
 
 build:
 	mvn -q -DskipTests package
@@ -33,3 +33,9 @@
 measure-fleet: build
 	mvn -q -B test-compile
 	java -cp target/test-classes:target/classes lineward.scheduling.FleetDay $(FLEET)
+
+# Measures the memory and the time that the ids of ended requests take, with the compiler of the run command.
+measure-call-ids: build
+	mvn -q -B test-compile
+	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx256m -cp target/test-classes:target/classes \
+		lineward.thrift.MeasureCallIds
--- a/src/main/java/lineward/app/ThriftWiring.java
+++ b/src/main/java/lineward/app/ThriftWiring.java
@@ -28,8 +28,8 @@
     /** Responses are in direct memory and may use at most that memory divided by this. */
     private static final int RESPONSE_BUFFER_DIVISOR = 2;
 
-    /** The ids of open and recently ended requests use an eighth of the heap: 128 bytes each. */
-    private static final int HEAP_BYTES_PER_CALL_ID = 1024;
+    /** The ids of open and recently ended requests may use the heap divided by this. */
+    private static final int CALL_ID_HEAP_DIVISOR = 8;
 
     private static final int MAX_CALL_IDS = 1 << 20;
 
@@ -56,12 +56,13 @@
         long memoryBytes = resources.memoryMb() * BYTES_PER_MB;
         long heapBytes = Runtime.getRuntime().maxMemory();
         long bufferBytes = BufferMemory.capacityBytes();
+        long callIds = heapBytes / CALL_ID_HEAP_DIVISOR / ThriftServer.MAX_BYTES_PER_CALL_ID;
         return new ThriftServer.Bounds(
                 (int) (resources.descriptors() * CLIENT_DESCRIPTOR_RATIO),
                 BufferMemory.receiveBytes(),
                 Math.min(memoryBytes / STATEMENT_MEMORY_DIVISOR, heapBytes / STATEMENT_HEAP_DIVISOR),
                 Math.min(memoryBytes / RESPONSE_MEMORY_DIVISOR, bufferBytes / RESPONSE_BUFFER_DIVISOR),
-                (int) Math.min(MAX_CALL_IDS, heapBytes / HEAP_BYTES_PER_CALL_ID));
+                (int) Math.min(MAX_CALL_IDS, callIds));
     }
 
     /**
--- a/src/main/java/lineward/operations/Metrics.java
+++ b/src/main/java/lineward/operations/Metrics.java
@@ -45,6 +45,9 @@
     private final Map<String, Map<RequestStatus, Long>> endedRequests = new TreeMap<>();
 
     private long forwardedAttempts;
+    private long idLimitRejections;
+    /** Null if no protocol server sets it. */
+    private LongSupplier requestIds;
     /** Null if the process has no service discovery. */
     private LongSupplier endpointListAgeMs;
 
@@ -83,6 +86,20 @@
         forwardedAttempts++;
     }
 
+    /** Counts a request that was rejected because its client has used too many ids recently. */
+    public void countIdLimitRejection() {
+        idLimitRejections++;
+    }
+
+    /**
+     * Sets the source of the number of ids of open and recently ended requests.
+     *
+     * @param count returns the current number
+     */
+    public void setRequestIds(LongSupplier count) {
+        requestIds = count;
+    }
+
     /**
      * Sets the source of the age of the endpoint list.
      *
@@ -128,6 +145,11 @@
             String help = "Bytes of answers that clients have not taken yet.";
             text.gauge("unread_answer_bytes", help, unreadBytes.getAsLong());
         }
+        if (requestIds != null) {
+            text.gauge("request_ids", "Ids of open and recently ended requests.", requestIds.getAsLong());
+            String rejectedHelp = "Requests rejected because of too many ids of recent requests.";
+            text.counter("id_limit_rejections_total", rejectedHelp, idLimitRejections);
+        }
         long bufferedBytes =
                 receiveBufferBytes.stream().mapToLong(LongSupplier::getAsLong).sum();
         String receiveHelp = "Bytes buffered for requests that are not complete.";
--- a/src/main/java/lineward/thrift/Call.java
+++ b/src/main/java/lineward/thrift/Call.java
@@ -23,6 +23,7 @@
     private final ClientHandler client;
     private final int sequenceNumber;
     private final CallFields fields;
+    private final long idNumber;
     private ByteBuf statement;
     private State state = State.OPEN;
     private long coordinatorRequestId = NOT_SUBMITTED;
@@ -36,6 +37,7 @@
         this.client = client;
         this.sequenceNumber = sequenceNumber;
         this.fields = fields;
+        this.idNumber = CallIds.numberOf(fields.id());
         this.statement = statement;
     }
 
@@ -49,6 +51,11 @@
         return fields.id();
     }
 
+    /** Returns the number of the id, see {@link CallIds#numberOf}. */
+    long idNumber() {
+        return idNumber;
+    }
+
     /** Returns the connection that the call arrived on. */
     ClientHandler client() {
         return client;
@@ -98,6 +105,11 @@
         attempt = started;
     }
 
+    /** Returns whether an attempt was started, so that the request may have reached an engine. */
+    boolean hasAttempt() {
+        return attemptNumber != NO_ATTEMPT;
+    }
+
     /** Returns the attempt with that number; null if it is not the latest one. */
     QueryAttempt attempt(int number) {
         return number == attemptNumber ? attempt : null;
--- a/src/main/java/lineward/thrift/ClientHandler.java
+++ b/src/main/java/lineward/thrift/ClientHandler.java
@@ -35,6 +35,7 @@
     private final ReceiveBudget receiveBudget;
     private final FrameDecoder frameDecoder;
     private final Map<Integer, Call> callsBySequenceNumber = new HashMap<>();
+    private final ClientCallIds callIds = new ClientCallIds();
     private final ReceivedCalls receivedCalls = new ReceivedCalls(this::submit);
     private Channel channel;
     private long unreadBytes;
@@ -252,6 +253,11 @@
         return unreadBytes;
     }
 
+    /** Returns the count of this client's ids in use. */
+    ClientCallIds callIds() {
+        return callIds;
+    }
+
     /** Returns the channel; null before the connection is active. */
     Channel channel() {
         return channel;
--- a/src/main/java/lineward/thrift/OpenCalls.java
+++ b/src/main/java/lineward/thrift/OpenCalls.java
@@ -2,15 +2,19 @@
 
 import java.util.OptionalLong;
 import lineward.frontend.CoordinatorDriver;
+import lineward.frontend.RateLimitedLog;
 import lineward.operations.Metrics;
 import lineward.scheduling.decision.ServerAdmissionPolicy;
 import lineward.thrift.ThriftServer.Names;
+import org.slf4j.LoggerFactory;
 
 /**
  * Validates calls and submits them to the coordinator. Holds the statement of an open call until the call
  * is complete, and its id for the quarantine of {@link CallIds} after that. Used on the event loop only.
  */
 final class OpenCalls {
+    private static final RateLimitedLog LOG = new RateLimitedLog(LoggerFactory.getLogger(OpenCalls.class));
+
     private final Names names;
     private final ServerAdmissionPolicy admission;
     private final CoordinatorDriver<Call> driver;
@@ -46,7 +50,7 @@
      */
     CallFields validate(ThriftReader.Invocation invocation) throws InvalidCallException {
         CallFields fields = CallFields.parse(invocation, names);
-        if (ids.isInUse(fields.id())) {
+        if (ids.isInUse(CallIds.numberOf(fields.id()))) {
             throw InvalidCallException.idInUse();
         }
         return fields;
@@ -64,16 +68,26 @@
      */
     boolean open(Call call) {
         int bytes = call.statement().readableBytes();
-        if (!admission.mayAdmit(bytes) || !ids.hasCapacity(call.client())) {
+        if (!admission.mayAdmit(bytes) || !hasIdCapacity(call)) {
             countRejected(call);
             return false;
         }
         admission.recordAdmitted(bytes);
         call.copyStatement();
-        ids.opened(call.id(), call.client());
+        ids.opened(call.idNumber(), call.client().callIds());
         return true;
     }
 
+    private boolean hasIdCapacity(Call call) {
+        boolean hasCapacity = ids.hasCapacity(call.client().callIds());
+        if (!hasCapacity) {
+            metrics.countIdLimitRejection();
+            Object address = call.client().channel().remoteAddress();
+            LOG.info("request rejected", "client", address, "too many ids of recent requests");
+        }
+        return hasCapacity;
+    }
+
     /**
      * Submits an open call to the coordinator. Returns false if that has no capacity; the call is then
      * complete, and the caller must reject it.
@@ -110,10 +124,23 @@
         if (call.complete()) {
             admission.recordCompleted(call.statement().readableBytes());
             call.statement().release();
-            ids.ended(call.id(), call.client(), System.nanoTime());
+            endId(call);
         }
     }
 
+    private void endId(Call call) {
+        if (call.hasAttempt()) {
+            ids.ended(call.idNumber(), System.nanoTime());
+        } else {
+            ids.endedUnsent(call.idNumber());
+        }
+    }
+
+    /** Returns the number of ids of open and recently ended calls. */
+    int idCount() {
+        return ids.size();
+    }
+
     /** Releases the ids of calls whose quarantine is over. */
     void expireIds() {
         ids.expire(System.nanoTime());
--- a/src/main/java/lineward/thrift/ThriftServer.java
+++ b/src/main/java/lineward/thrift/ThriftServer.java
@@ -28,6 +28,9 @@
  * methods except the constructors and {@link #listen} are called on the event loop.
  */
 public final class ThriftServer implements ProtocolServer {
+    /** Heap bytes of the id of a recently ended request, at most. */
+    public static final int MAX_BYTES_PER_CALL_ID = CallIdTable.MAX_BYTES_PER_ID;
+
     private static final int LISTEN_BACKLOG = 1024;
     /**
      * A connection is closed if no request arrives within this time after it was opened, or if a frame stays
@@ -125,6 +128,7 @@
         this.receiveBudget = new ReceiveBudget(bounds.maxReceiveBytes());
         this.forwarder = new CallForwarder(this.driver, engines, calls, services);
         metrics.setUnreadBytes(responses::unreadBytes);
+        metrics.setRequestIds(calls::idCount);
         metrics.addReceiveBufferBytes(receiveBudget::used);
     }
 
--- a/src/test/java/lineward/testing/TestingClient.java
+++ b/src/test/java/lineward/testing/TestingClient.java
@@ -1,9 +1,11 @@
 package lineward.testing;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -36,7 +38,9 @@
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         socket.setSoTimeout(20_000);
         socket.setTcpNoDelay(true);
-        in = new DataInputStream(socket.getInputStream());
+        InputStream input = socket.getInputStream();
+        // A client with a small receive buffer is to read no more than it needs.
+        in = new DataInputStream(receiveBufferBytes > 0 ? input : new BufferedInputStream(input));
         out = new DataOutputStream(socket.getOutputStream());
     }
 
