Wait for the acceptor of a closed MySQL test engine before its port is used again

Need: ReusedEngineAddressTest failed once in 4 runs with "Address already in use" when the new test engine was bound.

Cause: the port stays in use until the accept call of another thread returns after the close; TestingEngine waits for that already.

Change: TestingMysqlEngine.close waits for its acceptor thread.

--- a/src/test/java/lineward/mysql/TestingMysqlEngine.java
+++ b/src/test/java/lineward/mysql/TestingMysqlEngine.java
@@ -90,6 +90,7 @@
     volatile Runnable beforeSetReply = () -> {};
 
     private final ServerSocket server;
+    private final Thread acceptor;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Map<Long, CountDownLatch> killLatches = new ConcurrentHashMap<>();
     private final AtomicInteger lastSessionId = new AtomicInteger();
@@ -115,7 +116,7 @@
     /** @param port port to listen on; 0 for any free one */
     TestingMysqlEngine(int port) throws IOException {
         server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
-        Thread acceptor = new Thread(this::accept, "engine");
+        acceptor = new Thread(this::accept, "engine");
         acceptor.setDaemon(true);
         acceptor.start();
     }
@@ -165,6 +166,12 @@
     @Override
     public void close() throws IOException {
         crash();
+        try {
+            // The port stays in use until accept returns; no other engine could bind it before.
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         forgetRunningStatements();
     }
 
